--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Builds everything. Usage: build.sh release|asan|tsan [TARGET...]
+# The result is in build-NAME.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+kind=${1:-release}
+shift || true
+export CCACHE_DIR=${CCACHE_DIR:-$PWD/.cache/ccache}
+export CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
+case $kind in
+  release) options=(-DCMAKE_BUILD_TYPE=RelWithDebInfo) ;;
+  asan) options=(-DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DTW_SANITIZE=address,undefined) ;;
+  tsan) options=(-DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DTW_SANITIZE=thread) ;;
+  *) echo "unknown build: $kind" >&2; exit 2 ;;
+esac
+cmake -S . -B "build-$kind" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache "${options[@]}" >"build-$kind.log" 2>&1 ||
+  { cat "build-$kind.log"; exit 1; }
+ninja -C "build-$kind" -k 20 "$@" >"build-$kind.log" 2>&1 ||
+  { grep -E 'error|undefined|FAILED' "build-$kind.log" | cut -c1-400 | head -40; exit 1; }
--- /dev/null
+++ b/scripts/smoke.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# The thin path end to end, as separate processes: publish, two entry hosts, a
+# streamed chat, a checkout, one bill each. Usage: smoke.sh BUILD_DIRECTORY
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$(cd "$1" && pwd)/bin
+TW_WORK=$(mktemp -d)
+. scripts/lib.sh
+trap 'stop_all; [ -n "${TW_KEEP:-}" ] || rm -rf "$TW_WORK"' EXIT
+
+start platform "$bin/standin_platform"
+platform=$(stand_in_address platform)
+start engine "$bin/standin_engine"
+engine=$(stand_in_address engine)
+start service "$bin/standin_service"
+service=$(stand_in_address service)
+curl -sf -X PUT "http://$platform/hosts" -d '{"hosts":[
+  {"name":"host-1","failure_domain":"dk-east-a","state":"live"},
+  {"name":"host-2","failure_domain":"dk-east-a","state":"live"}],"targets":[
+  {"name":"engine-1","failure_domain":"dk-east-a","address":"'"$engine"'","incarnation":"1","class":"llm-large","state":"live"},
+  {"name":"drawer-1","failure_domain":"dk-east-a","address":"'"$service"'","incarnation":"1","class":"drawer-app","state":"live"}]}' >/dev/null
+
+export TURMERICWINCH_PLATFORM=$platform TURMERICWINCH_OPERATOR_TOKEN=token
+"$bin/winch" apply samples/skuffekort | tail -n 1
+callers=()
+for n in 1 2; do
+  start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
+    --failure-domain=dk-east-a --listen=127.0.0.1:0 \
+    --operator-listen=127.0.0.1:0 --flush-interval=50
+  callers+=("$(daemon_address "host-$n" callers)")
+  wait_for "host-$n to be ready" \
+    curl -sf "http://$(daemon_address "host-$n" operators)/readyz"
+done
+
+auth="Authorization: Bearer demo-archive-key"
+for it in "${callers[@]}"; do
+  curl -sf "http://$it/v1/chat/completions" -H "$auth" -d '{
+    "model":"turmericwinch-llm","stream":true,"max_tokens":8,
+    "messages":[{"role":"user","content":"Which sheet is this?"}]}' |
+    grep -q 'data: \[DONE\]'
+done
+for it in "${callers[@]}"; do
+  curl -sf "http://$it/services/drawer-app/checkouts/7" -H "$auth" \
+    -H 'Idempotency-Key: checkout-7' -d '{"sheet":7}' >/dev/null
+done
+runs=$(curl -sf "http://$service/stats")
+[ "$runs" = '{"checkout-7":1}' ] || { echo "the checkout ran: $runs" >&2; exit 1; }
+
+# Two chats of 6 prompt and 8 output tokens, one checkout of 5 tokens.
+spent_is() {
+  "$bin/winch" budget show national-archive-2026 --output json | grep -q "\"spent\":$1,"
+}
+wait_for "the spend to be recorded" spent_is 33
+"$bin/winch" budget show national-archive-2026
+echo "smoke: passed"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# All checks: packages, build with warnings as errors, format and linter, unit
+# and contract tests under ASan and UBSan, threaded tests under TSan, and the
+# whole path as separate processes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/packages.sh
+scripts/build.sh asan
+# log4cxx and OpenSSL keep state until the process ends; only our leaks count.
+export ASAN_OPTIONS=detect_leaks=0
+ctest --test-dir build-asan --output-on-failure -j "$(nproc)"
+scripts/smoke.sh build-asan
+scripts/build.sh tsan
+TSAN_OPTIONS=halt_on_error=1 ctest --test-dir build-tsan -L threaded --output-on-failure --no-tests=ignore
+scripts/lint.sh
+if [ -s KNOWN-RED.txt ]; then
+  echo "known red:"
+  cat KNOWN-RED.txt
+fi
--- /dev/null
+++ b/src/apps/winch/main.cc
@@ -0,0 +1,7 @@
+// The operators' client.
+
+#include "libs/operations/winch.h"
+
+int main(int argc, char** argv) {
+  return turmericwinch::RunWinch(argc, argv);
+}
--- /dev/null
+++ b/src/libs/base/settings_table.cc
@@ -0,0 +1,221 @@
+#include "libs/base/settings_table.h"
+
+#include <popt.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <cctype>
+#include <charconv>
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr std::string_view kVariablePrefix = "TURMERICWINCH_";
+constexpr std::string_view kSourceNames[] = {"default", "environment", "flag"};
+constexpr int kMostPort = 65535;
+
+std::string VariableOf(std::string_view name) {
+  std::string variable(kVariablePrefix);
+  for (char it : name)
+    variable += it == '-' ? '_' : static_cast<char>(std::toupper(it));
+  return variable;
+}
+
+std::optional<std::int64_t> ParseInteger(std::string_view text) {
+  std::int64_t n = 0;
+  const char* end = text.data() + text.size();
+  auto [last, ec] = std::from_chars(text.data(), end, n);
+  if (ec != std::errc() || last != end)
+    return std::nullopt;
+  return n;
+}
+
+bool IsEndpoint(std::string_view text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return false;
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(std::string(text.substr(0, colon)), ec);
+  std::optional<std::int64_t> port = ParseInteger(text.substr(colon + 1));
+  return !ec && port && *port >= 0 && *port <= kMostPort;
+}
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> parts;
+  if (!text.empty())
+    boost::algorithm::split(parts, text, boost::algorithm::is_any_of(","));
+  return parts;
+}
+
+// The fault in `text` as a value of `spec`, or an empty string.
+std::string FaultOf(const SettingSpec& spec, const std::string& text) {
+  if (text.empty())
+    return spec.required ? "is required and has no value" : "";
+  switch (spec.type) {
+    case SettingType::kText:
+      return "";
+    case SettingType::kInteger: {
+      std::optional<std::int64_t> n = ParseInteger(text);
+      if (!n)
+        return "is not an integer: '" + text + "'";
+      if (*n < spec.least || *n > spec.most) {
+        return "is " + text + ", outside " + std::to_string(spec.least) + ".." +
+               std::to_string(spec.most);
+      }
+      return "";
+    }
+    case SettingType::kFlag:
+      return text == "true" || text == "false"
+                 ? ""
+                 : "is neither true nor false: '" + text + "'";
+    case SettingType::kEndpoint:
+      return IsEndpoint(text) ? "" : "is not IP:PORT: '" + text + "'";
+    case SettingType::kEndpointList:
+      for (const std::string& it : SplitList(text)) {
+        if (!IsEndpoint(it))
+          return "has a part that is not IP:PORT: '" + it + "'";
+      }
+      return "";
+  }
+  return "";
+}
+
+using FlagValues = std::map<std::string, std::string>;
+
+// Reads the flags by popt. Words go to `arguments`, faults to `faults`.
+FlagValues ReadFlags(const std::vector<SettingSpec>& specs,
+                     int argc,
+                     const char* const* argv,
+                     std::vector<std::string>& arguments,
+                     std::string& faults) {
+  std::vector<poptOption> options;
+  for (std::size_t n = 0; n < specs.size(); ++n) {
+    const bool is_flag = specs[n].type == SettingType::kFlag;
+    options.push_back(
+        {specs[n].name.c_str(), '\0',
+         static_cast<unsigned>(is_flag ? POPT_ARG_NONE : POPT_ARG_STRING),
+         nullptr, static_cast<int>(n) + 1, nullptr, nullptr});
+  }
+  options.push_back(POPT_TABLEEND);
+  FlagValues values;
+  poptContext context = poptGetContext(
+      nullptr, argc, const_cast<const char**>(argv), options.data(), 0);
+  for (int rc = poptGetNextOpt(context); rc != -1;
+       rc = poptGetNextOpt(context)) {
+    if (rc < -1) {
+      faults += std::string(poptBadOption(context, POPT_BADOPTION_NOALIAS)) +
+                ": " + poptStrerror(rc) + "\n";
+      continue;
+    }
+    char* text = poptGetOptArg(context);
+    values[specs[rc - 1].name] = text ? text : "true";
+    free(text);
+  }
+  while (const char* word = poptGetArg(context))
+    arguments.emplace_back(word);
+  poptFreeContext(context);
+  return values;
+}
+
+}  // namespace
+
+std::optional<SettingsTable> SettingsTable::Read(
+    const std::vector<SettingSpec>& specs,
+    int argc,
+    const char* const* argv,
+    const std::map<std::string, std::string>& environment,
+    Reason* reason) {
+  SettingsTable table;
+  std::string faults;
+  FlagValues flags = ReadFlags(specs, argc, argv, table.arguments_, faults);
+  for (const SettingSpec& spec : specs) {
+    Value value{spec, spec.default_value, SettingSource::kDefault};
+    auto variable = environment.find(VariableOf(spec.name));
+    if (variable != environment.end()) {
+      value.text = variable->second;
+      value.source = SettingSource::kEnvironment;
+    }
+    auto flag = flags.find(spec.name);
+    if (flag != flags.end()) {
+      value.text = flag->second;
+      value.source = SettingSource::kFlag;
+    }
+    std::string fault = FaultOf(spec, value.text);
+    if (!fault.empty()) {
+      faults +=
+          "--" + spec.name + " (" + VariableOf(spec.name) + ") " + fault + "\n";
+    }
+    table.values_.emplace(spec.name, std::move(value));
+  }
+  if (!faults.empty())
+    return Fail(reason, ResultCode::kSettingsInvalid, faults);
+  return table;
+}
+
+std::string SettingsTable::Text(std::string_view name) const {
+  auto it = values_.find(name);
+  return it == values_.end() ? std::string() : it->second.text;
+}
+
+std::int64_t SettingsTable::Integer(std::string_view name) const {
+  return ParseInteger(Text(name)).value_or(0);
+}
+
+bool SettingsTable::Flag(std::string_view name) const {
+  return Text(name) == "true";
+}
+
+std::vector<std::string> SettingsTable::List(std::string_view name) const {
+  return SplitList(Text(name));
+}
+
+std::string SettingsTable::Print() const {
+  std::string text;
+  for (const auto& [name, value] : values_) {
+    const bool masked = value.spec.secret && !value.text.empty();
+    text += name + " = " + (masked ? "(hidden)" : value.text);
+    if (!value.spec.unit.empty())
+      text += " " + value.spec.unit;
+    text += "  (";
+    text += kSourceNames[static_cast<int>(value.source)];
+    text += ")\n";
+  }
+  return text;
+}
+
+std::string SettingsHelp(const std::vector<SettingSpec>& specs) {
+  std::string text;
+  for (const SettingSpec& it : specs) {
+    text +=
+        "  --" + it.name + "  (" + VariableOf(it.name) + ")\n      " + it.label;
+    if (!it.unit.empty())
+      text += "; unit: " + it.unit;
+    if (it.type == SettingType::kInteger) {
+      text += "; range: " + std::to_string(it.least) + ".." +
+              std::to_string(it.most);
+    }
+    if (!it.default_value.empty())
+      text += "; default: " + it.default_value;
+    if (it.required)
+      text += "; required";
+    text += "\n";
+  }
+  return text;
+}
+
+std::map<std::string, std::string> ProcessEnvironment() {
+  std::map<std::string, std::string> variables;
+  for (char** it = environ; *it; ++it) {
+    std::string_view line(*it);
+    std::size_t equals = line.find('=');
+    if (equals != std::string_view::npos)
+      variables.emplace(line.substr(0, equals), line.substr(equals + 1));
+  }
+  return variables;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/budget/domain_shard.cc
@@ -0,0 +1,118 @@
+#include "libs/budget/domain_shard.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "libs/base/json_fields.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace json = boost::json;
+
+json::object ToObject(const ShardBudget& budget) {
+  json::object holders;
+  for (const auto& [name, it] : budget.holders)
+    holders[name] = json::array{it.granted, it.settled, it.given_back};
+  return {{"returned", budget.returned},
+          {"settled_retired", budget.settled_retired},
+          {"holders", holders}};
+}
+
+std::optional<HolderCounters> CountersOf(const json::value& value) {
+  const json::array* items = value.if_array();
+  if (!items || items->size() != 3)
+    return std::nullopt;
+  for (const json::value& it : *items) {
+    if (!it.is_int64() || it.get_int64() < 0)
+      return std::nullopt;
+  }
+  return HolderCounters{(*items)[0].get_int64(), (*items)[1].get_int64(),
+                        (*items)[2].get_int64()};
+}
+
+std::optional<ShardBudget> ShardBudgetOf(const json::value& value) {
+  const json::object* object = value.if_object();
+  if (!object)
+    return std::nullopt;
+  std::optional<std::int64_t> returned = IntField(*object, "returned");
+  std::optional<std::int64_t> retired = IntField(*object, "settled_retired");
+  const json::object* holders = ObjectField(*object, "holders");
+  if (!returned || !retired || !holders)
+    return std::nullopt;
+  ShardBudget budget{*returned, *retired, {}};
+  for (const auto& it : *holders) {
+    std::optional<HolderCounters> counters = CountersOf(it.value());
+    if (!counters)
+      return std::nullopt;
+    budget.holders.emplace(it.key(), *counters);
+  }
+  return budget;
+}
+
+}  // namespace
+
+std::int64_t ShardBudget::Spent() const {
+  std::int64_t spent = settled_retired;
+  for (const auto& [name, it] : holders)
+    spent += it.settled;
+  return spent;
+}
+
+std::int64_t ShardBudget::Outstanding() const {
+  std::int64_t outstanding = 0;
+  for (const auto& [name, it] : holders)
+    outstanding += it.Outstanding();
+  return outstanding;
+}
+
+std::int64_t ShardBudget::Free(std::int64_t allocated) const {
+  return allocated - returned - Spent() - Outstanding();
+}
+
+std::string ToJson(const DomainShard& shard) {
+  json::object object;
+  for (const auto& [name, budget] : shard.budgets)
+    object[name] = ToObject(budget);
+  return json::serialize(object);
+}
+
+std::optional<DomainShard> DomainShardOf(std::string_view text,
+                                         Reason* reason) {
+  std::optional<json::value> value = ParseJson(text);
+  const json::object* object = value ? value->if_object() : nullptr;
+  if (!object) {
+    return Fail(reason, ResultCode::kPlatformRejected,
+                "a budget shard object is not a JSON object");
+  }
+  DomainShard shard;
+  for (const auto& it : *object) {
+    std::optional<ShardBudget> budget = ShardBudgetOf(it.value());
+    if (!budget) {
+      return Fail(
+          reason, ResultCode::kPlatformRejected,
+          "the shard of budget " + std::string(it.key()) + " is malformed");
+    }
+    shard.budgets.emplace(it.key(), std::move(*budget));
+  }
+  return shard;
+}
+
+HolderCounters MergeHolder(ShardBudget& budget,
+                           const std::string& holder,
+                           const HolderCounters& counters,
+                           std::int64_t allocated) {
+  const std::int64_t free = std::max<std::int64_t>(budget.Free(allocated), 0);
+  HolderCounters& row = budget.holders[holder];
+  const std::int64_t rise =
+      std::max<std::int64_t>(counters.granted - row.granted, 0);
+  row.granted += std::min(rise, free);
+  row.settled = std::max(row.settled, std::min(counters.settled, row.granted));
+  row.given_back = std::max(
+      row.given_back, std::min(counters.given_back, row.granted - row.settled));
+  return row;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/budget/grant_planner.h
@@ -0,0 +1,36 @@
+// How many tokens to draw at a time.
+
+#ifndef SRC_LIBS_BUDGET_GRANT_PLANNER_H_
+#define SRC_LIBS_BUDGET_GRANT_PLANNER_H_
+
+#include <cstdint>
+
+namespace turmericwinch {
+
+// What is known when a host wants tokens of a budget. Tokens; rates in tokens
+// a second.
+struct GrantDemand {
+  // Waiting requests need this much at once.
+  std::int64_t needed = 0;
+  // Demand at this host, averaged.
+  double host_rate = 0;
+  // Hosts of the domain that share it.
+  int hosts = 1;
+  // Free tokens that the draw may come from.
+  std::int64_t free = 0;
+  // Share of the free tokens that may be drawn ahead of need, 1..100.
+  int reserve_percent = 50;
+};
+
+// Tokens to grant to a host out of the domain's free tokens. At least
+// `needed` if that much is free; beyond it, the demand of kGrantHorizon but no
+// more than a fair share, so that draws shrink as the budget ends.
+std::int64_t PlanGrant(const GrantDemand& demand);
+
+// Tokens to allocate to a domain out of the account's free tokens, by the same
+// rule over kAllocationHorizon. `hosts` is then the number of domains.
+std::int64_t PlanAllocation(const GrantDemand& demand);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_BUDGET_GRANT_PLANNER_H_
--- /dev/null
+++ b/src/libs/config/config_validator.h
@@ -0,0 +1,19 @@
+// Checks a whole set of configuration objects together.
+
+#ifndef SRC_LIBS_CONFIG_CONFIG_VALIDATOR_H_
+#define SRC_LIBS_CONFIG_CONFIG_VALIDATOR_H_
+
+#include <vector>
+
+#include "libs/config/config_fault.h"
+#include "libs/config/config_set.h"
+
+namespace turmericwinch {
+
+// All faults of `set`: field types and ranges, unknown fields and references,
+// cycles, shared keys, services without routes. Empty if it may be published.
+std::vector<ConfigFault> ValidateConfig(const ConfigSet& set);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_CONFIG_CONFIG_VALIDATOR_H_
--- /dev/null
+++ b/src/libs/http/http_client.cc
@@ -0,0 +1,197 @@
+#include "libs/http/http_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <charconv>
+
+#include "libs/http/http_connection.h"
+#include "libs/http/http_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using http_internal::HttpConnection;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// Whether the other end closed `socket` or sent bytes that nobody asked for.
+bool IsStale(tcp::socket& socket) {
+  char probe = 0;
+  ssize_t n =
+      ::recv(socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+std::string Serialize(const tcp::endpoint& endpoint,
+                      const HttpRequest& request) {
+  std::string buf = request.method;
+  buf += ' ';
+  buf += request.target;
+  buf += " HTTP/1.1\r\nHost: ";
+  buf += ToText(endpoint);
+  buf += "\r\n";
+  for (const auto& [name, value] : request.headers.fields()) {
+    buf += name;
+    buf += ": ";
+    buf += value;
+    buf += "\r\n";
+  }
+  if (!request.body.empty() || request.method != "GET") {
+    buf += "Content-Length: ";
+    buf += std::to_string(request.body.size());
+    buf += "\r\n";
+  }
+  buf += "\r\n";
+  buf += request.body;
+  return buf;
+}
+
+}  // namespace
+
+HttpClient::Private::Connection HttpClient::Private::TakeIdle(
+    const tcp::endpoint& endpoint) {
+  auto it = idle.find(endpoint);
+  if (it == idle.end())
+    return nullptr;
+  const auto now = std::chrono::steady_clock::now();
+  while (!it->second.empty()) {
+    Connection connection = std::move(it->second.back());
+    it->second.pop_back();
+    const bool fresh = now - connection->idle_since < kHttpPoolIdle;
+    if (fresh && !IsStale(connection->stream.socket()))
+      return connection;
+  }
+  idle.erase(it);
+  return nullptr;
+}
+
+void HttpClient::Private::GiveBack(const tcp::endpoint& endpoint,
+                                   Connection connection) {
+  connection->stream.expires_never();
+  connection->idle_since = std::chrono::steady_clock::now();
+  std::deque<Connection>& pool = idle[endpoint];
+  while (!pool.empty() &&
+         connection->idle_since - pool.front()->idle_since >= kHttpPoolIdle)
+    pool.pop_front();
+  pool.push_back(std::move(connection));
+}
+
+HttpClient::HttpClient(asio::io_context& context)
+    : d_(std::make_shared<Private>(context)) {}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<std::unique_ptr<HttpStream>> HttpClient::Open(
+    tcp::endpoint endpoint,
+    const HttpRequest& request,
+    HttpTimeouts timeouts,
+    HttpFailure* failure) {
+  auto d = d_;
+  Private::Connection connection = d->TakeIdle(endpoint);
+  if (!connection) {
+    connection = std::make_unique<HttpConnection>(d->context);
+    connection->stream.expires_after(timeouts.connect);
+    auto [ec] = co_await connection->stream.async_connect(endpoint, kAwait);
+    if (ec) {
+      *failure = {HttpPhase::kConnect, false, ec == beast::error::timeout,
+                  ec.message()};
+      co_return nullptr;
+    }
+    boost::system::error_code ignored;
+    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+  }
+  const std::string message = Serialize(endpoint, request);
+  connection->stream.expires_after(timeouts.first_byte);
+  auto [write_ec, written] = co_await asio::async_write(
+      connection->stream, asio::buffer(message), kAwait);
+  if (write_ec) {
+    *failure = {HttpPhase::kSend, written != 0,
+                write_ec == beast::error::timeout, write_ec.message()};
+    co_return nullptr;
+  }
+  auto stream = std::make_unique<HttpStream::Private>();
+  stream->parser.emplace();
+  stream->parser->header_limit(kHttpMostHeaderBytes);
+  stream->parser->body_limit(boost::none);
+  connection->stream.expires_after(timeouts.first_byte);
+  auto [ec, n] = co_await http::async_read_header(
+      connection->stream, connection->buf, *stream->parser, kAwait);
+  if (ec) {
+    *failure = {HttpPhase::kFirstByte, true, ec == beast::error::timeout,
+                ec.message()};
+    co_return nullptr;
+  }
+  for (const auto& it : stream->parser->get()) {
+    stream->headers.Add(std::string(it.name_string()), std::string(it.value()));
+  }
+  stream->client = d;
+  stream->endpoint = endpoint;
+  stream->connection = std::move(connection);
+  co_return std::make_unique<HttpStream>(std::move(stream));
+}
+
+asio::awaitable<std::optional<HttpResponse>> HttpClient::Call(
+    tcp::endpoint endpoint,
+    const HttpRequest& request,
+    HttpTimeouts timeouts,
+    HttpFailure* failure) {
+  std::unique_ptr<HttpStream> stream =
+      co_await Open(endpoint, request, timeouts, failure);
+  if (!stream)
+    co_return std::nullopt;
+  HttpResponse response;
+  response.status = stream->status();
+  response.headers = stream->headers();
+  while (!stream->done()) {
+    std::optional<std::string> piece =
+        co_await stream->ReadSome(timeouts.between_bytes, failure);
+    if (!piece)
+      co_return std::nullopt;
+    if (response.body.size() + piece->size() > kHttpMostBodyBytes) {
+      *failure = {HttpPhase::kBody, true, false, "the answer is too large"};
+      co_return std::nullopt;
+    }
+    response.body += *piece;
+  }
+  co_return response;
+}
+
+void HttpClient::DropIdle(const tcp::endpoint& endpoint) {
+  d_->idle.erase(endpoint);
+}
+
+std::size_t HttpClient::IdleConnections() const {
+  std::size_t n = 0;
+  for (const auto& [endpoint, pool] : d_->idle)
+    n += pool.size();
+  return n;
+}
+
+std::optional<tcp::endpoint> ParseEndpoint(std::string_view text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return std::nullopt;
+  boost::system::error_code ec;
+  auto address = asio::ip::make_address(std::string(text.substr(0, colon)), ec);
+  unsigned port = 0;
+  std::string_view digits = text.substr(colon + 1);
+  auto [last, parsed] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (ec || parsed != std::errc() || last != digits.data() + digits.size() ||
+      port > 65535)
+    return std::nullopt;
+  return tcp::endpoint(address, static_cast<std::uint16_t>(port));
+}
+
+std::string ToText(const tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/http/http_client.h
@@ -0,0 +1,68 @@
+// An HTTP/1.1 client with pooled connections, one per traffic thread.
+
+#ifndef SRC_LIBS_HTTP_HTTP_CLIENT_H_
+#define SRC_LIBS_HTTP_HTTP_CLIENT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+#include "libs/http/http_failure.h"
+#include "libs/http/http_message.h"
+#include "libs/http/http_stream.h"
+
+namespace turmericwinch {
+
+// Limits on the progress of one call.
+struct HttpTimeouts {
+  std::chrono::milliseconds connect{500};
+  std::chrono::milliseconds first_byte{5000};
+  std::chrono::milliseconds between_bytes{5000};
+};
+
+// Used only from its io_context's thread.
+class HttpClient {
+ public:
+  explicit HttpClient(boost::asio::io_context& context);
+  ~HttpClient();
+
+  // Sends `request` and reads the response's header.
+  boost::asio::awaitable<std::unique_ptr<HttpStream>> Open(
+      boost::asio::ip::tcp::endpoint endpoint,
+      const HttpRequest& request,
+      HttpTimeouts timeouts,
+      HttpFailure* failure);
+
+  // Sends `request` and reads the whole response.
+  boost::asio::awaitable<std::optional<HttpResponse>> Call(
+      boost::asio::ip::tcp::endpoint endpoint,
+      const HttpRequest& request,
+      HttpTimeouts timeouts,
+      HttpFailure* failure);
+
+  // Closes all idle connections to `endpoint`, as after a silent one.
+  void DropIdle(const boost::asio::ip::tcp::endpoint& endpoint);
+
+  // Idle pooled connections now.
+  std::size_t IdleConnections() const;
+
+  class Private;
+
+ private:
+  std::shared_ptr<Private> d_;
+};
+
+// "IP:PORT" as an endpoint; nothing if it is not one.
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    std::string_view text);
+
+// `endpoint` as "IP:PORT".
+std::string ToText(const boost::asio::ip::tcp::endpoint& endpoint);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_HTTP_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/libs/http/http_connection.h
@@ -0,0 +1,66 @@
+// A pooled client connection; internal to the HTTP library.
+
+#ifndef SRC_LIBS_HTTP_HTTP_CONNECTION_H_
+#define SRC_LIBS_HTTP_HTTP_CONNECTION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "libs/http/http_client.h"
+#include "libs/http/http_stream.h"
+
+namespace turmericwinch {
+
+namespace http_internal {
+
+struct HttpConnection {
+  explicit HttpConnection(boost::asio::io_context& context) : stream(context) {}
+
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buf;
+  std::chrono::steady_clock::time_point idle_since;
+};
+
+using Parser =
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+}  // namespace http_internal
+
+class HttpClient::Private {
+ public:
+  using Connection = std::unique_ptr<http_internal::HttpConnection>;
+
+  explicit Private(boost::asio::io_context& context) : context(context) {}
+
+  // A pooled connection that is still open, or null.
+  Connection TakeIdle(const boost::asio::ip::tcp::endpoint& endpoint);
+  void GiveBack(const boost::asio::ip::tcp::endpoint& endpoint,
+                Connection connection);
+
+  boost::asio::io_context& context;
+  std::map<boost::asio::ip::tcp::endpoint, std::deque<Connection>> idle;
+};
+
+class HttpStream::Private {
+ public:
+  std::weak_ptr<HttpClient::Private> client;
+  boost::asio::ip::tcp::endpoint endpoint;
+  HttpClient::Private::Connection connection;
+  std::optional<http_internal::Parser> parser;
+  HttpHeaders headers;
+  bool done = false;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_HTTP_HTTP_CONNECTION_H_
--- /dev/null
+++ b/src/libs/http/http_message.h
@@ -0,0 +1,54 @@
+// HTTP requests and responses as the rest of the program sees them.
+
+#ifndef SRC_LIBS_HTTP_HTTP_MESSAGE_H_
+#define SRC_LIBS_HTTP_HTTP_MESSAGE_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace turmericwinch {
+
+// Header fields in order of appearance; names compare without case.
+class HttpHeaders {
+ public:
+  void Add(std::string name, std::string value);
+  // First value of `name`; an empty string if there is none.
+  std::string_view Get(std::string_view name) const;
+  bool Has(std::string_view name) const;
+  const std::vector<std::pair<std::string, std::string>>& fields() const {
+    return fields_;
+  }
+
+ private:
+  std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+// A whole request. `target` is the path with its query.
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target = "/";
+  HttpHeaders headers;
+  std::string body;
+};
+
+// A whole response.
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+// The path of `target` without its query.
+std::string_view PathOf(std::string_view target);
+
+// Decoded value of the query parameter `name` of `target`; empty if absent.
+std::string QueryParameter(std::string_view target, std::string_view name);
+
+// A response with a JSON body.
+HttpResponse JsonResponse(int status, std::string body);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_HTTP_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/libs/http/http_server.cc
@@ -0,0 +1,327 @@
+#include "libs/http/http_server.h"
+
+#include <sys/socket.h>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+
+#include "libs/base/log.h"
+#include "libs/http/http_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr LogCategory kLog{"http"};
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+HttpRequest ToRequest(http::request<http::string_body>& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& it : message)
+    request.headers.Add(std::string(it.name_string()), std::string(it.value()));
+  request.body = std::move(message.body());
+  return request;
+}
+
+HttpResponse FaultResponse(ResultCode code, std::string_view text) {
+  boost::json::object error = {
+      {"code", static_cast<int>(code)},
+      {"name", NameOf(code)},
+      {"message", text},
+      {"ran", NameOf(RanState::kNotRun)},
+  };
+  return JsonResponse(
+      InfoOf(code).http_status,
+      boost::json::serialize(boost::json::object{{"error", error}}));
+}
+
+// The answer to a request that could not be read; nothing if the caller just
+// closed its connection.
+std::optional<HttpResponse> ReadFault(const beast::error_code& ec) {
+  if (ec == http::error::body_limit)
+    return FaultResponse(ResultCode::kTooLarge,
+                         "the request body is too large");
+  if (ec == http::error::header_limit)
+    return FaultResponse(ResultCode::kTooLarge,
+                         "the request header is too large");
+  if (ec == beast::error::timeout)
+    return FaultResponse(ResultCode::kRequestTimeout,
+                         "the request did not arrive in time");
+  if (ec.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
+      ec != http::error::end_of_stream && ec != http::error::partial_message)
+    return FaultResponse(
+        ResultCode::kBadRequest,
+        "the request is not well-formed HTTP/1.1: " + ec.message());
+  if (ec == http::error::partial_message)
+    return FaultResponse(ResultCode::kBadRequest,
+                         "the request ended before it was whole");
+  return std::nullopt;
+}
+
+}  // namespace
+
+// Shared by the accept loop and all connections.
+class HttpServer::Private {
+ public:
+  Private(std::vector<asio::io_context*> contexts,
+          HttpServerLimits limits,
+          HttpHandler handler)
+      : contexts(std::move(contexts)),
+        limits(limits),
+        handler(std::move(handler)),
+        acceptor(*this->contexts.front()) {}
+
+  static asio::awaitable<void> AcceptLoop(std::shared_ptr<Private> d);
+  static asio::awaitable<void> Serve(std::shared_ptr<Private> d,
+                                     tcp::socket socket,
+                                     std::size_t thread_index);
+
+  std::vector<asio::io_context*> contexts;
+  HttpServerLimits limits;
+  HttpHandler handler;
+  tcp::acceptor acceptor;
+  std::atomic<bool> stopping{false};
+  std::atomic<std::size_t> active{0};
+  std::atomic<std::size_t> connections{0};
+};
+
+// State of one exchange on its connection.
+class HttpExchange::Private {
+ public:
+  Private(beast::tcp_stream& stream, bool keep_alive, std::size_t thread_index)
+      : stream(stream), keep_alive(keep_alive), thread_index(thread_index) {}
+
+  asio::awaitable<bool> WriteAll(asio::const_buffer data) {
+    stream.expires_after(kHttpWriteTimeout);
+    auto [ec, n] = co_await asio::async_write(stream, data, kAwait);
+    if (ec)
+      keep_alive = false;
+    co_return !ec;
+  }
+
+  beast::tcp_stream& stream;
+  bool keep_alive;
+  bool started = false;
+  bool ended = false;
+  std::size_t thread_index;
+  std::string buf;
+};
+
+namespace {
+
+void AppendHead(std::string& buf,
+                int status,
+                const HttpHeaders& headers,
+                bool keep_alive) {
+  buf += "HTTP/1.1 ";
+  buf += std::to_string(status);
+  buf += ' ';
+  buf += http::obsolete_reason(static_cast<http::status>(status));
+  buf += "\r\n";
+  for (const auto& [name, value] : headers.fields()) {
+    buf += name;
+    buf += ": ";
+    buf += value;
+    buf += "\r\n";
+  }
+  if (!keep_alive)
+    buf += "Connection: close\r\n";
+}
+
+}  // namespace
+
+asio::awaitable<bool> HttpExchange::Send(const HttpResponse& response) {
+  d_->started = true;
+  d_->ended = true;
+  d_->buf.clear();
+  AppendHead(d_->buf, response.status, response.headers, d_->keep_alive);
+  d_->buf += "Content-Length: ";
+  d_->buf += std::to_string(response.body.size());
+  d_->buf += "\r\n\r\n";
+  d_->buf += response.body;
+  co_return co_await d_->WriteAll(asio::buffer(d_->buf));
+}
+
+asio::awaitable<bool> HttpExchange::StartStream(int status,
+                                                const HttpHeaders& headers) {
+  d_->started = true;
+  d_->buf.clear();
+  AppendHead(d_->buf, status, headers, d_->keep_alive);
+  d_->buf += "Transfer-Encoding: chunked\r\n\r\n";
+  co_return co_await d_->WriteAll(asio::buffer(d_->buf));
+}
+
+asio::awaitable<bool> HttpExchange::Write(std::string_view data) {
+  if (data.empty())
+    co_return true;
+  char size[24];
+  int n = std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+  d_->buf.assign(size, n);
+  d_->buf += data;
+  d_->buf += "\r\n";
+  co_return co_await d_->WriteAll(asio::buffer(d_->buf));
+}
+
+asio::awaitable<bool> HttpExchange::EndStream() {
+  d_->ended = true;
+  co_return co_await d_->WriteAll(asio::buffer("0\r\n\r\n", 5));
+}
+
+void HttpExchange::Abort() {
+  d_->keep_alive = false;
+  d_->started = true;
+  d_->ended = true;
+}
+
+bool HttpExchange::CallerGone() const {
+  char probe = 0;
+  ssize_t n = ::recv(d_->stream.socket().native_handle(), &probe, 1,
+                     MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool HttpExchange::started() const {
+  return d_->started;
+}
+
+std::size_t HttpExchange::thread_index() const {
+  return d_->thread_index;
+}
+
+HttpServer::HttpServer(std::vector<asio::io_context*> contexts,
+                       HttpServerLimits limits,
+                       HttpHandler handler)
+    : d_(std::make_shared<Private>(std::move(contexts),
+                                   limits,
+                                   std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  StopAccepting();
+}
+
+std::optional<tcp::endpoint> HttpServer::Listen(const tcp::endpoint& endpoint,
+                                                Reason* reason) {
+  boost::system::error_code ec;
+  tcp::acceptor& acceptor = d_->acceptor;
+  acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    acceptor.bind(endpoint, ec);
+  if (!ec)
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return Fail(reason, ResultCode::kSettingsInvalid,
+                "cannot listen on " + endpoint.address().to_string() + ":" +
+                    std::to_string(endpoint.port()) + ": " + ec.message());
+  }
+  asio::co_spawn(acceptor.get_executor(), Private::AcceptLoop(d_),
+                 asio::detached);
+  return acceptor.local_endpoint();
+}
+
+void HttpServer::StopAccepting() {
+  if (d_->stopping.exchange(true))
+    return;
+  asio::post(d_->acceptor.get_executor(), [d = d_] {
+    boost::system::error_code ec;
+    d->acceptor.close(ec);
+  });
+}
+
+std::size_t HttpServer::ActiveRequests() const {
+  return d_->active;
+}
+
+std::size_t HttpServer::Connections() const {
+  return d_->connections;
+}
+
+asio::awaitable<void> HttpServer::Private::AcceptLoop(
+    std::shared_ptr<Private> d) {
+  for (std::size_t n = 0; !d->stopping; n = (n + 1) % d->contexts.size()) {
+    auto [ec, socket] =
+        co_await d->acceptor.async_accept(*d->contexts[n], kAwait);
+    if (d->stopping)
+      break;
+    if (ec) {
+      LogEvent(kLog, Severity::kWarning, "accept_failed",
+               {{"error", ec.message()}});
+      asio::steady_timer timer(d->acceptor.get_executor(), kAcceptPause);
+      co_await timer.async_wait(kAwait);
+      continue;
+    }
+    if (d->connections >= d->limits.most_connections)
+      continue;
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto executor = socket.get_executor();
+    asio::co_spawn(executor, Serve(d, std::move(socket), n), asio::detached);
+  }
+}
+
+asio::awaitable<void> HttpServer::Private::Serve(std::shared_ptr<Private> d,
+                                                 tcp::socket socket,
+                                                 std::size_t thread_index) {
+  ++d->connections;
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buf;
+  bool keep_alive = true;
+  while (keep_alive && !d->stopping) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(kHttpMostHeaderBytes);
+    parser.body_limit(d->limits.most_body_bytes);
+    if (buf.size() == 0) {
+      stream.expires_after(kHttpIdleTimeout);
+      auto [ec, n] =
+          co_await stream.async_read_some(buf.prepare(kHttpReadBytes), kAwait);
+      if (ec)
+        break;
+      buf.commit(n);
+    }
+    stream.expires_after(kHttpReadTimeout);
+    auto [ec, n] = co_await http::async_read(stream, buf, parser, kAwait);
+    HttpExchange::Private exchange_state(stream, !ec, thread_index);
+    HttpExchange exchange(&exchange_state);
+    if (ec) {
+      std::optional<HttpResponse> fault = ReadFault(ec);
+      if (fault)
+        co_await exchange.Send(*fault);
+      break;
+    }
+    exchange_state.keep_alive = parser.get().keep_alive();
+    HttpRequest request = ToRequest(parser.get());
+    stream.expires_never();
+    ++d->active;
+    try {
+      co_await d->handler(request, exchange);
+    } catch (const std::exception& error) {
+      LogEvent(kLog, Severity::kError, "handler_failed",
+               {{"target", request.target}, {"error", error.what()}});
+      exchange_state.keep_alive = false;
+      if (exchange_state.started)
+        exchange_state.ended = true;
+    }
+    if (!exchange_state.started)
+      co_await exchange.Send(
+          FaultResponse(ResultCode::kInternal, "the request was not handled"));
+    --d->active;
+    keep_alive = exchange_state.keep_alive && exchange_state.ended;
+  }
+  boost::system::error_code ignored;
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  --d->connections;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/http/http_server.h
@@ -0,0 +1,95 @@
+// An HTTP/1.1 server whose connections run on a set of traffic threads.
+
+#ifndef SRC_LIBS_HTTP_HTTP_SERVER_H_
+#define SRC_LIBS_HTTP_HTTP_SERVER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "libs/base/reason.h"
+#include "libs/http/http_message.h"
+
+namespace turmericwinch {
+
+// The answering side of one request. Used only from the handler's coroutine.
+class HttpExchange {
+ public:
+  class Private;
+
+  explicit HttpExchange(Private* d) : d_(d) {}
+
+  // Sends a whole response. False if the caller is gone.
+  boost::asio::awaitable<bool> Send(const HttpResponse& response);
+  // Starts a chunked response; its body follows by Write() and EndStream().
+  boost::asio::awaitable<bool> StartStream(int status,
+                                           const HttpHeaders& headers);
+  // Sends one chunk. False if the caller is gone.
+  boost::asio::awaitable<bool> Write(std::string_view data);
+  // Ends a chunked response. False if the caller is gone.
+  boost::asio::awaitable<bool> EndStream();
+  // Closes the connection without an answer once the handler returns.
+  void Abort();
+  // Whether the caller has closed its connection, as far as can be told
+  // without reading.
+  bool CallerGone() const;
+  // Whether a response was started.
+  bool started() const;
+  // Index of the traffic thread, for per-thread state.
+  std::size_t thread_index() const;
+
+ private:
+  Private* d_;
+};
+
+// Handles one request; must send one response.
+using HttpHandler =
+    std::function<boost::asio::awaitable<void>(const HttpRequest&,
+                                               HttpExchange&)>;
+
+// Bounds of a server; sizes in bytes.
+struct HttpServerLimits {
+  std::size_t most_body_bytes;
+  std::size_t most_connections;
+};
+
+// Accepts on one address and hands connections to the threads in turn.
+// Faulty input is answered with a JSON error and never reaches the handler.
+class HttpServer {
+ public:
+  // `contexts` outlive the server; the first one accepts.
+  HttpServer(std::vector<boost::asio::io_context*> contexts,
+             HttpServerLimits limits,
+             HttpHandler handler);
+  ~HttpServer();
+
+  // Binds and starts. Answers the bound address, with the port that the kernel
+  // chose if `endpoint` has port 0.
+  std::optional<boost::asio::ip::tcp::endpoint> Listen(
+      const boost::asio::ip::tcp::endpoint& endpoint,
+      Reason* reason);
+
+  // Stops accepting; open connections end after their current response.
+  // Safe from any thread.
+  void StopAccepting();
+
+  // Requests being handled now. Safe from any thread.
+  std::size_t ActiveRequests() const;
+  // Open connections now. Safe from any thread.
+  std::size_t Connections() const;
+
+  class Private;
+
+ private:
+  std::shared_ptr<Private> d_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_HTTP_HTTP_SERVER_H_
--- /dev/null
+++ b/src/libs/http/http_stream.cc
@@ -0,0 +1,67 @@
+#include "libs/http/http_stream.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include "libs/http/http_connection.h"
+#include "libs/http/http_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+}  // namespace
+
+HttpStream::HttpStream(std::unique_ptr<Private> d) : d_(std::move(d)) {}
+
+HttpStream::~HttpStream() = default;
+
+int HttpStream::status() const {
+  return static_cast<int>(d_->parser->get().result_int());
+}
+
+const HttpHeaders& HttpStream::headers() const {
+  return d_->headers;
+}
+
+bool HttpStream::done() const {
+  return d_->done;
+}
+
+asio::awaitable<std::optional<std::string>> HttpStream::ReadSome(
+    std::chrono::milliseconds timeout,
+    HttpFailure* failure) {
+  if (d_->done)
+    co_return std::string();
+  std::string piece;
+  auto& body = d_->parser->get().body();
+  while (!d_->parser->is_done()) {
+    char buf[kHttpReadBytes];
+    body.data = buf;
+    body.size = sizeof(buf);
+    body.more = true;
+    d_->connection->stream.expires_after(timeout);
+    auto [ec, n] = co_await http::async_read_some(
+        d_->connection->stream, d_->connection->buf, *d_->parser,
+        asio::as_tuple(asio::use_awaitable));
+    piece.append(buf, sizeof(buf) - body.size);
+    if (ec && ec != http::error::need_buffer) {
+      *failure = {HttpPhase::kBody, true, ec == boost::beast::error::timeout,
+                  ec.message()};
+      d_->connection.reset();
+      co_return std::nullopt;
+    }
+    if (!piece.empty())
+      co_return piece;
+  }
+  d_->done = true;
+  auto client = d_->client.lock();
+  if (client && d_->parser->get().keep_alive())
+    client->GiveBack(d_->endpoint, std::move(d_->connection));
+  co_return piece;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/admission.cc
@@ -0,0 +1,113 @@
+#include "libs/node/admission.h"
+
+#include <chrono>
+
+#include "libs/base/digest.h"
+#include "libs/node/node_constants.h"
+#include "libs/node/node_context.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kMostIdLength = 128;
+constexpr std::size_t kNewIdBytes = 12;
+
+std::int64_t UtcMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+bool IsSoundId(std::string_view id) {
+  constexpr std::string_view kAllowed =
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:";
+  return !id.empty() && id.size() <= kMostIdLength &&
+         id.find_first_not_of(kAllowed) == std::string_view::npos;
+}
+
+}  // namespace
+
+ReservedTokens::ReservedTokens(NodeContext& node,
+                               std::string budget,
+                               std::uint64_t id)
+    : node_(node), budget_(std::move(budget)), id_(id) {}
+
+ReservedTokens::ReservedTokens(ReservedTokens&& other) noexcept
+    : node_(other.node_),
+      budget_(std::move(other.budget_)),
+      id_(std::exchange(other.id_, 0)) {}
+
+ReservedTokens::~ReservedTokens() {
+  if (id_ != 0)
+    node_.ledger->Release(id_);
+}
+
+void ReservedTokens::Settle(const Caller& caller,
+                            const std::string& service,
+                            std::int64_t tokens) {
+  if (id_ == 0)
+    return;
+  Bill bill;
+  bill.request_id = caller.request_id;
+  bill.team = caller.team->name;
+  bill.service = service;
+  bill.tokens = tokens;
+  bill.time_ms = UtcMilliseconds();
+  node_.ledger->Settle(std::exchange(id_, 0), std::move(bill));
+}
+
+std::string RequestIdOf(const HttpRequest& request) {
+  std::string_view id = request.headers.Get("X-Request-Id");
+  return IsSoundId(id) ? std::string(id) : RandomHex(kNewIdBytes);
+}
+
+std::optional<Caller> RecogniseCaller(NodeContext& node,
+                                      const HttpRequest& request,
+                                      const std::string& request_id,
+                                      Reason* reason) {
+  Caller caller;
+  caller.config = node.config.Get();
+  caller.request_id = request_id;
+  if (!caller.config) {
+    return Fail(reason, ResultCode::kNoConfig,
+                "this host has no configuration yet");
+  }
+  std::string_view authorization = request.headers.Get("Authorization");
+  if (!authorization.starts_with(kBearer)) {
+    return Fail(reason, ResultCode::kUnauthorized,
+                "the request has no 'Authorization: Bearer KEY'");
+  }
+  authorization.remove_prefix(kBearer.size());
+  caller.team = caller.config->TeamOfKeyHash(Sha256Hex(authorization));
+  if (!caller.team)
+    return Fail(reason, ResultCode::kUnauthorized, "the key is not known");
+  return caller;
+}
+
+asio::awaitable<std::optional<ReservedTokens>> ReserveTokens(
+    NodeContext& node,
+    const Caller& caller,
+    const ServiceConfig& service,
+    std::int64_t tokens,
+    Reason* reason) {
+  std::vector<const BudgetConfig*> budgets =
+      caller.config->Budgets(caller.team->name, service.name);
+  if (budgets.empty()) {
+    co_return Fail(
+        reason, ResultCode::kBudgetExhausted,
+        "team " + caller.team->name + " has no budget for " + service.name);
+  }
+  for (const BudgetConfig* it : budgets) {
+    std::optional<std::uint64_t> id =
+        co_await node.ledger->Reserve(it->name, tokens, kGrantWait, reason);
+    if (id)
+      co_return ReservedTokens(node, it->name, *id);
+  }
+  co_return std::nullopt;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/admission.h
@@ -0,0 +1,67 @@
+// Decides whether a call may run: its team, its route, its budget.
+
+#ifndef SRC_LIBS_NODE_ADMISSION_H_
+#define SRC_LIBS_NODE_ADMISSION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "libs/config/config_snapshot.h"
+#include "libs/http/http_message.h"
+#include "libs/node/refusal.h"
+
+namespace turmericwinch {
+
+struct NodeContext;
+
+// A caller that was recognised, with the generation that its request sees
+// from start to end.
+struct Caller {
+  std::shared_ptr<const ConfigSnapshot> config;
+  const TeamConfig* team = nullptr;
+  std::string request_id;
+};
+
+// Tokens reserved for one request. Released when dropped, unless settled.
+class ReservedTokens {
+ public:
+  ReservedTokens(NodeContext& node, std::string budget, std::uint64_t id);
+  ReservedTokens(ReservedTokens&& other) noexcept;
+  ReservedTokens& operator=(ReservedTokens&&) = delete;
+  ~ReservedTokens();
+
+  // Bills `tokens` for the request of `caller`. Later calls do nothing.
+  void Settle(const Caller& caller,
+              const std::string& service,
+              std::int64_t tokens);
+
+ private:
+  NodeContext& node_;
+  std::string budget_;
+  std::uint64_t id_;
+};
+
+// The request's id: the caller's own if it is sound, else a new one.
+std::string RequestIdOf(const HttpRequest& request);
+
+// Recognises the caller by its key.
+std::optional<Caller> RecogniseCaller(NodeContext& node,
+                                      const HttpRequest& request,
+                                      const std::string& request_id,
+                                      Reason* reason);
+
+// Reserves `tokens` from the first of the team's budgets for `service` that
+// has them.
+boost::asio::awaitable<std::optional<ReservedTokens>> ReserveTokens(
+    NodeContext& node,
+    const Caller& caller,
+    const ServiceConfig& service,
+    std::int64_t tokens,
+    Reason* reason);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_ADMISSION_H_
--- /dev/null
+++ b/src/libs/node/caller_handler.cc
@@ -0,0 +1,64 @@
+#include "libs/node/caller_handler.h"
+
+#include <boost/asio.hpp>
+
+#include "libs/base/log.h"
+#include "libs/node/admission.h"
+#include "libs/node/chat_handler.h"
+#include "libs/node/node_context.h"
+#include "libs/node/plain_handler.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr LogCategory kLog{"node"};
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kServicePrefix = "/services/";
+
+asio::awaitable<ResultCode> Dispatch(NodeContext& node,
+                                     const std::string& request_id,
+                                     const HttpRequest& request,
+                                     HttpExchange& exchange) {
+  Reason reason;
+  if (node.shutting_down)
+    reason = {ResultCode::kShuttingDown, "this host is shutting down"};
+  std::optional<Caller> caller;
+  if (reason.code == ResultCode::kOk)
+    caller = RecogniseCaller(node, request, request_id, &reason);
+  std::string_view path = PathOf(request.target);
+  if (caller && path == kChatPath && request.method != "POST") {
+    reason = {ResultCode::kMethodNotAllowed, "use POST"};
+  } else if (caller && path == kChatPath) {
+    co_return co_await HandleChat(node, *caller, request, exchange);
+  } else if (caller && path.starts_with(kServicePrefix)) {
+    co_return co_await HandlePlain(node, *caller, request, exchange);
+  } else if (caller) {
+    reason = {ResultCode::kNotFound, "nothing is at " + std::string(path)};
+  }
+  co_await exchange.Send(RefusalResponse(MakeRefusal(reason), request_id));
+  co_return reason.code;
+}
+
+}  // namespace
+
+HttpHandler MakeCallerHandler(NodeContext& node) {
+  return [&node](const HttpRequest& request,
+                 HttpExchange& exchange) -> asio::awaitable<void> {
+    const auto start = std::chrono::steady_clock::now();
+    const std::string request_id = RequestIdOf(request);
+    const ResultCode result =
+        co_await Dispatch(node, request_id, request, exchange);
+    node.metrics.CountResult(result);
+    node.metrics.AddWhole(std::chrono::steady_clock::now() - start);
+    LogEvent(kLog, Severity::kDebug, "request_done",
+             {{"request", request_id},
+              {"target", request.target},
+              {"code", static_cast<int>(result)},
+              {"result", NameOf(result)}});
+  };
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/caller_handler.h
@@ -0,0 +1,17 @@
+// Entry point of callers' requests.
+
+#ifndef SRC_LIBS_NODE_CALLER_HANDLER_H_
+#define SRC_LIBS_NODE_CALLER_HANDLER_H_
+
+#include "libs/http/http_server.h"
+
+namespace turmericwinch {
+
+struct NodeContext;
+
+// Handler for the callers' listener; `node` outlives it.
+HttpHandler MakeCallerHandler(NodeContext& node);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_CALLER_HANDLER_H_
--- /dev/null
+++ b/src/libs/node/chat_handler.h
@@ -0,0 +1,25 @@
+// Carries chat completions from callers to model engines.
+
+#ifndef SRC_LIBS_NODE_CHAT_HANDLER_H_
+#define SRC_LIBS_NODE_CHAT_HANDLER_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "libs/http/http_message.h"
+#include "libs/http/http_server.h"
+#include "libs/node/admission.h"
+
+namespace turmericwinch {
+
+struct NodeContext;
+
+// Handles POST /v1/chat/completions of a recognised caller; answers the result
+// that is counted and logged. Runs on a traffic thread.
+boost::asio::awaitable<ResultCode> HandleChat(NodeContext& node,
+                                              const Caller& caller,
+                                              const HttpRequest& request,
+                                              HttpExchange& exchange);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_CHAT_HANDLER_H_
--- /dev/null
+++ b/src/libs/node/chat_request.h
@@ -0,0 +1,31 @@
+// A chat completion request as it is read from a caller's body.
+
+#ifndef SRC_LIBS_NODE_CHAT_REQUEST_H_
+#define SRC_LIBS_NODE_CHAT_REQUEST_H_
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libs/base/reason.h"
+
+namespace turmericwinch {
+
+// `prompt_bound` is a number of tokens that the prompt cannot exceed, since a
+// token is at least one byte. `max_tokens` is 0 if the caller named none.
+struct ChatRequest {
+  std::string model;
+  bool stream = false;
+  std::int64_t max_tokens = 0;
+  std::int64_t prompt_bound = 0;
+  boost::json::object body;
+};
+
+// Reads and checks a body.
+std::optional<ChatRequest> ChatRequestOf(std::string_view body, Reason* reason);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_CHAT_REQUEST_H_
--- /dev/null
+++ b/src/libs/node/node.cc
@@ -0,0 +1,203 @@
+#include "libs/node/node.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <csignal>
+#include <thread>
+
+#include "libs/base/digest.h"
+#include "libs/base/log.h"
+#include "libs/http/http_constants.h"
+#include "libs/http/http_server.h"
+#include "libs/node/caller_handler.h"
+#include "libs/node/config_watcher.h"
+#include "libs/node/host_list_poller.h"
+#include "libs/node/node_constants.h"
+#include "libs/node/node_context.h"
+#include "libs/node/operator_handler.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+constexpr LogCategory kLog{"node"};
+constexpr std::size_t kIncarnationBytes = 6;
+constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::size_t kMostOperatorConnections = 64;
+constexpr int kExitNotClean = 1;
+
+// Later incarnations of a host sort after earlier ones as long as the clock
+// does not go back; uniqueness rests on the random part alone.
+std::string NewIncarnation() {
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return std::to_string(seconds.count()) + "." + RandomHex(kIncarnationBytes);
+}
+
+}  // namespace
+
+class Node::Private {
+ public:
+  explicit Private(NodeSettings settings) : signals(context.control) {
+    context.settings = std::move(settings);
+  }
+
+  void BuildParts();
+  asio::awaitable<void> WaitForSignal();
+  asio::awaitable<void> ShutDown();
+  void Stop(int code);
+
+  NodeContext context;
+  std::vector<WorkGuard> guards;
+  std::vector<std::thread> threads;
+  std::unique_ptr<HttpServer> caller_server;
+  std::unique_ptr<HttpServer> operator_server;
+  std::unique_ptr<ConfigWatcher> config_watcher;
+  std::unique_ptr<HostListPoller> host_list;
+  asio::signal_set signals;
+  int exit_code = 0;
+};
+
+void Node::Private::BuildParts() {
+  const NodeSettings& settings = context.settings;
+  context.incarnation = NewIncarnation();
+  for (std::size_t n = 0; n < settings.traffic_threads; ++n) {
+    context.traffic.push_back(std::make_unique<asio::io_context>(1));
+    context.clients.push_back(
+        std::make_unique<HttpClient>(*context.traffic.back()));
+    guards.emplace_back(context.traffic.back()->get_executor());
+  }
+  context.targets = std::make_unique<SharedTargets>(settings.failure_domain);
+  context.ledger =
+      std::make_unique<SharedLedger>(settings.host + "_" + context.incarnation);
+  context.platform =
+      std::make_unique<HttpPlatformClient>(context.control, settings.platform);
+  context.claims = std::make_unique<ClaimKeeper>(*context.platform);
+  auto update_targets = [this] {
+    std::shared_ptr<const ConfigSnapshot> config = context.config.Get();
+    if (!config)
+      return;
+    context.targets->Update(host_list->list(), *config);
+  };
+  config_watcher = std::make_unique<ConfigWatcher>(
+      *context.platform, context.config, update_targets);
+  host_list = std::make_unique<HostListPoller>(
+      *context.platform, [this, update_targets](const HostList&) {
+        context.targets_known = true;
+        update_targets();
+      });
+  BudgetKeeperParts parts;
+  parts.control = &context.control;
+  parts.platform = context.platform.get();
+  parts.config = &context.config;
+  parts.ledger = context.ledger.get();
+  parts.failure_domain = settings.failure_domain;
+  parts.flush_interval = settings.flush_interval;
+  parts.hosts_in_domain = [this] {
+    const auto& hosts = host_list->list().hosts;
+    const auto n = std::count_if(
+        hosts.begin(), hosts.end(), [this](const ListedMember& it) {
+          return it.failure_domain == context.settings.failure_domain &&
+                 !it.leaving;
+        });
+    return std::max(1, static_cast<int>(n));
+  };
+  context.budgets = std::make_unique<BudgetKeeper>(std::move(parts));
+  context.ledger->SetWishHook([this] { context.budgets->RequestDraw(); });
+}
+
+asio::awaitable<void> Node::Private::WaitForSignal() {
+  co_await signals.async_wait(asio::use_awaitable);
+  LogEvent(kLog, Severity::kInfo, "shutdown_started",
+           {{"active", caller_server->ActiveRequests()}});
+  context.shutting_down = true;
+  asio::co_spawn(context.control, ShutDown(), asio::detached);
+  co_await signals.async_wait(asio::use_awaitable);
+  LogEvent(kLog, Severity::kWarning, "shutdown_cut_short",
+           {{"active", caller_server->ActiveRequests()}});
+  Stop(kExitNotClean);
+}
+
+asio::awaitable<void> Node::Private::ShutDown() {
+  caller_server->StopAccepting();
+  asio::steady_timer timer(context.control);
+  const auto deadline = std::chrono::steady_clock::now() + kShutdownDeadline;
+  bool flushed = false;
+  while (std::chrono::steady_clock::now() < deadline) {
+    if (caller_server->ActiveRequests() == 0)
+      flushed = co_await context.budgets->FlushAll();
+    if (flushed)
+      break;
+    timer.expires_after(kDrainPoll);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  LogEvent(kLog, flushed ? Severity::kInfo : Severity::kError, "shutdown_done",
+           {{"clean", flushed}, {"active", caller_server->ActiveRequests()}});
+  Stop(flushed ? 0 : kExitNotClean);
+}
+
+void Node::Private::Stop(int code) {
+  exit_code = code;
+  for (auto& it : context.traffic)
+    it->stop();
+  context.control.stop();
+}
+
+Node::Node(NodeSettings settings)
+    : d_(std::make_unique<Private>(std::move(settings))) {
+  d_->BuildParts();
+}
+
+Node::~Node() {
+  for (auto& it : d_->context.traffic)
+    it->stop();
+  for (std::thread& it : d_->threads)
+    it.join();
+}
+
+std::optional<bool> Node::Start(Reason* reason) {
+  NodeContext& context = d_->context;
+  std::vector<asio::io_context*> traffic;
+  for (auto& it : context.traffic)
+    traffic.push_back(it.get());
+  d_->caller_server = std::make_unique<HttpServer>(
+      traffic, HttpServerLimits{kHttpMostBodyBytes, kMostConnections},
+      MakeCallerHandler(context));
+  d_->operator_server = std::make_unique<HttpServer>(
+      std::vector<asio::io_context*>{&context.control},
+      HttpServerLimits{kHttpMostBodyBytes, kMostOperatorConnections},
+      MakeOperatorHandler(context));
+  auto callers = d_->caller_server->Listen(context.settings.listen, reason);
+  if (!callers)
+    return std::nullopt;
+  auto operators =
+      d_->operator_server->Listen(context.settings.operator_listen, reason);
+  if (!operators)
+    return std::nullopt;
+  boost::system::error_code ec;
+  d_->signals.add(SIGTERM, ec);
+  d_->signals.add(SIGINT, ec);
+  LogEvent(kLog, Severity::kInfo, "started",
+           {{"failure_domain", context.settings.failure_domain},
+            {"incarnation", context.incarnation},
+            {"callers", ToText(*callers)},
+            {"operators", ToText(*operators)}});
+  return true;
+}
+
+int Node::Run() {
+  NodeContext& context = d_->context;
+  for (auto& it : context.traffic)
+    d_->threads.emplace_back([&io = *it] { io.run(); });
+  asio::co_spawn(context.control, d_->WaitForSignal(), asio::detached);
+  asio::co_spawn(context.control, d_->config_watcher->Run(), asio::detached);
+  asio::co_spawn(context.control, d_->host_list->Run(), asio::detached);
+  asio::co_spawn(context.control, context.budgets->Run(), asio::detached);
+  context.control.run();
+  return d_->exit_code;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/node_context.h
@@ -0,0 +1,44 @@
+// The parts of a node that its request handlers work with.
+
+#ifndef SRC_LIBS_NODE_NODE_CONTEXT_H_
+#define SRC_LIBS_NODE_NODE_CONTEXT_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <vector>
+
+#include "libs/http/http_client.h"
+#include "libs/node/budget_keeper.h"
+#include "libs/node/claim_keeper.h"
+#include "libs/node/config_holder.h"
+#include "libs/node/node_metrics.h"
+#include "libs/node/node_settings.h"
+#include "libs/node/shared_ledger.h"
+#include "libs/node/shared_targets.h"
+#include "libs/platform/http_platform_client.h"
+
+namespace turmericwinch {
+
+// Owned by the node and outlives all handlers. `control` has one thread; each
+// of `traffic` has one thread and one client.
+struct NodeContext {
+  NodeSettings settings;
+  std::string incarnation;
+  boost::asio::io_context control{1};
+  std::vector<std::unique_ptr<boost::asio::io_context>> traffic;
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  ConfigHolder config;
+  NodeMetrics metrics;
+  std::unique_ptr<SharedTargets> targets;
+  std::unique_ptr<SharedLedger> ledger;
+  std::unique_ptr<HttpPlatformClient> platform;
+  std::unique_ptr<ClaimKeeper> claims;
+  std::unique_ptr<BudgetKeeper> budgets;
+  std::atomic<bool> shutting_down{false};
+  std::atomic<bool> targets_known{false};
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_NODE_CONTEXT_H_
--- /dev/null
+++ b/src/libs/node/node_metrics.cc
@@ -0,0 +1,96 @@
+#include "libs/node/node_metrics.h"
+
+#include <boost/histogram.hpp>
+#include <map>
+#include <mutex>
+
+#include "libs/base/soft_assert.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace histogram = boost::histogram;
+
+constexpr int kBins = 48;
+constexpr double kLeastSeconds = 50e-6;
+constexpr double kMostSeconds = 600;
+
+using LatencyAxis =
+    histogram::axis::regular<double, histogram::axis::transform::log>;
+
+// Logarithmic bins from 50 microseconds to 10 minutes.
+auto MakeLatency() {
+  return histogram::make_histogram(
+      LatencyAxis(kBins, kLeastSeconds, kMostSeconds));
+}
+
+using Latency = decltype(MakeLatency());
+
+std::string ExpositionOf(const std::string& name, const Latency& latency) {
+  std::string text = "# TYPE " + name + " histogram\n";
+  double total = latency.at(-1);
+  for (int n = 0; n < kBins; ++n) {
+    total += latency.at(n);
+    text += name + "_bucket{le=\"" +
+            std::to_string(latency.axis().bin(n).upper()) + "\"} " +
+            std::to_string(static_cast<std::uint64_t>(total)) + "\n";
+  }
+  total += latency.at(kBins);
+  const std::string all = std::to_string(static_cast<std::uint64_t>(total));
+  text += name + "_bucket{le=\"+Inf\"} " + all + "\n";
+  text += name + "_count " + all + "\n";
+  return text;
+}
+
+}  // namespace
+
+class NodeMetrics::Private {
+ public:
+  mutable std::mutex mutex;
+  std::map<ResultCode, std::uint64_t> results;
+  Latency first_byte = MakeLatency();
+  Latency whole = MakeLatency();
+};
+
+NodeMetrics::NodeMetrics() : d_(std::make_unique<Private>()) {}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::CountResult(ResultCode code) {
+  std::lock_guard lock(d_->mutex);
+  ++d_->results[code];
+}
+
+void NodeMetrics::AddFirstByte(std::chrono::nanoseconds elapsed) {
+  std::lock_guard lock(d_->mutex);
+  d_->first_byte(std::chrono::duration<double>(elapsed).count());
+}
+
+void NodeMetrics::AddWhole(std::chrono::nanoseconds elapsed) {
+  std::lock_guard lock(d_->mutex);
+  d_->whole(std::chrono::duration<double>(elapsed).count());
+}
+
+std::uint64_t NodeMetrics::ResultCount(ResultCode code) const {
+  std::lock_guard lock(d_->mutex);
+  auto it = d_->results.find(code);
+  return it == d_->results.end() ? 0 : it->second;
+}
+
+std::string NodeMetrics::Exposition() const {
+  std::lock_guard lock(d_->mutex);
+  std::string text = "# TYPE turmericwinch_requests_total counter\n";
+  for (const auto& [code, n] : d_->results) {
+    text += "turmericwinch_requests_total{result=\"" +
+            std::string(NameOf(code)) + "\"} " + std::to_string(n) + "\n";
+  }
+  text += ExpositionOf("turmericwinch_first_byte_seconds", d_->first_byte);
+  text += ExpositionOf("turmericwinch_whole_answer_seconds", d_->whole);
+  text += "# TYPE turmericwinch_soft_asserts_total counter\n";
+  text += "turmericwinch_soft_asserts_total " +
+          std::to_string(SoftAssertCount()) + "\n";
+  return text;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/node_metrics.h
@@ -0,0 +1,39 @@
+// Counters and latency histograms of a node.
+
+#ifndef SRC_LIBS_NODE_NODE_METRICS_H_
+#define SRC_LIBS_NODE_NODE_METRICS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "libs/base/result_code.h"
+
+namespace turmericwinch {
+
+// Safe from any thread.
+class NodeMetrics {
+ public:
+  NodeMetrics();
+  ~NodeMetrics();
+
+  // Counts a finished request by its result.
+  void CountResult(ResultCode code);
+  // Adds the time to the first byte of an answer.
+  void AddFirstByte(std::chrono::nanoseconds elapsed);
+  // Adds the time to the end of an answer.
+  void AddWhole(std::chrono::nanoseconds elapsed);
+  std::uint64_t ResultCount(ResultCode code) const;
+
+  // All metrics in text exposition format.
+  std::string Exposition() const;
+
+ private:
+  class Private;
+  std::unique_ptr<Private> d_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_NODE_METRICS_H_
--- /dev/null
+++ b/src/libs/node/node_settings.cc
@@ -0,0 +1,91 @@
+#include "libs/node/node_settings.h"
+
+#include "libs/http/http_client.h"
+#include "libs/node/node_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr std::int64_t kMostThreads = 64;
+constexpr std::int64_t kMostFlushMs = 60'000;
+
+boost::asio::ip::tcp::endpoint EndpointOf(const SettingsTable& table,
+                                          std::string_view name) {
+  return ParseEndpoint(table.Text(name))
+      .value_or(boost::asio::ip::tcp::endpoint());
+}
+
+}  // namespace
+
+const std::vector<SettingSpec>& NodeSettingSpecs() {
+  static const std::vector<SettingSpec> specs = {
+      {.name = "host", .label = "name of this host", .required = true},
+      {.name = "failure-domain",
+       .label = "failure domain of this host",
+       .required = true},
+      {.name = "listen",
+       .type = SettingType::kEndpoint,
+       .label = "address for callers",
+       .unit = "IP:PORT",
+       .default_value = "127.0.0.1:8080"},
+      {.name = "operator-listen",
+       .type = SettingType::kEndpoint,
+       .label = "address for operators",
+       .unit = "IP:PORT",
+       .default_value = "127.0.0.1:8081"},
+      {.name = "platform",
+       .type = SettingType::kEndpoint,
+       .label = "address of the platform's object API",
+       .unit = "IP:PORT",
+       .required = true},
+      {.name = "operator-token",
+       .label = "token that operators present",
+       .required = true,
+       .secret = true},
+      {.name = "traffic-threads",
+       .type = SettingType::kInteger,
+       .label = "threads that carry requests",
+       .unit = "threads",
+       .default_value = "1",
+       .least = 1,
+       .most = kMostThreads},
+      {.name = "flush-interval",
+       .type = SettingType::kInteger,
+       .label = "time between flushes of bills to the platform",
+       .unit = "ms",
+       .default_value = std::to_string(kFlushInterval.count()),
+       .least = 10,
+       .most = kMostFlushMs},
+      {.name = "log-level",
+       .label = "least severe events logged: debug, info, warning, error",
+       .default_value = "info"},
+      {.name = "print-settings",
+       .type = SettingType::kFlag,
+       .label = "print the settings and where each came from, then exit",
+       .default_value = "false"},
+      {.name = "help",
+       .type = SettingType::kFlag,
+       .label = "print this help, then exit",
+       .default_value = "false"},
+  };
+  return specs;
+}
+
+NodeSettings NodeSettingsOf(const SettingsTable& table) {
+  NodeSettings settings;
+  settings.host = table.Text("host");
+  settings.failure_domain = table.Text("failure-domain");
+  settings.listen = EndpointOf(table, "listen");
+  settings.operator_listen = EndpointOf(table, "operator-listen");
+  settings.platform = EndpointOf(table, "platform");
+  settings.operator_token = table.Text("operator-token");
+  settings.traffic_threads =
+      static_cast<std::size_t>(table.Integer("traffic-threads"));
+  settings.flush_interval =
+      std::chrono::milliseconds(table.Integer("flush-interval"));
+  settings.log_level = table.Text("log-level");
+  return settings;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/node_settings.h
@@ -0,0 +1,38 @@
+// Settings of turmericwinchd.
+
+#ifndef SRC_LIBS_NODE_NODE_SETTINGS_H_
+#define SRC_LIBS_NODE_NODE_SETTINGS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/base/settings_table.h"
+
+namespace turmericwinch {
+
+// Checked settings of one daemon.
+struct NodeSettings {
+  std::string host;
+  std::string failure_domain;
+  boost::asio::ip::tcp::endpoint listen;
+  boost::asio::ip::tcp::endpoint operator_listen;
+  boost::asio::ip::tcp::endpoint platform;
+  std::string operator_token;
+  std::size_t traffic_threads = 1;
+  std::chrono::milliseconds flush_interval{0};
+  std::string log_level;
+};
+
+// Declaration of all settings.
+const std::vector<SettingSpec>& NodeSettingSpecs();
+
+// The values of a table that was read with NodeSettingSpecs().
+NodeSettings NodeSettingsOf(const SettingsTable& table);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_NODE_SETTINGS_H_
--- /dev/null
+++ b/src/libs/node/plain_handler.h
@@ -0,0 +1,25 @@
+// Carries calls to plain services.
+
+#ifndef SRC_LIBS_NODE_PLAIN_HANDLER_H_
+#define SRC_LIBS_NODE_PLAIN_HANDLER_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "libs/http/http_message.h"
+#include "libs/http/http_server.h"
+#include "libs/node/admission.h"
+
+namespace turmericwinch {
+
+struct NodeContext;
+
+// Handles /services/NAME/... of a recognised caller; answers the result that
+// is counted and logged. Runs on a traffic thread.
+boost::asio::awaitable<ResultCode> HandlePlain(NodeContext& node,
+                                               const Caller& caller,
+                                               const HttpRequest& request,
+                                               HttpExchange& exchange);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_PLAIN_HANDLER_H_
--- /dev/null
+++ b/src/libs/node/shared_ledger.cc
@@ -0,0 +1,149 @@
+#include "libs/node/shared_ledger.h"
+
+#include <boost/asio.hpp>
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include "libs/node/node_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+// One request that waits for a grant. `denial` is written under the lock.
+struct Waiter {
+  explicit Waiter(const asio::any_io_executor& executor) : timer(executor) {}
+
+  asio::steady_timer timer;
+  std::optional<Reason> denial;
+};
+
+struct Denial {
+  Reason reason;
+  Clock::time_point until;
+};
+
+// Wakes a waiter on its own executor; timers are not safe across threads. The
+// expiry is moved rather than cancelled, so that a wake-up that comes before
+// the wait has begun is not lost.
+void Wake(const std::shared_ptr<Waiter>& waiter) {
+  asio::post(waiter->timer.get_executor(),
+             [waiter] { waiter->timer.expires_at(Clock::time_point::min()); });
+}
+
+}  // namespace
+
+class SharedLedger::Private {
+ public:
+  explicit Private(std::string holder) : ledger(std::move(holder)) {}
+
+  std::vector<std::shared_ptr<Waiter>> TakeWaiters(const std::string& budget) {
+    auto it = waiters.find(budget);
+    if (it == waiters.end())
+      return {};
+    std::vector<std::shared_ptr<Waiter>> taken = std::move(it->second);
+    waiters.erase(it);
+    return taken;
+  }
+
+  std::mutex mutex;
+  HostLedger ledger;
+  std::function<void()> on_wish;
+  std::map<std::string, std::vector<std::shared_ptr<Waiter>>> waiters;
+  std::map<std::string, Denial> denials;
+};
+
+SharedLedger::SharedLedger(std::string holder)
+    : d_(std::make_unique<Private>(std::move(holder))) {}
+
+SharedLedger::~SharedLedger() = default;
+
+void SharedLedger::SetWishHook(std::function<void()> on_wish) {
+  std::lock_guard lock(d_->mutex);
+  d_->on_wish = std::move(on_wish);
+}
+
+asio::awaitable<std::optional<std::uint64_t>> SharedLedger::Reserve(
+    std::string budget,
+    std::int64_t tokens,
+    std::chrono::milliseconds most_wait,
+    Reason* reason) {
+  auto executor = co_await asio::this_coro::executor;
+  const Clock::time_point deadline = Clock::now() + most_wait;
+  for (;;) {
+    std::shared_ptr<Waiter> waiter;
+    std::function<void()> on_wish;
+    {
+      std::lock_guard lock(d_->mutex);
+      const Clock::time_point now = Clock::now();
+      Reservation reservation = d_->ledger.Reserve(budget, tokens, now);
+      if (reservation.outcome == ReserveOutcome::kReserved)
+        co_return reservation.id;
+      if (reservation.outcome == ReserveOutcome::kBillsFull) {
+        co_return Fail(reason, ResultCode::kOverloaded,
+                       "too many bills wait for the platform");
+      }
+      auto denial = d_->denials.find(budget);
+      if (denial != d_->denials.end() && now < denial->second.until) {
+        *reason = denial->second.reason;
+        co_return std::nullopt;
+      }
+      if (now >= deadline) {
+        co_return Fail(reason, ResultCode::kBudgetUnreachable,
+                       "no grant of budget " + budget + " arrived in time");
+      }
+      d_->ledger.AddWish(budget, tokens);
+      waiter = std::make_shared<Waiter>(executor);
+      waiter->timer.expires_at(deadline);
+      d_->waiters[budget].push_back(waiter);
+      on_wish = d_->on_wish;
+    }
+    if (on_wish)
+      on_wish();
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    std::lock_guard lock(d_->mutex);
+    if (waiter->denial) {
+      *reason = *waiter->denial;
+      co_return std::nullopt;
+    }
+  }
+}
+
+std::optional<Bill> SharedLedger::Settle(std::uint64_t reservation, Bill bill) {
+  std::lock_guard lock(d_->mutex);
+  return d_->ledger.Settle(reservation, std::move(bill), Clock::now());
+}
+
+void SharedLedger::Release(std::uint64_t reservation) {
+  std::lock_guard lock(d_->mutex);
+  d_->ledger.Release(reservation);
+}
+
+void SharedLedger::Grant(const std::string& budget,
+                         std::int64_t granted_total) {
+  std::lock_guard lock(d_->mutex);
+  d_->ledger.ApplyGrant(budget, granted_total);
+  d_->denials.erase(budget);
+  for (const auto& it : d_->TakeWaiters(budget))
+    Wake(it);
+}
+
+void SharedLedger::Deny(const std::string& budget, const Reason& reason) {
+  std::lock_guard lock(d_->mutex);
+  d_->denials[budget] = {reason, Clock::now() + kDenialHold};
+  for (const auto& it : d_->TakeWaiters(budget)) {
+    it->denial = reason;
+    Wake(it);
+  }
+}
+
+void SharedLedger::With(const std::function<void(HostLedger&)>& action) {
+  std::lock_guard lock(d_->mutex);
+  action(d_->ledger);
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/state_dump.cc
@@ -0,0 +1,90 @@
+#include "libs/node/state_dump.h"
+
+#include <boost/json.hpp>
+
+#include "libs/base/soft_assert.h"
+#include "libs/node/node_context.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace json = boost::json;
+
+json::object DumpConfig(NodeContext& node) {
+  std::shared_ptr<const ConfigSnapshot> config = node.config.Get();
+  if (!config)
+    return {{"generation", 0}};
+  return {{"generation", config->generation()},
+          {"digest", config->digest()},
+          {"budgets", config->budgets().size()},
+          {"teams", config->teams().size()},
+          {"services", config->services().size()}};
+}
+
+json::object DumpLedger(NodeContext& node) {
+  json::object ledger;
+  node.ledger->With([&](HostLedger& state) {
+    json::object budgets;
+    for (const auto& [name, it] : state.Figures()) {
+      budgets[name] = {{"granted", it.counters.granted},
+                       {"settled", it.counters.settled},
+                       {"given_back", it.counters.given_back},
+                       {"reserved", it.reserved},
+                       {"available", it.counters.Outstanding() - it.reserved},
+                       {"tokens_per_second", it.rate}};
+    }
+    ledger = {{"holder", state.holder()},
+              {"budgets", budgets},
+              {"open_reservations", state.open_reservations()},
+              {"unconfirmed_bills", state.unconfirmed_bills()},
+              {"overrun_tokens", state.overrun_tokens()}};
+  });
+  return ledger;
+}
+
+json::array DumpTargets(NodeContext& node) {
+  json::array targets;
+  for (const TargetFigures& it : node.targets->Figures()) {
+    targets.push_back({{"name", it.name},
+                       {"failure_domain", it.failure_domain},
+                       {"service", it.service},
+                       {"address", it.address},
+                       {"in_flight", it.in_flight},
+                       {"leaving", it.leaving}});
+  }
+  return targets;
+}
+
+json::object DumpPlatformCalls(NodeContext& node) {
+  json::object calls;
+  for (int duty = 0; duty < kPlatformDuties; ++duty) {
+    json::object kinds;
+    for (int kind = 0; kind < kPlatformCallKinds; ++kind) {
+      kinds[NameOf(static_cast<PlatformCallKind>(kind))] =
+          node.platform->counter().Count(static_cast<PlatformDuty>(duty),
+                                         static_cast<PlatformCallKind>(kind));
+    }
+    calls[NameOf(static_cast<PlatformDuty>(duty))] = kinds;
+  }
+  return calls;
+}
+
+}  // namespace
+
+std::string DumpState(NodeContext& node) {
+  json::object dump = {
+      {"host", node.settings.host},
+      {"failure_domain", node.settings.failure_domain},
+      {"incarnation", node.incarnation},
+      {"shutting_down", node.shutting_down.load()},
+      {"config", DumpConfig(node)},
+      {"ledger", DumpLedger(node)},
+      {"targets", DumpTargets(node)},
+      {"platform_calls", DumpPlatformCalls(node)},
+      {"soft_asserts", SoftAssertCount()},
+  };
+  return json::serialize(dump);
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/platform/http_platform_client.cc
@@ -0,0 +1,248 @@
+#include "libs/platform/http_platform_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "libs/base/json_fields.h"
+#include "libs/http/http_client.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr std::chrono::milliseconds kCallTimeout{2000};
+constexpr std::chrono::milliseconds kWatchSlack{2000};
+constexpr int kStatusOk = 200;
+constexpr int kStatusCreated = 201;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+
+HttpRequest MakeRequest(std::string method, std::string target) {
+  HttpRequest request;
+  request.method = std::move(method);
+  request.target = std::move(target);
+  request.headers.Add("Content-Type", "application/json");
+  return request;
+}
+
+std::optional<PlatformObject> ObjectOf(const json::value& value,
+                                       Reason* reason) {
+  const json::object* object = value.if_object();
+  const json::object* metadata =
+      object ? ObjectField(*object, "metadata") : nullptr;
+  const json::value* content = object ? object->if_contains("value") : nullptr;
+  if (!metadata || !content) {
+    return Fail(reason, ResultCode::kPlatformRejected,
+                "the platform's answer has no metadata or no value");
+  }
+  std::optional<std::string> name = StringField(*metadata, "name");
+  std::optional<std::int64_t> version = IntField(*metadata, "resourceVersion");
+  if (!name || !version) {
+    return Fail(reason, ResultCode::kPlatformRejected,
+                "the platform's answer has no name or no version");
+  }
+  return PlatformObject{*name, static_cast<std::uint64_t>(*version),
+                        json::serialize(*content)};
+}
+
+std::optional<std::uint64_t> VersionOf(const HttpResponse& response,
+                                       Reason* reason) {
+  std::optional<json::value> value = ParseJson(response.body);
+  std::optional<PlatformObject> object;
+  const json::object* top = value ? value->if_object() : nullptr;
+  const json::object* metadata = top ? ObjectField(*top, "metadata") : nullptr;
+  std::optional<std::int64_t> version;
+  if (metadata)
+    version = IntField(*metadata, "resourceVersion");
+  if (!version) {
+    return Fail(reason, ResultCode::kPlatformUnknown,
+                "the platform answered a write without a version");
+  }
+  return static_cast<std::uint64_t>(*version);
+}
+
+std::string WriteBody(const std::string& name,
+                      std::uint64_t version,
+                      const std::string& value) {
+  std::string body = "{\"metadata\":{\"name\":";
+  body += json::serialize(json::string(name));
+  body += ",\"resourceVersion\":" + std::to_string(version);
+  body += "},\"value\":" + value + "}";
+  return body;
+}
+
+}  // namespace
+
+class HttpPlatformClient::Private {
+ public:
+  Private(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
+      : client(context), endpoint(endpoint) {}
+
+  // Sends one call and sorts failures into results. `writes` tells whether a
+  // lost answer leaves the effect in doubt.
+  Answer<HttpResponse> Send(PlatformDuty duty,
+                            PlatformCallKind kind,
+                            HttpRequest request,
+                            std::chrono::milliseconds timeout,
+                            Reason* reason) {
+    counter.Add(duty, kind);
+    HttpFailure failure;
+    const HttpTimeouts timeouts{kConnectTimeout, timeout, timeout};
+    std::optional<HttpResponse> response =
+        co_await client.Call(endpoint, request, timeouts, &failure);
+    const bool writes = kind == PlatformCallKind::kWrite;
+    if (!response) {
+      const bool in_doubt = writes && failure.may_have_arrived;
+      co_return Fail(reason,
+                     in_doubt ? ResultCode::kPlatformUnknown
+                              : ResultCode::kPlatformUnavailable,
+                     "the platform gave no answer: " + failure.text);
+    }
+    if (response->status == kStatusOk || response->status == kStatusCreated ||
+        response->status == kStatusNoContent)
+      co_return response;
+    ResultCode code = ResultCode::kPlatformRejected;
+    if (response->status == kStatusNotFound)
+      code = ResultCode::kPlatformNotFound;
+    else if (response->status == kStatusConflict)
+      code = request.method == "POST" ? ResultCode::kPlatformExists
+                                      : ResultCode::kPlatformConflict;
+    else if (response->status >= 500)
+      code = writes ? ResultCode::kPlatformUnknown
+                    : ResultCode::kPlatformUnavailable;
+    co_return Fail(reason, code,
+                   "the platform answered " + std::to_string(response->status) +
+                       " to " + request.method + " " + request.target);
+  }
+
+  HttpClient client;
+  asio::ip::tcp::endpoint endpoint;
+  CallCounter counter;
+};
+
+HttpPlatformClient::HttpPlatformClient(asio::io_context& context,
+                                       asio::ip::tcp::endpoint endpoint)
+    : d_(std::make_unique<Private>(context, endpoint)) {}
+
+HttpPlatformClient::~HttpPlatformClient() = default;
+
+const CallCounter& HttpPlatformClient::counter() const {
+  return d_->counter;
+}
+
+PlatformClient::Answer<PlatformObject>
+HttpPlatformClient::Get(PlatformDuty duty, std::string name, Reason* reason) {
+  std::optional<HttpResponse> response = co_await d_->Send(
+      duty, PlatformCallKind::kRead, MakeRequest("GET", "/objects/" + name),
+      kCallTimeout, reason);
+  if (!response)
+    co_return std::nullopt;
+  std::optional<json::value> value = ParseJson(response->body);
+  co_return ObjectOf(value.value_or(nullptr), reason);
+}
+
+PlatformClient::Answer<std::uint64_t> HttpPlatformClient::Create(
+    PlatformDuty duty,
+    std::string name,
+    std::string value,
+    Reason* reason) {
+  HttpRequest request = MakeRequest("POST", "/objects");
+  request.body = WriteBody(name, 0, value);
+  std::optional<HttpResponse> response = co_await d_->Send(
+      duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
+  if (!response)
+    co_return std::nullopt;
+  co_return VersionOf(*response, reason);
+}
+
+PlatformClient::Answer<std::uint64_t> HttpPlatformClient::Update(
+    PlatformDuty duty,
+    PlatformObject object,
+    Reason* reason) {
+  HttpRequest request = MakeRequest("PUT", "/objects/" + object.name);
+  request.body = WriteBody(object.name, object.version, object.value);
+  std::optional<HttpResponse> response = co_await d_->Send(
+      duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
+  if (!response)
+    co_return std::nullopt;
+  co_return VersionOf(*response, reason);
+}
+
+PlatformClient::Answer<std::uint64_t> HttpPlatformClient::Delete(
+    PlatformDuty duty,
+    std::string name,
+    std::uint64_t version,
+    Reason* reason) {
+  HttpRequest request =
+      MakeRequest("DELETE", "/objects/" + name +
+                                "?resourceVersion=" + std::to_string(version));
+  std::optional<HttpResponse> response = co_await d_->Send(
+      duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
+  if (!response)
+    co_return std::nullopt;
+  co_return version;
+}
+
+PlatformClient::Answer<std::vector<PlatformObject>> HttpPlatformClient::List(
+    PlatformDuty duty,
+    std::string prefix,
+    Reason* reason) {
+  std::optional<HttpResponse> response = co_await d_->Send(
+      duty, PlatformCallKind::kRead,
+      MakeRequest("GET", "/objects?prefix=" + prefix), kCallTimeout, reason);
+  if (!response)
+    co_return std::nullopt;
+  std::optional<json::value> value = ParseJson(response->body);
+  const json::object* top = value ? value->if_object() : nullptr;
+  const json::array* items = top ? ArrayField(*top, "items") : nullptr;
+  if (!items) {
+    co_return Fail(reason, ResultCode::kPlatformRejected,
+                   "the platform answered a list without items");
+  }
+  std::vector<PlatformObject> objects;
+  for (const json::value& it : *items) {
+    std::optional<PlatformObject> object = ObjectOf(it, reason);
+    if (!object)
+      co_return std::nullopt;
+    objects.push_back(std::move(*object));
+  }
+  co_return objects;
+}
+
+PlatformClient::Answer<PlatformObject> HttpPlatformClient::Watch(
+    PlatformDuty duty,
+    std::string name,
+    std::uint64_t after,
+    std::chrono::milliseconds wait,
+    Reason* reason) {
+  HttpRequest request = MakeRequest(
+      "GET", "/objects/" + name + "?watch=1&after=" + std::to_string(after) +
+                 "&wait_ms=" + std::to_string(wait.count()));
+  std::optional<HttpResponse> response =
+      co_await d_->Send(duty, PlatformCallKind::kWatch, std::move(request),
+                        wait + kWatchSlack, reason);
+  if (!response)
+    co_return std::nullopt;
+  if (response->status == kStatusNoContent) {
+    co_return Fail(reason, ResultCode::kPlatformNotFound,
+                   "nothing newer than version " + std::to_string(after));
+  }
+  std::optional<json::value> value = ParseJson(response->body);
+  co_return ObjectOf(value.value_or(nullptr), reason);
+}
+
+PlatformClient::Answer<std::string> HttpPlatformClient::Hosts(Reason* reason) {
+  std::optional<HttpResponse> response =
+      co_await d_->Send(PlatformDuty::kHosts, PlatformCallKind::kRead,
+                        MakeRequest("GET", "/hosts"), kCallTimeout, reason);
+  if (!response)
+    co_return std::nullopt;
+  co_return std::move(response->body);
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/platform/http_platform_client.h
@@ -0,0 +1,55 @@
+// The platform's object API over HTTP.
+
+#ifndef SRC_LIBS_PLATFORM_HTTP_PLATFORM_CLIENT_H_
+#define SRC_LIBS_PLATFORM_HTTP_PLATFORM_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+
+#include "libs/platform/call_counter.h"
+#include "libs/platform/platform_client.h"
+
+namespace turmericwinch {
+
+// One platform at one address. Used only from its io_context's thread.
+class HttpPlatformClient : public PlatformClient {
+ public:
+  HttpPlatformClient(boost::asio::io_context& context,
+                     boost::asio::ip::tcp::endpoint endpoint);
+  ~HttpPlatformClient() override;
+
+  Answer<PlatformObject> Get(PlatformDuty duty,
+                             std::string name,
+                             Reason* reason) override;
+  Answer<std::uint64_t> Create(PlatformDuty duty,
+                               std::string name,
+                               std::string value,
+                               Reason* reason) override;
+  Answer<std::uint64_t> Update(PlatformDuty duty,
+                               PlatformObject object,
+                               Reason* reason) override;
+  Answer<std::uint64_t> Delete(PlatformDuty duty,
+                               std::string name,
+                               std::uint64_t version,
+                               Reason* reason) override;
+  Answer<std::vector<PlatformObject>> List(PlatformDuty duty,
+                                           std::string prefix,
+                                           Reason* reason) override;
+  Answer<PlatformObject> Watch(PlatformDuty duty,
+                               std::string name,
+                               std::uint64_t after,
+                               std::chrono::milliseconds wait,
+                               Reason* reason) override;
+  Answer<std::string> Hosts(Reason* reason) override;
+
+  const CallCounter& counter() const;
+
+ private:
+  class Private;
+  std::unique_ptr<Private> d_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_PLATFORM_HTTP_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/src/libs/routing/host_list.cc
@@ -0,0 +1,45 @@
+#include "libs/routing/host_list.h"
+
+#include <boost/json/array.hpp>
+
+#include "libs/base/json_fields.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace json = boost::json;
+
+std::vector<ListedMember> MembersOf(const json::object& top,
+                                    std::string_view name) {
+  std::vector<ListedMember> members;
+  const json::array* items = ArrayField(top, name);
+  if (!items)
+    return members;
+  for (const json::value& it : *items) {
+    const json::object* entry = it.if_object();
+    if (!entry)
+      continue;
+    const auto text = [&](std::string_view field) {
+      return StringField(*entry, field).value_or("");
+    };
+    members.push_back({text("name"), text("failure_domain"), text("address"),
+                       text("incarnation"), text("class"),
+                       text("state") == "leaving"});
+  }
+  return members;
+}
+
+}  // namespace
+
+std::optional<HostList> HostListOf(std::string_view text, Reason* reason) {
+  std::optional<json::value> value = ParseJson(text);
+  const json::object* top = value ? value->if_object() : nullptr;
+  if (!top) {
+    return Fail(reason, ResultCode::kPlatformRejected,
+                "the host list is not a JSON object");
+  }
+  return HostList{MembersOf(*top, "hosts"), MembersOf(*top, "targets")};
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/standin/engine_stand_in.h
@@ -0,0 +1,39 @@
+// Stands in for a model engine: streams made-up tokens at a set speed.
+
+#ifndef SRC_LIBS_STANDIN_ENGINE_STAND_IN_H_
+#define SRC_LIBS_STANDIN_ENGINE_STAND_IN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "libs/http/http_server.h"
+
+namespace turmericwinch {
+
+// Speed of the engine. Times are those of an idle engine.
+struct EngineSpeed {
+  std::chrono::microseconds first_token{1000};
+  std::chrono::microseconds between_tokens{1000};
+};
+
+// Serves POST /v1/chat/completions, PUT /faults, and GET /stats with the
+// tokens of each request that it finished. Used on one thread.
+class EngineStandIn {
+ public:
+  EngineStandIn(boost::asio::io_context& context,
+                std::string name,
+                EngineSpeed speed);
+  ~EngineStandIn();
+
+  HttpHandler Handler();
+
+ private:
+  class Private;
+  std::shared_ptr<Private> d_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_STANDIN_ENGINE_STAND_IN_H_
--- /dev/null
+++ b/src/libs/standin/fault_switches.cc
@@ -0,0 +1,71 @@
+#include "libs/standin/fault_switches.h"
+
+#include <boost/asio.hpp>
+#include <cstdlib>
+
+#include "libs/base/json_fields.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::hours kSilence{1};
+constexpr int kCrashExit = 70;
+
+asio::awaitable<void> Sleep(std::chrono::milliseconds time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(time);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace
+
+std::optional<FaultSwitches> FaultSwitchesOf(std::string_view text) {
+  std::optional<boost::json::value> value = ParseJson(text);
+  const boost::json::object* object = value ? value->if_object() : nullptr;
+  if (!object)
+    return std::nullopt;
+  FaultSwitches faults;
+  faults.down = BoolField(*object, "down").value_or(false);
+  faults.silent = BoolField(*object, "silent").value_or(false);
+  faults.delay_ms = IntField(*object, "delay_ms").value_or(0);
+  faults.lose_write_answers =
+      IntField(*object, "lose_write_answers").value_or(0);
+  faults.crash_on = StringField(*object, "crash_on").value_or("");
+  return faults;
+}
+
+asio::awaitable<bool> HandleFaultRequest(FaultSwitches& faults,
+                                         const HttpRequest& request,
+                                         HttpExchange& exchange) {
+  if (request.target != "/faults" || request.method != "PUT")
+    co_return false;
+  std::optional<FaultSwitches> read = FaultSwitchesOf(request.body);
+  if (read)
+    faults = *read;
+  HttpResponse response = JsonResponse(read ? 200 : 400, "{}");
+  co_await exchange.Send(response);
+  co_return true;
+}
+
+asio::awaitable<bool> PassFaults(const FaultSwitches& faults,
+                                 const HttpRequest& request,
+                                 HttpExchange& exchange) {
+  if (!faults.crash_on.empty() &&
+      request.body.find(faults.crash_on) != std::string::npos)
+    std::_Exit(kCrashExit);
+  if (faults.silent)
+    co_await Sleep(
+        std::chrono::duration_cast<std::chrono::milliseconds>(kSilence));
+  if (faults.down || faults.silent) {
+    exchange.Abort();
+    co_return false;
+  }
+  if (faults.delay_ms > 0)
+    co_await Sleep(std::chrono::milliseconds(faults.delay_ms));
+  co_return true;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/tests/config/config_validator_test.cc
@@ -0,0 +1,68 @@
+#include "libs/config/config_validator.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libs/config/config_reader.h"
+
+namespace turmericwinch {
+
+namespace {
+
+// A faulty set and the words that its faults must contain.
+struct FaultCase {
+  const char* text;
+  const char* expected;
+};
+
+std::string FaultsOf(const char* text) {
+  ConfigSet set;
+  std::vector<ConfigFault> faults;
+  ReadConfigText("file.json", text, set, faults);
+  for (const ConfigFault& it : ValidateConfig(set))
+    faults.push_back(it);
+  std::string joined;
+  for (const ConfigFault& it : faults)
+    joined += ToText(it) + "\n";
+  return joined;
+}
+
+const FaultCase kCases[] = {
+    {"{", "is not valid JSON"},
+    {"[1]", "is not a JSON object"},
+    {R"({"kind":"Teem","name":"a"})", "did you mean 'Team'?"},
+    {R"({"kind":"Team","name":"A b"})", "is not a valid name"},
+    {R"({"kind":"Team","name":"a"})", "key_hashes: is missing"},
+    {R"([{"kind":"FailureDomain","name":"a","region":"x"},
+         {"kind":"FailureDomain","name":"a","region":"x"}])",
+     "is a duplicate"},
+    {R"({"kind":"FailureDomain","name":"a","region":"x","overflow":["b"]})",
+     "names a FailureDomain that does not exist: 'b'"},
+    {R"({"kind":"FailureDomain","name":"a","region":"x","overflow":["a"]})",
+     "names itself"},
+    {R"({"kind":"Service","name":"s","protocol":"plain"})", "has no route"},
+    {R"({"kind":"Service","name":"s","protocol":"pain"})",
+     "is none of its choices"},
+    {R"({"kind":"Budget","name":"b","team":"t","tokens":-1})", "outside 0.."},
+    {R"({"kind":"Budget","name":"b","team":"t","token":1})",
+     "did you mean 'tokens'?"},
+};
+
+}  // namespace
+
+TEST_GROUP(ConfigValidator){};
+
+TEST(ConfigValidator, NamesEachFault) {
+  for (const FaultCase& it : kCases)
+    STRCMP_CONTAINS(it.expected, FaultsOf(it.text).c_str());
+}
+
+TEST(ConfigValidator, AcceptsASoundSet) {
+  STRCMP_EQUAL("", FaultsOf(R"([
+    {"kind":"FailureDomain","name":"a","region":"x","overflow":["b"]},
+    {"kind":"FailureDomain","name":"b","region":"x","overflow":["a"]},
+    {"kind":"Service","name":"s","protocol":"plain"},
+    {"kind":"Route","name":"r","service":"s","path":"/"}])")
+                       .c_str());
+}
+
+}  // namespace turmericwinch
