Decide budget draws free of I/O, return idle tokens, end holders

Cause: the keeper mixed decisions with I/O, so no fault could be tested. BucketSync and BillFlush now say which call comes next; the daemon and the tests make the calls. Faults found and mended on the way, each with a test: - a grant whose answer was lost was drawn again on top; it is now found by the counters, also when the platform was away in between - all waiting requests were refused when only their sum was too big; now the rest goes to those that fit, and a refusal holds for requests of that size - tokens allocated to a domain never came back; an idle domain returns them, and a host short of tokens takes idle ones from other domains' shards - a dead host's bills could land without its counters, and its counters without its bills. Each bill carries the total settled, merged by maximum at a release; spend reaches the counters only with its bills - rows of ended incarnations stayed for good. A holder removes its row at shutdown, an operator with `winch budget release`.

Ruled out: folding by time-out (proves nothing), closed marks in the shard (the missing row is the evidence), charging outstanding tokens at a release.

Buckets: 256 instead of 64, so that 17,000 budgets leave each object small.

--- a/src/libs/budget/bill.cc
+++ b/src/libs/budget/bill.cc
@@ -13,12 +13,13 @@
 namespace json = boost::json;
 
 constexpr std::size_t kSequenceDigits = 12;
+constexpr std::size_t kRowItems = 8;
 
 std::optional<Bill> BillOf(const json::value& value) {
   const json::array* row = value.if_array();
-  if (!row || row->size() != 7)
+  if (!row || row->size() != kRowItems)
     return std::nullopt;
-  for (std::size_t n : {0, 5, 6}) {
+  for (std::size_t n : {0, 5, 6, 7}) {
     if (!(*row)[n].is_int64())
       return std::nullopt;
   }
@@ -35,7 +36,8 @@
               text(3),
               text(4),
               (*row)[5].get_int64(),
-              (*row)[6].get_int64()};
+              (*row)[6].get_int64(),
+              (*row)[7].get_int64()};
 }
 
 }  // namespace
@@ -45,7 +47,7 @@
   for (const Bill& it : bills) {
     rows.push_back(json::array{static_cast<std::int64_t>(it.sequence),
                                it.request_id, it.budget, it.team, it.service,
-                               it.tokens, it.time_ms});
+                               it.tokens, it.time_ms, it.settled_total});
   }
   return json::serialize(rows);
 }
--- a/src/libs/budget/bill.h
+++ b/src/libs/budget/bill.h
@@ -15,6 +15,9 @@
 
 // `sequence` counts the bills of one incarnation of a host, from 1. `time_ms`
 // is milliseconds of UTC, for people only. Tokens are what the team pays.
+// `settled_total` is what the incarnation settled of the budget up to and with
+// this bill, so that merging any subset of bills by maximum never counts one
+// twice.
 struct Bill {
   std::uint64_t sequence = 0;
   std::string request_id;
@@ -23,6 +26,7 @@
   std::string service;
   std::int64_t tokens = 0;
   std::int64_t time_ms = 0;
+  std::int64_t settled_total = 0;
 };
 
 // Bills of one segment as JSON text, and back.
--- a/src/libs/budget/budget_constants.h
+++ b/src/libs/budget/budget_constants.h
@@ -11,7 +11,7 @@
 
 // Buckets that budgets fall into by hash. Fixed: the names of the platform's
 // objects depend on it.
-inline constexpr std::uint64_t kBudgetBuckets = 64;
+inline constexpr std::uint64_t kBudgetBuckets = 256;
 // Prefix of a bucket's shared account object; the bucket's number follows.
 inline constexpr char kAccountPrefix[] = "budget-account-";
 // Prefix of a bucket's shard in one domain; domain and bucket follow.
@@ -30,6 +30,10 @@
 inline constexpr std::size_t kMostUnconfirmedBills = 200'000;
 // Bills of one segment object.
 inline constexpr std::size_t kBillsPerSegment = 4'000;
+// Writes of a bucket that are tried in one turn, when others write it too.
+inline constexpr int kSyncAttempts = 20;
+// Pause before the first repeated write; the n-th waits n times as long.
+inline constexpr std::chrono::milliseconds kSyncPause{2};
 
 }  // namespace turmericwinch
 
--- a/src/libs/budget/domain_shard.cc
+++ b/src/libs/budget/domain_shard.cc
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "libs/base/json_fields.h"
+#include "libs/budget/budget_account.h"
 
 namespace turmericwinch {
 
@@ -115,4 +116,24 @@
   return row;
 }
 
+void MergeSettled(ShardBudget& budget,
+                  const std::string& holder,
+                  std::int64_t settled_total) {
+  auto it = budget.holders.find(holder);
+  if (it == budget.holders.end())
+    return;
+  HolderCounters& row = it->second;
+  row.settled = std::max(row.settled,
+                         std::min(settled_total, row.granted - row.given_back));
+}
+
+void CloseHolder(ShardBudget& budget, const std::string& holder) {
+  auto it = budget.holders.find(holder);
+  if (it == budget.holders.end())
+    return;
+  budget.settled_retired =
+      AddSaturated(budget.settled_retired, it->second.settled);
+  budget.holders.erase(it);
+}
+
 }  // namespace turmericwinch
--- a/src/libs/budget/domain_shard.h
+++ b/src/libs/budget/domain_shard.h
@@ -56,19 +56,16 @@
                            const HolderCounters& counters,
                            std::int64_t allocated);
 
-// Folds holders that have nothing outstanding and that `is_retired` names into
-// `settled_retired`. Safe because a retired incarnation never writes again.
-template <typename Predicate>
-void FoldRetired(ShardBudget& budget, Predicate is_retired) {
-  for (auto it = budget.holders.begin(); it != budget.holders.end();) {
-    if (it->second.Outstanding() != 0 || !is_retired(it->first)) {
-      ++it;
-      continue;
-    }
-    budget.settled_retired += it->second.settled;
-    it = budget.holders.erase(it);
-  }
-}
+// Takes what the holder's bills prove it to have settled. Frees nothing, so it
+// is safe whether or not the holder lives.
+void MergeSettled(ShardBudget& budget,
+                  const std::string& holder,
+                  std::int64_t settled_total);
+
+// Ends a holder: what it settled stays spent, what was outstanding becomes
+// free, its row is removed. A holder that finds a row missing which the
+// platform had confirmed knows by that that it was closed; no mark is kept.
+void CloseHolder(ShardBudget& budget, const std::string& holder);
 
 }  // namespace turmericwinch
 
--- a/src/libs/budget/host_ledger.cc
+++ b/src/libs/budget/host_ledger.cc
@@ -40,11 +40,18 @@
 struct LedgerBudget {
   HolderCounters counters;
   HolderCounters confirmed;
+  // What the confirmed bills come to.
+  std::int64_t billed = 0;
   std::int64_t reserved = 0;
   std::int64_t wished = 0;
+  std::int64_t smallest_wish = 0;
   DemandRate rate;
   MonotonicTime last_use;
 
+  // The platform learns of spend only with its bills.
+  HolderCounters Reported() const {
+    return {counters.granted, billed, counters.given_back};
+  }
   std::int64_t Available() const { return counters.Outstanding() - reserved; }
 };
 
@@ -67,11 +74,14 @@
   std::unordered_map<std::string, LedgerBudget> budgets;
   std::unordered_map<std::uint64_t, OpenReservation> reservations;
   std::map<std::uint64_t, std::set<std::string>> dirty;
+  // Budgets of which the platform confirmed a grant, by bucket.
+  std::map<std::uint64_t, std::set<std::string>> held;
   std::set<std::string> wishes;
   std::deque<Bill> bills;
   std::uint64_t next_reservation = 1;
   std::uint64_t next_sequence = 1;
   std::int64_t overrun_tokens = 0;
+  bool fenced = false;
 };
 
 HostLedger::HostLedger(std::string holder)
@@ -83,6 +93,8 @@
                                 std::int64_t tokens,
                                 MonotonicTime now) {
   TW_SOFT_ASSERT(tokens >= 0, return {});
+  if (d_->fenced)
+    return {ReserveOutcome::kFenced, 0};
   if (d_->bills.size() + d_->reservations.size() >= kMostUnconfirmedBills)
     return {ReserveOutcome::kBillsFull, 0};
   LedgerBudget& budget = d_->budgets[name];
@@ -111,8 +123,8 @@
   bill.sequence = d_->next_sequence++;
   budget.reserved -= held;
   budget.counters.settled += bill.tokens;
+  bill.settled_total = budget.counters.settled;
   budget.last_use = now;
-  d_->MarkDirty(bill.budget);
   d_->reservations.erase(it);
   d_->bills.push_back(bill);
   return bill;
@@ -128,18 +140,24 @@
 }
 
 void HostLedger::AddWish(const std::string& name, std::int64_t tokens) {
-  d_->budgets[name].wished += tokens;
-  d_->wishes.insert(name);
+  LedgerBudget& budget = d_->budgets[name];
+  const bool first = d_->wishes.insert(name).second;
+  budget.smallest_wish =
+      first ? tokens : std::min(budget.smallest_wish, tokens);
+  budget.wished = AddSaturated(budget.wished, tokens);
 }
 
 std::vector<GrantWish> HostLedger::TakeWishes() {
   std::vector<GrantWish> wishes;
   for (const std::string& it : d_->wishes) {
     LedgerBudget& budget = d_->budgets[it];
-    const std::int64_t needed =
-        budget.wished - std::max<std::int64_t>(budget.Available(), 0);
+    const std::int64_t available =
+        std::max<std::int64_t>(budget.Available(), 0);
+    const std::int64_t needed = budget.wished - available;
+    const std::int64_t smallest =
+        std::max<std::int64_t>(budget.smallest_wish - available, 0);
     if (needed > 0)
-      wishes.push_back({it, needed, budget.rate.Value()});
+      wishes.push_back({it, needed, smallest, budget.rate.Value()});
     budget.wished = 0;
   }
   d_->wishes.clear();
@@ -151,6 +169,24 @@
   LedgerBudget& budget = d_->budgets[name];
   budget.counters.granted = std::max(budget.counters.granted, granted_total);
   budget.confirmed.granted = budget.counters.granted;
+  if (granted_total > 0)
+    d_->held[BucketOf(name)].insert(name);
+}
+
+void HostLedger::Fence() {
+  d_->fenced = true;
+}
+
+bool HostLedger::fenced() const {
+  return d_->fenced;
+}
+
+void HostLedger::Forget(std::uint64_t bucket) {
+  d_->fenced = true;
+  for (const std::string& it : d_->held[bucket])
+    d_->budgets.erase(it);
+  d_->held.erase(bucket);
+  d_->dirty.erase(bucket);
 }
 
 void HostLedger::GiveBackIdle(MonotonicTime now, bool all) {
@@ -171,7 +207,7 @@
   if (dirty == d_->dirty.end())
     return counters;
   for (const std::string& it : dirty->second)
-    counters.emplace(it, d_->budgets[it].counters);
+    counters.emplace(it, d_->budgets[it].Reported());
   return counters;
 }
 
@@ -179,7 +215,7 @@
                                  const HolderCounters& counters) {
   LedgerBudget& budget = d_->budgets[name];
   budget.confirmed = counters;
-  if (budget.confirmed != budget.counters)
+  if (budget.confirmed != budget.Reported())
     return;
   auto dirty = d_->dirty.find(BucketOf(name));
   if (dirty == d_->dirty.end())
@@ -189,6 +225,26 @@
     d_->dirty.erase(dirty);
 }
 
+std::vector<std::string> HostLedger::ConfirmedBudgets(
+    std::uint64_t bucket) const {
+  auto it = d_->held.find(bucket);
+  if (it == d_->held.end())
+    return {};
+  return {it->second.begin(), it->second.end()};
+}
+
+std::vector<std::uint64_t> HostLedger::HeldBuckets() const {
+  std::vector<std::uint64_t> buckets;
+  for (const auto& [bucket, names] : d_->held)
+    buckets.push_back(bucket);
+  return buckets;
+}
+
+HolderCounters HostLedger::Counters(const std::string& name) const {
+  auto it = d_->budgets.find(name);
+  return it == d_->budgets.end() ? HolderCounters() : it->second.Reported();
+}
+
 std::vector<std::uint64_t> HostLedger::DirtyBuckets() const {
   std::vector<std::uint64_t> buckets;
   for (const auto& [bucket, names] : d_->dirty)
@@ -202,8 +258,12 @@
 }
 
 void HostLedger::ConfirmBills(std::uint64_t sequence) {
-  while (!d_->bills.empty() && d_->bills.front().sequence <= sequence)
+  while (!d_->bills.empty() && d_->bills.front().sequence <= sequence) {
+    const Bill& bill = d_->bills.front();
+    d_->budgets[bill.budget].billed = bill.settled_total;
+    d_->MarkDirty(bill.budget);
     d_->bills.pop_front();
+  }
 }
 
 std::int64_t HostLedger::Available(const std::string& name) const {
--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -27,6 +27,8 @@
   kNeedsGrant,
   // Too many bills wait for the platform.
   kBillsFull,
+  // The holder was closed; only a new incarnation of the host may spend.
+  kFenced,
 };
 
 // Answer to a request for a reservation; `id` is set if it was reserved.
@@ -38,7 +40,10 @@
 // A budget for which the host wants more tokens.
 struct GrantWish {
   std::string budget;
+  // For all requests that wait.
   std::int64_t needed = 0;
+  // For the smallest of them.
+  std::int64_t smallest = 0;
   double rate = 0;
 };
 
@@ -80,6 +85,13 @@
   // Takes over what the platform holds for this host. Counters only grow.
   void ApplyGrant(const std::string& budget, std::int64_t granted_total);
 
+  // Stops all reservations for good: the holder was closed.
+  void Fence();
+  bool fenced() const;
+  // Forgets the budgets of `bucket` after the holder closed itself there, and
+  // fences: its counters must not start again from 0.
+  void Forget(std::uint64_t bucket);
+
   // Offers tokens of budgets without a request since kGrantIdle, and, at
   // shutdown, of all, by raising their given_back.
   void GiveBackIdle(MonotonicTime now, bool all);
@@ -90,6 +102,13 @@
   // Notes that the platform has `counters`.
   void ConfirmCounters(const std::string& budget,
                        const HolderCounters& counters);
+  // Budgets of `bucket` of which the platform confirmed a grant.
+  std::vector<std::string> ConfirmedBudgets(std::uint64_t bucket) const;
+  // Buckets of which the platform confirmed a grant.
+  std::vector<std::uint64_t> HeldBuckets() const;
+  // The counters of one budget for the platform: spend counts once its bills
+  // are confirmed, so that nothing is charged without a bill.
+  HolderCounters Counters(const std::string& budget) const;
   // Buckets with unconfirmed counters.
   std::vector<std::uint64_t> DirtyBuckets() const;
 
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -21,8 +21,6 @@
 inline constexpr std::chrono::milliseconds kGrantWait{1'500};
 // Time for which a budget that was found exhausted is refused without asking.
 inline constexpr std::chrono::milliseconds kDenialHold{500};
-// Attempts to write one bucket before the draw is given up for now.
-inline constexpr int kBucketWriteAttempts = 12;
 // Attempts of a repeatable request on different targets.
 inline constexpr int kTargetAttempts = 3;
 // Connections that one host accepts from callers.
--- a/src/libs/node/shared_ledger.cc
+++ b/src/libs/node/shared_ledger.cc
@@ -1,10 +1,12 @@
 #include "libs/node/shared_ledger.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <map>
 #include <mutex>
 #include <vector>
 
+#include "libs/budget/budget_account.h"
 #include "libs/node/node_constants.h"
 
 namespace turmericwinch {
@@ -16,14 +18,18 @@
 
 // One request that waits for a grant. `denial` is written under the lock.
 struct Waiter {
-  explicit Waiter(const asio::any_io_executor& executor) : timer(executor) {}
+  Waiter(const asio::any_io_executor& executor, std::int64_t tokens)
+      : timer(executor), tokens(tokens) {}
 
   asio::steady_timer timer;
+  std::int64_t tokens;
   std::optional<Reason> denial;
 };
 
+// Requests of `least` tokens or more are refused without a draw.
 struct Denial {
   Reason reason;
+  std::int64_t least = 0;
   Clock::time_point until;
 };
 
@@ -87,8 +93,13 @@
         co_return Fail(reason, ResultCode::kOverloaded,
                        "too many bills wait for the platform");
       }
+      if (reservation.outcome == ReserveOutcome::kFenced) {
+        co_return Fail(reason, ResultCode::kBudgetUnreachable,
+                       "the grants of this host have ended");
+      }
       auto denial = d_->denials.find(budget);
-      if (denial != d_->denials.end() && now < denial->second.until) {
+      if (denial != d_->denials.end() && now < denial->second.until &&
+          tokens >= denial->second.least) {
         *reason = denial->second.reason;
         co_return std::nullopt;
       }
@@ -97,7 +108,7 @@
                        "no grant of budget " + budget + " arrived in time");
       }
       d_->ledger.AddWish(budget, tokens);
-      waiter = std::make_shared<Waiter>(executor);
+      waiter = std::make_shared<Waiter>(executor, tokens);
       waiter->timer.expires_at(deadline);
       d_->waiters[budget].push_back(waiter);
       on_wish = d_->on_wish;
@@ -132,13 +143,24 @@
     Wake(it);
 }
 
-void SharedLedger::Deny(const std::string& budget, const Reason& reason) {
+void SharedLedger::Deny(const std::string& budget,
+                        std::int64_t missing,
+                        const Reason& reason) {
   std::lock_guard lock(d_->mutex);
-  d_->denials[budget] = {reason, Clock::now() + kDenialHold};
-  for (const auto& it : d_->TakeWaiters(budget)) {
+  const std::int64_t available =
+      std::max<std::int64_t>(d_->ledger.Available(budget), 0);
+  const std::int64_t least = AddSaturated(available, missing);
+  d_->denials[budget] = {reason, least, Clock::now() + kDenialHold};
+  std::vector<std::shared_ptr<Waiter>>& waiters = d_->waiters[budget];
+  std::erase_if(waiters, [&](const std::shared_ptr<Waiter>& it) {
+    if (it->tokens < least)
+      return false;
     it->denial = reason;
     Wake(it);
-  }
+    return true;
+  });
+  if (waiters.empty())
+    d_->waiters.erase(budget);
 }
 
 void SharedLedger::With(const std::function<void(HostLedger&)>& action) {
--- a/src/libs/node/shared_ledger.h
+++ b/src/libs/node/shared_ledger.h
@@ -40,8 +40,11 @@
 
   // For the control thread: takes a new total over and wakes who waits.
   void Grant(const std::string& budget, std::int64_t granted_total);
-  // For the control thread: tells who waits that there is no grant.
-  void Deny(const std::string& budget, const Reason& reason);
+  // For the control thread: tells who waits that there is no grant of
+  // `missing` tokens or more beyond what is granted already.
+  void Deny(const std::string& budget,
+            std::int64_t missing,
+            const Reason& reason);
 
   // Runs `action` with the ledger locked.
   void With(const std::function<void(HostLedger&)>& action);
--- a/src/libs/operations/winch_commands.cc
+++ b/src/libs/operations/winch_commands.cc
@@ -10,6 +10,7 @@
 #include "libs/http/http_client.h"
 #include "libs/operations/budget_report.h"
 #include "libs/operations/budget_store.h"
+#include "libs/operations/budget_verbs.h"
 #include "libs/operations/config_directory.h"
 #include "libs/operations/config_store.h"
 #include "libs/operations/text_table.h"
@@ -246,6 +247,9 @@
       {"budget show", "BUDGET", "explain a budget", 1, ShowBudget},
       {"budget top-up", "BUDGET TOKENS", "add tokens to a budget", 2,
        TopUpVerb},
+      {"budget release", "HOLDER", "free what an ended process was granted", 1,
+       ReleaseVerb},
+      {"bills", "", "show bills by request, team or time", 0, BillsVerb},
       {"dump", "", "show one daemon's whole state as JSON", 0, Dump},
   };
   return verbs;
