Run the whole path under ThreadSanitizer too

Ruled out: dropping the TSan run. Asio's scheduler orders the same accesses by its mutex, so the TSan build goes without fences.

--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -10,7 +10,9 @@
 case $kind in
   release) options=(-DCMAKE_BUILD_TYPE=RelWithDebInfo) ;;
   asan) options=(-DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DTW_SANITIZE=address,undefined) ;;
-  tsan) options=(-DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DTW_SANITIZE=thread) ;;
+  tsan) options=(-DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DTW_SANITIZE=thread
+    # The sanitizer knows no fences; the scheduler's mutex orders the same accesses.
+    -DCMAKE_CXX_FLAGS="-Wno-tsan -DBOOST_ASIO_DISABLE_FENCED_BLOCK") ;;
   *) echo "unknown build: $kind" >&2; exit 2 ;;
 esac
 cmake -S . -B "build-$kind" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache "${options[@]}" >"build-$kind.log" 2>&1 ||
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -46,3 +46,11 @@
   wait_for "$1 to start" grep -q 'event=started' "$TW_WORK/$1.err"
   sed -n "s/.*event=started.* $2=\([0-9.:]*\).*/\1/p" "$TW_WORK/$1.err" | head -n 1
 }
+
+# check_sanitizers: fails if a process reported a fault of memory or threads.
+check_sanitizers() {
+  if grep -lE 'Sanitizer|runtime error' "$TW_WORK"/*.err; then
+    grep -hE -A 12 'Sanitizer|runtime error' "$TW_WORK"/*.err | head -60
+    return 1
+  fi
+}
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -52,4 +52,6 @@
 }
 wait_for "the spend to be recorded" spent_is 33
 "$bin/winch" budget show national-archive-2026
+stop_all
+check_sanitizers
 echo "smoke: passed"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,8 +10,10 @@
 export ASAN_OPTIONS=detect_leaks=0
 ctest --test-dir build-asan --output-on-failure -j "$(nproc)"
 scripts/smoke.sh build-asan
-scripts/build.sh tsan
-TSAN_OPTIONS=halt_on_error=1 ctest --test-dir build-tsan -L threaded --output-on-failure --no-tests=ignore
+scripts/build.sh tsan daemons threaded_tests
+export TSAN_OPTIONS=halt_on_error=1
+ctest --test-dir build-tsan -L threaded --output-on-failure --no-tests=ignore
+scripts/smoke.sh build-tsan
 scripts/lint.sh
 if [ -s KNOWN-RED.txt ]; then
   echo "known red:"
