Let operators ask daemons: status, explain, drain, hosts, targets

Cause: on call, why a request was refused could only be read off logs. Conclusion: a request is found by its id.

--- a/src/libs/node/admission.cc
+++ b/src/libs/node/admission.cc
@@ -57,7 +57,10 @@
   bill.service = service;
   bill.tokens = tokens;
   bill.time_ms = UtcMilliseconds();
-  node_.ledger->Settle(std::exchange(id_, 0), std::move(bill));
+  std::optional<Bill> settled =
+      node_.ledger->Settle(std::exchange(id_, 0), std::move(bill));
+  if (settled)
+    caller.record->billed_tokens = settled->tokens;
 }
 
 std::string RequestIdOf(const HttpRequest& request) {
@@ -67,11 +70,12 @@
 
 std::optional<Caller> RecogniseCaller(NodeContext& node,
                                       const HttpRequest& request,
-                                      const std::string& request_id,
+                                      std::shared_ptr<RequestRecord> record,
                                       Reason* reason) {
   Caller caller;
   caller.config = node.config.Get();
-  caller.request_id = request_id;
+  caller.request_id = record->request_id;
+  caller.record = std::move(record);
   if (!caller.config) {
     return Fail(reason, ResultCode::kNoConfig,
                 "this host has no configuration yet");
@@ -85,6 +89,8 @@
   caller.team = caller.config->TeamOfKeyHash(Sha256Hex(authorization));
   if (!caller.team)
     return Fail(reason, ResultCode::kUnauthorized, "the key is not known");
+  caller.record->team = caller.team->name;
+  caller.record->generation = caller.config->generation();
   return caller;
 }
 
@@ -104,8 +110,12 @@
   for (const BudgetConfig* it : budgets) {
     std::optional<std::uint64_t> id =
         co_await node.ledger->Reserve(it->name, tokens, kGrantWait, reason);
-    if (id)
+    if (id) {
+      caller.record->budget = it->name;
+      caller.record->service = service.name;
+      caller.record->reserved_tokens = tokens;
       co_return ReservedTokens(node, it->name, *id);
+    }
   }
   co_return std::nullopt;
 }
--- a/src/libs/node/admission.h
+++ b/src/libs/node/admission.h
@@ -12,6 +12,7 @@
 #include "libs/config/config_snapshot.h"
 #include "libs/http/http_message.h"
 #include "libs/node/refusal.h"
+#include "libs/node/request_record.h"
 
 namespace turmericwinch {
 
@@ -23,6 +24,8 @@
   std::shared_ptr<const ConfigSnapshot> config;
   const TeamConfig* team = nullptr;
   std::string request_id;
+  // Filled as the request goes on; never null.
+  std::shared_ptr<RequestRecord> record;
 };
 
 // Tokens reserved for one request. Released when dropped, unless settled.
@@ -50,7 +53,7 @@
 // Recognises the caller by its key.
 std::optional<Caller> RecogniseCaller(NodeContext& node,
                                       const HttpRequest& request,
-                                      const std::string& request_id,
+                                      std::shared_ptr<RequestRecord> record,
                                       Reason* reason);
 
 // Reserves `tokens` from the first of the team's budgets for `service` that
--- a/src/libs/node/caller_handler.cc
+++ b/src/libs/node/caller_handler.cc
@@ -19,7 +19,7 @@
 constexpr std::string_view kServicePrefix = "/services/";
 
 asio::awaitable<ResultCode> Dispatch(NodeContext& node,
-                                     const std::string& request_id,
+                                     std::shared_ptr<RequestRecord> record,
                                      const HttpRequest& request,
                                      HttpExchange& exchange) {
   Reason reason;
@@ -27,7 +27,7 @@
     reason = {ResultCode::kShuttingDown, "this host is shutting down"};
   std::optional<Caller> caller;
   if (reason.code == ResultCode::kOk)
-    caller = RecogniseCaller(node, request, request_id, &reason);
+    caller = RecogniseCaller(node, request, record, &reason);
   std::string_view path = PathOf(request.target);
   if (caller && path == kChatPath && request.method != "POST") {
     reason = {ResultCode::kMethodNotAllowed, "use POST"};
@@ -38,7 +38,9 @@
   } else if (caller) {
     reason = {ResultCode::kNotFound, "nothing is at " + std::string(path)};
   }
-  co_await exchange.Send(RefusalResponse(MakeRefusal(reason), request_id));
+  record->reason = reason.text;
+  co_await exchange.Send(
+      RefusalResponse(MakeRefusal(reason), record->request_id));
   co_return reason.code;
 }
 
@@ -48,16 +50,19 @@
   return [&node](const HttpRequest& request,
                  HttpExchange& exchange) -> asio::awaitable<void> {
     const auto start = std::chrono::steady_clock::now();
-    const std::string request_id = RequestIdOf(request);
-    const ResultCode result =
-        co_await Dispatch(node, request_id, request, exchange);
-    node.metrics.CountResult(result);
-    node.metrics.AddWhole(std::chrono::steady_clock::now() - start);
+    auto record = std::make_shared<RequestRecord>();
+    record->request_id = RequestIdOf(request);
+    record->target = std::string(PathOf(request.target));
+    record->result = co_await Dispatch(node, record, request, exchange);
+    record->elapsed = std::chrono::steady_clock::now() - start;
+    node.metrics.CountResult(record->result);
+    node.metrics.AddWhole(record->elapsed);
     LogEvent(kLog, Severity::kDebug, "request_done",
-             {{"request", request_id},
-              {"target", request.target},
-              {"code", static_cast<int>(result)},
-              {"result", NameOf(result)}});
+             {{"request", record->request_id},
+              {"target", record->target},
+              {"code", static_cast<int>(record->result)},
+              {"result", NameOf(record->result)}});
+    node.requests.Add(std::move(record));
   };
 }
 
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -46,6 +46,7 @@
   }
 
   void BuildParts();
+  void StartShutdown();
   asio::awaitable<void> WaitForSignal();
   asio::awaitable<void> ShutDown();
   void Stop(int code);
@@ -75,6 +76,7 @@
       std::make_unique<SharedLedger>(settings.host + "_" + context.incarnation);
   context.platform =
       std::make_unique<HttpPlatformClient>(context.control, settings.platform);
+  context.start_shutdown = [this] { StartShutdown(); };
   context.claims = std::make_unique<ClaimKeeper>(*context.platform);
   auto update_targets = [this] {
     std::shared_ptr<const ConfigSnapshot> config = context.config.Get();
@@ -109,12 +111,17 @@
   context.ledger->SetWishHook([this] { context.budgets->RequestDraw(); });
 }
 
-asio::awaitable<void> Node::Private::WaitForSignal() {
-  co_await signals.async_wait(asio::use_awaitable);
+void Node::Private::StartShutdown() {
+  if (context.shutting_down.exchange(true))
+    return;
   LogEvent(kLog, Severity::kInfo, "shutdown_started",
            {{"active", caller_server->ActiveRequests()}});
-  context.shutting_down = true;
   asio::co_spawn(context.control, ShutDown(), asio::detached);
+}
+
+asio::awaitable<void> Node::Private::WaitForSignal() {
+  co_await signals.async_wait(asio::use_awaitable);
+  StartShutdown();
   co_await signals.async_wait(asio::use_awaitable);
   LogEvent(kLog, Severity::kWarning, "shutdown_cut_short",
            {{"active", caller_server->ActiveRequests()}});
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -29,6 +29,8 @@
 inline constexpr std::size_t kMostConnections = 20'000;
 // Tokens that the chat format adds to each message at most.
 inline constexpr int kTokensPerMessage = 8;
+// Finished requests that a host remembers for operators.
+inline constexpr std::size_t kRequestsRemembered = 4096;
 // Time for a graceful shutdown.
 inline constexpr std::chrono::milliseconds kShutdownDeadline{30'000};
 
--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -12,8 +13,10 @@
 #include "libs/node/budget_keeper.h"
 #include "libs/node/claim_keeper.h"
 #include "libs/node/config_holder.h"
+#include "libs/node/node_constants.h"
 #include "libs/node/node_metrics.h"
 #include "libs/node/node_settings.h"
+#include "libs/node/request_log.h"
 #include "libs/node/shared_ledger.h"
 #include "libs/node/shared_targets.h"
 #include "libs/platform/http_platform_client.h"
@@ -30,11 +33,14 @@
   std::vector<std::unique_ptr<HttpClient>> clients;
   ConfigHolder config;
   NodeMetrics metrics;
+  RequestLog requests{kRequestsRemembered};
   std::unique_ptr<SharedTargets> targets;
   std::unique_ptr<SharedLedger> ledger;
   std::unique_ptr<HttpPlatformClient> platform;
   std::unique_ptr<ClaimKeeper> claims;
   std::unique_ptr<BudgetKeeper> budgets;
+  // Starts a graceful shutdown; set by the node, called on the control thread.
+  std::function<void()> start_shutdown;
   std::atomic<bool> shutting_down{false};
   std::atomic<bool> targets_known{false};
 };
--- a/src/libs/node/operator_handler.cc
+++ b/src/libs/node/operator_handler.cc
@@ -49,6 +49,16 @@
     return TextResponse(node.metrics.Exposition());
   if (path == "/dump")
     return JsonResponse(kStatusOk, DumpState(node));
+  if (path == "/requests")
+    return JsonResponse(
+        kStatusOk,
+        ToJson(node.requests.Find(QueryParameter(request.target, "id"))));
+  if (path == "/drain" && request.method == "POST") {
+    node.start_shutdown();
+    return JsonResponse(kStatusOk, "{\"draining\":true}");
+  }
+  if (path == "/drain")
+    return Refused(ResultCode::kMethodNotAllowed, "use POST");
   return Refused(ResultCode::kNotFound, "nothing is at " + std::string(path));
 }
 
--- /dev/null
+++ b/src/libs/node/request_log.h
@@ -0,0 +1,40 @@
+// The last requests of a host, by id.
+
+#ifndef SRC_LIBS_NODE_REQUEST_LOG_H_
+#define SRC_LIBS_NODE_REQUEST_LOG_H_
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "libs/node/request_record.h"
+
+namespace turmericwinch {
+
+// Keeps a bounded number of finished requests. Safe from any thread.
+class RequestLog {
+ public:
+  // `most` requests are kept; the oldest goes first.
+  explicit RequestLog(std::size_t most) : most_(most) {}
+
+  void Add(std::shared_ptr<const RequestRecord> record);
+  // The kept requests with this id, the oldest first.
+  std::vector<std::shared_ptr<const RequestRecord>> Find(
+      const std::string& request_id) const;
+
+ private:
+  const std::size_t most_;
+  mutable std::mutex mutex_;
+  std::deque<std::shared_ptr<const RequestRecord>> records_;
+};
+
+// The records as a JSON array.
+std::string ToJson(
+    const std::vector<std::shared_ptr<const RequestRecord>>& records);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_REQUEST_LOG_H_
--- /dev/null
+++ b/src/libs/operations/daemon_verbs.cc
@@ -0,0 +1,178 @@
+#include "libs/operations/daemon_verbs.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "libs/base/json_fields.h"
+#include "libs/http/http_client.h"
+#include "libs/operations/text_table.h"
+#include "libs/operations/winch_commands.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr int kStatusOk = 200;
+
+// Asks one daemon; nothing with a reason if it did not answer with 200.
+asio::awaitable<std::optional<std::string>> Ask(WinchContext& context,
+                                                std::string address,
+                                                std::string method,
+                                                std::string target,
+                                                Reason* reason) {
+  std::optional<asio::ip::tcp::endpoint> endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    co_return Fail(reason, ResultCode::kBadRequest,
+                   "'" + address + "' is not IP:PORT");
+  }
+  HttpClient client(*context.io);
+  HttpRequest request;
+  request.method = std::move(method);
+  request.target = std::move(target);
+  request.headers.Add("Authorization",
+                      "Bearer " + context.settings->Text("operator-token"));
+  HttpFailure failure;
+  std::optional<HttpResponse> response =
+      co_await client.Call(*endpoint, request, HttpTimeouts(), &failure);
+  if (!response) {
+    co_return Fail(
+        reason, ResultCode::kPeerUnavailable,
+        "the daemon at " + address + " gave no answer: " + failure.text);
+  }
+  if (response->status != kStatusOk) {
+    co_return Fail(reason, ResultCode::kUnauthorized,
+                   "the daemon at " + address + " answered " +
+                       std::to_string(response->status) + ": " +
+                       response->body);
+  }
+  co_return std::move(response->body);
+}
+
+// --daemons, or --daemon if it is empty.
+std::vector<std::string> Daemons(const WinchContext& context) {
+  std::vector<std::string> daemons = context.settings->List("daemons");
+  if (daemons.empty())
+    daemons.push_back(context.settings->Text("daemon"));
+  return daemons;
+}
+
+// One daemon's row of the status.
+struct DaemonStatus {
+  std::string address;
+  std::string host;
+  std::string failure_domain;
+  std::int64_t generation = 0;
+  std::string state;
+};
+
+DaemonStatus StatusOf(std::string address, const std::string& dump) {
+  DaemonStatus status;
+  status.address = std::move(address);
+  std::optional<json::value> value = ParseJson(dump);
+  const json::object* top = value ? value->if_object() : nullptr;
+  if (!top) {
+    status.state = "answers nonsense";
+    return status;
+  }
+  status.host = StringField(*top, "host").value_or("");
+  status.failure_domain = StringField(*top, "failure_domain").value_or("");
+  if (const json::object* config = ObjectField(*top, "config"))
+    status.generation = IntField(*config, "generation").value_or(0);
+  status.state =
+      BoolField(*top, "shutting_down").value_or(false) ? "draining" : "live";
+  return status;
+}
+
+std::string FormatStatus(const std::vector<DaemonStatus>& all) {
+  std::int64_t newest = 0;
+  for (const DaemonStatus& it : all)
+    newest = std::max(newest, it.generation);
+  TextRows rows = {
+      {"DAEMON", "HOST", "FAILURE DOMAIN", "GENERATION", "BEHIND", "STATE"}};
+  for (const DaemonStatus& it : all) {
+    rows.push_back({it.address, it.host, it.failure_domain,
+                    std::to_string(it.generation),
+                    std::to_string(newest - it.generation), it.state});
+  }
+  return FormatTable(rows);
+}
+
+json::array StatusJson(const std::vector<DaemonStatus>& all) {
+  json::array items;
+  for (const DaemonStatus& it : all) {
+    items.push_back(json::object{{"daemon", it.address},
+                                 {"host", it.host},
+                                 {"failure_domain", it.failure_domain},
+                                 {"generation", it.generation},
+                                 {"state", it.state}});
+  }
+  return items;
+}
+
+}  // namespace
+
+asio::awaitable<Reason> DumpDaemon(WinchContext& context) {
+  Reason reason;
+  std::optional<std::string> dump = co_await Ask(
+      context, context.settings->Text("daemon"), "GET", "/dump", &reason);
+  if (!dump)
+    co_return reason;
+  context.out = *dump + "\n";
+  co_return Reason{};
+}
+
+asio::awaitable<Reason> ShowStatus(WinchContext& context) {
+  Reason result;
+  std::vector<DaemonStatus> all;
+  for (const std::string& it : Daemons(context)) {
+    Reason reason;
+    std::optional<std::string> dump =
+        co_await Ask(context, it, "GET", "/dump", &reason);
+    if (dump) {
+      all.push_back(StatusOf(it, *dump));
+      continue;
+    }
+    all.push_back({it, "", "", 0, std::string(NameOf(reason.code))});
+    result = reason;
+  }
+  context.out = context.json() ? json::serialize(StatusJson(all)) + "\n"
+                               : FormatStatus(all);
+  co_return result;
+}
+
+asio::awaitable<Reason> ExplainRequest(WinchContext& context) {
+  const std::string& id = context.words[0];
+  bool found = false;
+  for (const std::string& it : Daemons(context)) {
+    Reason reason;
+    std::optional<std::string> records =
+        co_await Ask(context, it, "GET", "/requests?id=" + id, &reason);
+    if (!records)
+      co_return reason;
+    if (*records == "[]")
+      continue;
+    found = true;
+    context.out += *records + "\n";
+  }
+  if (found)
+    co_return Reason{};
+  co_return Reason{ResultCode::kNotFound,
+                   "no daemon asked remembers request '" + id + "'"};
+}
+
+asio::awaitable<Reason> DrainDaemon(WinchContext& context) {
+  const std::string daemon = context.settings->Text("daemon");
+  Reason reason;
+  std::optional<std::string> answer =
+      co_await Ask(context, daemon, "POST", "/drain", &reason);
+  if (!answer)
+    co_return reason;
+  context.out = daemon + " finishes what it has and then stops\n";
+  co_return Reason{};
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/operations/daemon_verbs.h
@@ -0,0 +1,28 @@
+// Verbs of winch that ask daemons: dump, status, explain, drain.
+
+#ifndef SRC_LIBS_OPERATIONS_DAEMON_VERBS_H_
+#define SRC_LIBS_OPERATIONS_DAEMON_VERBS_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "libs/base/reason.h"
+
+namespace turmericwinch {
+
+struct WinchContext;
+
+// Prints the whole state of the daemon named by --daemon.
+boost::asio::awaitable<Reason> DumpDaemon(WinchContext& context);
+
+// Prints generation, lag and load of each daemon of --daemons.
+boost::asio::awaitable<Reason> ShowStatus(WinchContext& context);
+
+// Prints what each daemon of --daemons knows of a request.
+boost::asio::awaitable<Reason> ExplainRequest(WinchContext& context);
+
+// Starts a graceful shutdown of the daemon named by --daemon.
+boost::asio::awaitable<Reason> DrainDaemon(WinchContext& context);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_OPERATIONS_DAEMON_VERBS_H_
--- a/src/libs/operations/winch_commands.cc
+++ b/src/libs/operations/winch_commands.cc
@@ -7,11 +7,12 @@
 #include "libs/base/digest.h"
 #include "libs/base/json_fields.h"
 #include "libs/config/config_diff.h"
-#include "libs/http/http_client.h"
 #include "libs/operations/budget_report.h"
 #include "libs/operations/budget_store.h"
 #include "libs/operations/config_directory.h"
 #include "libs/operations/config_store.h"
+#include "libs/operations/daemon_verbs.h"
+#include "libs/operations/list_verbs.h"
 #include "libs/operations/text_table.h"
 
 namespace turmericwinch {
@@ -22,7 +23,6 @@
 namespace json = boost::json;
 
 constexpr std::size_t kTopUpIdBytes = 8;
-constexpr int kStatusOk = 200;
 
 Reason FaultsReason(const std::vector<ConfigFault>& faults) {
   std::string text;
@@ -212,29 +212,6 @@
   co_return Reason{};
 }
 
-asio::awaitable<Reason> Dump(WinchContext& context) {
-  std::optional<asio::ip::tcp::endpoint> endpoint =
-      ParseEndpoint(context.settings->Text("daemon"));
-  HttpClient client(*context.io);
-  HttpRequest request;
-  request.target = "/dump";
-  request.headers.Add("Authorization",
-                      "Bearer " + context.settings->Text("operator-token"));
-  HttpFailure failure;
-  std::optional<HttpResponse> response =
-      co_await client.Call(*endpoint, request, HttpTimeouts(), &failure);
-  if (!response) {
-    co_return Reason{ResultCode::kPeerUnavailable,
-                     "the daemon gave no answer: " + failure.text};
-  }
-  context.out = response->body + "\n";
-  if (response->status != kStatusOk) {
-    co_return Reason{ResultCode::kUnauthorized,
-                     "the daemon answered " + std::to_string(response->status)};
-  }
-  co_return Reason{};
-}
-
 }  // namespace
 
 const std::vector<WinchVerb>& WinchVerbs() {
@@ -246,7 +223,13 @@
       {"budget show", "BUDGET", "explain a budget", 1, ShowBudget},
       {"budget top-up", "BUDGET TOKENS", "add tokens to a budget", 2,
        TopUpVerb},
-      {"dump", "", "show one daemon's whole state as JSON", 0, Dump},
+      {"hosts", "", "show the platform's list of entry hosts", 0, ShowHosts},
+      {"targets", "", "show the platform's list of targets", 0, ShowTargets},
+      {"status", "", "show which daemons run which generation", 0, ShowStatus},
+      {"explain", "REQUEST-ID", "show what happened to a request", 1,
+       ExplainRequest},
+      {"drain", "", "stop one daemon gracefully", 0, DrainDaemon},
+      {"dump", "", "show one daemon's whole state as JSON", 0, DumpDaemon},
   };
   return verbs;
 }
