--- /dev/null
+++ b/src/libs/delivery/chat_progress.h
@@ -0,0 +1,63 @@
+// What of a model's answer has reached its caller. Free of clocks, threads and
+// sockets.
+
+#ifndef SRC_LIBS_DELIVERY_CHAT_PROGRESS_H_
+#define SRC_LIBS_DELIVERY_CHAT_PROGRESS_H_
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace turmericwinch {
+
+// What to do with a piece of an answer.
+enum class AnswerVerdict {
+  // Pass it on.
+  kPass,
+  // The answer is whole.
+  kEnd,
+  // It belongs to another request: drop it and close its connection.
+  kCrossed,
+  // It is not what a sound target sends: the same.
+  kMalformed,
+};
+
+// Checks the pieces of an answer against the request's id, and counts the
+// tokens passed on, so that a broken stream goes on after the last of them.
+class ChatProgress {
+ public:
+  // `most_tokens` is the number that the request allows the engine.
+  ChatProgress(std::string request_id, std::int64_t most_tokens);
+
+  // Takes the data of one server-sent event.
+  AnswerVerdict OnEvent(std::string_view data);
+  // Takes a whole answer that was not streamed.
+  AnswerVerdict OnWhole(std::string_view body);
+  // Takes the answer to a cancellation; false if it is not this request's.
+  bool OnCancelled(std::string_view body);
+
+  // Tokens passed on, and their text.
+  std::int64_t tokens() const { return tokens_; }
+  const std::string& text() const { return text_; }
+  // Prompt and output tokens that the engine reported.
+  std::optional<std::int64_t> usage() const { return usage_; }
+  // What the team pays: the usage, or else what a cancelled engine had used or
+  // the tokens passed on, whichever is more.
+  std::int64_t BilledTokens() const;
+
+ private:
+  bool TakeUsage(const boost::json::object& answer);
+
+  std::string request_id_;
+  std::int64_t most_tokens_;
+  std::int64_t tokens_ = 0;
+  std::string text_;
+  std::optional<std::int64_t> usage_;
+  std::int64_t cancelled_usage_ = 0;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_DELIVERY_CHAT_PROGRESS_H_
--- /dev/null
+++ b/src/libs/delivery/claim_session.cc
@@ -0,0 +1,113 @@
+#include "libs/delivery/claim_session.h"
+
+#include "libs/delivery/delivery_constants.h"
+
+namespace turmericwinch {
+
+std::optional<ClaimRefusal> RefusalOf(const ClaimRecord& found,
+                                      const std::string& body_digest,
+                                      std::int64_t now_ms) {
+  if (found.body_digest != body_digest) {
+    return ClaimRefusal{{ResultCode::kKeyReused,
+                         "the idempotency key was used for another request"},
+                        RanState::kNotRun};
+  }
+  if (found.outcome == ClaimOutcome::kDone) {
+    if (found.answer)
+      return std::nullopt;
+    return ClaimRefusal{{ResultCode::kOutcomeUnknown,
+                         "the request ran; its answer is no longer kept"},
+                        RanState::kRan};
+  }
+  const std::int64_t end_ms = found.deadline_ms + kClaimClockSlack.count();
+  if (found.outcome == ClaimOutcome::kOpen && now_ms < end_ms) {
+    return ClaimRefusal{{ResultCode::kInProgress,
+                         "an attempt with this key is in progress; ask again "
+                         "for its answer"},
+                        RanState::kUnknown};
+  }
+  return ClaimRefusal{{ResultCode::kOutcomeUnknown,
+                       "an earlier attempt with this key has no known "
+                       "outcome; it is not run again"},
+                      RanState::kUnknown};
+}
+
+ClaimSession::ClaimSession(std::string name, ClaimRecord record, Time start)
+    : name_(std::move(name)), record_(std::move(record)), start_(start) {}
+
+void ClaimSession::OnCreated(std::uint64_t version) {
+  version_ = version;
+  step_ = ClaimStep::kHeld;
+}
+
+void ClaimSession::OnCreateFailed(const Reason& reason) {
+  exists_ = reason.code == ResultCode::kPlatformExists;
+  create_in_doubt_ = reason.code == ResultCode::kPlatformUnknown;
+  if (exists_ || create_in_doubt_) {
+    step_ = ClaimStep::kRead;
+    return;
+  }
+  Refuse(ResultCode::kClaimUnavailable,
+         "the request could not be claimed, so it was not run: " + reason.text,
+         RanState::kNotRun);
+}
+
+void ClaimSession::OnRead(std::uint64_t version,
+                          const std::optional<ClaimRecord>& found,
+                          std::int64_t now_ms) {
+  if (!found) {
+    Refuse(ResultCode::kOutcomeUnknown, "the claim on this key cannot be read",
+           RanState::kUnknown);
+    return;
+  }
+  if (found->owner == record_.owner) {
+    create_in_doubt_ = false;
+    OnCreated(version);
+    return;
+  }
+  // Another's claim stands, so a creation that is in doubt cannot succeed
+  // while it does.
+  std::optional<ClaimRefusal> refusal =
+      RefusalOf(*found, record_.body_digest, now_ms);
+  if (refusal) {
+    Refuse(refusal->reason.code, refusal->reason.text, refusal->ran);
+    return;
+  }
+  kept_ = *found;
+  step_ = ClaimStep::kReplay;
+}
+
+void ClaimSession::OnReadFailed(const Reason& reason) {
+  ++reads_;
+  if (reads_ < kClaimReads)
+    return;
+  // A claim that exists may be that of an attempt that ran.
+  Refuse(ResultCode::kClaimUnavailable,
+         (exists_ ? "the claim on this key could not be read: "
+                  : "the request could not be claimed, so it was not run: ") +
+             reason.text,
+         exists_ ? RanState::kUnknown : RanState::kNotRun);
+}
+
+bool ClaimSession::MaySend(Time now) {
+  if (step_ != ClaimStep::kHeld)
+    return false;
+  if (now - start_ <= kClaimSendWindow)
+    return true;
+  Refuse(ResultCode::kClaimUnavailable,
+         "the claim was too old to send the request, so it was not run",
+         RanState::kNotRun);
+  return false;
+}
+
+bool ClaimSession::NeedsAbandon() const {
+  return step_ == ClaimStep::kRefuse && (version_ != 0 || create_in_doubt_);
+}
+
+void ClaimSession::Refuse(ResultCode code, std::string text, RanState ran) {
+  step_ = ClaimStep::kRefuse;
+  reason_ = {code, std::move(text)};
+  ran_ = ran;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/delivery/claim_settlement.cc
@@ -0,0 +1,98 @@
+#include "libs/delivery/claim_settlement.h"
+
+#include <algorithm>
+
+#include "libs/delivery/delivery_constants.h"
+
+namespace turmericwinch {
+
+ClaimSettlement::ClaimSettlement(std::string name,
+                                 std::uint64_t version,
+                                 ClaimRecord record,
+                                 SettleStep write,
+                                 Time now)
+    : name_(std::move(name)),
+      version_(version),
+      record_(std::move(record)),
+      write_(write),
+      step_(version == 0 ? SettleStep::kRead : write),
+      give_up_(now + kSettleMost) {}
+
+ClaimSettlement ClaimSettlement::Record(std::string name,
+                                        std::uint64_t version,
+                                        ClaimRecord record,
+                                        Time now) {
+  return {std::move(name), version, std::move(record), SettleStep::kUpdate,
+          now};
+}
+
+ClaimSettlement ClaimSettlement::Abandon(std::string name,
+                                         std::uint64_t version,
+                                         ClaimRecord record,
+                                         Time now) {
+  return {std::move(name), version, std::move(record), SettleStep::kDelete,
+          now};
+}
+
+std::size_t ClaimSettlement::AnswerBytes() const {
+  return record_.answer ? record_.answer->size() : 0;
+}
+
+void ClaimSettlement::DropAnswer() {
+  record_.answer.reset();
+}
+
+void ClaimSettlement::OnWritten(ResultCode code, Time now) {
+  if (code == ResultCode::kOk) {
+    step_ = SettleStep::kDone;
+    return;
+  }
+  if (code == ResultCode::kPlatformUnavailable) {
+    RetryLater(now);
+    return;
+  }
+  if (code == ResultCode::kPlatformRejected) {
+    step_ = SettleStep::kGivenUp;
+    return;
+  }
+  // The write may have taken effect, now or earlier; the object tells.
+  RetryLater(now);
+  if (step_ != SettleStep::kGivenUp)
+    step_ = SettleStep::kRead;
+}
+
+void ClaimSettlement::OnRead(std::uint64_t version,
+                             const std::optional<ClaimRecord>& found) {
+  if (!found || found->owner != record_.owner ||
+      found->outcome != ClaimOutcome::kOpen) {
+    const bool recorded = found && found->owner == record_.owner;
+    const bool done = recorded || write_ == SettleStep::kDelete;
+    step_ = done ? SettleStep::kDone : SettleStep::kGivenUp;
+    return;
+  }
+  version_ = version;
+  step_ = write_;
+}
+
+void ClaimSettlement::OnReadFailed(ResultCode code, Time now) {
+  if (code != ResultCode::kPlatformNotFound) {
+    RetryLater(now);
+    return;
+  }
+  // A creation that was in doubt may still arrive.
+  ++absent_reads_;
+  if (version_ == 0 && absent_reads_ < kSettleAbsentReads) {
+    RetryLater(now);
+    return;
+  }
+  step_ =
+      write_ == SettleStep::kDelete ? SettleStep::kDone : SettleStep::kGivenUp;
+}
+
+void ClaimSettlement::RetryLater(Time now) {
+  pause_ = std::clamp(pause_ * 2, kSettlePauseFirst, kSettlePauseMost);
+  if (now + pause_ > give_up_)
+    step_ = SettleStep::kGivenUp;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/delivery/delivery_constants.h
@@ -0,0 +1,45 @@
+// Constants of the delivery library.
+
+#ifndef SRC_LIBS_DELIVERY_DELIVERY_CONSTANTS_H_
+#define SRC_LIBS_DELIVERY_DELIVERY_CONSTANTS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace turmericwinch {
+
+// Age, counted from before it was asked for, above which a claim must not be
+// followed by a first send.
+inline constexpr std::chrono::milliseconds kClaimSendWindow{10'000};
+// Readings of a claim whose creation is in doubt.
+inline constexpr int kClaimReads = 3;
+// Time for which a key is remembered.
+inline constexpr std::chrono::hours kClaimRetention{24};
+// Time after the end of a key's attempt during which it counts as in progress
+// although the clocks of two hosts differ.
+inline constexpr std::chrono::milliseconds kClaimClockSlack{5'000};
+// Bytes of the longest answer that is kept for retries.
+inline constexpr std::size_t kClaimMostAnswerBytes = 16 * 1024;
+// First and longest pause before an outcome is written again, and the time
+// after which it is given up.
+inline constexpr std::chrono::milliseconds kSettlePauseFirst{100};
+inline constexpr std::chrono::milliseconds kSettlePauseMost{30'000};
+inline constexpr std::chrono::minutes kSettleMost{15};
+// Readings for a claim that may still be created after it was given up.
+inline constexpr int kSettleAbsentReads = 4;
+
+// Time to connect to a target.
+inline constexpr std::chrono::milliseconds kConnectLimit{500};
+// Time without progress before the first byte, beyond that for the prompt, and
+// between two tokens.
+inline constexpr std::chrono::milliseconds kFirstByteLimit{4'000};
+inline constexpr std::chrono::milliseconds kBetweenTokensLimit{3'000};
+// Prompt tokens that the slowest target reads in a second.
+inline constexpr std::int64_t kSlowestPrefillTokensPerSecond = 500;
+// Time for a target to answer a probe or a cancellation.
+inline constexpr std::chrono::milliseconds kProbeLimit{1'000};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_DELIVERY_DELIVERY_CONSTANTS_H_
--- /dev/null
+++ b/src/libs/delivery/delivery_event.h
@@ -0,0 +1,31 @@
+// Events of delivery that are counted as metrics.
+
+#ifndef SRC_LIBS_DELIVERY_DELIVERY_EVENT_H_
+#define SRC_LIBS_DELIVERY_DELIVERY_EVENT_H_
+
+#include <string_view>
+
+namespace turmericwinch {
+
+enum class DeliveryEvent {
+  // An answer or event that carries another request's id.
+  kCrossedAnswer,
+  // An answer that is not the JSON it should be, or has no usage.
+  kMalformedAnswer,
+  // A connection made no progress while its target answered a probe.
+  kSilentConnection,
+  // A target made no progress and did not answer a probe.
+  kSilentTarget,
+  // A stream was continued after it broke.
+  kResumedStream,
+  // A stream was cancelled at its engine since its caller was gone.
+  kCancelledStream,
+};
+inline constexpr int kDeliveryEvents = 6;
+
+// Name of `event` in metrics, such as "crossed_answer".
+std::string_view NameOf(DeliveryEvent event);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_DELIVERY_DELIVERY_EVENT_H_
--- /dev/null
+++ b/src/libs/node/chat_call.cc
@@ -0,0 +1,311 @@
+#include "libs/node/chat_call.h"
+
+#include <boost/asio.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "libs/base/log.h"
+#include "libs/delivery/delivery_constants.h"
+#include "libs/http/http_constants.h"
+#include "libs/node/node_constants.h"
+#include "libs/node/node_context.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr LogCategory kLog{"node"};
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+ChatCall::ChatCall(NodeContext& node,
+                   const Caller& caller,
+                   const ServiceConfig& service,
+                   ChatRequest request,
+                   ReservedTokens reserved,
+                   HttpExchange& exchange)
+    : node_(node),
+      caller_(caller),
+      service_(service),
+      request_(std::move(request)),
+      reserved_(std::move(reserved)),
+      exchange_(exchange),
+      deadline_(steady_clock::now() + service.deadline),
+      progress_(caller.request_id, request_.max_tokens) {}
+
+asio::awaitable<ResultCode> ChatCall::Run() {
+  std::set<std::string> excluded;
+  std::set<std::string> asked_again;
+  for (int n = 0; n < kTargetAttempts; ++n) {
+    std::optional<TargetChoice> choice = Choose(excluded);
+    if (!choice)
+      break;
+    if (answer_started_)
+      node_.metrics.CountEvent(DeliveryEvent::kResumedStream);
+    const AttemptEnd end = co_await Attempt(*choice);
+    node_.targets->End(*choice);
+    if (end == AttemptEnd::kWhole)
+      co_return co_await Finish();
+    const bool gone = end == AttemptEnd::kCallerGone;
+    if (gone || answer_started_)
+      co_await Cancel(*choice);
+    if (gone) {
+      reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+      exchange_.Abort();
+      co_return ResultCode::kCallerGone;
+    }
+    const bool again = end == AttemptEnd::kConnectionFailed &&
+                       asked_again.insert(choice->name).second;
+    if (!again)
+      excluded.insert(choice->name);
+  }
+  co_return co_await GiveUp();
+}
+
+// A stream may also go on where it broke, if there is no other target.
+std::optional<TargetChoice> ChatCall::Choose(std::set<std::string>& excluded) {
+  Reason reason;
+  std::optional<TargetChoice> choice =
+      node_.targets->Begin(service_.name, excluded, &reason);
+  if (!choice && answer_started_ && !excluded.empty()) {
+    excluded.clear();
+    choice = node_.targets->Begin(service_.name, excluded, &reason);
+  }
+  if (!choice && refusal_.reason.code == ResultCode::kOk)
+    refusal_ = MakeRefusal(reason);
+  return choice;
+}
+
+HttpRequest ChatCall::TargetRequest() const {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/chat/completions";
+  request.headers.Add("Content-Type", "application/json");
+  request.headers.Add("X-Request-Id", caller_.request_id);
+  request.headers.Add("X-Priority", std::to_string(caller_.team->priority));
+  json::object body = request_.body;
+  if (progress_.tokens() > 0) {
+    request.headers.Add("X-Resume-From", std::to_string(progress_.tokens()));
+    body["resume_text"] = progress_.text();
+  }
+  request.body = json::serialize(body);
+  return request;
+}
+
+ProgressLimits ChatCall::Limits() const {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(deadline_ - steady_clock::now());
+  return request_.stream ? StreamLimits(request_.prompt_bound, left)
+                         : WholeLimits(left);
+}
+
+asio::awaitable<ChatCall::AttemptEnd> ChatCall::Attempt(
+    const TargetChoice& choice) {
+  std::optional<asio::ip::tcp::endpoint> endpoint =
+      ParseEndpoint(choice.address);
+  if (!endpoint) {
+    NoteFailure(choice, "has no sound address", false);
+    co_return AttemptEnd::kTargetFailed;
+  }
+  const ProgressLimits limits = Limits();
+  const HttpTimeouts timeouts{limits.connect, limits.first_byte,
+                              limits.between_tokens};
+  HttpFailure failure;
+  std::unique_ptr<HttpStream> stream =
+      co_await client().Open(*endpoint, TargetRequest(), timeouts, &failure);
+  if (!stream) {
+    NoteFailure(choice, "failed: " + failure.text, failure.may_have_arrived);
+    co_return co_await Probe(*endpoint, failure);
+  }
+  const std::string resumed(stream->headers().Get("X-Resumed-From"));
+  const bool resumes =
+      progress_.tokens() == 0 || resumed == std::to_string(progress_.tokens());
+  if (stream->status() != kStatusOk || !resumes) {
+    NoteFailure(choice,
+                resumes ? "answered " + std::to_string(stream->status())
+                        : "did not resume the stream",
+                true);
+    co_return AttemptEnd::kTargetFailed;
+  }
+  if (request_.stream)
+    co_return co_await Relay(*stream, choice);
+  co_return co_await ReadWhole(*stream, choice);
+}
+
+asio::awaitable<ChatCall::AttemptEnd> ChatCall::ReadWhole(
+    HttpStream& stream,
+    const TargetChoice& choice) {
+  whole_.clear();
+  HttpFailure failure;
+  while (!stream.done()) {
+    std::optional<std::string> piece =
+        co_await stream.ReadSome(Limits().between_tokens, &failure);
+    if (!piece || whole_.size() + piece->size() > kHttpMostBodyBytes) {
+      NoteFailure(choice, "failed: " + failure.text, true);
+      co_return AttemptEnd::kTargetFailed;
+    }
+    whole_ += *piece;
+  }
+  const AnswerVerdict verdict = progress_.OnWhole(whole_);
+  if (verdict == AnswerVerdict::kEnd)
+    co_return AttemptEnd::kWhole;
+  NoteFault(verdict, choice);
+  client().DropIdle(*ParseEndpoint(choice.address));
+  co_return AttemptEnd::kTargetFailed;
+}
+
+asio::awaitable<ChatCall::AttemptEnd> ChatCall::Relay(
+    HttpStream& stream,
+    const TargetChoice& choice) {
+  SseParser parser;
+  HttpFailure failure;
+  while (!stream.done()) {
+    std::optional<std::string> piece =
+        co_await stream.ReadSome(Limits().between_tokens, &failure);
+    if (!piece)
+      break;
+    parser.Feed(*piece);
+    std::string out;
+    const bool sound = TakeEvents(parser, choice, out);
+    const bool caller_there = out.empty() || (co_await StartAnswer() &&
+                                              co_await exchange_.Write(out));
+    if (!caller_there)
+      co_return AttemptEnd::kCallerGone;
+    if (ended_)
+      co_return AttemptEnd::kWhole;
+    if (!sound)
+      co_return AttemptEnd::kTargetFailed;
+    if (parser.pending_bytes() > kHttpMostBodyBytes)
+      break;
+  }
+  NoteFailure(choice, "broke the answer off: " + failure.text, true);
+  co_return co_await Probe(*ParseEndpoint(choice.address), failure);
+}
+
+bool ChatCall::TakeEvents(SseParser& parser,
+                          const TargetChoice& choice,
+                          std::string& out) {
+  while (std::optional<std::string> event = parser.Next()) {
+    const AnswerVerdict verdict = progress_.OnEvent(*event);
+    if (verdict != AnswerVerdict::kPass && verdict != AnswerVerdict::kEnd) {
+      NoteFault(verdict, choice);
+      return false;
+    }
+    out += "data: " + *event + "\n\n";
+    ended_ = verdict == AnswerVerdict::kEnd;
+    if (ended_)
+      break;
+  }
+  return true;
+}
+
+asio::awaitable<bool> ChatCall::StartAnswer() {
+  if (answer_started_)
+    co_return true;
+  answer_started_ = true;
+  HttpHeaders headers;
+  headers.Add("Content-Type", "text/event-stream");
+  headers.Add("Cache-Control", "no-store");
+  headers.Add("X-Request-Id", caller_.request_id);
+  co_return co_await exchange_.StartStream(kStatusOk, headers);
+}
+
+void ChatCall::NoteFailure(const TargetChoice& choice,
+                           const std::string& text,
+                           bool may_have_run) {
+  LogEvent(kLog, Severity::kWarning, "attempt_failed",
+           {{"request", caller_.request_id},
+            {"target", choice.name},
+            {"tokens", progress_.tokens()},
+            {"reason", text}});
+  const bool unknown = may_have_run || refusal_.ran != RanState::kNotRun;
+  refusal_ = MakeRefusal(
+      {ResultCode::kTargetFailed, "target " + choice.name + " " + text},
+      unknown ? RanState::kUnknown : RanState::kNotRun);
+}
+
+void ChatCall::NoteFault(AnswerVerdict verdict, const TargetChoice& choice) {
+  const bool crossed = verdict == AnswerVerdict::kCrossed;
+  node_.metrics.CountEvent(crossed ? DeliveryEvent::kCrossedAnswer
+                                   : DeliveryEvent::kMalformedAnswer);
+  NoteFailure(choice,
+              crossed ? "answered another request"
+                      : "sent an answer without usage or not in JSON",
+              true);
+}
+
+asio::awaitable<ChatCall::AttemptEnd> ChatCall::Probe(
+    const asio::ip::tcp::endpoint& endpoint,
+    const HttpFailure& failure) {
+  if (failure.phase == HttpPhase::kConnect)
+    co_return AttemptEnd::kTargetFailed;
+  client().DropIdle(endpoint);
+  HttpRequest request;
+  request.target = "/healthz";
+  const HttpTimeouts timeouts{kConnectLimit, kProbeLimit, kProbeLimit};
+  HttpFailure probe_failure;
+  std::optional<HttpResponse> response =
+      co_await client().Call(endpoint, request, timeouts, &probe_failure);
+  const bool alive = response && response->status == kStatusOk;
+  if (failure.timed_out) {
+    node_.metrics.CountEvent(alive ? DeliveryEvent::kSilentConnection
+                                   : DeliveryEvent::kSilentTarget);
+  }
+  co_return alive ? AttemptEnd::kConnectionFailed : AttemptEnd::kTargetFailed;
+}
+
+// Ends the generation that no one reads any more, and learns its usage.
+asio::awaitable<void> ChatCall::Cancel(const TargetChoice& choice) {
+  std::optional<asio::ip::tcp::endpoint> endpoint =
+      ParseEndpoint(choice.address);
+  if (!endpoint)
+    co_return;
+  HttpRequest request;
+  request.method = "DELETE";
+  request.target = "/v1/requests/" + caller_.request_id;
+  const HttpTimeouts timeouts{kConnectLimit, kProbeLimit, kProbeLimit};
+  HttpFailure failure;
+  std::optional<HttpResponse> response =
+      co_await client().Call(*endpoint, request, timeouts, &failure);
+  if (!response || response->status != kStatusOk)
+    co_return;
+  if (progress_.OnCancelled(response->body))
+    node_.metrics.CountEvent(DeliveryEvent::kCancelledStream);
+}
+
+asio::awaitable<ResultCode> ChatCall::Finish() {
+  reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+  bool sent = false;
+  if (request_.stream) {
+    sent = co_await exchange_.EndStream();
+  } else {
+    HttpResponse response = JsonResponse(kStatusOk, std::move(whole_));
+    response.headers.Add("X-Request-Id", caller_.request_id);
+    sent = co_await exchange_.Send(response);
+  }
+  co_return sent ? ResultCode::kOk : ResultCode::kCallerGone;
+}
+
+asio::awaitable<ResultCode> ChatCall::GiveUp() {
+  if (!answer_started_) {
+    co_await exchange_.Send(RefusalResponse(refusal_, caller_.request_id));
+    co_return refusal_.reason.code;
+  }
+  refusal_.ran = RanState::kRan;
+  reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+  co_await exchange_.Write(
+      "data: " + RefusalBody(refusal_, caller_.request_id) + "\n\n");
+  co_await exchange_.EndStream();
+  co_return refusal_.reason.code;
+}
+
+HttpClient& ChatCall::client() const {
+  return *node_.clients[exchange_.thread_index()];
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/chat_call.h
@@ -0,0 +1,91 @@
+// One chat completion on its way to its targets and back to its caller.
+
+#ifndef SRC_LIBS_NODE_CHAT_CALL_H_
+#define SRC_LIBS_NODE_CHAT_CALL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "libs/delivery/chat_progress.h"
+#include "libs/delivery/progress_limits.h"
+#include "libs/http/http_client.h"
+#include "libs/http/http_server.h"
+#include "libs/http/sse_parser.h"
+#include "libs/node/admission.h"
+#include "libs/node/chat_request.h"
+#include "libs/routing/target_table.h"
+
+namespace turmericwinch {
+
+// Runs on a traffic thread. A stream that breaks is resumed after the last
+// token that the caller got; the caller sees each token once.
+class ChatCall {
+ public:
+  ChatCall(NodeContext& node,
+           const Caller& caller,
+           const ServiceConfig& service,
+           ChatRequest request,
+           ReservedTokens reserved,
+           HttpExchange& exchange);
+
+  // Tries targets until one answers or the attempts are used up.
+  boost::asio::awaitable<ResultCode> Run();
+
+ private:
+  // How an attempt on one target ended.
+  enum class AttemptEnd {
+    kWhole,
+    kCallerGone,
+    // The target may be asked again over a fresh connection.
+    kConnectionFailed,
+    kTargetFailed,
+  };
+
+  std::optional<TargetChoice> Choose(std::set<std::string>& excluded);
+  HttpRequest TargetRequest() const;
+  ProgressLimits Limits() const;
+  boost::asio::awaitable<AttemptEnd> Attempt(const TargetChoice& choice);
+  boost::asio::awaitable<AttemptEnd> Relay(HttpStream& stream,
+                                           const TargetChoice& choice);
+  boost::asio::awaitable<AttemptEnd> ReadWhole(HttpStream& stream,
+                                               const TargetChoice& choice);
+  // Sorts events out; false if the stream must not be read on.
+  bool TakeEvents(SseParser& parser,
+                  const TargetChoice& choice,
+                  std::string& out);
+  boost::asio::awaitable<bool> StartAnswer();
+  // Notes a failed attempt, and that the request may have run.
+  void NoteFailure(const TargetChoice& choice,
+                   const std::string& text,
+                   bool may_have_run);
+  void NoteFault(AnswerVerdict verdict, const TargetChoice& choice);
+  // Finds out whether a silent target or just its connection is to blame.
+  boost::asio::awaitable<AttemptEnd> Probe(
+      const boost::asio::ip::tcp::endpoint& endpoint,
+      const HttpFailure& failure);
+  boost::asio::awaitable<void> Cancel(const TargetChoice& choice);
+  boost::asio::awaitable<ResultCode> Finish();
+  boost::asio::awaitable<ResultCode> GiveUp();
+  HttpClient& client() const;
+
+  NodeContext& node_;
+  const Caller& caller_;
+  const ServiceConfig& service_;
+  ChatRequest request_;
+  ReservedTokens reserved_;
+  HttpExchange& exchange_;
+  std::chrono::steady_clock::time_point deadline_;
+  ChatProgress progress_;
+  Refusal refusal_;
+  std::string whole_;
+  bool answer_started_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_CHAT_CALL_H_
--- a/src/libs/node/claim_keeper.cc
+++ b/src/libs/node/claim_keeper.cc
@@ -1,134 +1,268 @@
 #include "libs/node/claim_keeper.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
+#include <atomic>
+#include <boost/asio.hpp>
 
 #include "libs/base/digest.h"
-#include "libs/base/json_fields.h"
 #include "libs/base/log.h"
+#include "libs/delivery/claim_settlement.h"
+#include "libs/delivery/delivery_constants.h"
+#include "libs/node/node_constants.h"
 
 namespace turmericwinch {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 constexpr LogCategory kLog{"node"};
-constexpr char kClaimPrefix[] = "claim-";
-constexpr std::size_t kNameDigits = 40;
 constexpr std::size_t kOwnerBytes = 12;
-constexpr std::size_t kMostKeptBytes = 16 * 1024;
-constexpr int kReadAttempts = 3;
+constexpr std::size_t kSweepDigitBytes = 1;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-ClaimAnswer Refused(ResultCode code, std::string text, RanState ran) {
-  ClaimAnswer answer;
-  answer.reason = {code, std::move(text)};
-  answer.ran = ran;
-  return answer;
+std::int64_t UtcMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
 }
 
-// The answer to a request whose claim stands already.
-ClaimAnswer AnswerFrom(const json::object& claim,
-                       const std::string& body_digest) {
-  if (StringField(claim, "body").value_or("") != body_digest) {
-    return Refused(ResultCode::kKeyReused,
-                   "the idempotency key was used for another request",
-                   RanState::kNotRun);
-  }
-  std::optional<std::int64_t> status = IntField(claim, "status");
-  if (!status) {
-    return Refused(ResultCode::kOutcomeUnknown,
-                   "an earlier attempt with this key has no known outcome; it "
-                   "is not run again",
-                   RanState::kUnknown);
-  }
-  std::optional<std::string> body = StringField(claim, "answer");
-  if (!body) {
-    return Refused(ResultCode::kOutcomeUnknown,
-                   "the request ran; its answer is no longer kept",
-                   RanState::kRan);
-  }
-  ClaimAnswer answer;
-  answer.kept = JsonResponse(static_cast<int>(*status), *body);
-  answer.kept->headers.Add("Idempotent-Replayed", "true");
-  return answer;
+HttpResponse KeptResponse(const ClaimRecord& record) {
+  HttpResponse response;
+  response.status = record.status;
+  response.body = record.answer.value_or("");
+  response.headers.Add("Content-Type", record.content_type);
+  response.headers.Add("Idempotent-Replayed", "true");
+  return response;
+}
+
+ClaimSession NewSession(const ClaimWish& wish) {
+  ClaimRecord record;
+  record.owner = RandomHex(kOwnerBytes);
+  record.body_digest = wish.body_digest;
+  record.started_ms = UtcMs();
+  record.deadline_ms = record.started_ms + wish.deadline.count();
+  return {ClaimName(wish.team, wish.key), std::move(record),
+          std::chrono::steady_clock::now()};
 }
 
 }  // namespace
 
-ClaimKeeper::ClaimKeeper(PlatformClient& platform) : platform_(platform) {}
+class ClaimKeeper::Private {
+ public:
+  Private(asio::io_context& control, PlatformClient& platform)
+      : control(control), platform(platform) {}
+
+  asio::awaitable<void> Read(ClaimSession& session);
+  asio::awaitable<void> Write(ClaimSettlement& settlement);
+  asio::awaitable<void> Read(ClaimSettlement& settlement);
+  asio::awaitable<void> SweepPart();
+
+  // Takes a claim to its end; `waiter`, if it is still there, is woken then.
+  static asio::awaitable<void> Settle(std::shared_ptr<Private> d,
+                                      ClaimSettlement settlement,
+                                      std::weak_ptr<asio::steady_timer> waiter);
+  // As Settle(), waiting for kSettleWait at most.
+  static asio::awaitable<void> SettleSoon(std::shared_ptr<Private> d,
+                                          ClaimSettlement settlement);
+
+  asio::io_context& control;
+  PlatformClient& platform;
+  std::atomic<std::uint64_t> unsettled{0};
+  std::atomic<std::uint64_t> unsettled_bytes{0};
+  std::atomic<std::uint64_t> given_up{0};
+  std::atomic<std::uint64_t> swept{0};
+};
+
+ClaimKeeper::ClaimKeeper(asio::io_context& control, PlatformClient& platform)
+    : d_(std::make_shared<Private>(control, platform)) {}
 
-asio::awaitable<ClaimAnswer> ClaimKeeper::Take(std::string team,
-                                               std::string key,
-                                               std::string body_digest) {
-  Claim claim;
-  claim.name =
-      kClaimPrefix + Sha256Hex(team + "\n" + key).substr(0, kNameDigits);
-  claim.owner = RandomHex(kOwnerBytes);
+ClaimKeeper::~ClaimKeeper() = default;
+
+asio::awaitable<void> ClaimKeeper::Private::Read(ClaimSession& session) {
+  Reason reason;
+  std::optional<PlatformObject> found =
+      co_await platform.Get(PlatformDuty::kClaims, session.name(), &reason);
+  if (found)
+    session.OnRead(found->version, ClaimRecordOf(found->value), UtcMs());
+  else
+    session.OnReadFailed(reason);
+}
+
+asio::awaitable<ClaimAnswer> ClaimKeeper::Take(ClaimWish wish) {
+  ClaimSession session = NewSession(wish);
   Reason reason;
-  std::string value = json::serialize(
-      json::object{{"owner", claim.owner}, {"body", body_digest}});
-  std::optional<std::uint64_t> version = co_await platform_.Create(
-      PlatformDuty::kClaims, claim.name, value, &reason);
-  if (version) {
-    claim.version = *version;
-    ClaimAnswer answer;
-    answer.claim = std::move(claim);
+  std::optional<std::uint64_t> version = co_await d_->platform.Create(
+      PlatformDuty::kClaims, session.name(), ToJson(session.record()), &reason);
+  if (version)
+    session.OnCreated(*version);
+  else
+    session.OnCreateFailed(reason);
+  while (session.step() == ClaimStep::kRead)
+    co_await d_->Read(session);
+  ClaimAnswer answer;
+  answer.reason = session.reason();
+  answer.ran = session.ran();
+  if (session.step() == ClaimStep::kReplay)
+    answer.kept = KeptResponse(session.kept());
+  else if (session.step() == ClaimStep::kHeld)
+    answer.held = std::move(session);
+  else if (session.NeedsAbandon())
+    co_await Abandon(std::move(session));
+  co_return answer;
+}
+
+asio::awaitable<ClaimAnswer> ClaimKeeper::Find(ClaimWish wish) {
+  ClaimAnswer answer;
+  Reason reason;
+  std::optional<PlatformObject> found = co_await d_->platform.Get(
+      PlatformDuty::kClaims, ClaimName(wish.team, wish.key), &reason);
+  std::optional<ClaimRecord> record;
+  if (found)
+    record = ClaimRecordOf(found->value);
+  if (!record)
+    co_return answer;
+  std::optional<ClaimRefusal> refusal =
+      RefusalOf(*record, wish.body_digest, UtcMs());
+  if (!refusal) {
+    answer.kept = KeptResponse(*record);
     co_return answer;
   }
-  const bool in_doubt = reason.code == ResultCode::kPlatformExists ||
-                        reason.code == ResultCode::kPlatformUnknown;
-  std::optional<PlatformObject> found;
-  for (int n = 0; in_doubt && !found && n < kReadAttempts; ++n)
-    found = co_await platform_.Get(PlatformDuty::kClaims, claim.name, &reason);
-  std::optional<json::value> parsed;
-  if (found)
-    parsed = ParseJson(found->value);
-  const json::object* existing = parsed ? parsed->if_object() : nullptr;
-  if (!existing) {
-    co_return Refused(
-        ResultCode::kClaimUnavailable,
-        "the request could not be claimed, so it was not run: " + reason.text,
-        RanState::kNotRun);
+  answer.reason = refusal->reason;
+  answer.ran = refusal->ran;
+  co_return answer;
+}
+
+asio::awaitable<void> ClaimKeeper::Abandon(ClaimSession session) {
+  // Only a claim that may still be created needs no waiting for.
+  ClaimSettlement settlement = ClaimSettlement::Abandon(
+      session.name(), session.version(), session.record(),
+      std::chrono::steady_clock::now());
+  if (session.version() != 0) {
+    co_await Private::SettleSoon(d_, std::move(settlement));
+    co_return;
   }
-  if (StringField(*existing, "owner").value_or("") == claim.owner) {
-    claim.version = found->version;
-    ClaimAnswer answer;
-    answer.claim = std::move(claim);
-    co_return answer;
+  asio::co_spawn(d_->control, Private::Settle(d_, std::move(settlement), {}),
+                 asio::detached);
+}
+
+asio::awaitable<void> ClaimKeeper::Complete(
+    ClaimSession session,
+    std::optional<HttpResponse> response) {
+  ClaimRecord record = session.record();
+  record.outcome = response ? ClaimOutcome::kDone : ClaimOutcome::kInDoubt;
+  if (response) {
+    record.status = response->status;
+    record.content_type = std::string(response->headers.Get("Content-Type"));
+    if (response->body.size() <= kClaimMostAnswerBytes)
+      record.answer = std::move(response->body);
+  }
+  ClaimSettlement settlement = ClaimSettlement::Record(
+      session.name(), session.version(), std::move(record),
+      std::chrono::steady_clock::now());
+  co_await Private::SettleSoon(d_, std::move(settlement));
+}
+
+asio::awaitable<void> ClaimKeeper::Private::SettleSoon(
+    std::shared_ptr<Private> d,
+    ClaimSettlement settlement) {
+  auto waiter = std::make_shared<asio::steady_timer>(d->control, kSettleWait);
+  asio::co_spawn(d->control, Settle(d, std::move(settlement), waiter),
+                 asio::detached);
+  co_await waiter->async_wait(kAwait);
+}
+
+asio::awaitable<void> ClaimKeeper::Private::Settle(
+    std::shared_ptr<Private> d,
+    ClaimSettlement settlement,
+    std::weak_ptr<asio::steady_timer> waiter) {
+  if (d->unsettled_bytes + settlement.AnswerBytes() > kMostUnsettledBytes)
+    settlement.DropAnswer();
+  const std::size_t bytes = settlement.AnswerBytes();
+  const bool taken = d->unsettled < kMostUnsettledClaims;
+  ++d->unsettled;
+  d->unsettled_bytes += bytes;
+  asio::steady_timer timer(d->control);
+  while (taken && settlement.step() != SettleStep::kDone &&
+         settlement.step() != SettleStep::kGivenUp) {
+    if (settlement.pause().count() > 0) {
+      timer.expires_after(settlement.pause());
+      co_await timer.async_wait(kAwait);
+    }
+    if (settlement.step() == SettleStep::kRead)
+      co_await d->Read(settlement);
+    else
+      co_await d->Write(settlement);
+  }
+  --d->unsettled;
+  d->unsettled_bytes -= bytes;
+  if (settlement.step() != SettleStep::kDone) {
+    ++d->given_up;
+    LogEvent(kLog, Severity::kWarning, "claim_not_settled",
+             {{"claim", settlement.name()},
+              {"reason", taken ? "the platform did not take it in time"
+                               : "too many claims wait for the platform"}});
   }
-  co_return AnswerFrom(*existing, body_digest);
+  if (std::shared_ptr<asio::steady_timer> it = waiter.lock())
+    it->cancel();
+}
+
+asio::awaitable<void> ClaimKeeper::Private::Read(ClaimSettlement& settlement) {
+  Reason reason;
+  std::optional<PlatformObject> found =
+      co_await platform.Get(PlatformDuty::kClaims, settlement.name(), &reason);
+  if (found)
+    settlement.OnRead(found->version, ClaimRecordOf(found->value));
+  else
+    settlement.OnReadFailed(reason.code, std::chrono::steady_clock::now());
 }
 
-asio::awaitable<void> ClaimKeeper::Abandon(Claim claim) {
+asio::awaitable<void> ClaimKeeper::Private::Write(ClaimSettlement& settlement) {
   Reason reason;
-  std::optional<std::uint64_t> deleted = co_await platform_.Delete(
-      PlatformDuty::kClaims, claim.name, claim.version, &reason);
-  if (!deleted) {
-    LogEvent(kLog, Severity::kWarning, "claim_not_abandoned",
-             {{"claim", claim.name}, {"reason", reason.text}});
+  std::optional<std::uint64_t> version;
+  if (settlement.step() == SettleStep::kUpdate) {
+    // Named, since GCC 12 destroys an aggregate twice that is built within a
+    // co_await expression.
+    PlatformObject object{settlement.name(), settlement.version(),
+                          ToJson(settlement.record())};
+    version = co_await platform.Update(PlatformDuty::kClaims, object, &reason);
+  } else {
+    version = co_await platform.Delete(PlatformDuty::kClaims, settlement.name(),
+                                       settlement.version(), &reason);
   }
+  settlement.OnWritten(version ? ResultCode::kOk : reason.code,
+                       std::chrono::steady_clock::now());
 }
 
-asio::awaitable<void> ClaimKeeper::Complete(Claim claim,
-                                            std::string body_digest,
-                                            HttpResponse response) {
-  json::object value = {{"owner", claim.owner},
-                        {"body", body_digest},
-                        {"status", response.status}};
-  if (response.body.size() <= kMostKeptBytes)
-    value["answer"] = response.body;
+asio::awaitable<void> ClaimKeeper::Sweep() {
+  auto d = d_;
+  asio::steady_timer timer(d->control);
+  for (;;) {
+    timer.expires_after(kClaimSweepInterval);
+    co_await timer.async_wait(kAwait);
+    co_await d->SweepPart();
+  }
+}
+
+asio::awaitable<void> ClaimKeeper::Private::SweepPart() {
   Reason reason;
-  // Named, since GCC 12 destroys an aggregate twice that is built within a
-  // co_await expression.
-  PlatformObject object{claim.name, claim.version, json::serialize(value)};
-  std::optional<std::uint64_t> version =
-      co_await platform_.Update(PlatformDuty::kClaims, object, &reason);
-  if (!version) {
-    LogEvent(kLog, Severity::kWarning, "claim_outcome_not_recorded",
-             {{"claim", claim.name}, {"reason", reason.text}});
+  const std::string prefix = kClaimPrefix + RandomHex(kSweepDigitBytes);
+  std::optional<std::vector<PlatformObject>> objects =
+      co_await platform.List(PlatformDuty::kClaims, prefix, &reason);
+  if (!objects)
+    co_return;
+  for (const PlatformObject& it : *objects) {
+    std::optional<ClaimRecord> record = ClaimRecordOf(it.value);
+    if (!record || !IsExpired(*record, UtcMs()))
+      continue;
+    std::optional<std::uint64_t> deleted = co_await platform.Delete(
+        PlatformDuty::kClaims, it.name, it.version, &reason);
+    if (deleted)
+      ++swept;
   }
 }
 
+ClaimFigures ClaimKeeper::Figures() const {
+  return {d_->unsettled, d_->unsettled_bytes, d_->given_up, d_->swept};
+}
+
 }  // namespace turmericwinch
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -75,7 +75,8 @@
       std::make_unique<SharedLedger>(settings.host + "_" + context.incarnation);
   context.platform =
       std::make_unique<HttpPlatformClient>(context.control, settings.platform);
-  context.claims = std::make_unique<ClaimKeeper>(*context.platform);
+  context.claims =
+      std::make_unique<ClaimKeeper>(context.control, *context.platform);
   auto update_targets = [this] {
     std::shared_ptr<const ConfigSnapshot> config = context.config.Get();
     if (!config)
@@ -127,7 +128,8 @@
   const auto deadline = std::chrono::steady_clock::now() + kShutdownDeadline;
   bool flushed = false;
   while (std::chrono::steady_clock::now() < deadline) {
-    if (caller_server->ActiveRequests() == 0)
+    if (caller_server->ActiveRequests() == 0 &&
+        context.claims->Figures().unsettled == 0)
       flushed = co_await context.budgets->FlushAll();
     if (flushed)
       break;
@@ -196,6 +198,7 @@
   asio::co_spawn(context.control, d_->config_watcher->Run(), asio::detached);
   asio::co_spawn(context.control, d_->host_list->Run(), asio::detached);
   asio::co_spawn(context.control, context.budgets->Run(), asio::detached);
+  asio::co_spawn(context.control, context.claims->Sweep(), asio::detached);
   context.control.run();
   return d_->exit_code;
 }
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 namespace turmericwinch {
 
@@ -29,6 +30,13 @@
 inline constexpr std::size_t kMostConnections = 20'000;
 // Tokens that the chat format adds to each message at most.
 inline constexpr int kTokensPerMessage = 8;
+// Time that an answer waits for the record of its claim.
+inline constexpr std::chrono::milliseconds kSettleWait{250};
+// Claims whose end waits for the platform, and the bytes of their answers.
+inline constexpr std::uint64_t kMostUnsettledClaims = 2'048;
+inline constexpr std::uint64_t kMostUnsettledBytes = 8 * 1024 * 1024;
+// Time between two looks for old claims, each at a 256th of them.
+inline constexpr std::chrono::seconds kClaimSweepInterval{60};
 // Time for a graceful shutdown.
 inline constexpr std::chrono::milliseconds kShutdownDeadline{30'000};
 
--- a/src/libs/node/node_metrics.cc
+++ b/src/libs/node/node_metrics.cc
@@ -1,5 +1,6 @@
 #include "libs/node/node_metrics.h"
 
+#include <array>
 #include <boost/histogram.hpp>
 #include <map>
 #include <mutex>
@@ -49,6 +50,7 @@
  public:
   mutable std::mutex mutex;
   std::map<ResultCode, std::uint64_t> results;
+  std::array<std::uint64_t, kDeliveryEvents> events{};
   Latency first_byte = MakeLatency();
   Latency whole = MakeLatency();
 };
@@ -62,6 +64,11 @@
   ++d_->results[code];
 }
 
+void NodeMetrics::CountEvent(DeliveryEvent event) {
+  std::lock_guard lock(d_->mutex);
+  ++d_->events[static_cast<std::size_t>(event)];
+}
+
 void NodeMetrics::AddFirstByte(std::chrono::nanoseconds elapsed) {
   std::lock_guard lock(d_->mutex);
   d_->first_byte(std::chrono::duration<double>(elapsed).count());
@@ -85,6 +92,12 @@
     text += "turmericwinch_requests_total{result=\"" +
             std::string(NameOf(code)) + "\"} " + std::to_string(n) + "\n";
   }
+  text += "# TYPE turmericwinch_delivery_events_total counter\n";
+  for (int n = 0; n < kDeliveryEvents; ++n) {
+    text += "turmericwinch_delivery_events_total{event=\"" +
+            std::string(NameOf(static_cast<DeliveryEvent>(n))) + "\"} " +
+            std::to_string(d_->events[n]) + "\n";
+  }
   text += ExpositionOf("turmericwinch_first_byte_seconds", d_->first_byte);
   text += ExpositionOf("turmericwinch_whole_answer_seconds", d_->whole);
   text += "# TYPE turmericwinch_soft_asserts_total counter\n";
--- a/src/libs/node/node_metrics.h
+++ b/src/libs/node/node_metrics.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "libs/base/result_code.h"
+#include "libs/delivery/delivery_event.h"
 
 namespace turmericwinch {
 
@@ -20,6 +21,8 @@
 
   // Counts a finished request by its result.
   void CountResult(ResultCode code);
+  // Counts an event of delivery.
+  void CountEvent(DeliveryEvent event);
   // Adds the time to the first byte of an answer.
   void AddFirstByte(std::chrono::nanoseconds elapsed);
   // Adds the time to the end of an answer.
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -35,7 +35,7 @@
                      std::string(target.substr(slash))};
 }
 
-// Outcome of all attempts of one call.
+// Outcome of all attempts of one call. `refusal.ran` speaks for all of them.
 struct PlainOutcome {
   std::optional<HttpResponse> response;
   Refusal refusal;
@@ -58,21 +58,50 @@
   return out;
 }
 
+// One call on its way to a target.
+struct PlainCall {
+  const RouteConfig* route = nullptr;
+  HttpRequest request;
+  std::chrono::steady_clock::time_point deadline;
+  // Set for a call that may not be repeated.
+  std::optional<ClaimSession> claim;
+};
+
+HttpTimeouts TimeoutsUntil(std::chrono::steady_clock::time_point deadline) {
+  HttpTimeouts timeouts;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      deadline - std::chrono::steady_clock::now());
+  timeouts.first_byte = std::max(left, std::chrono::milliseconds(1));
+  timeouts.between_bytes = timeouts.first_byte;
+  return timeouts;
+}
+
+// Notes a failed attempt. Once one may have run, the call may have.
+void NoteFailure(const TargetChoice& choice,
+                 const HttpFailure& failure,
+                 PlainOutcome& outcome) {
+  std::string text = "target " + choice.name;
+  text += outcome.response
+              ? " answered " + std::to_string(outcome.response->status)
+              : " failed: " + failure.text;
+  const bool may_have_run = outcome.response || failure.may_have_arrived ||
+                            outcome.refusal.ran != RanState::kNotRun;
+  outcome.refusal =
+      MakeRefusal({ResultCode::kTargetFailed, std::move(text)},
+                  may_have_run ? RanState::kUnknown : RanState::kNotRun);
+}
+
 // Sends the call. A call that may not be repeated is tried on another target
 // only if nothing can have reached the first.
 asio::awaitable<PlainOutcome> Send(NodeContext& node,
-                                   const RouteConfig& route,
-                                   const HttpRequest& out,
+                                   PlainCall& call,
                                    std::size_t thread_index) {
   PlainOutcome outcome;
   std::set<std::string> excluded;
-  HttpTimeouts timeouts;
-  timeouts.first_byte = route.deadline;
-  timeouts.between_bytes = route.deadline;
   for (int n = 0; n < kTargetAttempts; ++n) {
     Reason reason;
     std::optional<TargetChoice> choice =
-        node.targets->Begin(route.service, excluded, &reason);
+        node.targets->Begin(call.route->service, excluded, &reason);
     if (!choice) {
       if (n == 0)
         outcome.refusal = MakeRefusal(reason);
@@ -81,21 +110,24 @@
     HttpFailure failure;
     std::optional<asio::ip::tcp::endpoint> endpoint =
         ParseEndpoint(choice->address);
+    if (call.claim && !call.claim->MaySend(std::chrono::steady_clock::now())) {
+      node.targets->End(*choice);
+      outcome.refusal = MakeRefusal(call.claim->reason(), call.claim->ran());
+      co_return outcome;
+    }
+    outcome.response.reset();
     if (endpoint) {
       outcome.response = co_await node.clients[thread_index]->Call(
-          *endpoint, out, timeouts, &failure);
+          *endpoint, call.request, TimeoutsUntil(call.deadline), &failure);
     }
     node.targets->End(*choice);
     const bool failed =
         !outcome.response || outcome.response->status >= kServerError;
-    if (!failed || (outcome.response && !route.repeatable))
+    if (!failed || (outcome.response && !call.route->repeatable))
       co_return outcome;
     excluded.insert(choice->name);
-    outcome.refusal = MakeRefusal(
-        {ResultCode::kTargetFailed,
-         "target " + choice->name + " failed: " + failure.text},
-        failure.may_have_arrived ? RanState::kUnknown : RanState::kNotRun);
-    if (!route.repeatable && failure.may_have_arrived) {
+    NoteFailure(*choice, failure, outcome);
+    if (!call.route->repeatable && failure.may_have_arrived) {
       outcome.refusal.reason.code = ResultCode::kOutcomeUnknown;
       outcome.refusal.retry_after_s = 0;
       co_return outcome;
@@ -112,15 +144,12 @@
 }
 
 asio::awaitable<void> RecordOutcome(NodeContext& node,
-                                    const Claim& claim,
-                                    const std::string& digest,
+                                    const ClaimSession& claim,
                                     const PlainOutcome& outcome) {
-  if (outcome.response) {
-    co_await OnControl(node,
-                       node.claims->Complete(claim, digest, *outcome.response));
-  } else if (outcome.refusal.ran == RanState::kNotRun) {
+  if (outcome.response || outcome.refusal.ran != RanState::kNotRun)
+    co_await OnControl(node, node.claims->Complete(claim, outcome.response));
+  else
     co_await OnControl(node, node.claims->Abandon(claim));
-  }
 }
 
 asio::awaitable<ResultCode> Refuse(const Caller& caller,
@@ -130,12 +159,61 @@
   co_return refusal.reason.code;
 }
 
+asio::awaitable<ResultCode> Replay(const Caller& caller,
+                                   HttpResponse kept,
+                                   HttpExchange& exchange) {
+  kept.headers.Add("X-Request-Id", caller.request_id);
+  const bool sent = co_await exchange.Send(kept);
+  co_return sent ? ResultCode::kOk : ResultCode::kCallerGone;
+}
+
+// The answer when the budget has no tokens: a retry of a call that ran is
+// still told so, since it costs nothing.
+asio::awaitable<ResultCode> RefuseUnpaid(NodeContext& node,
+                                         const Caller& caller,
+                                         const std::optional<ClaimWish>& wish,
+                                         const Reason& reason,
+                                         HttpExchange& exchange) {
+  ClaimAnswer found;
+  if (wish)
+    found = co_await OnControl(node, node.claims->Find(*wish));
+  if (found.kept)
+    co_return co_await Replay(caller, std::move(*found.kept), exchange);
+  if (found.reason.code != ResultCode::kOk) {
+    co_return co_await Refuse(caller, MakeRefusal(found.reason, found.ran),
+                              exchange);
+  }
+  co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
+}
+
+// Gives the caller what the targets answered.
+asio::awaitable<ResultCode> Answer(const Caller& caller,
+                                   PlainOutcome outcome,
+                                   HttpExchange& exchange) {
+  if (!outcome.response) {
+    LogEvent(kLog, Severity::kWarning, "call_failed",
+             {{"request", caller.request_id},
+              {"reason", outcome.refusal.reason.text}});
+    co_return co_await Refuse(caller, outcome.refusal, exchange);
+  }
+  HttpResponse response;
+  response.status = outcome.response->status;
+  response.body = std::move(outcome.response->body);
+  response.headers.Add(
+      "Content-Type",
+      std::string(outcome.response->headers.Get("Content-Type")));
+  response.headers.Add("X-Request-Id", caller.request_id);
+  const bool sent = co_await exchange.Send(response);
+  co_return sent ? ResultCode::kOk : ResultCode::kCallerGone;
+}
+
 }  // namespace
 
 asio::awaitable<ResultCode> HandlePlain(NodeContext& node,
                                         const Caller& caller,
                                         const HttpRequest& request,
                                         HttpExchange& exchange) {
+  const auto start = std::chrono::steady_clock::now();
   Reason reason{ResultCode::kNotFound, "no route matches " + request.target};
   std::optional<PlainTarget> target = SplitTarget(request.target);
   if (!target)
@@ -151,49 +229,36 @@
               "this call may not run twice and needs an Idempotency-Key"};
     co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
   }
+  std::optional<ClaimWish> wish;
+  if (!route->repeatable) {
+    const std::string digest =
+        Sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
+    wish = ClaimWish{caller.team->name, key, digest, route->deadline};
+  }
   std::optional<ReservedTokens> reserved = co_await ReserveTokens(
       node, caller, *service, service->call_tokens, &reason);
   if (!reserved)
-    co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
-  const std::string digest =
-      Sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
-  std::optional<Claim> claim;
-  if (!route->repeatable) {
-    ClaimAnswer answer = co_await OnControl(
-        node, node.claims->Take(caller.team->name, key, digest));
-    if (answer.kept) {
-      answer.kept->headers.Add("X-Request-Id", caller.request_id);
-      co_await exchange.Send(*answer.kept);
-      co_return ResultCode::kOk;
-    }
-    if (!answer.claim) {
+    co_return co_await RefuseUnpaid(node, caller, wish, reason, exchange);
+  PlainCall call;
+  call.route = route;
+  call.deadline = start + route->deadline;
+  call.request = TargetRequest(caller, request, target->path, key);
+  if (wish) {
+    ClaimAnswer answer = co_await OnControl(node, node.claims->Take(*wish));
+    if (answer.kept)
+      co_return co_await Replay(caller, std::move(*answer.kept), exchange);
+    if (!answer.held) {
       co_return co_await Refuse(caller, MakeRefusal(answer.reason, answer.ran),
                                 exchange);
     }
-    claim = std::move(answer.claim);
+    call.claim = std::move(answer.held);
   }
-  const HttpRequest out = TargetRequest(caller, request, target->path, key);
-  PlainOutcome outcome =
-      co_await Send(node, *route, out, exchange.thread_index());
+  PlainOutcome outcome = co_await Send(node, call, exchange.thread_index());
   if (outcome.response || outcome.refusal.ran != RanState::kNotRun)
     reserved->Settle(caller, service->name, service->call_tokens);
-  if (claim)
-    co_await RecordOutcome(node, *claim, digest, outcome);
-  if (!outcome.response) {
-    LogEvent(kLog, Severity::kWarning, "call_failed",
-             {{"request", caller.request_id},
-              {"reason", outcome.refusal.reason.text}});
-    co_return co_await Refuse(caller, outcome.refusal, exchange);
-  }
-  HttpResponse response;
-  response.status = outcome.response->status;
-  response.body = std::move(outcome.response->body);
-  response.headers.Add(
-      "Content-Type",
-      std::string(outcome.response->headers.Get("Content-Type")));
-  response.headers.Add("X-Request-Id", caller.request_id);
-  const bool sent = co_await exchange.Send(response);
-  co_return sent ? ResultCode::kOk : ResultCode::kCallerGone;
+  if (call.claim)
+    co_await RecordOutcome(node, *call.claim, outcome);
+  co_return co_await Answer(caller, std::move(outcome), exchange);
 }
 
 }  // namespace turmericwinch
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -56,6 +56,14 @@
   return targets;
 }
 
+json::object DumpClaims(NodeContext& node) {
+  const ClaimFigures figures = node.claims->Figures();
+  return {{"unsettled", figures.unsettled},
+          {"unsettled_bytes", figures.unsettled_bytes},
+          {"given_up", figures.given_up},
+          {"swept", figures.swept}};
+}
+
 json::object DumpPlatformCalls(NodeContext& node) {
   json::object calls;
   for (int duty = 0; duty < kPlatformDuties; ++duty) {
@@ -81,6 +89,7 @@
       {"config", DumpConfig(node)},
       {"ledger", DumpLedger(node)},
       {"targets", DumpTargets(node)},
+      {"claims", DumpClaims(node)},
       {"platform_calls", DumpPlatformCalls(node)},
       {"soft_asserts", SoftAssertCount()},
   };
--- a/src/libs/standin/engine_stand_in.cc
+++ b/src/libs/standin/engine_stand_in.cc
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <charconv>
 #include <map>
+#include <set>
 
 #include "libs/base/json_fields.h"
+#include "libs/standin/engine_faults.h"
 #include "libs/standin/fault_switches.h"
 
 namespace turmericwinch {
@@ -17,12 +20,15 @@
 
 constexpr std::int64_t kDefaultTokens = 16;
 constexpr std::int64_t kBytesPerToken = 4;
+constexpr std::string_view kRequestPrefix = "/v1/requests/";
+constexpr std::chrono::hours kSilence{1};
 
 // What the engine was asked for.
 struct EngineJob {
   std::string id;
   std::int64_t prompt_tokens = 0;
   std::int64_t max_tokens = 0;
+  std::int64_t first = 0;
   bool stream = false;
 };
 
@@ -35,6 +41,8 @@
   EngineJob job;
   job.id = std::string(request.headers.Get("X-Request-Id"));
   job.max_tokens = IntField(*body, "max_tokens").value_or(kDefaultTokens);
+  std::string_view from = request.headers.Get("X-Resume-From");
+  std::from_chars(from.data(), from.data() + from.size(), job.first);
   job.stream = BoolField(*body, "stream").value_or(false);
   for (const json::value& it : *messages) {
     const json::object* message = it.if_object();
@@ -57,9 +65,13 @@
   return "t" + std::to_string(n) + " ";
 }
 
-std::string TokenEvent(const EngineJob& job, std::int64_t n) {
+std::string TokenEvent(const EngineJob& job,
+                       std::int64_t n,
+                       const EngineFaults& faults) {
+  if (faults.bad_json)
+    return "data: {\"id\n\n";
   json::object event = {
-      {"id", job.id},
+      {"id", faults.wrong_id ? "other" : job.id},
       {"object", "chat.completion.chunk"},
       {"choices",
        json::array{json::object{
@@ -67,23 +79,33 @@
   return "data: " + json::serialize(event) + "\n\n";
 }
 
-std::string LastEvents(const EngineJob& job, std::int64_t output) {
+std::string LastEvents(const EngineJob& job,
+                       std::int64_t output,
+                       const EngineFaults& faults) {
+  const std::string end = "data: [DONE]\n\n";
+  if (faults.no_usage)
+    return end;
   json::object event = {{"id", job.id},
                         {"object", "chat.completion.chunk"},
                         {"choices", json::array{}},
                         {"usage", UsageOf(job, output)}};
-  return "data: " + json::serialize(event) + "\n\ndata: [DONE]\n\n";
+  return "data: " + json::serialize(event) + "\n\n" + end;
 }
 
-HttpResponse WholeAnswer(const EngineJob& job, const std::string& text) {
+HttpResponse WholeAnswer(const EngineJob& job,
+                         const std::string& text,
+                         const EngineFaults& faults) {
+  if (faults.bad_json)
+    return JsonResponse(200, "{\"id");
   json::object message = {{"role", "assistant"}, {"content", text}};
   json::object answer = {
-      {"id", job.id},
+      {"id", faults.wrong_id ? "other" : job.id},
       {"object", "chat.completion"},
       {"choices",
        json::array{json::object{
-           {"index", 0}, {"message", message}, {"finish_reason", "stop"}}}},
-      {"usage", UsageOf(job, job.max_tokens)}};
+           {"index", 0}, {"message", message}, {"finish_reason", "stop"}}}}};
+  if (!faults.no_usage)
+    answer["usage"] = UsageOf(job, job.max_tokens);
   return JsonResponse(200, json::serialize(answer));
 }
 
@@ -97,12 +119,24 @@
   asio::awaitable<void> Handle(const HttpRequest& request,
                                HttpExchange& exchange);
   asio::awaitable<void> Generate(const EngineJob& job, HttpExchange& exchange);
+  asio::awaitable<void> Cancel(const HttpRequest& request,
+                               HttpExchange& exchange);
+  HttpResponse Stats() const;
+  // Whether a fault ends the stream before token `n`.
+  asio::awaitable<bool> Breaks(std::int64_t n, HttpExchange& exchange);
   asio::awaitable<void> Pause(std::chrono::microseconds time);
 
   asio::io_context& context;
   std::string name;
   EngineSpeed speed;
   FaultSwitches faults;
+  EngineFaults engine_faults;
+  // Requests known here, with how far each was generated.
+  std::map<std::string, EngineJob> jobs;
+  std::map<std::string, std::int64_t> generated;
+  std::set<std::string> cancelled;
+  std::int64_t resumed_streams = 0;
+  std::int64_t cancelled_streams = 0;
   std::map<std::string, std::int64_t> tokens_of_request;
   std::map<std::string, std::int64_t> runs_of_request;
 };
@@ -129,50 +163,111 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+HttpResponse EngineStandIn::Private::Stats() const {
+  json::object stats = {{"tokens", json::value_from(tokens_of_request)},
+                        {"runs", json::value_from(runs_of_request)},
+                        {"resumed", resumed_streams},
+                        {"cancelled", cancelled_streams}};
+  return JsonResponse(200, json::serialize(stats));
+}
+
 asio::awaitable<void> EngineStandIn::Private::Handle(const HttpRequest& request,
                                                      HttpExchange& exchange) {
+  if (request.target == "/faults" && request.method == "PUT")
+    engine_faults = EngineFaultsOf(request.body).value_or(engine_faults);
   if (co_await HandleFaultRequest(faults, request, exchange))
     co_return;
+  HttpResponse response = Stats();
   if (request.target == "/stats") {
-    json::object stats = {{"tokens", json::value_from(tokens_of_request)},
-                          {"runs", json::value_from(runs_of_request)}};
-    co_await exchange.Send(JsonResponse(200, json::serialize(stats)));
+    co_await exchange.Send(response);
     co_return;
   }
   if (!co_await PassFaults(faults, request, exchange))
     co_return;
+  if (request.target == "/healthz") {
+    response = JsonResponse(200, "{\"healthy\":true}");
+    co_await exchange.Send(response);
+    co_return;
+  }
+  if (request.method == "DELETE" &&
+      request.target.starts_with(kRequestPrefix)) {
+    co_await Cancel(request, exchange);
+    co_return;
+  }
   std::optional<EngineJob> job = JobOf(request);
   if (!job) {
-    co_await exchange.Send(JsonResponse(400, "{\"error\":\"bad request\"}"));
+    response = JsonResponse(400, "{\"error\":\"bad request\"}");
+    co_await exchange.Send(response);
     co_return;
   }
   ++runs_of_request[job->id];
+  cancelled.erase(job->id);
+  jobs[job->id] = *job;
+  generated[job->id] = std::max(generated[job->id], job->first);
+  if (job->first > 0)
+    ++resumed_streams;
   co_await Generate(*job, exchange);
 }
 
+asio::awaitable<void> EngineStandIn::Private::Cancel(const HttpRequest& request,
+                                                     HttpExchange& exchange) {
+  const std::string id = request.target.substr(kRequestPrefix.size());
+  HttpResponse response = JsonResponse(404, "{\"error\":\"no such request\"}");
+  auto it = jobs.find(id);
+  if (it != jobs.end()) {
+    cancelled.insert(id);
+    ++cancelled_streams;
+    json::object answer = {{"id", id},
+                           {"usage", UsageOf(it->second, generated[id])}};
+    response = JsonResponse(200, json::serialize(answer));
+  }
+  co_await exchange.Send(response);
+}
+
+asio::awaitable<bool> EngineStandIn::Private::Breaks(std::int64_t n,
+                                                     HttpExchange& exchange) {
+  const bool breaks = n == engine_faults.break_after;
+  const bool goes_silent = n == engine_faults.silent_after;
+  if ((!breaks && !goes_silent) || engine_faults.times <= 0)
+    co_return false;
+  --engine_faults.times;
+  if (goes_silent)
+    co_await Pause(kSilence);
+  exchange.Abort();
+  co_return true;
+}
+
 asio::awaitable<void> EngineStandIn::Private::Generate(const EngineJob& job,
                                                        HttpExchange& exchange) {
   co_await Pause(speed.first_token);
   HttpHeaders headers;
   headers.Add("Content-Type", "text/event-stream");
+  if (job.first > 0)
+    headers.Add("X-Resumed-From", std::to_string(job.first));
   if (job.stream && !co_await exchange.StartStream(200, headers))
     co_return;
   std::string text;
-  for (std::int64_t n = 0; n < job.max_tokens; ++n) {
-    if (n > 0)
+  for (std::int64_t n = job.first; n < job.max_tokens; ++n) {
+    if (n > job.first)
       co_await Pause(speed.between_tokens);
+    if (co_await Breaks(n, exchange) || cancelled.contains(job.id)) {
+      exchange.Abort();
+      co_return;
+    }
     ++tokens_of_request[job.id];
+    generated[job.id] = std::max(generated[job.id], n + 1);
     if (!job.stream)
       text += TokenText(n);
-    else if (!co_await exchange.Write(TokenEvent(job, n)))
+    else if (!co_await exchange.Write(TokenEvent(job, n, engine_faults)))
       co_return;
   }
   tokens_of_request[job.id] += job.prompt_tokens;
   if (!job.stream) {
-    co_await exchange.Send(WholeAnswer(job, text));
+    HttpResponse response = WholeAnswer(job, text, engine_faults);
+    co_await exchange.Send(response);
     co_return;
   }
-  co_await exchange.Write(LastEvents(job, job.max_tokens));
+  co_await exchange.Write(LastEvents(job, job.max_tokens, engine_faults));
   co_await exchange.EndStream();
 }
 
--- a/src/libs/standin/engine_stand_in.h
+++ b/src/libs/standin/engine_stand_in.h
@@ -18,8 +18,10 @@
   std::chrono::microseconds between_tokens{1000};
 };
 
-// Serves POST /v1/chat/completions, PUT /faults, and GET /stats with the
-// tokens of each request that it finished. Used on one thread.
+// Serves POST /v1/chat/completions, which `X-Resume-From: N` starts at token
+// N; DELETE /v1/requests/ID, which ends a generation and answers its usage;
+// GET /healthz, PUT /faults, and GET /stats with the tokens and runs of each
+// request and the streams resumed and cancelled. Used on one thread.
 class EngineStandIn {
  public:
   EngineStandIn(boost::asio::io_context& context,
--- /dev/null
+++ b/tests/delivery/claim_settlement_test.cc
@@ -0,0 +1,85 @@
+#include "libs/delivery/claim_settlement.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libs/delivery/delivery_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+const ClaimSettlement::Time kStart;
+
+ClaimRecord Done() {
+  ClaimRecord record;
+  record.owner = "a";
+  record.body_digest = "b";
+  record.outcome = ClaimOutcome::kDone;
+  record.status = 200;
+  record.content_type = "application/json";
+  record.answer = "{}";
+  return record;
+}
+
+}  // namespace
+
+TEST_GROUP(ClaimSettlement){};
+
+TEST(ClaimSettlement, RetriesForABoundedTime) {
+  ClaimSettlement settlement = ClaimSettlement::Record("n", 1, Done(), kStart);
+  ClaimSettlement::Time now = kStart;
+  int calls = 0;
+  while (settlement.step() != SettleStep::kGivenUp) {
+    now += settlement.pause();
+    settlement.OnWritten(ResultCode::kPlatformUnavailable, now);
+    ++calls;
+  }
+  CHECK(now <= kStart + kSettleMost);
+  CHECK(now + kSettlePauseMost >= kStart + kSettleMost);
+  CHECK(calls < 50);
+}
+
+TEST(ClaimSettlement, NeverWritesOverAnothersClaim) {
+  ClaimSettlement settlement = ClaimSettlement::Abandon("n", 0, Done(), kStart);
+  ClaimRecord other = Done();
+  other.owner = "other";
+  CHECK(SettleStep::kRead == settlement.step());
+  settlement.OnRead(7, other);
+  CHECK(SettleStep::kDone == settlement.step());
+  ClaimSettlement record = ClaimSettlement::Record("n", 1, Done(), kStart);
+  record.OnWritten(ResultCode::kPlatformConflict, kStart);
+  CHECK(SettleStep::kRead == record.step());
+  record.OnRead(7, other);
+  CHECK(SettleStep::kGivenUp == record.step());
+}
+
+TEST(ClaimSettlement, AnOutcomeWithoutItsAnswerIsStillAnOutcome) {
+  ClaimSettlement settlement = ClaimSettlement::Record("n", 1, Done(), kStart);
+  LONGS_EQUAL(2, settlement.AnswerBytes());
+  settlement.DropAnswer();
+  LONGS_EQUAL(0, settlement.AnswerBytes());
+  std::optional<ClaimRecord> read = ClaimRecordOf(ToJson(settlement.record()));
+  CHECK(read.has_value());
+  CHECK(ClaimOutcome::kDone == read->outcome);
+  CHECK(!read->answer.has_value());
+}
+
+TEST(ClaimSettlement, ARecordSurvivesItsText) {
+  std::optional<ClaimRecord> read = ClaimRecordOf(ToJson(Done()));
+  CHECK(read.has_value());
+  STRCMP_EQUAL("{}", read->answer->c_str());
+  STRCMP_EQUAL("application/json", read->content_type.c_str());
+  CHECK(!ClaimRecordOf("{\"owner\":\"a\"}").has_value());
+  CHECK(!ClaimRecordOf("[").has_value());
+}
+
+TEST(ClaimSettlement, OnlyOldClaimsExpire) {
+  ClaimRecord record = Done();
+  record.started_ms = 5;
+  const std::int64_t end =
+      5 + std::chrono::milliseconds(kClaimRetention).count();
+  CHECK(!IsExpired(record, end));
+  CHECK(IsExpired(record, end + 1));
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/tests/delivery/fake_platform.h
@@ -0,0 +1,134 @@
+// The platform's objects with faults on order.
+
+#ifndef TESTS_DELIVERY_FAKE_PLATFORM_H_
+#define TESTS_DELIVERY_FAKE_PLATFORM_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libs/base/reason.h"
+
+namespace turmericwinch {
+
+enum class PlatformFault {
+  kNone,
+  // The call has no effect and the caller knows.
+  kDown,
+  // The call has no effect and the caller does not know.
+  kLostCall,
+  // The call has its effect and the caller does not know.
+  kLostAnswer,
+  // As kLostAnswer, but the effect comes with DeliverLate().
+  kLateEffect,
+};
+
+class FakePlatform {
+ public:
+  struct Object {
+    std::uint64_t version = 0;
+    std::string value;
+  };
+
+  // Faults of the next calls, in order; none after the last.
+  std::deque<PlatformFault> faults;
+  std::map<std::string, Object> objects;
+  int writes = 0;
+
+  std::optional<std::uint64_t> Create(const std::string& name,
+                                      const std::string& value,
+                                      Reason* reason) {
+    return Write(
+        [this, name, value]() -> std::optional<std::uint64_t> {
+          if (objects.contains(name))
+            return std::nullopt;
+          objects[name] = {++last_version_, value};
+          return last_version_;
+        },
+        ResultCode::kPlatformExists, reason);
+  }
+
+  std::optional<std::uint64_t> Update(const std::string& name,
+                                      std::uint64_t version,
+                                      const std::string& value,
+                                      Reason* reason) {
+    return Write(
+        [this, name, version, value]() -> std::optional<std::uint64_t> {
+          if (!objects.contains(name) || objects[name].version != version)
+            return std::nullopt;
+          objects[name] = {++last_version_, value};
+          return last_version_;
+        },
+        ResultCode::kPlatformConflict, reason);
+  }
+
+  std::optional<std::uint64_t> Delete(const std::string& name,
+                                      std::uint64_t version,
+                                      Reason* reason) {
+    return Write(
+        [this, name, version]() -> std::optional<std::uint64_t> {
+          if (!objects.contains(name) || objects[name].version != version)
+            return std::nullopt;
+          objects.erase(name);
+          return version;
+        },
+        ResultCode::kPlatformConflict, reason);
+  }
+
+  std::optional<Object> Get(const std::string& name, Reason* reason) {
+    if (NextFault() != PlatformFault::kNone)
+      return Fail(reason, ResultCode::kPlatformUnavailable, "down");
+    auto it = objects.find(name);
+    if (it == objects.end())
+      return Fail(reason, ResultCode::kPlatformNotFound, "absent");
+    return it->second;
+  }
+
+  void DeliverLate() {
+    for (auto& it : late_)
+      it();
+    late_.clear();
+  }
+
+ private:
+  using Effect = std::function<std::optional<std::uint64_t>()>;
+
+  PlatformFault NextFault() {
+    if (faults.empty())
+      return PlatformFault::kNone;
+    const PlatformFault fault = faults.front();
+    faults.pop_front();
+    return fault;
+  }
+
+  std::optional<std::uint64_t> Write(const Effect& effect,
+                                     ResultCode refused,
+                                     Reason* reason) {
+    ++writes;
+    const PlatformFault fault = NextFault();
+    if (fault == PlatformFault::kDown)
+      return Fail(reason, ResultCode::kPlatformUnavailable, "down");
+    if (fault == PlatformFault::kLateEffect)
+      late_.push_back(effect);
+    if (fault == PlatformFault::kLostCall ||
+        fault == PlatformFault::kLateEffect)
+      return Fail(reason, ResultCode::kPlatformUnknown, "lost");
+    std::optional<std::uint64_t> version = effect();
+    if (fault == PlatformFault::kLostAnswer)
+      return Fail(reason, ResultCode::kPlatformUnknown, "lost");
+    if (!version)
+      return Fail(reason, refused, "refused");
+    return version;
+  }
+
+  std::uint64_t last_version_ = 0;
+  std::vector<Effect> late_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // TESTS_DELIVERY_FAKE_PLATFORM_H_
