Choose targets by learnt speed, waits and prefixes; eject outliers; measure it

Cause: the table chose by requests in flight over the configured speed alone. It knew nothing of other hosts' load, of prompt length or of prefix caches, and a failing target went on getting work.

Change: the expected time of each compared target from own pending prompt tokens, learnt speeds, an aged learnt wait and an aged load report. Compared are 8 of at most 32 followed targets, the holders of the request's prefix and its 2 homes on a ring that is the same on every host. Three failures in a row or a slow target's wait eject, half of a service is always kept, and a returning target starts at a tenth. Restarted targets are told apart by an id.

--- /dev/null
+++ b/src/apps/measure_routing/fleet_model.cc
@@ -0,0 +1,200 @@
+#include "apps/measure_routing/fleet_model.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <tuple>
+
+#include "apps/measure_routing/engine_model.h"
+#include "apps/measure_routing/model_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr double kEnd = kWarmUpSeconds + kMeasuredSeconds;
+
+// Actions in the order of simulated time; of equal times, as they were added.
+class EventQueue {
+ public:
+  using Action = std::function<void(double now)>;
+
+  void Add(double time, Action action) {
+    queue_.push({time, next_++, std::move(action)});
+  }
+  void RunUntil(double end) {
+    while (!queue_.empty() && queue_.top().time < end) {
+      const Event event = queue_.top();
+      queue_.pop();
+      event.action(event.time);
+    }
+  }
+
+ private:
+  struct Event {
+    double time;
+    std::uint64_t number;
+    Action action;
+    bool operator<(const Event& other) const {
+      return std::tie(other.time, other.number) < std::tie(time, number);
+    }
+  };
+
+  std::priority_queue<Event> queue_;
+  std::uint64_t next_ = 0;
+};
+
+// Engines in simulated time, with hooks for what happens to requests.
+class Fleet {
+ public:
+  using JobHook = std::function<void(Job&, double now)>;
+
+  Fleet(JobHook on_first, JobHook on_done)
+      : on_first_(std::move(on_first)), on_done_(std::move(on_done)) {
+    for (double it : ModelSpeeds())
+      engines_.emplace_back(it);
+  }
+
+  void Send(Job& job, double now) {
+    engines_[job.target].Add(&job);
+    Step(job.target, now);
+  }
+
+  FleetReport Report(double now) const {
+    FleetReport report;
+    report.taken = now;
+    for (const EngineModel& it : engines_) {
+      report.in_flight.push_back(it.InFlight());
+      report.waiting_prompt.push_back(it.WaitingPrompt());
+    }
+    return report;
+  }
+
+  EventQueue& events() { return events_; }
+
+ private:
+  void Step(std::size_t target, double now) {
+    std::optional<double> end = engines_[target].StartStep(now);
+    if (!end)
+      return;
+    events_.Add(*end, [this, target](double time) {
+      const EngineModel::StepResult result = engines_[target].FinishStep(time);
+      for (Job* it : result.first)
+        on_first_(*it, time);
+      for (Job* it : result.done)
+        on_done_(*it, time);
+      Step(target, time);
+    });
+  }
+
+  JobHook on_first_;
+  JobHook on_done_;
+  std::vector<EngineModel> engines_;
+  EventQueue events_;
+};
+
+void Sample(const Job& job, FleetSamples& samples) {
+  if (job.arrival < kWarmUpSeconds)
+    return;
+  samples.first.push_back(job.first - job.arrival);
+  if (!job.lookup)
+    samples.chat_first.push_back(job.first - job.arrival);
+  samples.whole.push_back(job.last - job.arrival);
+  if (job.output > 1)
+    samples.between.push_back((job.last - job.first) / (job.output - 1));
+  samples.lookups += job.lookup ? 1 : 0;
+  samples.cache_hits += job.cache_hit ? 1 : 0;
+}
+
+// Requests that never ended in time count with the time they took so far, so
+// that an overloaded policy does not look good.
+void SampleUnfinished(std::deque<Job>& jobs, FleetSamples& samples) {
+  for (Job& it : jobs) {
+    if (it.produced >= it.output)
+      continue;
+    it.last = kEnd;
+    if (it.first == 0)
+      it.first = kEnd;
+    Sample(it, samples);
+  }
+}
+
+}  // namespace
+
+std::vector<double> ModelSpeeds() {
+  std::vector<double> speeds;
+  for (std::size_t n = 0; n < kModelTargets; ++n)
+    speeds.push_back(1.0 / static_cast<double>(1U << (n % 3)));
+  return speeds;
+}
+
+FleetSamples RunFleet(PolicyKind kind,
+                      double rate,
+                      double lag,
+                      std::uint64_t seed) {
+  std::vector<Policy> hosts;
+  for (std::size_t n = 0; n < kModelHosts; ++n)
+    hosts.push_back(MakePolicy(kind, n, ModelSpeeds()));
+  FleetSamples samples;
+  Fleet fleet([&](Job& job, double now) { hosts[job.host].first(job, now); },
+              [&](Job& job, double now) {
+                hosts[job.host].done(job, now);
+                Sample(job, samples);
+              });
+  Workload workload(seed);
+  std::deque<Job> jobs;
+  std::function<void(double)> arrive = [&](double now) {
+    Job& job = jobs.back();
+    job.target = hosts[job.host].choose(job, now);
+    fleet.Send(job, now);
+    jobs.push_back(workload.Next(now, rate));
+    fleet.events().Add(jobs.back().arrival, arrive);
+  };
+  std::function<void(double)> report = [&](double now) {
+    const FleetReport taken = fleet.Report(now);
+    auto show = [&hosts, taken](double time) {
+      for (Policy& it : hosts)
+        it.report(taken, time);
+    };
+    if (lag == 0)
+      show(now);
+    else
+      fleet.events().Add(now + lag, show);
+    fleet.events().Add(now + kReportInterval, report);
+  };
+  jobs.push_back(workload.Next(0, rate));
+  fleet.events().Add(jobs.back().arrival, arrive);
+  fleet.events().Add(0, report);
+  fleet.events().RunUntil(kEnd);
+  jobs.pop_back();
+  SampleUnfinished(jobs, samples);
+  return samples;
+}
+
+double MeasureCapacity(std::uint64_t seed) {
+  Workload workload(seed);
+  std::deque<Job> jobs;
+  std::size_t done = 0;
+  Fleet* running = nullptr;
+  auto send = [&](std::size_t target, double now) {
+    jobs.push_back(workload.Next(now, 1));
+    jobs.back().arrival = now;
+    jobs.back().target = target;
+    running->Send(jobs.back(), now);
+  };
+  Fleet fleet([](Job&, double) {},
+              [&](Job& job, double now) {
+                done += now > kWarmUpSeconds ? 1 : 0;
+                send(job.target, now);
+              });
+  running = &fleet;
+  for (std::size_t target = 0; target < kModelTargets; ++target) {
+    for (int n = 0; n < kSaturatingRequests; ++n)
+      send(target, 0);
+  }
+  fleet.events().RunUntil(kEnd);
+  return static_cast<double>(done) / kMeasuredSeconds;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/apps/measure_routing/fleet_model.h
@@ -0,0 +1,38 @@
+// Hosts, engines and requests in simulated time.
+
+#ifndef SRC_APPS_MEASURE_ROUTING_FLEET_MODEL_H_
+#define SRC_APPS_MEASURE_ROUTING_FLEET_MODEL_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "apps/measure_routing/policy.h"
+
+namespace turmericwinch {
+
+// Samples of one run, in seconds.
+struct FleetSamples {
+  std::vector<double> first;
+  std::vector<double> chat_first;
+  std::vector<double> whole;
+  std::vector<double> between;
+  std::size_t lookups = 0;
+  std::size_t cache_hits = 0;
+};
+
+// One run of `kind` at `rate` requests a second with reports `lag` old.
+FleetSamples RunFleet(PolicyKind kind,
+                      double rate,
+                      double lag,
+                      std::uint64_t seed);
+
+// Requests a second that the fleet finishes when each target always has work
+// and requests are spread without regard to caches.
+double MeasureCapacity(std::uint64_t seed);
+
+// Speeds of the model's targets.
+std::vector<double> ModelSpeeds();
+
+}  // namespace turmericwinch
+
+#endif  // SRC_APPS_MEASURE_ROUTING_FLEET_MODEL_H_
--- /dev/null
+++ b/src/apps/measure_routing/main.cc
@@ -0,0 +1,114 @@
+// Measures the choice of targets against plain policies on a queueing model.
+
+#include <algorithm>
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "apps/measure_routing/fleet_model.h"
+
+#include "libs/base/settings_table.h"
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr std::int64_t kMostSeed = 1'000'000;
+constexpr int kCostTargets = 300;
+constexpr int kCostChoices = 300'000;
+constexpr double kMicroseconds = 1e6;
+
+std::vector<SettingSpec> MeasureSpecs() {
+  return {{.name = "seed",
+           .type = SettingType::kInteger,
+           .label = "seed of the workload",
+           .default_value = "1",
+           .least = 0,
+           .most = kMostSeed}};
+}
+
+double Percentile(std::vector<double> samples, double share) {
+  if (samples.empty())
+    return 0;
+  std::sort(samples.begin(), samples.end());
+  const auto last = static_cast<double>(samples.size() - 1);
+  return samples[static_cast<std::size_t>(share * last)];
+}
+
+std::string Percentiles(const std::vector<double>& samples) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(2);
+  for (double it : {0.5, 0.95, 0.99})
+    text << std::setw(7) << Percentile(samples, it);
+  return text.str();
+}
+
+void PrintRun(PolicyKind kind,
+              double load,
+              double lag,
+              double capacity,
+              std::uint64_t seed) {
+  const FleetSamples run = RunFleet(kind, load * capacity, lag, seed);
+  const double hits =
+      static_cast<double>(run.cache_hits) /
+      static_cast<double>(std::max<std::size_t>(run.lookups, 1));
+  std::cout << std::fixed << std::setprecision(0) << std::setw(3) << load * 100
+            << "% " << std::setw(2) << lag << "s " << std::left << std::setw(16)
+            << NameOf(kind) << std::right << " |" << Percentiles(run.first)
+            << " |" << Percentiles(run.chat_first) << " |"
+            << Percentiles(run.whole) << " |" << std::setprecision(1)
+            << std::setw(6) << Percentile(run.between, 0.95) * 1000 << " |"
+            << std::setprecision(2) << std::setw(5) << hits << "\n";
+}
+
+// Microseconds of one choice and its end among kCostTargets.
+double ChoiceCost() {
+  const Policy policy = MakePolicy(PolicyKind::kTableWithReports, 0,
+                                   std::vector<double>(kCostTargets, 1));
+  Workload workload(1);
+  std::vector<Job> jobs;
+  for (int n = 0; n < kCostChoices; ++n)
+    jobs.push_back(workload.Next(0, 1));
+  const auto start = std::chrono::steady_clock::now();
+  for (Job& it : jobs) {
+    policy.choose(it, 1);
+    policy.first(it, 1.5);
+    policy.done(it, 2);
+  }
+  const std::chrono::duration<double> elapsed =
+      std::chrono::steady_clock::now() - start;
+  return elapsed.count() * kMicroseconds / kCostChoices;
+}
+
+int RunMeasure(int argc, char** argv) {
+  Reason reason;
+  std::optional<SettingsTable> table = SettingsTable::Read(
+      MeasureSpecs(), argc, argv, ProcessEnvironment(), &reason);
+  if (!table) {
+    std::cerr << reason.text << "\n";
+    return 1;
+  }
+  const auto seed = static_cast<std::uint64_t>(table->Integer("seed"));
+  const double capacity = MeasureCapacity(seed);
+  std::cout << "capacity " << capacity << " requests/s; choice, first token "
+            << "and end among " << kCostTargets << " targets "
+            << std::setprecision(3) << ChoiceCost() << " us\n"
+            << "load lag policy | first token p50 p95 p99 s | of chats | whole "
+            << "| between tokens p95 ms | cache-hit share\n";
+  for (double load : {0.5, 0.8, 0.95}) {
+    for (double lag : {0.0, 1.0, 5.0}) {
+      for (int n = 0; n < kPolicyKinds; ++n)
+        PrintRun(static_cast<PolicyKind>(n), load, lag, capacity, seed);
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace turmericwinch
+
+int main(int argc, char** argv) {
+  return turmericwinch::RunMeasure(argc, argv);
+}
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -70,7 +70,8 @@
         std::make_unique<HttpClient>(*context.traffic.back()));
     guards.emplace_back(context.traffic.back()->get_executor());
   }
-  context.targets = std::make_unique<SharedTargets>(settings.failure_domain);
+  context.targets =
+      std::make_unique<SharedTargets>(settings.failure_domain, settings.host);
   context.ledger =
       std::make_unique<SharedLedger>(settings.host + "_" + context.incarnation);
   context.platform =
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -51,7 +51,12 @@
                        {"service", it.service},
                        {"address", it.address},
                        {"in_flight", it.in_flight},
-                       {"leaving", it.leaving}});
+                       {"leaving", it.leaving},
+                       {"state", NameOf(it.state)},
+                       {"ejections", it.ejections},
+                       {"wait_s", it.wait_seconds},
+                       {"token_s", it.seconds_per_token},
+                       {"prompt_token_s", it.seconds_per_prompt_token}});
   }
   return targets;
 }
--- /dev/null
+++ b/src/libs/routing/routing_constants.h
@@ -0,0 +1,67 @@
+// Constants of the routing library.
+
+#ifndef SRC_LIBS_ROUTING_ROUTING_CONSTANTS_H_
+#define SRC_LIBS_ROUTING_ROUTING_CONSTANTS_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace turmericwinch {
+
+// Prompt tokens that a target is taken to read in the time of one output
+// token, until its answers have shown its speed.
+inline constexpr double kPromptTokensPerOutputToken = 50;
+// Weight of one answer in the moving averages.
+inline constexpr double kSpeedWeight = 0.2;
+// Weight of an answer that was slower than the estimate of the idle target.
+inline constexpr double kSlowerWeight = 0.02;
+// Shortest prompt that tells the speed of reading, in tokens.
+inline constexpr double kLeastPromptForSpeed = 512;
+// Time after which a learnt wait counts half.
+inline constexpr std::chrono::milliseconds kWaitHalfLife{2'000};
+// Time after which a load report counts half.
+inline constexpr std::chrono::milliseconds kReportHalfLife{2'000};
+// Output tokens that the choice weighs against the first token's time.
+inline constexpr double kWeighedOutputTokens = 64;
+
+// Targets of one service and tier that a host follows.
+inline constexpr std::size_t kFollowedTargets = 32;
+// Followed targets that are compared for one request.
+inline constexpr std::size_t kSampledTargets = 8;
+// Points of one target on the prefix ring, and targets tried from it.
+inline constexpr int kRingPoints = 16;
+inline constexpr std::size_t kRingTargets = 2;
+// Prefixes that a host remembers, and targets remembered for each.
+inline constexpr std::size_t kMostPrefixes = 8'192;
+inline constexpr std::size_t kMostHolders = 4;
+// Time after which a remembered prefix counts as gone.
+inline constexpr std::chrono::seconds kPrefixAge{120};
+// Share of a prefix that the home of its hash is taken to hold.
+inline constexpr double kHomeShare = 0.5;
+
+// Failures in a row after which a target is ejected.
+inline constexpr int kFailuresToEject = 3;
+// First and longest ejection.
+inline constexpr std::chrono::milliseconds kEjectionFirst{5'000};
+inline constexpr std::chrono::milliseconds kEjectionMost{60'000};
+// Pause after a refused connection.
+inline constexpr std::chrono::milliseconds kRefusedPause{2'000};
+// Time for which a target that said it leaves gets nothing.
+inline constexpr std::chrono::milliseconds kLeavingHold{60'000};
+// A service keeps at least this share of its targets of a tier.
+inline constexpr std::size_t kLeastKeptPercent = 50;
+// A target is slow when its wait is this many times the service's middle one
+// and at least the least.
+inline constexpr double kSlowFactor = 4;
+inline constexpr double kSlowLeastSeconds = 1;
+// Time in which a returning target comes back to its full share.
+inline constexpr std::chrono::milliseconds kSlowStart{10'000};
+// Smallest share of a returning target.
+inline constexpr double kSlowStartLeast = 0.1;
+
+// Time whose allowance of a rate may be used at once.
+inline constexpr std::chrono::duration<double> kRateBurst{1.0};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_ROUTING_ROUTING_CONSTANTS_H_
--- /dev/null
+++ b/src/libs/routing/target_group.h
@@ -0,0 +1,47 @@
+// Targets of one service in one tier, indexed for the choice.
+
+#ifndef SRC_LIBS_ROUTING_TARGET_GROUP_H_
+#define SRC_LIBS_ROUTING_TARGET_GROUP_H_
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libs/routing/host_list.h"
+#include "libs/routing/prefix_ring.h"
+#include "libs/routing/target_health.h"
+#include "libs/routing/target_load.h"
+
+namespace turmericwinch {
+
+// One target. `id` is new for each incarnation.
+struct Target {
+  ListedMember member;
+  std::string service;
+  std::int64_t most_in_flight = 1;
+  int tier = 0;
+  std::uint64_t id = 0;
+  TargetLoad load{1};
+  TargetHealth health;
+};
+
+// `followed` is the subset that this host compares: each host learns from few
+// targets often instead of from many too rarely. Pointers are not owned.
+struct TargetGroup {
+  std::vector<Target*> targets;
+  std::vector<Target*> followed;
+  std::unordered_map<std::uint64_t, Target*> by_id;
+  PrefixRing ring;
+
+  // Fills the indexes from `targets`; `host` seeds the subset.
+  void Index(std::uint64_t host);
+  // Whether one more target may be taken out.
+  bool MayEject(TargetHealth::TimePoint now) const;
+  // Ejects followed targets whose wait is far above the middle one.
+  void EjectSlow(TargetHealth::TimePoint now);
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_ROUTING_TARGET_GROUP_H_
--- /dev/null
+++ b/src/libs/routing/target_load.h
@@ -0,0 +1,67 @@
+// What a host knows of one target's speed and load.
+
+#ifndef SRC_LIBS_ROUTING_TARGET_LOAD_H_
+#define SRC_LIBS_ROUTING_TARGET_LOAD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace turmericwinch {
+
+// A target's own report, as late as it comes.
+struct LoadReport {
+  std::int64_t in_flight = 0;
+  std::int64_t waiting_prompt_tokens = 0;
+  std::chrono::steady_clock::time_point taken;
+};
+
+// Estimates from the target's answers, from the own requests in flight and
+// from the last load report. Free of clocks.
+class TargetLoad {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  // `tokens_per_second` is what the configuration says of one stream.
+  explicit TargetLoad(std::int64_t tokens_per_second);
+
+  // A request of `prompt` uncached tokens was sent.
+  void Begin(double prompt);
+  // Its first token came after `elapsed`; `ahead` is the pending prompt, its
+  // own included, at the time when it was sent.
+  void FirstToken(double prompt,
+                  double ahead,
+                  std::chrono::duration<double> elapsed,
+                  TimePoint now);
+  // It ended. `had_first` is whether FirstToken() was called for it.
+  void End(double prompt, bool had_first);
+  // Measured time of one output token.
+  void NoteTokenTime(std::chrono::duration<double> each);
+  void NoteReport(const LoadReport& report);
+
+  // Expected seconds to the first token of a request of `prompt` uncached
+  // tokens.
+  double FirstTokenSeconds(double prompt, TimePoint now) const;
+  // The same and the weighed output.
+  double Cost(double prompt, TimePoint now) const;
+  // Learnt wait that is not explained by own requests, aged.
+  double WaitSeconds(TimePoint now) const;
+
+  std::int64_t in_flight() const { return in_flight_; }
+  double pending_prompt() const { return pending_prompt_; }
+  double seconds_per_token() const { return seconds_per_token_; }
+  double seconds_per_prompt_token() const { return seconds_per_prompt_token_; }
+
+ private:
+  std::int64_t in_flight_ = 0;
+  double pending_prompt_ = 0;
+  double seconds_per_token_;
+  double seconds_per_prompt_token_;
+  double wait_seconds_ = 0;
+  TimePoint wait_time_;
+  std::optional<LoadReport> report_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_ROUTING_TARGET_LOAD_H_
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -1,6 +1,13 @@
 #include "libs/routing/target_table.h"
 
 #include <algorithm>
+#include <map>
+#include <random>
+
+#include "libs/base/digest.h"
+#include "libs/routing/prefix_record.h"
+#include "libs/routing/routing_constants.h"
+#include "libs/routing/target_group.h"
 
 namespace turmericwinch {
 
@@ -9,15 +16,6 @@
 // Order in which failure domains are tried; the own one is 0.
 constexpr int kNotReachable = -1;
 
-struct Target {
-  ListedMember member;
-  std::string service;
-  std::int64_t tokens_per_second = 1;
-  std::int64_t most_in_flight = 1;
-  std::int64_t in_flight = 0;
-  int tier = 0;
-};
-
 int TierOf(const std::string& own,
            const std::string& domain,
            const ConfigSnapshot& config) {
@@ -33,96 +31,241 @@
   return 1 + static_cast<int>(it - settings->overflow.begin());
 }
 
-// Whether `left` is the better choice for one more request.
-bool IsBetter(const Target& left, const Target& right) {
-  if (left.tier != right.tier)
-    return left.tier < right.tier;
-  return (left.in_flight + 1) * right.tokens_per_second <
-         (right.in_flight + 1) * left.tokens_per_second;
-}
+// The best target so far.
+struct Best {
+  Target* target = nullptr;
+  double cost = 0;
+  double prompt = 0;
+};
 
 }  // namespace
 
 class TargetTable::Private {
  public:
-  explicit Private(std::string failure_domain)
-      : failure_domain(std::move(failure_domain)) {}
+  Private(std::string failure_domain, const std::string& host)
+      : failure_domain(std::move(failure_domain)),
+        host_hash(Hash64(host)),
+        random(host_hash) {}
+
+  void IndexGroups();
+  Target* Find(const TargetChoice& choice);
+  Best Compare(TargetGroup& group,
+               const TargetWish& wish,
+               const std::set<std::string>& excluded,
+               TimePoint now);
+  // Any target with room that the sample missed, nearest tier first; if none
+  // is healthy, one that was ejected, so that no detector empties a service.
+  Target* LastResort(const TargetWish& wish,
+                     const std::set<std::string>& excluded,
+                     TimePoint now,
+                     bool* any_full);
+  TargetChoice Count(const TargetWish& wish,
+                     Target& target,
+                     double prompt,
+                     TimePoint now);
 
   std::string failure_domain;
+  std::uint64_t host_hash;
+  std::mt19937_64 random;
+  std::uint64_t next_id = 1;
   std::map<std::string, Target> targets;
-  std::size_t turn = 0;
+  // Groups of a service, by tier.
+  std::map<std::string, std::map<int, TargetGroup>> groups;
+  PrefixRecord prefixes;
 };
 
-TargetTable::TargetTable(std::string failure_domain)
-    : d_(std::make_unique<Private>(std::move(failure_domain))) {}
+void TargetTable::Private::IndexGroups() {
+  groups.clear();
+  for (auto& [name, target] : targets)
+    groups[target.service][target.tier].targets.push_back(&target);
+  for (auto& [service, tiers] : groups) {
+    for (auto& [tier, group] : tiers)
+      group.Index(host_hash);
+  }
+}
+
+Target* TargetTable::Private::Find(const TargetChoice& choice) {
+  auto it = targets.find(choice.name);
+  return it != targets.end() && it->second.id == choice.id ? &it->second
+                                                           : nullptr;
+}
+
+Best TargetTable::Private::Compare(TargetGroup& group,
+                                   const TargetWish& wish,
+                                   const std::set<std::string>& excluded,
+                                   TimePoint now) {
+  Best best;
+  const auto prompt = static_cast<double>(wish.prompt_tokens);
+  const auto shared = static_cast<double>(wish.prefix_tokens);
+  auto consider = [&](Target* it, double cached) {
+    const double share = it->health.Share(now);
+    const double room = share * static_cast<double>(it->most_in_flight);
+    if (share == 0 || it->member.leaving ||
+        static_cast<double>(it->load.in_flight()) >= std::max(room, 1.0) ||
+        excluded.contains(it->member.name))
+      return;
+    const double uncached = std::max(prompt - cached, 1.0);
+    const double cost = it->load.Cost(uncached, now) / share;
+    if (!best.target || cost < best.cost)
+      best = {it, cost, uncached};
+  };
+  const bool all = group.followed.size() <= kSampledTargets;
+  const std::size_t compared = all ? group.followed.size() : kSampledTargets;
+  for (std::size_t n = 0; n < compared; ++n) {
+    const std::size_t drawn = all ? n : random() % group.followed.size();
+    consider(group.followed[drawn], 0);
+  }
+  if (wish.prefix == 0)
+    return best;
+  for (std::size_t n : group.ring.Homes(wish.prefix))
+    consider(group.targets[n], shared * kHomeShare);
+  for (std::uint64_t id : prefixes.Holders(wish.prefix, now)) {
+    auto it = group.by_id.find(id);
+    if (it != group.by_id.end())
+      consider(it->second, shared);
+  }
+  return best;
+}
+
+Target* TargetTable::Private::LastResort(const TargetWish& wish,
+                                         const std::set<std::string>& excluded,
+                                         TimePoint now,
+                                         bool* any_full) {
+  Target* ejected = nullptr;
+  auto service = groups.find(wish.service);
+  if (service == groups.end())
+    return nullptr;
+  for (auto& [tier, group] : service->second) {
+    for (Target* it : group.targets) {
+      const TargetState state = it->health.State(now);
+      if (it->member.leaving || state == TargetState::kLeaving ||
+          excluded.contains(it->member.name))
+        continue;
+      if (it->load.in_flight() >= it->most_in_flight)
+        *any_full = true;
+      else if (it->health.Share(now) > 0)
+        return it;
+      else if (!ejected)
+        ejected = it;
+    }
+  }
+  return *any_full ? nullptr : ejected;
+}
+
+TargetChoice TargetTable::Private::Count(const TargetWish& wish,
+                                         Target& target,
+                                         double prompt,
+                                         TimePoint now) {
+  target.load.Begin(prompt);
+  if (wish.prefix != 0)
+    prefixes.Note(wish.prefix, target.id, now);
+  return {target.member.name,
+          target.member.address,
+          target.member.incarnation,
+          target.id,
+          prompt,
+          target.load.pending_prompt()};
+}
+
+TargetTable::TargetTable(std::string failure_domain, const std::string& host)
+    : d_(std::make_unique<Private>(std::move(failure_domain), host)) {}
 
 TargetTable::~TargetTable() = default;
 
-void TargetTable::Update(const HostList& list, const ConfigSnapshot& config) {
+void TargetTable::Update(const HostList& list,
+                         const ConfigSnapshot& config,
+                         TimePoint now) {
   std::map<std::string, Target> targets;
   for (const ListedMember& it : list.targets) {
     const TargetClassConfig* target_class = config.TargetClass(it.target_class);
     const int tier = TierOf(d_->failure_domain, it.failure_domain, config);
     if (!target_class || tier == kNotReachable)
       continue;
-    Target target{it,
-                  target_class->service,
-                  target_class->tokens_per_second,
-                  target_class->most_in_flight,
-                  0,
-                  tier};
+    Target target;
+    target.load = TargetLoad(target_class->tokens_per_second);
     auto known = d_->targets.find(it.name);
     if (known != d_->targets.end() &&
-        known->second.member.incarnation == it.incarnation)
-      target.in_flight = known->second.in_flight;
+        known->second.member.incarnation == it.incarnation &&
+        known->second.member.address == it.address)
+      target = std::move(known->second);
+    else
+      target.id = d_->next_id++;
+    target.member = it;
+    target.service = target_class->service;
+    target.most_in_flight = target_class->most_in_flight;
+    target.tier = tier;
     targets.emplace(it.name, std::move(target));
   }
   d_->targets = std::move(targets);
+  d_->IndexGroups();
+  for (auto& [service, tiers] : d_->groups) {
+    for (auto& [tier, group] : tiers)
+      group.EjectSlow(now);
+  }
 }
 
 std::optional<TargetChoice> TargetTable::Begin(
-    const std::string& service,
+    const TargetWish& wish,
     const std::set<std::string>& excluded,
+    TimePoint now,
     Reason* reason) {
-  Target* best = nullptr;
-  bool any_full = false;
-  for (auto& [name, target] : d_->targets) {
-    if (target.service != service || target.member.leaving ||
-        excluded.contains(name))
-      continue;
-    if (target.in_flight >= target.most_in_flight) {
-      any_full = true;
-      continue;
+  auto service = d_->groups.find(wish.service);
+  if (service != d_->groups.end()) {
+    for (auto& [tier, group] : service->second) {
+      const Best best = d_->Compare(group, wish, excluded, now);
+      if (best.target)
+        return d_->Count(wish, *best.target, best.prompt, now);
     }
-    const bool tied = best && !IsBetter(target, *best) &&
-                      !IsBetter(*best, target) && ++d_->turn % 2 == 0;
-    if (!best || IsBetter(target, *best) || tied)
-      best = &target;
   }
-  if (!best) {
-    return Fail(reason,
-                any_full ? ResultCode::kOverloaded : ResultCode::kNoTarget,
-                any_full ? "every target of " + service + " is full"
-                         : "no target of " + service + " is known");
+  bool any_full = false;
+  Target* last = d_->LastResort(wish, excluded, now, &any_full);
+  if (last) {
+    return d_->Count(wish, *last, static_cast<double>(wish.prompt_tokens), now);
   }
-  ++best->in_flight;
-  return TargetChoice{best->member.name, best->member.address,
-                      best->member.incarnation};
+  return Fail(reason,
+              any_full ? ResultCode::kOverloaded : ResultCode::kNoTarget,
+              any_full ? "every target of " + wish.service + " is full"
+                       : "no target of " + wish.service + " is known");
 }
 
-void TargetTable::End(const TargetChoice& choice) {
-  auto it = d_->targets.find(choice.name);
-  if (it == d_->targets.end() ||
-      it->second.member.incarnation != choice.incarnation)
+void TargetTable::FirstToken(TargetChoice& choice,
+                             std::chrono::duration<double> elapsed,
+                             TimePoint now) {
+  Target* target = d_->Find(choice);
+  if (target && !choice.had_first)
+    target->load.FirstToken(choice.prompt, choice.ahead, elapsed, now);
+  choice.had_first = true;
+}
+
+void TargetTable::End(const TargetChoice& choice,
+                      TargetAnswer answer,
+                      std::chrono::duration<double> token_time,
+                      TimePoint now) {
+  Target* target = d_->Find(choice);
+  if (!target)
     return;
-  it->second.in_flight = std::max<std::int64_t>(it->second.in_flight - 1, 0);
+  target->load.End(choice.prompt, choice.had_first);
+  if (token_time.count() > 0)
+    target->load.NoteTokenTime(token_time);
+  if (target->health.Note(answer, now) &&
+      d_->groups[target->service][target->tier].MayEject(now))
+    target->health.Eject(now);
+}
+
+void TargetTable::Report(const std::string& name, const LoadReport& report) {
+  auto it = d_->targets.find(name);
+  if (it != d_->targets.end())
+    it->second.load.NoteReport(report);
 }
 
-std::vector<TargetFigures> TargetTable::Figures() const {
+std::vector<TargetFigures> TargetTable::Figures(TimePoint now) const {
   std::vector<TargetFigures> figures;
   for (const auto& [name, it] : d_->targets) {
-    figures.push_back({name, it.member.failure_domain, it.service,
-                       it.member.address, it.in_flight, it.member.leaving});
+    figures.push_back(
+        {name, it.member.failure_domain, it.service, it.member.address,
+         it.load.in_flight(), it.member.leaving, it.health.State(now),
+         it.health.ejections(), it.load.WaitSeconds(now),
+         it.load.seconds_per_token(), it.load.seconds_per_prompt_token()});
   }
   return figures;
 }
--- /dev/null
+++ b/tests/routing/target_health_test.cc
@@ -0,0 +1,108 @@
+#include "libs/routing/target_health.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+#include "libs/routing/routing_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const TargetHealth::TimePoint kStart{std::chrono::seconds(100)};
+
+struct FaultCase {
+  const char* name;
+  std::vector<TargetAnswer> answers;
+  // State just after the answers and after the given time.
+  TargetState at_once;
+  milliseconds later;
+  TargetState afterwards;
+};
+
+const std::vector<FaultCase> kCases = {
+    {"one failure",
+     {TargetAnswer::kFailed},
+     TargetState::kServing,
+     milliseconds(1),
+     TargetState::kServing},
+    {"failures apart",
+     {TargetAnswer::kFailed, TargetAnswer::kFailed, TargetAnswer::kGood,
+      TargetAnswer::kFailed, TargetAnswer::kFailed},
+     TargetState::kServing,
+     milliseconds(1),
+     TargetState::kServing},
+    {"failures in a row",
+     {TargetAnswer::kFailed, TargetAnswer::kWrong, TargetAnswer::kSlow},
+     TargetState::kEjected,
+     kEjectionFirst,
+     TargetState::kReturning},
+    {"refused connection",
+     {TargetAnswer::kRefused},
+     TargetState::kPaused,
+     kRefusedPause,
+     TargetState::kReturning},
+    {"said it leaves",
+     {TargetAnswer::kLeaving},
+     TargetState::kLeaving,
+     kLeavingHold - milliseconds(1),
+     TargetState::kLeaving},
+    {"left and failed",
+     {TargetAnswer::kLeaving, TargetAnswer::kFailed, TargetAnswer::kFailed,
+      TargetAnswer::kFailed},
+     TargetState::kLeaving,
+     kEjectionFirst,
+     TargetState::kLeaving},
+    {"refused again while leaving",
+     {TargetAnswer::kLeaving, TargetAnswer::kRefused},
+     TargetState::kLeaving,
+     kRefusedPause,
+     TargetState::kLeaving},
+    {"caller went away",
+     {TargetAnswer::kNoVerdict, TargetAnswer::kNoVerdict,
+      TargetAnswer::kNoVerdict},
+     TargetState::kServing,
+     milliseconds(1),
+     TargetState::kServing},
+};
+
+}  // namespace
+
+TEST_GROUP(TargetHealth){};
+
+TEST(TargetHealth, FaultTable) {
+  for (const FaultCase& it : kCases) {
+    TargetHealth health;
+    for (TargetAnswer answer : it.answers) {
+      if (health.Note(answer, kStart))
+        health.Eject(kStart);
+    }
+    CHECK_TEXT(it.at_once == health.State(kStart), it.name);
+    CHECK_TEXT(it.afterwards == health.State(kStart + it.later), it.name);
+  }
+}
+
+TEST(TargetHealth, FlappingIsEjectedForLonger) {
+  TargetHealth health;
+  health.Eject(kStart);
+  auto now = kStart + kEjectionFirst;
+  health.Eject(now);
+  CHECK(health.State(now + kEjectionFirst) == TargetState::kEjected);
+  for (int n = 0; n < 20; ++n)
+    health.Eject(now);
+  CHECK(health.State(now + kEjectionMost) == TargetState::kReturning);
+}
+
+TEST(TargetHealth, ReturnsSlowly) {
+  TargetHealth health;
+  health.Eject(kStart);
+  const auto back = kStart + kEjectionFirst;
+  DOUBLES_EQUAL(kSlowStartLeast, health.Share(back), 1e-9);
+  DOUBLES_EQUAL(0.5, health.Share(back + kSlowStart / 2), 1e-9);
+  DOUBLES_EQUAL(1, health.Share(back + kSlowStart), 1e-9);
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/tests/routing/target_table_test.cc
@@ -0,0 +1,149 @@
+#include "libs/routing/target_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/json/parse.hpp>
+
+#include "libs/base/digest.h"
+#include "libs/routing/routing_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const TargetTable::TimePoint kStart{std::chrono::seconds(100)};
+
+ConfigSnapshot Config() {
+  ConfigSet set;
+  auto add = [&](ConfigKind kind, const char* name, const char* fields) {
+    set.Add({kind, name, boost::json::parse(fields).as_object(), ""});
+  };
+  add(ConfigKind::kFailureDomain, "a", R"({"overflow":["b"]})");
+  add(ConfigKind::kFailureDomain, "b", R"({"overflow":["a"]})");
+  add(ConfigKind::kTargetClass, "fast",
+      R"({"service":"llm","tokens_per_second":80,"most_in_flight":4})");
+  add(ConfigKind::kTargetClass, "slow",
+      R"({"service":"llm","tokens_per_second":20,"most_in_flight":4})");
+  return {1, "digest", set};
+}
+
+ListedMember Member(const std::string& name,
+                    const std::string& domain = "a",
+                    const std::string& target_class = "fast",
+                    const std::string& incarnation = "1") {
+  return {name, domain, "127.0.0.1:1", incarnation, target_class, false};
+}
+
+}  // namespace
+
+TEST_GROUP(TargetTable) {
+  ConfigSnapshot config = Config();
+  TargetTable table{"a", "host"};
+  HostList list;
+  Reason reason;
+  TargetWish wish{"llm", 100};
+
+  void Update(TargetTable::TimePoint now = kStart) {
+    table.Update(list, config, now);
+  }
+  std::string Choose(TargetTable::TimePoint now = kStart) {
+    auto choice = table.Begin(wish, {}, now, &reason);
+    return choice ? choice->name : "";
+  }
+  void Answer(TargetAnswer answer) {
+    auto choice = table.Begin(wish, {}, kStart, &reason);
+    table.End(*choice, answer, {}, kStart);
+  }
+};
+
+TEST(TargetTable, OwnDomainFirstThenOverflow) {
+  list.targets = {Member("far", "b"), Member("near", "a", "slow"),
+                  Member("unreachable", "c")};
+  Update();
+  for (int n = 0; n < 4; ++n)
+    STRCMP_EQUAL("near", Choose().c_str());
+  for (int n = 0; n < 4; ++n)
+    STRCMP_EQUAL("far", Choose().c_str());
+  STRCMP_EQUAL("", Choose().c_str());
+  CHECK(reason.code == ResultCode::kOverloaded);
+}
+
+TEST(TargetTable, ShortPromptDoesNotWaitBehindALongOne) {
+  list.targets = {Member("one"), Member("two")};
+  Update();
+  auto long_one = table.Begin({"llm", 20'000}, {}, kStart, &reason);
+  for (int n = 0; n < 3; ++n)
+    CHECK(long_one->name != Choose());
+}
+
+TEST(TargetTable, PrefixGoesWhereItWasSent) {
+  for (int n = 0; n < 20; ++n)
+    list.targets.push_back(Member("t" + std::to_string(n)));
+  Update();
+  const TargetWish lookup{"llm", 8'000, Hash64("manifest"), 7'900};
+  auto first = table.Begin(lookup, {}, kStart, &reason);
+  table.FirstToken(*first, milliseconds(300), kStart);
+  table.End(*first, TargetAnswer::kGood, {}, kStart);
+  auto second = table.Begin(lookup, {}, kStart, &reason);
+  STRCMP_EQUAL(first->name.c_str(), second->name.c_str());
+}
+
+TEST(TargetTable, RestartedTargetIsANewOne) {
+  list.targets = {Member("one")};
+  Update();
+  auto old = table.Begin(wish, {}, kStart, &reason);
+  list.targets = {Member("one", "a", "fast", "2")};
+  Update();
+  LONGS_EQUAL(0, table.Figures(kStart)[0].in_flight);
+  table.Begin(wish, {}, kStart, &reason);
+  table.End(*old, TargetAnswer::kLeaving, {}, kStart);
+  LONGS_EQUAL(1, table.Figures(kStart)[0].in_flight);
+  CHECK(table.Figures(kStart)[0].state == TargetState::kServing);
+}
+
+TEST(TargetTable, LeavingTargetGetsNothingThoughTheListLags) {
+  list.targets = {Member("one")};
+  Update();
+  Answer(TargetAnswer::kLeaving);
+  Update(kStart + milliseconds(1'000));
+  STRCMP_EQUAL("", Choose(kStart + milliseconds(1'000)).c_str());
+  CHECK(reason.code == ResultCode::kNoTarget);
+}
+
+TEST(TargetTable, DetectorNeverEmptiesAService) {
+  for (int n = 0; n < 8; ++n)
+    list.targets.push_back(Member("t" + std::to_string(n)));
+  Update();
+  for (int n = 0; n < 200; ++n)
+    Answer(TargetAnswer::kWrong);
+  int ejected = 0;
+  for (const TargetFigures& it : table.Figures(kStart))
+    ejected += it.state == TargetState::kEjected ? 1 : 0;
+  LONGS_EQUAL(4, ejected);
+  CHECK(!Choose().empty());
+}
+
+TEST(TargetTable, LastTargetIsTriedThoughItIsPaused) {
+  list.targets = {Member("one")};
+  Update();
+  Answer(TargetAnswer::kRefused);
+  STRCMP_EQUAL("one", Choose().c_str());
+}
+
+TEST(TargetTable, SlowTargetIsEjected) {
+  for (int n = 0; n < 4; ++n)
+    list.targets.push_back(Member("t" + std::to_string(n)));
+  Update();
+  for (int n = 0; n < 3; ++n) {
+    auto choice = table.Begin(wish, {"t1", "t2", "t3"}, kStart, &reason);
+    table.FirstToken(*choice, std::chrono::seconds(20), kStart);
+    table.End(*choice, TargetAnswer::kGood, {}, kStart);
+  }
+  for (int n = 0; n < kFailuresToEject; ++n)
+    Update();
+  CHECK(table.Figures(kStart)[0].state == TargetState::kEjected);
+}
+
+}  // namespace turmericwinch
