Let the platform's stand-in be cut off per failure domain and lag

Faults at the platform could be shown only to all clients at once, so a partition of one failure domain could not be brought about. The stand-in now listens once more per domain (--domain-listen), keeps silent on the listeners named in the 'cut' switch before and after a call's effect, lags the host list, goes silent on connections older than the switch, and counts calls by kind. Silent connections end once the switch is reset; before, they stayed for an hour.

Ruled out: one process per domain with a shared store, which needs a protocol between stand-ins; dropping packets, which needs privileges.

--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -23,6 +23,8 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds kAcceptPause{50};
 
+std::atomic<std::uint64_t> last_connection{0};
+
 HttpRequest ToRequest(http::request<http::string_body>& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
@@ -115,6 +117,7 @@
   bool started = false;
   bool ended = false;
   std::size_t thread_index;
+  std::uint64_t connection = 0;
   std::string buf;
 };
 
@@ -199,6 +202,10 @@
   return d_->thread_index;
 }
 
+std::uint64_t HttpExchange::connection_number() const {
+  return d_->connection;
+}
+
 HttpServer::HttpServer(std::vector<asio::io_context*> contexts,
                        HttpServerLimits limits,
                        HttpHandler handler)
@@ -275,6 +282,7 @@
                                                  tcp::socket socket,
                                                  std::size_t thread_index) {
   ++d->connections;
+  const std::uint64_t connection = ++last_connection;
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buf;
   bool keep_alive = true;
@@ -293,6 +301,7 @@
     stream.expires_after(kHttpReadTimeout);
     auto [ec, n] = co_await http::async_read(stream, buf, parser, kAwait);
     HttpExchange::Private exchange_state(stream, !ec, thread_index);
+    exchange_state.connection = connection;
     HttpExchange exchange(&exchange_state);
     if (ec) {
       std::optional<HttpResponse> fault = ReadFault(ec);
--- a/src/libs/http/http_server.h
+++ b/src/libs/http/http_server.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,6 +44,8 @@
   bool started() const;
   // Index of the traffic thread, for per-thread state.
   std::size_t thread_index() const;
+  // Number of the connection: later ones of the process have higher numbers.
+  std::uint64_t connection_number() const;
 
  private:
   Private* d_;
--- a/src/libs/standin/fault_switches.cc
+++ b/src/libs/standin/fault_switches.cc
@@ -1,6 +1,7 @@
 #include "libs/standin/fault_switches.h"
 
 #include <boost/asio.hpp>
+#include <boost/json/array.hpp>
 #include <cstdlib>
 
 #include "libs/base/json_fields.h"
@@ -11,7 +12,7 @@
 
 namespace asio = boost::asio;
 
-constexpr std::chrono::hours kSilence{1};
+constexpr std::chrono::milliseconds kSilenceCheck{10};
 constexpr int kCrashExit = 70;
 
 asio::awaitable<void> Sleep(std::chrono::milliseconds time) {
@@ -20,6 +21,11 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+bool IsSilent(const FaultSwitches& faults, const HttpExchange& exchange) {
+  return faults.silent || (faults.silent_open &&
+                           exchange.connection_number() < faults.silent_below);
+}
+
 }  // namespace
 
 std::optional<FaultSwitches> FaultSwitchesOf(std::string_view text) {
@@ -30,6 +36,14 @@
   FaultSwitches faults;
   faults.down = BoolField(*object, "down").value_or(false);
   faults.silent = BoolField(*object, "silent").value_or(false);
+  faults.silent_open = BoolField(*object, "silent_open").value_or(false);
+  if (const boost::json::array* domains = ArrayField(*object, "cut")) {
+    for (const boost::json::value& it : *domains) {
+      if (it.is_string())
+        faults.cut.emplace(it.get_string());
+    }
+  }
+  faults.lag_hosts_ms = IntField(*object, "lag_hosts_ms").value_or(0);
   faults.delay_ms = IntField(*object, "delay_ms").value_or(0);
   faults.lose_write_answers =
       IntField(*object, "lose_write_answers").value_or(0);
@@ -43,8 +57,10 @@
   if (request.target != "/faults" || request.method != "PUT")
     co_return false;
   std::optional<FaultSwitches> read = FaultSwitchesOf(request.body);
-  if (read)
+  if (read) {
     faults = *read;
+    faults.silent_below = exchange.connection_number();
+  }
   HttpResponse response = JsonResponse(read ? 200 : 400, "{}");
   co_await exchange.Send(response);
   co_return true;
@@ -56,10 +72,10 @@
   if (!faults.crash_on.empty() &&
       request.body.find(faults.crash_on) != std::string::npos)
     std::_Exit(kCrashExit);
-  if (faults.silent)
-    co_await Sleep(
-        std::chrono::duration_cast<std::chrono::milliseconds>(kSilence));
-  if (faults.down || faults.silent) {
+  const bool silent = IsSilent(faults, exchange);
+  while (IsSilent(faults, exchange) && !exchange.CallerGone())
+    co_await Sleep(kSilenceCheck);
+  if (faults.down || silent) {
     exchange.Abort();
     co_return false;
   }
@@ -68,4 +84,15 @@
   co_return true;
 }
 
+asio::awaitable<bool> PassCut(const FaultSwitches& faults,
+                              const std::string& domain,
+                              HttpExchange& exchange) {
+  if (!faults.cut.contains(domain))
+    co_return true;
+  while (faults.cut.contains(domain) && !exchange.CallerGone())
+    co_await Sleep(kSilenceCheck);
+  exchange.Abort();
+  co_return false;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/standin/fault_switches.h
+++ b/src/libs/standin/fault_switches.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "libs/http/http_message.h"
@@ -20,6 +21,14 @@
   bool down = false;
   // Answers nothing and leaves the connection open.
   bool silent = false;
+  // The same, but only on connections older than the one that set the switch.
+  bool silent_open = false;
+  std::uint64_t silent_below = 0;
+  // Failure domains whose listeners are cut off: nothing is answered, and what
+  // arrives has no effect.
+  std::set<std::string> cut;
+  // Milliseconds by which the host list lags.
+  std::int64_t lag_hosts_ms = 0;
   // Milliseconds before each answer.
   std::int64_t delay_ms = 0;
   // Writes whose answer is lost after they took effect.
@@ -36,11 +45,18 @@
                                                 const HttpRequest& request,
                                                 HttpExchange& exchange);
 
-// Shows the faults that come before an answer. False if there is to be none.
+// Shows the faults that come before an answer. False if there is to be none. A
+// silent connection is closed once the switch is reset or the caller is gone.
 boost::asio::awaitable<bool> PassFaults(const FaultSwitches& faults,
                                         const HttpRequest& request,
                                         HttpExchange& exchange);
 
+// Keeps silent while `domain` is cut off. False if it was: the exchange is over
+// then.
+boost::asio::awaitable<bool> PassCut(const FaultSwitches& faults,
+                                     const std::string& domain,
+                                     HttpExchange& exchange);
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_STANDIN_FAULT_SWITCHES_H_
--- a/src/libs/standin/platform_stand_in.cc
+++ b/src/libs/standin/platform_stand_in.cc
@@ -8,6 +8,7 @@
 
 #include "libs/base/json_fields.h"
 #include "libs/standin/fault_switches.h"
+#include "libs/standin/host_list_history.h"
 #include "libs/standin/object_store.h"
 
 namespace turmericwinch {
@@ -44,6 +45,23 @@
   return JsonResponse(status, json::serialize(json::object{{"error", text}}));
 }
 
+// Name under which a call is counted.
+std::string KindOf(const HttpRequest& request) {
+  std::string_view path = PathOf(request.target);
+  if (path == "/hosts")
+    return "hosts";
+  if (request.method == "POST")
+    return "create";
+  if (request.method == "PUT")
+    return "update";
+  if (request.method == "DELETE")
+    return "delete";
+  if (path == kObjects)
+    return "list";
+  const bool waits = QueryParameter(request.target, "watch") == "1";
+  return waits ? "watch" : "read";
+}
+
 // A write as it stands in a request's body.
 struct WriteRequest {
   std::string name;
@@ -69,7 +87,8 @@
  public:
   explicit Private(asio::io_context& context) : context(context) {}
 
-  asio::awaitable<void> Handle(const HttpRequest& request,
+  asio::awaitable<void> Handle(const std::string& domain,
+                               const HttpRequest& request,
                                HttpExchange& exchange);
   asio::awaitable<HttpResponse> Answer(const HttpRequest& request);
   asio::awaitable<HttpResponse> Watch(std::string name,
@@ -84,7 +103,7 @@
   asio::io_context& context;
   ObjectStore store;
   FaultSwitches faults;
-  std::string hosts = "{\"hosts\":[],\"targets\":[]}";
+  HostListHistory hosts;
   std::set<asio::steady_timer*> watches;
   std::map<std::string, std::uint64_t> calls;
 };
@@ -94,13 +113,15 @@
 
 PlatformStandIn::~PlatformStandIn() = default;
 
-HttpHandler PlatformStandIn::Handler() {
-  return [d = d_](const HttpRequest& request, HttpExchange& exchange) {
-    return d->Handle(request, exchange);
+HttpHandler PlatformStandIn::Handler(std::string domain) {
+  return [d = d_, domain = std::move(domain)](const HttpRequest& request,
+                                              HttpExchange& exchange) {
+    return d->Handle(domain, request, exchange);
   };
 }
 
 asio::awaitable<void> PlatformStandIn::Private::Handle(
+    const std::string& domain,
     const HttpRequest& request,
     HttpExchange& exchange) {
   if (co_await HandleFaultRequest(faults, request, exchange))
@@ -113,10 +134,14 @@
   const bool sets_hosts = request.target == "/hosts" && request.method == "PUT";
   if (!sets_hosts && !co_await PassFaults(faults, request, exchange))
     co_return;
-  const bool watches_object =
-      request.target.find("watch=1") != std::string::npos;
-  ++calls[watches_object ? "WATCH" : request.method];
+  if (!co_await PassCut(faults, domain, exchange))
+    co_return;
+  ++calls[KindOf(request)];
+  calls["bytes_in"] += request.body.size();
   HttpResponse response = co_await Answer(request);
+  if (!co_await PassCut(faults, domain, exchange))
+    co_return;
+  calls["bytes_out"] += response.body.size();
   const bool writes = request.method != "GET" && !sets_hosts;
   if (writes && faults.lose_write_answers > 0) {
     --faults.lose_write_answers;
@@ -130,9 +155,11 @@
     const HttpRequest& request) {
   std::string_view path = PathOf(request.target);
   if (path == "/hosts") {
+    const auto now = std::chrono::steady_clock::now();
     if (request.method == "PUT")
-      hosts = request.body;
-    co_return JsonResponse(200, hosts);
+      hosts.Set(request.body, now);
+    const std::chrono::milliseconds lag(faults.lag_hosts_ms);
+    co_return JsonResponse(200, hosts.At(now - lag));
   }
   if (path == kObjects && request.method == "GET")
     co_return ListObjects(request);
--- a/src/libs/standin/platform_stand_in.h
+++ b/src/libs/standin/platform_stand_in.h
@@ -5,19 +5,23 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <string>
 
 #include "libs/http/http_server.h"
 
 namespace turmericwinch {
 
 // Serves GET/POST/PUT/DELETE /objects, watches, GET and PUT /hosts, PUT
-// /faults, and GET /stats with the number of calls. Used on one thread.
+// /faults, and GET /stats with the number of calls by kind and the bytes of
+// their bodies. Used on one thread.
 class PlatformStandIn {
  public:
   explicit PlatformStandIn(boost::asio::io_context& context);
   ~PlatformStandIn();
 
-  HttpHandler Handler();
+  // Handler of the listener that `domain` reaches the platform by; the faults
+  // can cut it off. Without a domain it is never cut.
+  HttpHandler Handler(std::string domain = {});
 
  private:
   class Private;
--- a/src/libs/standin/stand_in_runner.h
+++ b/src/libs/standin/stand_in_runner.h
@@ -18,12 +18,25 @@
     std::function<HttpHandler(boost::asio::io_context& context,
                               const SettingsTable& settings)>;
 
+// One address of a stand-in and what answers there.
+struct StandInListener {
+  std::string name;
+  std::string endpoint;
+  HttpHandler handler;
+};
+
+// Makes the listeners of a stand-in beside that of `--listen`.
+using StandInListenersFactory =
+    std::function<std::vector<StandInListener>(const SettingsTable& settings)>;
+
 // Reads `--listen` and the settings of `specs`, serves until SIGTERM, and
-// answers the process's exit code. The bound address is printed first.
+// answers the process's exit code. The bound address is printed first, then
+// name and address of each further listener, one a line.
 int RunStandIn(int argc,
                const char* const* argv,
                std::vector<SettingSpec> specs,
-               const StandInFactory& factory);
+               const StandInFactory& factory,
+               const StandInListenersFactory& more_listeners = {});
 
 }  // namespace turmericwinch
 
--- /dev/null
+++ b/tests/standin/platform_contract_test.cc
@@ -0,0 +1,281 @@
+// What the rest of the program may rely on of a platform client, checked
+// against the stand-in over real sockets.
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio.hpp>
+
+#include "libs/base/json_fields.h"
+#include "libs/http/http_client.h"
+#include "libs/platform/http_platform_client.h"
+#include "libs/standin/platform_stand_in.h"
+#include "support/run_coroutine.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr PlatformDuty kDuty = PlatformDuty::kConfig;
+constexpr char kDomain[] = "dk-east-b";
+constexpr HttpServerLimits kLimits{4 * 1024 * 1024, 100};
+constexpr std::size_t kTooLargeBytes = 1024 * 1024 + 10;
+
+const tcp::endpoint kAnyPort(asio::ip::make_address("127.0.0.1"), 0);
+
+// A stand-in with one plain listener and one of a failure domain.
+class Platform {
+ public:
+  Platform()
+      : stand_in_(context),
+        server_({&context}, kLimits, stand_in_.Handler()),
+        domain_server_({&context}, kLimits, stand_in_.Handler(kDomain)),
+        endpoint(*server_.Listen(kAnyPort, nullptr)),
+        client(context, endpoint),
+        domain_client(context, *domain_server_.Listen(kAnyPort, nullptr)),
+        http_(context) {}
+
+  void SetFaults(const std::string& faults) { Put("/faults", faults); }
+  void SetHosts(const std::string& hosts) { Put("/hosts", hosts); }
+
+  std::int64_t Calls(const std::string& kind) {
+    HttpRequest request;
+    request.target = "/stats";
+    HttpFailure failure;
+    auto response =
+        RunCoroutine(context, http_.Call(endpoint, request, {}, &failure));
+    CHECK_TRUE(response.has_value());
+    return IntField(ParseJson(response->body)->as_object(), kind).value_or(0);
+  }
+
+  asio::io_context context{1};
+
+ private:
+  void Put(const std::string& target, const std::string& body) {
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = target;
+    request.body = body;
+    HttpFailure failure;
+    auto response =
+        RunCoroutine(context, http_.Call(endpoint, request, {}, &failure));
+    CHECK_TRUE(response && response->status == 200);
+    http_.DropIdle(endpoint);
+  }
+
+  PlatformStandIn stand_in_;
+  HttpServer server_;
+  HttpServer domain_server_;
+
+ public:
+  tcp::endpoint endpoint;
+  HttpPlatformClient client;
+  HttpPlatformClient domain_client;
+
+ private:
+  HttpClient http_;
+};
+
+// The result of a call: kOk or the reason's code.
+template <typename T>
+ResultCode CodeOf(Platform& platform,
+                  asio::awaitable<std::optional<T>> call,
+                  const Reason& reason) {
+  return RunCoroutine(platform.context, std::move(call)) ? ResultCode::kOk
+                                                         : reason.code;
+}
+
+ResultCode Read(Platform& platform, PlatformClient& client) {
+  Reason reason;
+  return CodeOf(platform, client.Get(kDuty, "object", &reason), reason);
+}
+
+ResultCode Write(Platform& platform, PlatformClient& client) {
+  Reason reason;
+  return CodeOf(platform, client.Create(kDuty, "written", "1", &reason),
+                reason);
+}
+
+bool Exists(Platform& platform, const std::string& name) {
+  return RunCoroutine(platform.context,
+                      platform.client.Get(kDuty, name, nullptr))
+      .has_value();
+}
+
+}  // namespace
+
+TEST_GROUP(PlatformContract) {
+  Platform platform;
+  Reason reason;
+
+  std::uint64_t Create(const std::string& name, const std::string& value) {
+    auto version = RunCoroutine(
+        platform.context, platform.client.Create(kDuty, name, value, &reason));
+    CHECK_TRUE(version.has_value());
+    return *version;
+  }
+
+  PlatformObject Get(const std::string& name) {
+    auto object = RunCoroutine(platform.context,
+                               platform.client.Get(kDuty, name, &reason));
+    CHECK_TRUE(object.has_value());
+    return *object;
+  }
+};
+
+TEST(PlatformContract, CreatesOnlyWhatIsAbsent) {
+  const std::uint64_t version = Create("object", "{\"n\":1}");
+  const ResultCode again = CodeOf(
+      platform, platform.client.Create(kDuty, "object", "{\"n\":2}", &reason),
+      reason);
+  CHECK_TRUE(again == ResultCode::kPlatformExists);
+  STRCMP_EQUAL("{\"n\":1}", Get("object").value.c_str());
+  LONGS_EQUAL(version, Get("object").version);
+}
+
+TEST(PlatformContract, UpdatesOnlyTheVersionThatWasRead) {
+  PlatformObject object{"object", Create("object", "1"), "2"};
+  const PlatformObject stale = object;
+  auto version = RunCoroutine(platform.context,
+                              platform.client.Update(kDuty, object, &reason));
+  CHECK_TRUE(version && *version > object.version);
+  const ResultCode code =
+      CodeOf(platform, platform.client.Update(kDuty, stale, &reason), reason);
+  CHECK_TRUE(code == ResultCode::kPlatformConflict);
+  STRCMP_EQUAL("2", Get("object").value.c_str());
+}
+
+TEST(PlatformContract, DeletesOnlyTheVersionThatWasRead) {
+  const std::uint64_t version = Create("object", "1");
+  ResultCode code = CodeOf(
+      platform, platform.client.Delete(kDuty, "object", version + 1, &reason),
+      reason);
+  CHECK_TRUE(code == ResultCode::kPlatformConflict);
+  code =
+      CodeOf(platform,
+             platform.client.Delete(kDuty, "object", version, &reason), reason);
+  CHECK_TRUE(code == ResultCode::kOk);
+  CHECK_TRUE(Read(platform, platform.client) == ResultCode::kPlatformNotFound);
+}
+
+TEST(PlatformContract, ListsByPrefixAndName) {
+  Create("b-2", "2");
+  Create("a-1", "0");
+  Create("b-1", "1");
+  auto objects = RunCoroutine(platform.context,
+                              platform.client.List(kDuty, "b-", &reason));
+  CHECK_TRUE(objects && objects->size() == 2);
+  STRCMP_EQUAL("b-1", (*objects)[0].name.c_str());
+  STRCMP_EQUAL("b-2", (*objects)[1].name.c_str());
+}
+
+TEST(PlatformContract, WatchWakesOnAWrite) {
+  const std::uint64_t version = Create("object", "1");
+  auto change = [&]() -> asio::awaitable<void> {
+    PlatformObject object{"object", version, "2"};
+    co_await platform.client.Update(kDuty, object, nullptr);
+  };
+  asio::co_spawn(platform.context, change(), asio::detached);
+  auto object =
+      RunCoroutine(platform.context,
+                   platform.domain_client.Watch(kDuty, "object", version,
+                                                milliseconds(60'000), &reason));
+  CHECK_TRUE(object.has_value());
+  STRCMP_EQUAL("2", object->value.c_str());
+  LONGS_EQUAL(1, platform.Calls("watch"));
+}
+
+TEST(PlatformContract, WatchEndsWithoutAChange) {
+  const std::uint64_t version = Create("object", "1");
+  const ResultCode code =
+      CodeOf(platform,
+             platform.client.Watch(kDuty, "object", version, milliseconds(20),
+                                   &reason),
+             reason);
+  CHECK_TRUE(code == ResultCode::kPlatformNotFound);
+}
+
+TEST(PlatformContract, RefusesAnOversizedValue) {
+  const std::string value = "\"" + std::string(kTooLargeBytes, 'x') + "\"";
+  const ResultCode code =
+      CodeOf(platform, platform.client.Create(kDuty, "object", value, &reason),
+             reason);
+  CHECK_TRUE(code == ResultCode::kPlatformRejected);
+  CHECK_FALSE(Exists(platform, "object"));
+}
+
+TEST(PlatformContract, ShowsFaultsByTheirResults) {
+  struct Case {
+    const char* faults;
+    bool through_domain;
+    ResultCode read;
+    ResultCode write;
+    bool write_took_effect;
+  };
+  const Case cases[] = {
+      {"{}", false, ResultCode::kOk, ResultCode::kOk, true},
+      {"{}", true, ResultCode::kOk, ResultCode::kOk, true},
+      {"{\"delay_ms\":30}", false, ResultCode::kOk, ResultCode::kOk, true},
+      {"{\"lose_write_answers\":1}", false, ResultCode::kOk,
+       ResultCode::kPlatformUnknown, true},
+      {"{\"down\":true}", false, ResultCode::kPlatformUnavailable,
+       ResultCode::kPlatformUnknown, false},
+      {"{\"silent\":true}", false, ResultCode::kPlatformUnavailable,
+       ResultCode::kPlatformUnknown, false},
+      {"{\"cut\":[\"dk-east-b\"]}", true, ResultCode::kPlatformUnavailable,
+       ResultCode::kPlatformUnknown, false},
+      {"{\"cut\":[\"dk-east-b\"]}", false, ResultCode::kOk, ResultCode::kOk,
+       true},
+      {"{\"cut\":[\"dk-east-a\"]}", true, ResultCode::kOk, ResultCode::kOk,
+       true},
+  };
+  for (const Case& it : cases) {
+    Platform fresh;
+    RunCoroutine(fresh.context,
+                 fresh.client.Create(kDuty, "object", "1", nullptr));
+    fresh.SetFaults(it.faults);
+    PlatformClient& client =
+        it.through_domain ? fresh.domain_client : fresh.client;
+    CHECK_TRUE_TEXT(Read(fresh, client) == it.read, it.faults);
+    CHECK_TRUE_TEXT(Write(fresh, client) == it.write, it.faults);
+    fresh.SetFaults("{}");
+    CHECK_TRUE_TEXT(Exists(fresh, "written") == it.write_took_effect,
+                    it.faults);
+    CHECK_TRUE_TEXT(Read(fresh, client) == ResultCode::kOk, it.faults);
+  }
+}
+
+TEST(PlatformContract, NothingListeningIsUnavailableForReadsAndWrites) {
+  tcp::acceptor closed(platform.context, kAnyPort);
+  const tcp::endpoint endpoint = closed.local_endpoint();
+  closed.close();
+  HttpPlatformClient client(platform.context, endpoint);
+  CHECK_TRUE(Read(platform, client) == ResultCode::kPlatformUnavailable);
+  CHECK_TRUE(Write(platform, client) == ResultCode::kPlatformUnavailable);
+}
+
+TEST(PlatformContract, OldConnectionsGoSilentAndNewOnesWork) {
+  Create("object", "1");
+  platform.SetFaults("{\"silent_open\":true}");
+  CHECK_TRUE(Read(platform, platform.client) ==
+             ResultCode::kPlatformUnavailable);
+  HttpPlatformClient fresh(platform.context, platform.endpoint);
+  CHECK_TRUE(Read(platform, fresh) == ResultCode::kOk);
+  CHECK_TRUE(Read(platform, platform.client) == ResultCode::kOk);
+}
+
+TEST(PlatformContract, HostListLags) {
+  constexpr char kNewList[] = "{\"hosts\":[{\"name\":\"host-1\"}]}";
+  platform.SetFaults("{\"lag_hosts_ms\":60000}");
+  platform.SetHosts(kNewList);
+  auto hosts = RunCoroutine(platform.context, platform.client.Hosts(&reason));
+  CHECK_TRUE(hosts && *hosts != kNewList);
+  platform.SetFaults("{}");
+  hosts = RunCoroutine(platform.context, platform.client.Hosts(&reason));
+  STRCMP_EQUAL(kNewList, hosts->c_str());
+}
+
+}  // namespace turmericwinch
