--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -298,7 +298,7 @@
         break;
       buf.commit(n);
     }
-    stream.expires_after(kHttpReadTimeout);
+    stream.expires_after(d->limits.read_timeout);
     auto [ec, n] = co_await http::async_read(stream, buf, parser, kAwait);
     HttpExchange::Private exchange_state(stream, !ec, thread_index);
     exchange_state.connection = connection;
--- a/src/libs/http/http_server.h
+++ b/src/libs/http/http_server.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,7 @@
 #include <vector>
 
 #include "libs/base/reason.h"
+#include "libs/http/http_constants.h"
 #include "libs/http/http_message.h"
 
 namespace turmericwinch {
@@ -56,10 +58,12 @@
     std::function<boost::asio::awaitable<void>(const HttpRequest&,
                                                HttpExchange&)>;
 
-// Bounds of a server; sizes in bytes.
+// Bounds of a server; sizes in bytes. `read_timeout` is for a request to
+// arrive whole once its first byte came.
 struct HttpServerLimits {
   std::size_t most_body_bytes;
   std::size_t most_connections;
+  std::chrono::milliseconds read_timeout = kHttpReadTimeout;
 };
 
 // Accepts on one address and hands connections to the threads in turn.
--- /dev/null
+++ b/src/libs/load/load_driver.h
@@ -0,0 +1,23 @@
+// Sends requests at an open arrival rate or in closed loops.
+
+#ifndef SRC_LIBS_LOAD_LOAD_DRIVER_H_
+#define SRC_LIBS_LOAD_LOAD_DRIVER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <vector>
+
+#include "libs/load/call_record.h"
+#include "libs/load/load_settings.h"
+
+namespace turmericwinch {
+
+// Sends until the duration is over and every request ended; one record each.
+// Arrivals, kinds, teams and first hosts follow from the seed.
+boost::asio::awaitable<std::vector<CallRecord>> DriveLoad(
+    boost::asio::io_context& context,
+    const LoadSettings& settings);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_LOAD_LOAD_DRIVER_H_
--- /dev/null
+++ b/src/libs/load/platform_state.h
@@ -0,0 +1,37 @@
+// Bills and budgets as the platform holds them.
+
+#ifndef SRC_LIBS_LOAD_PLATFORM_STATE_H_
+#define SRC_LIBS_LOAD_PLATFORM_STATE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/budget/bill.h"
+#include "libs/platform/platform_client.h"
+
+namespace turmericwinch {
+
+// One budget over all domains, in tokens. `outstanding` is what each holder
+// was granted and neither spent nor gave back.
+struct BudgetTotals {
+  std::int64_t paid = 0;
+  std::int64_t spent = 0;
+  std::map<std::string, std::int64_t> outstanding;
+};
+
+struct PlatformState {
+  std::vector<Bill> bills;
+  std::map<std::string, BudgetTotals> budgets;
+};
+
+boost::asio::awaitable<std::optional<PlatformState>> FetchPlatformState(
+    PlatformClient& platform,
+    Reason* reason);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_LOAD_PLATFORM_STATE_H_
