Let load reports lose half their weight in 0.5 s; measure any number of hosts

Cause: with reports 1 s old all hosts saw the same idle targets and sent there together; at a half-life of 2 s the stale report outweighed the host's own learnt wait, so the table with reports did worse than without.

Tried and reverted: 16 instead of 8 sampled targets.

--- a/src/apps/measure_routing/fleet_model.cc
+++ b/src/apps/measure_routing/fleet_model.cc
@@ -129,26 +129,23 @@
   return speeds;
 }
 
-FleetSamples RunFleet(PolicyKind kind,
-                      double rate,
-                      double lag,
-                      std::uint64_t seed) {
+FleetSamples RunFleet(const FleetRun& run) {
   std::vector<Policy> hosts;
-  for (std::size_t n = 0; n < kModelHosts; ++n)
-    hosts.push_back(MakePolicy(kind, n, ModelSpeeds()));
+  for (std::size_t n = 0; n < run.hosts; ++n)
+    hosts.push_back(MakePolicy(run.kind, n, ModelSpeeds()));
   FleetSamples samples;
   Fleet fleet([&](Job& job, double now) { hosts[job.host].first(job, now); },
               [&](Job& job, double now) {
                 hosts[job.host].done(job, now);
                 Sample(job, samples);
               });
-  Workload workload(seed);
+  Workload workload(run.seed, run.hosts);
   std::deque<Job> jobs;
   std::function<void(double)> arrive = [&](double now) {
     Job& job = jobs.back();
     job.target = hosts[job.host].choose(job, now);
     fleet.Send(job, now);
-    jobs.push_back(workload.Next(now, rate));
+    jobs.push_back(workload.Next(now, run.rate));
     fleet.events().Add(jobs.back().arrival, arrive);
   };
   std::function<void(double)> report = [&](double now) {
@@ -157,13 +154,13 @@
       for (Policy& it : hosts)
         it.report(taken, time);
     };
-    if (lag == 0)
+    if (run.lag == 0)
       show(now);
     else
-      fleet.events().Add(now + lag, show);
+      fleet.events().Add(now + run.lag, show);
     fleet.events().Add(now + kReportInterval, report);
   };
-  jobs.push_back(workload.Next(0, rate));
+  jobs.push_back(workload.Next(0, run.rate));
   fleet.events().Add(jobs.back().arrival, arrive);
   fleet.events().Add(0, report);
   fleet.events().RunUntil(kEnd);
@@ -173,7 +170,7 @@
 }
 
 double MeasureCapacity(std::uint64_t seed) {
-  Workload workload(seed);
+  Workload workload(seed, 1);
   std::deque<Job> jobs;
   std::size_t done = 0;
   Fleet* running = nullptr;
--- a/src/apps/measure_routing/fleet_model.h
+++ b/src/apps/measure_routing/fleet_model.h
@@ -20,11 +20,17 @@
   std::size_t cache_hits = 0;
 };
 
-// One run of `kind` at `rate` requests a second with reports `lag` old.
-FleetSamples RunFleet(PolicyKind kind,
-                      double rate,
-                      double lag,
-                      std::uint64_t seed);
+// One run: requests a second of the whole fleet, age of the load reports in
+// seconds.
+struct FleetRun {
+  PolicyKind kind = PolicyKind::kRandom;
+  std::size_t hosts = 1;
+  double rate = 1;
+  double lag = 0;
+  std::uint64_t seed = 0;
+};
+
+FleetSamples RunFleet(const FleetRun& run);
 
 // Requests a second that the fleet finishes when each target always has work
 // and requests are spread without regard to caches.
--- a/src/apps/measure_routing/main.cc
+++ b/src/apps/measure_routing/main.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::int64_t kMostSeed = 1'000'000;
+constexpr std::int64_t kMostHosts = 1'000;
 constexpr int kCostTargets = 300;
 constexpr int kCostChoices = 300'000;
 constexpr double kMicroseconds = 1e6;
@@ -25,7 +26,13 @@
            .label = "seed of the workload",
            .default_value = "1",
            .least = 0,
-           .most = kMostSeed}};
+           .most = kMostSeed},
+          {.name = "hosts",
+           .type = SettingType::kInteger,
+           .label = "entry hosts of the failure domain",
+           .default_value = "8",
+           .least = 1,
+           .most = kMostHosts}};
 }
 
 double Percentile(std::vector<double> samples, double share) {
@@ -44,20 +51,16 @@
   return text.str();
 }
 
-void PrintRun(PolicyKind kind,
-              double load,
-              double lag,
-              double capacity,
-              std::uint64_t seed) {
-  const FleetSamples run = RunFleet(kind, load * capacity, lag, seed);
+void PrintRun(const FleetRun& settings, double load) {
+  const FleetSamples run = RunFleet(settings);
   const double hits =
       static_cast<double>(run.cache_hits) /
       static_cast<double>(std::max<std::size_t>(run.lookups, 1));
   std::cout << std::fixed << std::setprecision(0) << std::setw(3) << load * 100
-            << "% " << std::setw(2) << lag << "s " << std::left << std::setw(16)
-            << NameOf(kind) << std::right << " |" << Percentiles(run.first)
-            << " |" << Percentiles(run.chat_first) << " |"
-            << Percentiles(run.whole) << " |" << std::setprecision(1)
+            << "% " << std::setw(2) << settings.lag << "s " << std::left
+            << std::setw(16) << NameOf(settings.kind) << std::right << " |"
+            << Percentiles(run.first) << " |" << Percentiles(run.chat_first)
+            << " |" << Percentiles(run.whole) << " |" << std::setprecision(1)
             << std::setw(6) << Percentile(run.between, 0.95) * 1000 << " |"
             << std::setprecision(2) << std::setw(5) << hits << "\n";
 }
@@ -66,7 +69,7 @@
 double ChoiceCost() {
   const Policy policy = MakePolicy(PolicyKind::kTableWithReports, 0,
                                    std::vector<double>(kCostTargets, 1));
-  Workload workload(1);
+  Workload workload(1, 1);
   std::vector<Job> jobs;
   for (int n = 0; n < kCostChoices; ++n)
     jobs.push_back(workload.Next(0, 1));
@@ -90,6 +93,7 @@
     return 1;
   }
   const auto seed = static_cast<std::uint64_t>(table->Integer("seed"));
+  const auto hosts = static_cast<std::size_t>(table->Integer("hosts"));
   const double capacity = MeasureCapacity(seed);
   std::cout << "capacity " << capacity << " requests/s; choice, first token "
             << "and end among " << kCostTargets << " targets "
@@ -99,7 +103,9 @@
   for (double load : {0.5, 0.8, 0.95}) {
     for (double lag : {0.0, 1.0, 5.0}) {
       for (int n = 0; n < kPolicyKinds; ++n)
-        PrintRun(static_cast<PolicyKind>(n), load, lag, capacity, seed);
+        PrintRun(
+            {static_cast<PolicyKind>(n), hosts, load * capacity, lag, seed},
+            load);
     }
   }
   return 0;
--- a/src/apps/measure_routing/model_constants.h
+++ b/src/apps/measure_routing/model_constants.h
@@ -7,10 +7,8 @@
 
 namespace turmericwinch {
 
-// Targets of the failure domain, a third each at full, half and quarter speed,
-// and the hosts that send to them.
+// Targets of the failure domain, a third each at full, half and quarter speed.
 inline constexpr std::size_t kModelTargets = 24;
-inline constexpr std::size_t kModelHosts = 8;
 // One step of an engine at full speed: fixed part, part of each running
 // request and part of each prompt token read, in seconds.
 inline constexpr double kStepSeconds = 0.003;
--- a/src/apps/measure_routing/policy.cc
+++ b/src/apps/measure_routing/policy.cc
@@ -44,7 +44,7 @@
   policy.report = [counts](const FleetReport& report, double) {
     counts->report = report;
   };
-  auto turn = std::make_shared<std::size_t>(host * targets / kModelHosts);
+  auto turn = std::make_shared<std::size_t>((*random)() % targets);
   policy.choose = [=](Job&, double now) {
     std::size_t best = (*random)() % targets;
     if (kind == PolicyKind::kRoundRobin)
--- a/src/apps/measure_routing/workload.cc
+++ b/src/apps/measure_routing/workload.cc
@@ -7,7 +7,8 @@
 
 namespace turmericwinch {
 
-Workload::Workload(std::uint64_t seed) : random_(seed) {
+Workload::Workload(std::uint64_t seed, std::size_t hosts)
+    : random_(seed), hosts_(hosts) {
   std::vector<double> weights;
   for (std::size_t n = 0; n < kManifests; ++n)
     weights.push_back(1 / std::sqrt(static_cast<double>(n + 1)));
@@ -26,7 +27,7 @@
   const double output =
       (0.5 + Uniform()) * (job.lookup ? kLookupOutput : kChatOutput);
   job.output = static_cast<int>(output);
-  job.host = static_cast<std::size_t>(Uniform() * kModelHosts);
+  job.host = static_cast<std::size_t>(Uniform() * static_cast<double>(hosts_));
   return job;
 }
 
--- a/src/apps/measure_routing/workload.h
+++ b/src/apps/measure_routing/workload.h
@@ -32,7 +32,8 @@
 // Draws requests: exponential gaps, lookups of manifests by a Zipf-like law.
 class Workload {
  public:
-  explicit Workload(std::uint64_t seed);
+  // Requests come to one of `hosts` at random.
+  Workload(std::uint64_t seed, std::size_t hosts);
   // The next request after `now` at `rate` requests a second.
   Job Next(double now, double rate);
 
@@ -40,6 +41,7 @@
   double Uniform() { return std::uniform_real_distribution<>(0, 1)(random_); }
 
   std::mt19937_64 random_;
+  std::size_t hosts_;
   std::discrete_distribution<std::size_t> manifests_;
 };
 
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -20,7 +20,7 @@
 // Time after which a learnt wait counts half.
 inline constexpr std::chrono::milliseconds kWaitHalfLife{2'000};
 // Time after which a load report counts half.
-inline constexpr std::chrono::milliseconds kReportHalfLife{2'000};
+inline constexpr std::chrono::milliseconds kReportHalfLife{500};
 // Output tokens that the choice weighs against the first token's time.
 inline constexpr double kWeighedOutputTokens = 64;
 
