--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -51,11 +51,24 @@
                        {"service", it.service},
                        {"address", it.address},
                        {"in_flight", it.in_flight},
-                       {"leaving", it.leaving}});
+                       {"leaving", it.leaving},
+                       {"state", NameOf(it.state)},
+                       {"ejections", it.ejections},
+                       {"wait_s", it.wait_seconds},
+                       {"token_s", it.seconds_per_token},
+                       {"prompt_token_s", it.seconds_per_prompt_token}});
   }
   return targets;
 }
 
+json::object DumpClaims(NodeContext& node) {
+  const ClaimFigures figures = node.claims->Figures();
+  return {{"unsettled", figures.unsettled},
+          {"unsettled_bytes", figures.unsettled_bytes},
+          {"given_up", figures.given_up},
+          {"swept", figures.swept}};
+}
+
 json::object DumpPlatformCalls(NodeContext& node) {
   json::object calls;
   for (int duty = 0; duty < kPlatformDuties; ++duty) {
@@ -81,6 +94,7 @@
       {"config", DumpConfig(node)},
       {"ledger", DumpLedger(node)},
       {"targets", DumpTargets(node)},
+      {"claims", DumpClaims(node)},
       {"platform_calls", DumpPlatformCalls(node)},
       {"soft_asserts", SoftAssertCount()},
   };
