--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -23,10 +23,12 @@
 export TURMERICWINCH_PLATFORM=$platform TURMERICWINCH_OPERATOR_TOKEN=token
 "$bin/winch" apply samples/skuffekort | tail -n 1
 callers=()
+hosts=()
 for n in 1 2; do
   start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
     --failure-domain=dk-east-a --listen=127.0.0.1:0 \
     --operator-listen=127.0.0.1:0 --flush-interval=50
+  hosts+=("$TW_PID")
   callers+=("$(daemon_address "host-$n" callers)")
   wait_for "host-$n to be ready" \
     curl -sf "http://$(daemon_address "host-$n" operators)/readyz"
@@ -52,6 +54,20 @@
 }
 wait_for "the spend to be recorded" spent_is 33
 "$bin/winch" budget show national-archive-2026
+
+# What a dead host was granted stays charged until it is released; a host that
+# shuts down gives its tokens back and leaves nothing behind.
+kill -KILL "${hosts[1]}"
+wait "${hosts[1]}" 2>/dev/null || true
+dead=$("$bin/winch" budget show national-archive-2026 | awk '$2 ~ /^host-2_/ { print $2 }')
+"$bin/winch" budget release "$dead" --process-ended
+kill -TERM "${hosts[0]}"
+wait "${hosts[0]}"
+left=$("$bin/winch" budget show national-archive-2026 --output json)
+grep -q '"spent":33,"granted":0,"allocated_free":0,"free":999967,' <<<"$left" ||
+  { echo "not all tokens were found: $left" >&2; exit 1; }
+bills=$("$bin/winch" bills --output json | grep -o '"request"' | wc -l)
+[ "$bills" = 3 ] || { echo "$bills bills in place of 3" >&2; exit 1; }
 stop_all
 check_sanitizers
 echo "smoke: passed"
--- a/src/libs/operations/budget_verbs.cc
+++ b/src/libs/operations/budget_verbs.cc
@@ -182,7 +182,7 @@
                      "tokens of " + holder +
                          " can be spent again only once its process has "
                          "ended; if you know that it has, say so with "
-                         "--process-ended=true"};
+                         "--process-ended"};
   }
   Reason reason;
   std::optional<std::vector<PlatformObject>> shards =
