--- a/scripts/system_test.sh
+++ b/scripts/system_test.sh
@@ -21,7 +21,7 @@
 start platform "$bin/standin_platform"
 platform=$(stand_in_address platform)
 engines=()
-for n in 1 2; do
+for n in 1 2 3 4 5; do
   start "engine-$n" "$bin/standin_engine" --name="engine-$n" --between-tokens=5000
   engines+=("$(stand_in_address "engine-$n")")
 done
@@ -33,8 +33,7 @@
   local it targets=""
   for it in "$@"; do
     case $it in
-      engine-1) targets+='{"name":"engine-1","address":"'${engines[0]}'","class":"llm-large",' ;;
-      engine-2) targets+='{"name":"engine-2","address":"'${engines[1]}'","class":"llm-large",' ;;
+      engine-*) targets+='{"name":"'$it'","address":"'${engines[${it#engine-} - 1]}'","class":"llm-large",' ;;
       drawer-1) targets+='{"name":"drawer-1","address":"'$service'","class":"drawer-app",' ;;
     esac
     targets+='"failure_domain":"dk-east-a","incarnation":"1","state":"live"},'
@@ -92,6 +91,13 @@
     grep -F "$2" | grep -oE '[0-9]+$'
 }
 
+# sees HOST ENGINE OTHER: whether the host knows ENGINE and not OTHER.
+sees() {
+  local dump
+  dump=$(curl -sf -H "Authorization: Bearer token" "http://${operators[$1 - 1]}/dump")
+  [[ $dump == *"\"name\":\"$2\""* && $dump != *"\"name\":\"$3\""* ]]
+}
+
 echo "- a kept answer is replayed, and bills nothing"
 expect "checkout" '"execution":1' "$(checkout 1 kept)"
 expect "its retry" '"execution":1' "$(checkout 2 kept)"
@@ -134,10 +140,7 @@
 
 echo "- an only target that breaks the stream is asked again"
 list_targets engine-2 drawer-1
-only_engine_2() {
-  ! curl -sf -H "Authorization: Bearer token" "http://${operators[0]}/dump" | grep -q '"name":"engine-1"'
-}
-wait_for "host-1 to see one engine" only_engine_2
+wait_for "host-1 to see one engine" sees 1 engine-2 engine-1
 fault "${engines[1]}" '{"break_after":3}'
 tokens_once 8 "$(chat 1 alone 8)"
 
@@ -155,6 +158,35 @@
 [ "$(metric 1 malformed_answer)" = 2 ] || fail "no malformed answer was counted"
 fault "${engines[1]}" '{}'
 
+echo "- a request that crashes its targets is refused after the second"
+list_targets engine-3 engine-4 engine-5 drawer-1
+wait_for "host-1 to see the other engines" sees 1 engine-5 engine-2
+wait_for "host-2 to see the other engines" sees 2 engine-5 engine-2
+for n in 2 3 4; do fault "${engines[n]}" '{"crash_on":"poison"}'; done
+alive() {
+  local n count=0
+  for n in 2 3 4; do
+    if curl -sf "http://${engines[n]}/healthz" >/dev/null; then count=$((count + 1)); fi
+  done
+  echo "$count"
+}
+poison() {
+  curl -s --max-time 20 "http://${callers[$1 - 1]}/v1/chat/completions" -H "$auth" -d '{
+    "model":"turmericwinch-llm","max_tokens":4,"messages":[{"role":"user","content":"poison"}]}'
+}
+expect "poison" '"name":"quarantined".*"ran":"unknown"' "$(poison 1)"
+[ "$(alive)" = 1 ] || fail "$(alive) of 3 engines are left"
+expect "poison again" '"name":"quarantined".*"ran":"not_run"' "$(poison 1)"
+shared() { curl -sf "http://$platform/objects?prefix=quarantine-" | grep -q until_ms; }
+wait_for "the verdict to be shared" shared
+sleep 6
+expect "poison elsewhere" '"name":"quarantined".*"ran":"not_run"' "$(poison 2)"
+[ "$(alive)" = 1 ] || fail "the last engine was lost"
+tokens_once 8 "$(chat 2 innocent 8)"
+list_targets engine-2 drawer-1
+wait_for "host-1 to see engine-2" sees 1 engine-2 engine-5
+wait_for "host-2 to see engine-2" sees 2 engine-2 engine-5
+
 echo "- a caller that goes ends its stream at the engine"
 before=$(spent)
 timeout 0.5 curl -sN "http://${callers[0]}/v1/chat/completions" -H "$auth" -H "X-Request-Id: gone" \
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "libs/base/digest.h"
 #include "libs/base/log.h"
 #include "libs/delivery/delivery_constants.h"
 #include "libs/http/http_constants.h"
@@ -20,6 +21,7 @@
 
 constexpr LogCategory kLog{"node"};
 constexpr int kStatusOk = 200;
+constexpr std::size_t kDigestDigits = 40;
 
 }  // namespace
 
@@ -36,12 +38,15 @@
       reserved_(std::move(reserved)),
       exchange_(exchange),
       deadline_(steady_clock::now() + service.deadline),
+      digest_(
+          Sha256Hex(caller.team->name + "\n" + json::serialize(request_.body))
+              .substr(0, kDigestDigits)),
       progress_(caller.request_id, request_.max_tokens) {}
 
 asio::awaitable<ResultCode> ChatCall::Run() {
   std::set<std::string> excluded;
   std::set<std::string> asked_again;
-  for (int n = 0; n < kTargetAttempts; ++n) {
+  for (int n = 0; n < kTargetAttempts && MayTry(n); ++n) {
     std::optional<TargetChoice> choice = Choose(excluded);
     if (!choice)
       break;
@@ -51,14 +56,12 @@
     node_.targets->End(*choice);
     if (end == AttemptEnd::kWhole)
       co_return co_await Finish();
-    const bool gone = end == AttemptEnd::kCallerGone;
-    if (gone || answer_started_)
+    if (end == AttemptEnd::kTargetLost)
+      node_.quarantine->OnLost(digest_, choice->name);
+    else if (end == AttemptEnd::kCallerGone || answer_started_)
       co_await Cancel(*choice);
-    if (gone) {
-      reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
-      exchange_.Abort();
-      co_return ResultCode::kCallerGone;
-    }
+    if (end == AttemptEnd::kCallerGone)
+      co_return EndForGoneCaller();
     const bool again = end == AttemptEnd::kConnectionFailed &&
                        asked_again.insert(choice->name).second;
     if (!again)
@@ -67,6 +70,25 @@
   co_return co_await GiveUp();
 }
 
+ResultCode ChatCall::EndForGoneCaller() {
+  reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+  exchange_.Abort();
+  return ResultCode::kCallerGone;
+}
+
+bool ChatCall::MayTry(int n) {
+  if (node_.quarantine->IsQuarantined(digest_)) {
+    refusal_ = MakeRefusal(
+        {ResultCode::kQuarantined, "targets were lost that ran this request"},
+        refusal_.ran);
+    return false;
+  }
+  if (n > 0)
+    return node_.quarantine->TakeRetry();
+  node_.quarantine->OnRequest();
+  return true;
+}
+
 // A stream may also go on where it broke, if there is no other target.
 std::optional<TargetChoice> ChatCall::Choose(std::set<std::string>& excluded) {
   Reason reason;
@@ -256,7 +278,11 @@
     node_.metrics.CountEvent(alive ? DeliveryEvent::kSilentConnection
                                    : DeliveryEvent::kSilentTarget);
   }
-  co_return alive ? AttemptEnd::kConnectionFailed : AttemptEnd::kTargetFailed;
+  if (alive)
+    co_return AttemptEnd::kConnectionFailed;
+  // A process that ends breaks the connection and resets or refuses the next.
+  const bool lost = !response && !probe_failure.timed_out && !failure.timed_out;
+  co_return lost ? AttemptEnd::kTargetLost : AttemptEnd::kTargetFailed;
 }
 
 // Ends the generation that no one reads any more, and learns its usage.
@@ -279,6 +305,7 @@
 }
 
 asio::awaitable<ResultCode> ChatCall::Finish() {
+  node_.quarantine->OnAnswered(digest_);
   reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
   bool sent = false;
   if (request_.stream) {
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -90,6 +90,7 @@
       {"ledger", DumpLedger(node)},
       {"targets", DumpTargets(node)},
       {"claims", DumpClaims(node)},
+      {"quarantine_suspects", node.quarantine->suspects()},
       {"platform_calls", DumpPlatformCalls(node)},
       {"soft_asserts", SoftAssertCount()},
   };
--- a/tests/delivery/claim_fault_table_test.cc
+++ b/tests/delivery/claim_fault_table_test.cc
@@ -1,8 +1,9 @@
-#include <CppUTest/TestHarness.h>
-
 #include <random>
 
 #include "delivery/fake_platform.h"
+
+#include <CppUTest/TestHarness.h>
+
 #include "libs/delivery/claim_session.h"
 #include "libs/delivery/claim_settlement.h"
 #include "libs/delivery/delivery_constants.h"
--- /dev/null
+++ b/tests/delivery/quarantine_test.cc
@@ -0,0 +1,85 @@
+#include "libs/delivery/quarantine.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libs/delivery/delivery_constants.h"
+#include "libs/delivery/retry_budget.h"
+
+namespace turmericwinch {
+
+namespace {
+
+const Quarantine::Time kStart{std::chrono::hours(1)};
+constexpr std::chrono::seconds kLater{10};
+
+}  // namespace
+
+TEST_GROUP(Quarantine){};
+
+TEST(Quarantine, TwoLostTargetsMakeAVerdict) {
+  Quarantine quarantine;
+  CHECK(!quarantine.OnLost("r", "a", kStart).has_value());
+  CHECK(!quarantine.IsQuarantined("r", kStart));
+  CHECK(quarantine.OnLost("r", "b", kStart).has_value());
+  CHECK(quarantine.IsQuarantined("r", kStart));
+  CHECK(!quarantine.IsQuarantined("r", kStart + kQuarantineHold));
+  CHECK(!quarantine.IsQuarantined("other", kStart));
+}
+
+TEST(Quarantine, ABystanderIsClearedByItsAnswer) {
+  Quarantine quarantine;
+  quarantine.OnLost("r", "a", kStart);
+  quarantine.OnLost("by", "a", kStart);
+  quarantine.OnAnswered("by");
+  CHECK(!quarantine.OnLost("by", "c", kStart + kLater).has_value());
+  CHECK(quarantine.OnLost("r", "b", kStart + kLater).has_value());
+  CHECK(quarantine.IsQuarantined("r", kStart + kLater));
+  CHECK(!quarantine.IsQuarantined("by", kStart + kLater));
+}
+
+TEST(Quarantine, RequestsLostTogetherTwiceAreHeldBriefly) {
+  Quarantine quarantine;
+  for (const char* target : {"a", "b"}) {
+    CHECK(!quarantine.OnLost("by", target, kStart).has_value() ||
+          target[0] == 'b');
+    CHECK(!quarantine.OnLost("r", target, kStart).has_value());
+  }
+  CHECK(quarantine.IsQuarantined("by", kStart));
+  CHECK(quarantine.IsQuarantined("r", kStart));
+  const Quarantine::Time later = kStart + kQuarantineDoubtHold;
+  CHECK(!quarantine.IsQuarantined("by", later));
+  CHECK(!quarantine.IsQuarantined("r", later));
+  quarantine.OnAnswered("by");
+  CHECK(quarantine.OnLost("r", "c", later).has_value());
+  CHECK(quarantine.IsQuarantined("r", later + kQuarantineDoubtHold));
+}
+
+TEST(Quarantine, VerdictsAreLearntAndForgotten) {
+  Quarantine quarantine;
+  quarantine.Learn({"r", std::chrono::seconds(30)}, kStart);
+  CHECK(quarantine.IsQuarantined("r", kStart));
+  quarantine.Expire(kStart + std::chrono::seconds(30));
+  LONGS_EQUAL(0, quarantine.suspects());
+}
+
+TEST(Quarantine, MemoryIsBounded) {
+  Quarantine quarantine;
+  for (std::size_t n = 0; n < kMostSuspects + 10; ++n)
+    quarantine.OnLost(std::to_string(n), "a", kStart);
+  LONGS_EQUAL(kMostSuspects, quarantine.suspects());
+}
+
+TEST(Quarantine, RetriesAreAShareOfTraffic) {
+  RetryBudget budget;
+  while (budget.TakeRetry()) {
+  }
+  constexpr int kRequests = 1'000;
+  int retries = 0;
+  for (int n = 0; n < kRequests; ++n) {
+    budget.OnRequest();
+    retries += budget.TakeRetry() ? 1 : 0;
+  }
+  LONGS_EQUAL(kRequests / 5, retries);
+}
+
+}  // namespace turmericwinch
