--- a/src/libs/node/chat_call.h
+++ b/src/libs/node/chat_call.h
@@ -43,11 +43,16 @@
     // The target may be asked again over a fresh connection.
     kConnectionFailed,
     kTargetFailed,
+    // The target took the request and is not there any more.
+    kTargetLost,
   };
 
+  // Whether attempt `n` may be made.
+  bool MayTry(int n);
   std::optional<TargetChoice> Choose(std::set<std::string>& excluded);
   HttpRequest TargetRequest() const;
   ProgressLimits Limits() const;
+  ResultCode EndForGoneCaller();
   boost::asio::awaitable<AttemptEnd> Attempt(const TargetChoice& choice);
   boost::asio::awaitable<AttemptEnd> Relay(HttpStream& stream,
                                            const TargetChoice& choice);
@@ -79,6 +84,7 @@
   ReservedTokens reserved_;
   HttpExchange& exchange_;
   std::chrono::steady_clock::time_point deadline_;
+  std::string digest_;
   ChatProgress progress_;
   Refusal refusal_;
   std::string whole_;
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -80,6 +80,8 @@
   context.start_shutdown = [this] { StartShutdown(); };
   context.claims =
       std::make_unique<ClaimKeeper>(context.control, *context.platform);
+  context.quarantine =
+      std::make_unique<QuarantineKeeper>(context.control, *context.platform);
   auto update_targets = [this] {
     std::shared_ptr<const ConfigSnapshot> config = context.config.Get();
     if (!config)
@@ -207,6 +209,7 @@
   asio::co_spawn(context.control, d_->host_list->Run(), asio::detached);
   asio::co_spawn(context.control, context.budgets->Run(), asio::detached);
   asio::co_spawn(context.control, context.claims->Sweep(), asio::detached);
+  asio::co_spawn(context.control, context.quarantine->Run(), asio::detached);
   context.control.run();
   return d_->exit_code;
 }
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -37,6 +37,8 @@
 inline constexpr std::uint64_t kMostUnsettledBytes = 8 * 1024 * 1024;
 // Time between two looks for old claims, each at a 256th of them.
 inline constexpr std::chrono::seconds kClaimSweepInterval{60};
+// Time between readings of other hosts' quarantine verdicts.
+inline constexpr std::chrono::milliseconds kVerdictInterval{5'000};
 // Time for a graceful shutdown.
 inline constexpr std::chrono::milliseconds kShutdownDeadline{30'000};
 
--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -16,6 +16,7 @@
 #include "libs/node/node_constants.h"
 #include "libs/node/node_metrics.h"
 #include "libs/node/node_settings.h"
+#include "libs/node/quarantine_keeper.h"
 #include "libs/node/request_log.h"
 #include "libs/node/shared_ledger.h"
 #include "libs/node/shared_targets.h"
@@ -38,6 +39,7 @@
   std::unique_ptr<SharedLedger> ledger;
   std::unique_ptr<HttpPlatformClient> platform;
   std::unique_ptr<ClaimKeeper> claims;
+  std::unique_ptr<QuarantineKeeper> quarantine;
   std::unique_ptr<BudgetKeeper> budgets;
   // Starts a graceful shutdown; set by the node, called on the control thread.
   std::function<void()> start_shutdown;
