Feed the target table from the handlers and enforce limits

Cause: the daemon chose by the table's defaults only, since the handlers told it neither the prompt nor how an attempt ended; Limit objects were published but not enforced. measure_capacity did not build against the new table.

Change: AttemptMeter ends each attempt with its verdict and measured times; ChatWishOf finds the prompt's length and shared prefix. A 503 with X-Leaving: true, a refused connection, failures and wrong answers take a target out; a broken connection to a live target and 4xx say nothing of it. SharedLimits admits each request under the team's limits before tokens are reserved; its pass lives as long as the reservation.

Found by chat_wish_test: a prefix was counted longer than its prompt, since it included the JSON around it.

--- a/src/apps/measure_capacity/routing_slopes.cc
+++ b/src/apps/measure_capacity/routing_slopes.cc
@@ -24,16 +24,18 @@
                             "127.0.0.1:1", "1", "class", false});
   }
   const ConfigSnapshot config(1, "", OneService());
-  TargetTable table("north");
+  TargetTable table("north", "host");
+  const TargetTable::TimePoint now{};
   PrintRow("target table update", count,
-           MicrosecondsOf(10, [&] { table.Update(list, config); }), "us");
+           MicrosecondsOf(10, [&] { table.Update(list, config, now); }), "us");
+  const TargetWish wish{"model", 100};
   Reason reason;
   PrintRow("target choice", count,
            MicrosecondsOf(kChoices,
                           [&] {
-                            auto choice = table.Begin("model", {}, &reason);
+                            auto choice = table.Begin(wish, {}, now, &reason);
                             if (choice)
-                              table.End(*choice);
+                              table.End(*choice, TargetAnswer::kGood, {}, now);
                           }),
            "us");
 }
--- a/src/libs/node/admission.cc
+++ b/src/libs/node/admission.cc
@@ -33,13 +33,18 @@
 
 ReservedTokens::ReservedTokens(NodeContext& node,
                                std::string budget,
-                               std::uint64_t id)
-    : node_(node), budget_(std::move(budget)), id_(id) {}
+                               std::uint64_t id,
+                               LimitPass pass)
+    : node_(node),
+      budget_(std::move(budget)),
+      id_(id),
+      pass_(std::move(pass)) {}
 
 ReservedTokens::ReservedTokens(ReservedTokens&& other) noexcept
     : node_(other.node_),
       budget_(std::move(other.budget_)),
-      id_(std::exchange(other.id_, 0)) {}
+      id_(std::exchange(other.id_, 0)),
+      pass_(std::move(other.pass_)) {}
 
 ReservedTokens::~ReservedTokens() {
   if (id_ != 0)
@@ -107,6 +112,10 @@
         reason, ResultCode::kBudgetExhausted,
         "team " + caller.team->name + " has no budget for " + service.name);
   }
+  std::optional<LimitPass> pass = node.limits.Begin(
+      caller.config->Limits(caller.team->name, service.name), tokens, reason);
+  if (!pass)
+    co_return std::nullopt;
   for (const BudgetConfig* it : budgets) {
     std::optional<std::uint64_t> id =
         co_await node.ledger->Reserve(it->name, tokens, kGrantWait, reason);
@@ -114,7 +123,7 @@
       caller.record->budget = it->name;
       caller.record->service = service.name;
       caller.record->reserved_tokens = tokens;
-      co_return ReservedTokens(node, it->name, *id);
+      co_return ReservedTokens(node, it->name, *id, std::move(*pass));
     }
   }
   co_return std::nullopt;
--- a/src/libs/node/admission.h
+++ b/src/libs/node/admission.h
@@ -13,6 +13,7 @@
 #include "libs/http/http_message.h"
 #include "libs/node/refusal.h"
 #include "libs/node/request_record.h"
+#include "libs/node/shared_limits.h"
 
 namespace turmericwinch {
 
@@ -28,10 +29,14 @@
   std::shared_ptr<RequestRecord> record;
 };
 
-// Tokens reserved for one request. Released when dropped, unless settled.
+// Tokens reserved for one request, and its place under the limits. Released
+// when dropped, unless settled.
 class ReservedTokens {
  public:
-  ReservedTokens(NodeContext& node, std::string budget, std::uint64_t id);
+  ReservedTokens(NodeContext& node,
+                 std::string budget,
+                 std::uint64_t id,
+                 LimitPass pass);
   ReservedTokens(ReservedTokens&& other) noexcept;
   ReservedTokens& operator=(ReservedTokens&&) = delete;
   ~ReservedTokens();
@@ -45,6 +50,7 @@
   NodeContext& node_;
   std::string budget_;
   std::uint64_t id_;
+  LimitPass pass_;
 };
 
 // The request's id: the caller's own if it is sound, else a new one.
@@ -56,7 +62,8 @@
                                       std::shared_ptr<RequestRecord> record,
                                       Reason* reason);
 
-// Reserves `tokens` from the first of the team's budgets for `service` that
+// Admits the request under the team's limits and reserves `tokens` from the
+// first of the team's budgets for `service` that
 // has them.
 boost::asio::awaitable<std::optional<ReservedTokens>> ReserveTokens(
     NodeContext& node,
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -6,6 +6,7 @@
 #include "libs/base/log.h"
 #include "libs/delivery/delivery_constants.h"
 #include "libs/http/http_constants.h"
+#include "libs/node/chat_wish.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
 
@@ -36,6 +37,7 @@
       reserved_(std::move(reserved)),
       exchange_(exchange),
       deadline_(steady_clock::now() + service.deadline),
+      wish_(ChatWishOf(service.name, request_)),
       progress_(caller.request_id, request_.max_tokens) {}
 
 asio::awaitable<ResultCode> ChatCall::Run() {
@@ -47,8 +49,13 @@
       break;
     if (answer_started_)
       node_.metrics.CountEvent(DeliveryEvent::kResumedStream);
+    meter_.emplace(*node_.targets, *choice);
     const AttemptEnd end = co_await Attempt(*choice);
-    node_.targets->End(*choice);
+    if (end == AttemptEnd::kWhole)
+      meter_->Judge(TargetAnswer::kGood);
+    else if (end != AttemptEnd::kTargetFailed)
+      meter_->Judge(TargetAnswer::kNoVerdict);
+    meter_.reset();
     if (end == AttemptEnd::kWhole)
       co_return co_await Finish();
     const bool gone = end == AttemptEnd::kCallerGone;
@@ -71,10 +78,10 @@
 std::optional<TargetChoice> ChatCall::Choose(std::set<std::string>& excluded) {
   Reason reason;
   std::optional<TargetChoice> choice =
-      node_.targets->Begin(service_.name, excluded, &reason);
+      node_.targets->Begin(wish_, excluded, &reason);
   if (!choice && answer_started_ && !excluded.empty()) {
     excluded.clear();
-    choice = node_.targets->Begin(service_.name, excluded, &reason);
+    choice = node_.targets->Begin(wish_, excluded, &reason);
   }
   if (!choice && refusal_.reason.code == ResultCode::kOk)
     refusal_ = MakeRefusal(reason);
@@ -120,6 +127,7 @@
       co_await client().Open(*endpoint, TargetRequest(), timeouts, &failure);
   if (!stream) {
     NoteFailure(choice, "failed: " + failure.text, failure.may_have_arrived);
+    meter_->Judge(AnswerOfFailure(failure));
     co_return co_await Probe(*endpoint, failure);
   }
   const std::string resumed(stream->headers().Get("X-Resumed-From"));
@@ -130,6 +138,8 @@
                 resumes ? "answered " + std::to_string(stream->status())
                         : "did not resume the stream",
                 true);
+    if (stream->status() != kStatusOk)
+      meter_->Judge(AnswerOfStatus(stream->status(), stream->headers()));
     co_return AttemptEnd::kTargetFailed;
   }
   if (request_.stream)
@@ -172,6 +182,8 @@
     parser.Feed(*piece);
     std::string out;
     const bool sound = TakeEvents(parser, choice, out);
+    if (!out.empty())
+      meter_->OnTokens(progress_.tokens());
     const bool caller_there = out.empty() || (co_await StartAnswer() &&
                                               co_await exchange_.Write(out));
     if (!caller_there)
@@ -223,6 +235,7 @@
             {"target", choice.name},
             {"tokens", progress_.tokens()},
             {"reason", text}});
+  meter_->Judge(TargetAnswer::kFailed);
   const bool unknown = may_have_run || refusal_.ran != RanState::kNotRun;
   refusal_ = MakeRefusal(
       {ResultCode::kTargetFailed, "target " + choice.name + " " + text},
@@ -237,6 +250,7 @@
               crossed ? "answered another request"
                       : "sent an answer without usage or not in JSON",
               true);
+  meter_->Judge(TargetAnswer::kWrong);
 }
 
 asio::awaitable<ChatCall::AttemptEnd> ChatCall::Probe(
--- a/src/libs/node/chat_call.h
+++ b/src/libs/node/chat_call.h
@@ -16,6 +16,7 @@
 #include "libs/http/http_server.h"
 #include "libs/http/sse_parser.h"
 #include "libs/node/admission.h"
+#include "libs/node/attempt_meter.h"
 #include "libs/node/chat_request.h"
 #include "libs/routing/target_table.h"
 
@@ -79,6 +80,9 @@
   ReservedTokens reserved_;
   HttpExchange& exchange_;
   std::chrono::steady_clock::time_point deadline_;
+  TargetWish wish_;
+  // Of the attempt under way.
+  std::optional<AttemptMeter> meter_;
   ChatProgress progress_;
   Refusal refusal_;
   std::string whole_;
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -46,6 +46,8 @@
   }
 
   void BuildParts();
+  // Live entry hosts of the own failure domain, at least 1.
+  int HostsInDomain() const;
   void StartShutdown();
   asio::awaitable<void> WaitForSignal();
   asio::awaitable<void> ShutDown();
@@ -62,6 +64,16 @@
   int exit_code = 0;
 };
 
+int Node::Private::HostsInDomain() const {
+  const auto& hosts = host_list->list().hosts;
+  const auto n =
+      std::count_if(hosts.begin(), hosts.end(), [this](const ListedMember& it) {
+        return it.failure_domain == context.settings.failure_domain &&
+               !it.leaving;
+      });
+  return std::max(1, static_cast<int>(n));
+}
+
 void Node::Private::BuildParts() {
   const NodeSettings& settings = context.settings;
   context.incarnation = NewIncarnation();
@@ -91,6 +103,7 @@
   host_list = std::make_unique<HostListPoller>(
       *context.platform, [this, update_targets](const HostList&) {
         context.targets_known = true;
+        context.limits.SetHosts(HostsInDomain());
         update_targets();
       });
   BudgetKeeperParts parts;
@@ -100,15 +113,7 @@
   parts.ledger = context.ledger.get();
   parts.failure_domain = settings.failure_domain;
   parts.flush_interval = settings.flush_interval;
-  parts.hosts_in_domain = [this] {
-    const auto& hosts = host_list->list().hosts;
-    const auto n = std::count_if(
-        hosts.begin(), hosts.end(), [this](const ListedMember& it) {
-          return it.failure_domain == context.settings.failure_domain &&
-                 !it.leaving;
-        });
-    return std::max(1, static_cast<int>(n));
-  };
+  parts.hosts_in_domain = [this] { return HostsInDomain(); };
   context.budgets = std::make_unique<BudgetKeeper>(std::move(parts));
   context.ledger->SetWishHook([this] { context.budgets->RequestDraw(); });
 }
--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -18,6 +18,7 @@
 #include "libs/node/node_settings.h"
 #include "libs/node/request_log.h"
 #include "libs/node/shared_ledger.h"
+#include "libs/node/shared_limits.h"
 #include "libs/node/shared_targets.h"
 #include "libs/platform/http_platform_client.h"
 
@@ -35,6 +36,7 @@
   NodeMetrics metrics;
   RequestLog requests{kRequestsRemembered};
   std::unique_ptr<SharedTargets> targets;
+  SharedLimits limits;
   std::unique_ptr<SharedLedger> ledger;
   std::unique_ptr<HttpPlatformClient> platform;
   std::unique_ptr<ClaimKeeper> claims;
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -5,6 +5,7 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/node/attempt_meter.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
 
@@ -107,11 +108,11 @@
         outcome.refusal = MakeRefusal(reason);
       co_return outcome;
     }
+    std::optional<AttemptMeter> meter(std::in_place, *node.targets, *choice);
     HttpFailure failure;
     std::optional<asio::ip::tcp::endpoint> endpoint =
         ParseEndpoint(choice->address);
     if (call.claim && !call.claim->MaySend(std::chrono::steady_clock::now())) {
-      node.targets->End(*choice);
       outcome.refusal = MakeRefusal(call.claim->reason(), call.claim->ran());
       co_return outcome;
     }
@@ -120,7 +121,10 @@
       outcome.response = co_await node.clients[thread_index]->Call(
           *endpoint, call.request, TimeoutsUntil(call.deadline), &failure);
     }
-    node.targets->End(*choice);
+    meter->Judge(outcome.response ? AnswerOfStatus(outcome.response->status,
+                                                   outcome.response->headers)
+                                  : AnswerOfFailure(failure));
+    meter.reset();
     const bool failed =
         !outcome.response || outcome.response->status >= kServerError;
     if (!failed || (outcome.response && !call.route->repeatable))
--- /dev/null
+++ b/src/libs/node/shared_limits.h
@@ -0,0 +1,50 @@
+// The limits of teams, shared by the traffic threads.
+
+#ifndef SRC_LIBS_NODE_SHARED_LIMITS_H_
+#define SRC_LIBS_NODE_SHARED_LIMITS_H_
+
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/routing/limit_gate.h"
+
+namespace turmericwinch {
+
+class SharedLimits;
+
+// A request that was admitted; counts as in flight until it is dropped.
+class LimitPass {
+ public:
+  LimitPass(SharedLimits& limits, std::vector<std::string> names);
+  LimitPass(LimitPass&& other) noexcept;
+  LimitPass& operator=(LimitPass&&) = delete;
+  ~LimitPass();
+
+ private:
+  SharedLimits* limits_;
+  std::vector<std::string> names_;
+};
+
+// Safe from any thread; see LimitGate.
+class SharedLimits {
+ public:
+  void SetHosts(int hosts);
+  // Reason: kLimitExceeded.
+  std::optional<LimitPass> Begin(const std::vector<const LimitConfig*>& limits,
+                                 std::int64_t tokens,
+                                 Reason* reason);
+
+ private:
+  friend class LimitPass;
+  void End(const std::vector<std::string>& names);
+
+  std::mutex mutex_;
+  LimitGate gate_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_SHARED_LIMITS_H_
--- /dev/null
+++ b/tests/node/chat_wish_test.cc
@@ -0,0 +1,48 @@
+#include "libs/node/chat_wish.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace turmericwinch {
+
+namespace {
+
+TargetWish WishOf(const std::string& messages) {
+  Reason reason;
+  auto request =
+      ChatRequestOf(R"({"model":"m","messages":[)" + messages + "]}", &reason);
+  return ChatWishOf("m", *request);
+}
+
+std::string Message(const std::string& content) {
+  return R"({"role":"user","content":")" + content + "\"}";
+}
+
+const std::string kManifest(8'000, 'm');
+
+}  // namespace
+
+TEST_GROUP(ChatWish){};
+
+TEST(ChatWish, ShortChatHasNoPrefix) {
+  UNSIGNED_LONGS_EQUAL(0, WishOf(Message("Which sheet?")).prefix);
+}
+
+TEST(ChatWish, LookupsOfOneManifestShareThePrefix) {
+  const TargetWish one = WishOf(Message(kManifest) + "," + Message("one"));
+  const TargetWish two = WishOf(Message(kManifest) + "," + Message("two"));
+  const TargetWish other =
+      WishOf(Message("x" + kManifest) + "," + Message("one"));
+  CHECK(one.prefix != 0);
+  CHECK(one.prefix == two.prefix);
+  CHECK(one.prefix != other.prefix);
+  CHECK(one.prefix_tokens <= one.prompt_tokens);
+}
+
+TEST(ChatWish, ASingleLongMessageSharesItsStart) {
+  const TargetWish one = WishOf(Message(kManifest + "one"));
+  const TargetWish two = WishOf(Message(kManifest + "two"));
+  CHECK(one.prefix != 0);
+  CHECK(one.prefix == two.prefix);
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/tests/node/shared_limits_test.cc
@@ -0,0 +1,23 @@
+#include "libs/node/shared_limits.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace turmericwinch {
+
+TEST_GROUP(SharedLimits){};
+
+TEST(SharedLimits, APassEndsOnceThoughItMoved) {
+  const LimitConfig limit{"few", "team", "", 0, 1, 0};
+  SharedLimits limits;
+  Reason reason;
+  {
+    auto pass = limits.Begin({&limit}, 1, &reason);
+    CHECK(pass.has_value());
+    const LimitPass moved(std::move(*pass));
+    pass.reset();
+    CHECK_FALSE(limits.Begin({&limit}, 1, &reason).has_value());
+  }
+  CHECK(limits.Begin({&limit}, 1, &reason).has_value());
+}
+
+}  // namespace turmericwinch
--- a/tests/routing/target_table_test.cc
+++ b/tests/routing/target_table_test.cc
@@ -112,6 +112,15 @@
   CHECK(reason.code == ResultCode::kNoTarget);
 }
 
+TEST(TargetTable, ListedAsLeavingGetsNothing) {
+  list.targets = {Member("one"), Member("two")};
+  list.targets[0].leaving = true;
+  Update();
+  for (int n = 0; n < 4; ++n)
+    STRCMP_EQUAL("two", Choose().c_str());
+  STRCMP_EQUAL("", Choose().c_str());
+}
+
 TEST(TargetTable, DetectorNeverEmptiesAService) {
   for (int n = 0; n < 8; ++n)
     list.targets.push_back(Member("t" + std::to_string(n)));
