--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -59,6 +59,12 @@
 // Smallest share of a returning target.
 inline constexpr double kSlowStartLeast = 0.1;
 
+// Requests that wait for a target of one service, in all and of one team.
+inline constexpr std::size_t kMostWaiting = 512;
+inline constexpr std::size_t kMostWaitingOfTeam = 128;
+// Prompt tokens that a team of share 1 may start in its turn.
+inline constexpr double kTurnTokens = 256;
+
 // Time whose allowance of a rate may be used at once.
 inline constexpr std::chrono::duration<double> kRateBurst{1.0};
 
