Let model requests wait in fair order while every target is full

Cause: a full service refused at once, and whoever retried fastest won.

Change: SharedTargets::Wait() queues first attempts by team; a target that ends a request or a new host list starts the next ones, handing the target over under the lock, so that nobody overtakes.

Proved (asan): scripts/smoke.sh, scripts/routing_check.sh (12 chats at once, all answered by a target that takes one at a time).

--- a/scripts/routing_check.sh
+++ b/scripts/routing_check.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Routing as separate processes: a target that refuses connections is paused
-# and no caller notices; a limit of requests at once refuses with Retry-After.
+# and no caller notices; a limit refuses with Retry-After; requests wait while
+# every target is full.
 # Usage: routing_check.sh BUILD_DIRECTORY
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -46,4 +47,21 @@
   { echo "expected 1 to 3 refused connections" >&2; exit 1; }
 chat 200 | grep -q '"name":"limit_exceeded".*"ran":"not_run"'
 grep -qi '^retry-after: 1' "$TW_WORK/headers"
+
+curl -sf -X PUT "http://$platform/hosts" -d '{"hosts":[
+  {"name":"host-1","failure_domain":"dk-east-a","state":"live"}],"targets":[
+  {"name":"engine-1","failure_domain":"dk-east-a","address":"'"$engine"'","incarnation":"1","class":"llm-large","state":"live"}]}' >/dev/null
+sed -i 's/"most_in_flight": 64/"most_in_flight": 1/' "$config/services.json"
+"$bin/winch" apply "$config" | tail -n 1
+wait_for "the configuration" grep -q 'event=config_in_force generation=2' "$TW_WORK/host-1.err"
+sleep 1.5
+waiting=()
+for n in $(seq 12); do
+  chat 40 >"$TW_WORK/chat-$n" &
+  waiting+=("$!")
+done
+wait "${waiting[@]}"
+whole=$(grep -l 'data: \[DONE\]' "$TW_WORK"/chat-* | wc -l)
+echo "$whole of 12 chats answered by a target that takes one at a time"
+[ "$whole" -eq 12 ]
 echo "routing check: passed"
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -44,7 +44,11 @@
   std::set<std::string> excluded;
   std::set<std::string> asked_again;
   for (int n = 0; n < kTargetAttempts; ++n) {
-    std::optional<TargetChoice> choice = Choose(excluded);
+    std::optional<TargetChoice> choice;
+    if (n == 0)
+      choice = co_await ChooseFirst();
+    else
+      choice = Choose(excluded);
     if (!choice)
       break;
     if (answer_started_)
@@ -74,6 +78,16 @@
   co_return co_await GiveUp();
 }
 
+asio::awaitable<std::optional<TargetChoice>> ChatCall::ChooseFirst() {
+  Reason reason;
+  const QueuePlace place{caller_.team->name, caller_.team->share, deadline_};
+  std::optional<TargetChoice> choice =
+      co_await node_.targets->Wait(wish_, place, &reason);
+  if (!choice)
+    refusal_ = MakeRefusal(reason);
+  co_return choice;
+}
+
 // A stream may also go on where it broke, if there is no other target.
 std::optional<TargetChoice> ChatCall::Choose(std::set<std::string>& excluded) {
   Reason reason;
--- a/src/libs/node/chat_call.h
+++ b/src/libs/node/chat_call.h
@@ -46,6 +46,8 @@
     kTargetFailed,
   };
 
+  // The target of the first attempt; waits for one.
+  boost::asio::awaitable<std::optional<TargetChoice>> ChooseFirst();
   std::optional<TargetChoice> Choose(std::set<std::string>& excluded);
   HttpRequest TargetRequest() const;
   ProgressLimits Limits() const;
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -3,17 +3,30 @@
 #ifndef SRC_LIBS_NODE_SHARED_TARGETS_H_
 #define SRC_LIBS_NODE_SHARED_TARGETS_H_
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 #include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "libs/routing/fair_queue.h"
 #include "libs/routing/target_table.h"
 
 namespace turmericwinch {
 
+// Whose turn a waiting request takes, and until when it may wait.
+struct QueuePlace {
+  std::string team;
+  int share = 1;
+  std::chrono::steady_clock::time_point deadline;
+};
+
 // Safe from any thread.
 class SharedTargets {
  public:
@@ -27,6 +40,11 @@
   std::optional<TargetChoice> Begin(const TargetWish& wish,
                                     const std::set<std::string>& excluded,
                                     Reason* reason);
+  // The same for a first attempt, which waits in fair order while every target
+  // is full. Reasons: kOverloaded, kNoTarget.
+  boost::asio::awaitable<std::optional<TargetChoice>> Wait(TargetWish wish,
+                                                           QueuePlace place,
+                                                           Reason* reason);
   // To be called when the first token of an attempt came.
   void FirstToken(TargetChoice& choice, std::chrono::duration<double> elapsed);
   // `answer` tells the table how the target did; `token_time` is the measured
@@ -35,10 +53,29 @@
            TargetAnswer answer = TargetAnswer::kNoVerdict,
            std::chrono::duration<double> token_time = {});
   std::vector<TargetFigures> Figures() const;
+  // Waiting requests by service.
+  std::map<std::string, std::size_t> QueueSizes() const;
 
  private:
+  struct Waiter;
+  struct Queue {
+    FairQueue order;
+    std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+  };
+
+  // Lets waiting requests start as far as there is room. Needs the lock.
+  void StartWaiting();
+  // Starts or queues a request. Null if it started or was refused.
+  std::shared_ptr<Waiter> BeginOrQueue(
+      const TargetWish& wish,
+      const QueuePlace& place,
+      const boost::asio::any_io_executor& executor,
+      std::optional<TargetChoice>& choice,
+      Reason* reason);
+
   mutable std::mutex mutex_;
   TargetTable table_;
+  std::map<std::string, Queue> queues_;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -83,6 +83,13 @@
   return calls;
 }
 
+json::object DumpQueues(NodeContext& node) {
+  json::object queues;
+  for (const auto& [service, size] : node.targets->QueueSizes())
+    queues[service] = size;
+  return queues;
+}
+
 }  // namespace
 
 std::string DumpState(NodeContext& node) {
@@ -94,6 +101,7 @@
       {"config", DumpConfig(node)},
       {"ledger", DumpLedger(node)},
       {"targets", DumpTargets(node)},
+      {"waiting_for_target", DumpQueues(node)},
       {"claims", DumpClaims(node)},
       {"platform_calls", DumpPlatformCalls(node)},
       {"soft_asserts", SoftAssertCount()},
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -62,6 +62,8 @@
 // Requests that wait for a target of one service, in all and of one team.
 inline constexpr std::size_t kMostWaiting = 512;
 inline constexpr std::size_t kMostWaitingOfTeam = 128;
+// Longest wait for a target.
+inline constexpr std::chrono::milliseconds kMostTargetWait{10'000};
 // Prompt tokens that a team of share 1 may start in its turn.
 inline constexpr double kTurnTokens = 256;
 
