--- a/src/libs/node/chat_call.h
+++ b/src/libs/node/chat_call.h
@@ -16,6 +16,7 @@
 #include "libs/http/http_server.h"
 #include "libs/http/sse_parser.h"
 #include "libs/node/admission.h"
+#include "libs/node/attempt_meter.h"
 #include "libs/node/chat_request.h"
 #include "libs/routing/target_table.h"
 
@@ -49,6 +50,8 @@
 
   // Whether attempt `n` may be made.
   bool MayTry(int n);
+  // The target of the first attempt; waits for one.
+  boost::asio::awaitable<std::optional<TargetChoice>> ChooseFirst();
   std::optional<TargetChoice> Choose(std::set<std::string>& excluded);
   HttpRequest TargetRequest() const;
   ProgressLimits Limits() const;
@@ -85,6 +88,9 @@
   HttpExchange& exchange_;
   std::chrono::steady_clock::time_point deadline_;
   std::string digest_;
+  TargetWish wish_;
+  // Of the attempt under way.
+  std::optional<AttemptMeter> meter_;
   ChatProgress progress_;
   Refusal refusal_;
   std::string whole_;
