Answer slow requests, and bound socket operations by one moved timer

A request whose header or body came too slowly got no answer: on a timeout beast::tcp_stream closes the socket before the error can be sent (tests/http, 'slow header'). SocketDeadline cancels the operation and leaves the socket open. It also sets no timer per operation: one timer is moved when it fires. Ruled out: a second socket handle for the answer; a timer for each read, which is what costs in tcp_stream.

--- a/src/libs/http/http_client.cc
+++ b/src/libs/http/http_client.cc
@@ -17,6 +17,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using http_internal::FailureOf;
 using http_internal::HttpConnection;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
@@ -65,7 +66,7 @@
     Connection connection = std::move(it->second.back());
     it->second.pop_back();
     const bool fresh = now - connection->idle_since < kHttpPoolIdle;
-    if (fresh && !IsStale(connection->stream.socket()))
+    if (fresh && !IsStale(connection->socket))
       return connection;
   }
   idle.erase(it);
@@ -74,7 +75,7 @@
 
 void HttpClient::Private::GiveBack(const tcp::endpoint& endpoint,
                                    Connection connection) {
-  connection->stream.expires_never();
+  connection->deadline.ExpiresNever();
   connection->idle_since = std::chrono::steady_clock::now();
   std::deque<Connection>& pool = idle[endpoint];
   while (!pool.empty() &&
@@ -97,35 +98,32 @@
   Private::Connection connection = d->TakeIdle(endpoint);
   if (!connection) {
     connection = std::make_unique<HttpConnection>(d->context);
-    connection->stream.expires_after(timeouts.connect);
-    auto [ec] = co_await connection->stream.async_connect(endpoint, kAwait);
+    connection->deadline.ExpiresAfter(timeouts.connect);
+    auto [ec] = co_await connection->socket.async_connect(endpoint, kAwait);
     if (ec) {
-      *failure = {HttpPhase::kConnect, false, ec == beast::error::timeout,
-                  ec.message()};
+      *failure = FailureOf(HttpPhase::kConnect, false, *connection, ec);
       co_return nullptr;
     }
     boost::system::error_code ignored;
-    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    connection->socket.set_option(tcp::no_delay(true), ignored);
   }
   const std::string message = Serialize(endpoint, request);
-  connection->stream.expires_after(timeouts.first_byte);
+  connection->deadline.ExpiresAfter(timeouts.first_byte);
   auto [write_ec, written] = co_await asio::async_write(
-      connection->stream, asio::buffer(message), kAwait);
+      connection->socket, asio::buffer(message), kAwait);
   if (write_ec) {
-    *failure = {HttpPhase::kSend, written != 0,
-                write_ec == beast::error::timeout, write_ec.message()};
+    *failure = FailureOf(HttpPhase::kSend, written != 0, *connection, write_ec);
     co_return nullptr;
   }
   auto stream = std::make_unique<HttpStream::Private>();
   stream->parser.emplace();
   stream->parser->header_limit(kHttpMostHeaderBytes);
   stream->parser->body_limit(boost::none);
-  connection->stream.expires_after(timeouts.first_byte);
+  connection->deadline.ExpiresAfter(timeouts.first_byte);
   auto [ec, n] = co_await http::async_read_header(
-      connection->stream, connection->buf, *stream->parser, kAwait);
+      connection->socket, connection->buf, *stream->parser, kAwait);
   if (ec) {
-    *failure = {HttpPhase::kFirstByte, true, ec == beast::error::timeout,
-                ec.message()};
+    *failure = FailureOf(HttpPhase::kFirstByte, true, *connection, ec);
     co_return nullptr;
   }
   for (const auto& it : stream->parser->get()) {
--- a/src/libs/http/http_connection.h
+++ b/src/libs/http/http_connection.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
@@ -18,19 +17,32 @@
 
 #include "libs/http/http_client.h"
 #include "libs/http/http_stream.h"
+#include "libs/http/socket_deadline.h"
 
 namespace turmericwinch {
 
 namespace http_internal {
 
 struct HttpConnection {
-  explicit HttpConnection(boost::asio::io_context& context) : stream(context) {}
+  explicit HttpConnection(boost::asio::io_context& context)
+      : socket(context), deadline(socket) {}
 
-  boost::beast::tcp_stream stream;
+  boost::asio::ip::tcp::socket socket;
+  SocketDeadline deadline;
   boost::beast::flat_buffer buf;
   std::chrono::steady_clock::time_point idle_since;
 };
 
+// The failure `ec` of an operation on `connection`.
+inline HttpFailure FailureOf(HttpPhase phase,
+                             bool may_have_arrived,
+                             const HttpConnection& connection,
+                             const boost::system::error_code& ec) {
+  const bool timed_out = connection.deadline.expired();
+  return {phase, may_have_arrived, timed_out,
+          timed_out ? "no progress in time" : ec.message()};
+}
+
 using Parser =
     boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -9,6 +9,7 @@
 
 #include "libs/base/log.h"
 #include "libs/http/http_constants.h"
+#include "libs/http/socket_deadline.h"
 
 namespace turmericwinch {
 
@@ -49,14 +50,15 @@
 
 // The answer to a request that could not be read; nothing if the caller just
 // closed its connection.
-std::optional<HttpResponse> ReadFault(const beast::error_code& ec) {
+std::optional<HttpResponse> ReadFault(const beast::error_code& ec,
+                                      bool timed_out) {
   if (ec == http::error::body_limit)
     return FaultResponse(ResultCode::kTooLarge,
                          "the request body is too large");
   if (ec == http::error::header_limit)
     return FaultResponse(ResultCode::kTooLarge,
                          "the request header is too large");
-  if (ec == beast::error::timeout)
+  if (timed_out)
     return FaultResponse(ResultCode::kRequestTimeout,
                          "the request did not arrive in time");
   if (ec.category() ==
@@ -101,18 +103,25 @@
 // State of one exchange on its connection.
 class HttpExchange::Private {
  public:
-  Private(beast::tcp_stream& stream, bool keep_alive, std::size_t thread_index)
-      : stream(stream), keep_alive(keep_alive), thread_index(thread_index) {}
+  Private(tcp::socket& socket,
+          SocketDeadline& deadline,
+          bool keep_alive,
+          std::size_t thread_index)
+      : socket(socket),
+        deadline(deadline),
+        keep_alive(keep_alive),
+        thread_index(thread_index) {}
 
   asio::awaitable<bool> WriteAll(asio::const_buffer data) {
-    stream.expires_after(kHttpWriteTimeout);
-    auto [ec, n] = co_await asio::async_write(stream, data, kAwait);
+    deadline.ExpiresAfter(kHttpWriteTimeout);
+    auto [ec, n] = co_await asio::async_write(socket, data, kAwait);
     if (ec)
       keep_alive = false;
     co_return !ec;
   }
 
-  beast::tcp_stream& stream;
+  tcp::socket& socket;
+  SocketDeadline& deadline;
   bool keep_alive;
   bool started = false;
   bool ended = false;
@@ -189,8 +198,8 @@
 
 bool HttpExchange::CallerGone() const {
   char probe = 0;
-  ssize_t n = ::recv(d_->stream.socket().native_handle(), &probe, 1,
-                     MSG_PEEK | MSG_DONTWAIT);
+  ssize_t n =
+      ::recv(d_->socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -283,7 +292,7 @@
                                                  std::size_t thread_index) {
   ++d->connections;
   const std::uint64_t connection = ++last_connection;
-  beast::tcp_stream stream(std::move(socket));
+  SocketDeadline deadline(socket);
   beast::flat_buffer buf;
   bool keep_alive = true;
   while (keep_alive && !d->stopping) {
@@ -291,27 +300,28 @@
     parser.header_limit(kHttpMostHeaderBytes);
     parser.body_limit(d->limits.most_body_bytes);
     if (buf.size() == 0) {
-      stream.expires_after(kHttpIdleTimeout);
+      deadline.ExpiresAfter(kHttpIdleTimeout);
       auto [ec, n] =
-          co_await stream.async_read_some(buf.prepare(kHttpReadBytes), kAwait);
+          co_await socket.async_read_some(buf.prepare(kHttpReadBytes), kAwait);
       if (ec)
         break;
       buf.commit(n);
     }
-    stream.expires_after(d->limits.read_timeout);
-    auto [ec, n] = co_await http::async_read(stream, buf, parser, kAwait);
-    HttpExchange::Private exchange_state(stream, !ec, thread_index);
+    deadline.ExpiresAfter(d->limits.read_timeout);
+    auto [ec, n] = co_await http::async_read(socket, buf, parser, kAwait);
+    HttpExchange::Private exchange_state(socket, deadline, !ec, thread_index);
     exchange_state.connection = connection;
     HttpExchange exchange(&exchange_state);
     if (ec) {
-      std::optional<HttpResponse> fault = ReadFault(ec);
+      const bool timed_out = deadline.expired();
+      std::optional<HttpResponse> fault = ReadFault(ec, timed_out);
       if (fault)
         co_await exchange.Send(*fault);
       break;
     }
     exchange_state.keep_alive = parser.get().keep_alive();
     HttpRequest request = ToRequest(parser.get());
-    stream.expires_never();
+    deadline.ExpiresNever();
     ++d->active;
     try {
       co_await d->handler(request, exchange);
@@ -329,7 +339,7 @@
     keep_alive = exchange_state.keep_alive && exchange_state.ended;
   }
   boost::system::error_code ignored;
-  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
   --d->connections;
 }
 
--- a/src/libs/http/http_stream.cc
+++ b/src/libs/http/http_stream.cc
@@ -43,14 +43,14 @@
     body.data = buf;
     body.size = sizeof(buf);
     body.more = true;
-    d_->connection->stream.expires_after(timeout);
+    d_->connection->deadline.ExpiresAfter(timeout);
     auto [ec, n] = co_await http::async_read_some(
-        d_->connection->stream, d_->connection->buf, *d_->parser,
+        d_->connection->socket, d_->connection->buf, *d_->parser,
         asio::as_tuple(asio::use_awaitable));
     piece.append(buf, sizeof(buf) - body.size);
     if (ec && ec != http::error::need_buffer) {
-      *failure = {HttpPhase::kBody, true, ec == boost::beast::error::timeout,
-                  ec.message()};
+      *failure =
+          http_internal::FailureOf(HttpPhase::kBody, true, *d_->connection, ec);
       d_->connection.reset();
       co_return std::nullopt;
     }
