Let hosts find one another and hear the configuration from peers

Cause: each host waited on the platform's head and read the whole host list each second, which at 420 hosts is 420 list reads a second, 42 waiting watches a second and every part fetched 420 times; and a host that started while cut off from the platform had no configuration.

- membership: sampled probes, indirect probes, suspicion and refutation by incarnation within a failure domain, gateways across; weighted rendezvous for duties.
Unreachable is not dead: dead needs the platform's list as well.
- config: ConfigFollower decides what to fetch and when to put it in force; generations only grow, parts are checked by digest wherever they come from, and a starting host takes nothing older than a peer was heard to have.
- two hosts a domain watch the head and two read the host list.

Ruled out: carrying each host's generation as a piggybacked change, since one publication would then be 420 changes; it travels with probes only.

--- /dev/null
+++ b/src/apps/measure_fleet/main.cc
@@ -0,0 +1,175 @@
+// Measures membership at several sizes with library calls and a fake clock.
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+
+#include "libs/peer/peer_codec.h"
+#include "membership/fake_network.h"
+
+namespace turmericwinch {
+
+namespace {
+
+using Time = FakeNetwork::Time;
+
+constexpr std::uint64_t kSeed = 20;
+constexpr Time kSettle{60'000};
+constexpr Time kWindow{120'000};
+constexpr Time kStep{500};
+constexpr Time kDetectLimit{120'000};
+constexpr int kVictims = 5;
+constexpr int kHeartbeatsMissed = 3;
+constexpr double kSecondMs = 1000;
+// Headers of IP and TCP, of the segment and of its acknowledgement.
+constexpr std::size_t kSegmentBytes = 2 * 52;
+
+struct Size {
+  int hosts;
+  int domains;
+};
+
+constexpr Size kSizes[] = {{8, 3}, {64, 7}, {420, 7}};
+
+struct Figures {
+  double payload_bytes_s = 0;
+  double wire_bytes_s = 0;
+  double messages_s = 0;
+  double cpu_percent = 0;
+  std::uint64_t suspicions = 0;
+  int unreachable = 0;
+  double detect_domain_s = 0;
+  double detect_all_s = 0;
+};
+
+int CountUnreachable(FakeNetwork& network, int hosts) {
+  int n = 0;
+  for (int host = 0; host < hosts; ++host)
+    n += network.CountViews(host, MemberState::kUnreachable);
+  return n;
+}
+
+// Hosts of the victim's domain, or all, that still give it work.
+int CountBelievers(FakeNetwork& network, Size size, int victim, bool all) {
+  int n = 0;
+  for (int host = 0; host < size.hosts; ++host) {
+    if (host == victim ||
+        (!all && host % size.domains != victim % size.domains))
+      continue;
+    std::optional<Member> view = network.View(host, victim);
+    n += view && IsUsable(*view) ? 1 : 0;
+  }
+  return n;
+}
+
+void MeasureSteady(FakeNetwork& network, Size size, Figures* figures) {
+  std::size_t payload = 0;
+  std::size_t messages = 0;
+  network.on_message = [&](const MembershipMessage& message) {
+    payload += EncodeFrame(message).size();
+    ++messages;
+  };
+  std::uint64_t before = 0;
+  for (int n = 0; n < size.hosts; ++n)
+    before += network.host(n).counters().suspicions;
+  const std::clock_t started = std::clock();
+  network.Run(kWindow);
+  const double cpu_s =
+      static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
+  network.on_message = nullptr;
+  const double host_s = size.hosts * kWindow.count() / kSecondMs;
+  figures->payload_bytes_s = static_cast<double>(payload) / host_s;
+  figures->messages_s = static_cast<double>(messages) / host_s;
+  figures->wire_bytes_s =
+      static_cast<double>(payload + messages * kSegmentBytes) / host_s;
+  figures->cpu_percent = 100 * cpu_s / host_s;
+  for (int n = 0; n < size.hosts; ++n)
+    figures->suspicions += network.host(n).counters().suspicions;
+  figures->suspicions -= before;
+  figures->unreachable = CountUnreachable(network, size.hosts);
+}
+
+void MeasureDetection(FakeNetwork& network, Size size, Figures* figures) {
+  const int victims = std::min(kVictims, size.hosts / 4);
+  for (int k = 0; k < victims; ++k) {
+    const int victim = 2 + k;
+    network.SetPaused(victim, true);
+    double domain_s = -1;
+    Time passed{0};
+    while (passed < kDetectLimit) {
+      network.Run(kStep);
+      passed += kStep;
+      if (domain_s < 0 && CountBelievers(network, size, victim, false) == 0)
+        domain_s = passed.count() / kSecondMs;
+      if (CountBelievers(network, size, victim, true) == 0)
+        break;
+    }
+    figures->detect_domain_s += domain_s / victims;
+    figures->detect_all_s += passed.count() / kSecondMs / victims;
+    network.SetPaused(victim, false);
+    network.Run(kSettle);
+  }
+}
+
+Figures Measure(Size size, double loss) {
+  Figures figures;
+  FakeNetwork network(size.hosts, size.domains, kSeed);
+  network.Run(kSettle);
+  network.loss = loss;
+  MeasureSteady(network, size, &figures);
+  MeasureDetection(network, size, &figures);
+  return figures;
+}
+
+std::size_t HeartbeatBytes() {
+  MembershipMessage message;
+  message.sender = {"host-400", "domain-3", "10.0.0.100:7000", 1'700'000'000};
+  return EncodeFrame(message).size() + kSegmentBytes;
+}
+
+void PrintAlternatives(Size size) {
+  const int peers = size.hosts / size.domains;
+  const double lost = std::pow(0.2, kHeartbeatsMissed);
+  std::printf(
+      "%5d  heartbeats in the domain: %7.0f B/s sent by a host, "
+      "detection %d s, false deaths in 120 s at 20%% loss: %.0f\n",
+      size.hosts, static_cast<double>(HeartbeatBytes()) * peers,
+      kHeartbeatsMissed,
+      lost * size.hosts * peers * kWindow.count() / kSecondMs);
+  constexpr std::size_t kListEntryBytes = 105;
+  std::printf(
+      "%5d  platform's list each second: %7zu B/s read by a host, "
+      "%d calls/s in all, detection: the list's lag + 1 s\n",
+      size.hosts, kListEntryBytes * size.hosts, size.hosts);
+}
+
+int Main() {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::printf(
+      "hosts domains  loss  payload_B/s  wire_B/s  messages/s  cpu_%%  "
+      "suspicions  unreachable  detect_domain_s  detect_all_s\n");
+  for (const Size& size : kSizes) {
+    for (const double loss : {0.0, 0.2}) {
+      const Figures it = Measure(size, loss);
+      std::printf(
+          "%5d %7d  %4.1f  %11.0f  %8.0f  %10.2f  %5.3f  %10llu  %11d"
+          "  %15.1f  %12.1f\n",
+          size.hosts, size.domains, loss, it.payload_bytes_s, it.wire_bytes_s,
+          it.messages_s, it.cpu_percent,
+          static_cast<unsigned long long>(it.suspicions), it.unreachable,
+          it.detect_domain_s, it.detect_all_s);
+    }
+  }
+  for (const Size& size : kSizes)
+    PrintAlternatives(size);
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace turmericwinch
+
+int main() {
+  return turmericwinch::Main();
+}
--- a/src/libs/node/config_watcher.cc
+++ b/src/libs/node/config_watcher.cc
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <map>
+#include <random>
 
 #include "libs/base/log.h"
 #include "libs/config/config_constants.h"
-#include "libs/config/config_manifest.h"
-#include "libs/config/config_validator.h"
+#include "libs/config/config_follower.h"
+#include "libs/config/config_head.h"
+#include "libs/config/config_snapshot.h"
 #include "libs/node/node_constants.h"
 
 namespace turmericwinch {
@@ -14,126 +17,277 @@
 namespace {
 
 namespace asio = boost::asio;
+namespace json = boost::json;
+using Time = ConfigFollower::Time;
 
 constexpr LogCategory kLog{"node"};
+constexpr char kWatchDuty[] = "config-watch";
+
+Time SteadyNow() {
+  return std::chrono::duration_cast<Time>(
+      std::chrono::steady_clock::now().time_since_epoch());
+}
 
 }  // namespace
 
 class ConfigWatcher::Private {
  public:
-  // Puts the newest generation of `object` in force. False if it could not be
-  // read whole.
-  asio::awaitable<bool> TakeOver(const PlatformObject& object);
-  asio::awaitable<std::optional<std::string>> Fetch(std::string name,
-                                                    Reason* reason);
-
-  PlatformClient* platform;
-  ConfigHolder* holder;
+  asio::awaitable<void> FollowPlatform();
+  // One wait on the head. False if the platform did not answer.
+  asio::awaitable<bool> WatchOnce();
+  // One reading of the head. False if the platform did not answer.
+  asio::awaitable<bool> CheckOnce();
+  asio::awaitable<void> FetchFromPlatform(ConfigFetch fetch);
+  asio::awaitable<void> Pause(Time duration);
+  void OfferHead(const PlatformObject& object);
+  void LogAlarm(const std::string& before);
+  void Receive(const ConfigNotice& notice);
+  void Answer(const ConfigRequest& request);
+  void Take(const ConfigPart& part);
+  void Notify(const std::string& address);
+  void Advance();
+  Time Random(Time most);
+
+  PlatformClient* platform = nullptr;
+  FleetKeeper* fleet = nullptr;
+  ConfigHolder* holder = nullptr;
   std::function<void()> on_change;
-  std::map<std::string, std::string> chunks;
+  ConfigFollower follower;
+  std::optional<asio::any_io_executor> executor;
+  std::map<std::string, Time> notified;
+  std::mt19937_64 random{std::random_device{}()};
   std::uint64_t version = 0;
+  Time next_check{0};
   bool platform_reachable = false;
+  bool watching = false;
 };
 
 ConfigWatcher::ConfigWatcher(PlatformClient& platform,
+                             FleetKeeper& fleet,
                              ConfigHolder& holder,
                              std::function<void()> on_change)
     : d_(std::make_unique<Private>()) {
   d_->platform = &platform;
+  d_->fleet = &fleet;
   d_->holder = &holder;
   d_->on_change = std::move(on_change);
 }
 
 ConfigWatcher::~ConfigWatcher() = default;
 
-bool ConfigWatcher::platform_reachable() const {
-  return d_->platform_reachable;
+Time ConfigWatcher::Private::Random(Time most) {
+  return Time(random() % static_cast<std::uint64_t>(most.count() + 1));
 }
 
-asio::awaitable<std::optional<std::string>> ConfigWatcher::Private::Fetch(
-    std::string name,
-    Reason* reason) {
-  std::optional<PlatformObject> object =
-      co_await platform->Get(PlatformDuty::kConfig, name, reason);
-  if (!object)
-    co_return std::nullopt;
-  co_return object->value;
+asio::awaitable<void> ConfigWatcher::Private::Pause(Time duration) {
+  asio::steady_timer timer(*executor, duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+void ConfigWatcher::Private::LogAlarm(const std::string& before) {
+  if (follower.alarm().empty() || follower.alarm() == before)
+    return;
+  LogEvent(kLog, Severity::kError, "config_went_back",
+           {{"in_force", follower.generation()}, {"reason", follower.alarm()}});
 }
 
-asio::awaitable<bool> ConfigWatcher::Private::TakeOver(
-    const PlatformObject& object) {
+void ConfigWatcher::Private::OfferHead(const PlatformObject& object) {
+  version = object.version;
   Reason reason;
   std::optional<ConfigHead> head = ConfigHeadOf(object.value, &reason);
-  if (!head || head->generations.empty())
-    co_return false;
-  const ConfigGeneration newest = head->generations.front();
-  std::shared_ptr<const ConfigSnapshot> current = holder->Get();
-  if (current && newest.generation < current->generation()) {
-    LogEvent(kLog, Severity::kError, "config_went_back",
-             {{"published", newest.generation},
-              {"in_force", current->generation()}});
+  if (!head || head->generations.empty()) {
+    LogEvent(kLog, Severity::kError, "config_head_unreadable",
+             {{"version", object.version}, {"reason", reason.text}});
+    return;
+  }
+  const ConfigGeneration& newest = head->generations.front();
+  const std::string before = follower.alarm();
+  follower.Offer({newest.generation, newest.manifest}, "", SteadyNow());
+  LogAlarm(before);
+  Advance();
+}
+
+asio::awaitable<bool> ConfigWatcher::Private::CheckOnce() {
+  Reason reason;
+  std::optional<PlatformObject> object =
+      co_await platform->Get(PlatformDuty::kConfig, kConfigHeadName, &reason);
+  platform_reachable = object || reason.code == ResultCode::kPlatformNotFound;
+  if (object)
+    OfferHead(*object);
+  co_return platform_reachable;
+}
+
+asio::awaitable<bool> ConfigWatcher::Private::WatchOnce() {
+  Reason reason;
+  std::optional<PlatformObject> object = co_await platform->Watch(
+      PlatformDuty::kConfig, kConfigHeadName, version, kWatchWait, &reason);
+  platform_reachable = object || reason.code == ResultCode::kPlatformNotFound;
+  if (object) {
+    OfferHead(*object);
     co_return true;
   }
-  std::optional<std::string> manifest =
-      co_await Fetch(kConfigManifestPrefix + newest.manifest, &reason);
-  if (!manifest)
-    co_return false;
-  std::optional<std::vector<std::string>> digests =
-      ChunksOf(*manifest, &reason);
-  if (!digests)
-    co_return false;
-  std::map<std::string, std::string> fetched;
-  for (const std::string& it : *digests) {
-    auto known = chunks.find(it);
-    if (known != chunks.end()) {
-      fetched.insert(*known);
+  // Versions of a restored platform may stay below the one waited for.
+  if (platform_reachable && version > 0)
+    co_return co_await CheckOnce();
+  co_return platform_reachable;
+}
+
+asio::awaitable<void> ConfigWatcher::Private::FollowPlatform() {
+  if (fleet->ExpectsPeers())
+    co_await Pause(Random(kStartSpread));
+  Time pause = kPlatformPauseFirst;
+  for (;;) {
+    watching = fleet->Holds(kWatchDuty, kConfigWatchers);
+    bool answered = true;
+    if (watching) {
+      answered = co_await WatchOnce();
+    } else if (SteadyNow() >= next_check) {
+      answered = co_await CheckOnce();
+      next_check =
+          SteadyNow() + kConfigCheckInterval + Random(kConfigCheckInterval);
+    } else {
+      co_await Pause(kFleetTick);
+    }
+    if (answered) {
+      pause = kPlatformPauseFirst;
       continue;
     }
-    std::optional<std::string> chunk =
-        co_await Fetch(kConfigChunkPrefix + it, &reason);
-    if (!chunk)
-      co_return false;
-    fetched.emplace(it, std::move(*chunk));
+    co_await Pause(pause / 2 + Random(pause));
+    pause = std::min(pause * 2, kPlatformPauseMost);
   }
-  chunks = std::move(fetched);
-  std::optional<ConfigSet> set = JoinChunks(*manifest, chunks, &reason);
-  if (!set || !ValidateConfig(*set).empty()) {
-    LogEvent(kLog, Severity::kError, "config_rejected",
-             {{"generation", newest.generation}, {"reason", reason.text}});
-    co_return true;
+}
+
+asio::awaitable<void> ConfigWatcher::Private::FetchFromPlatform(
+    ConfigFetch fetch) {
+  const char* prefix =
+      fetch.is_manifest ? kConfigManifestPrefix : kConfigChunkPrefix;
+  Reason reason;
+  std::optional<PlatformObject> object = co_await platform->Get(
+      PlatformDuty::kConfig, prefix + fetch.digest, &reason);
+  if (!object) {
+    follower.FetchFailed(fetch.digest, "");
+    co_return;
   }
-  const bool advanced = holder->Advance(std::make_shared<ConfigSnapshot>(
-      newest.generation, newest.manifest, *set));
-  if (advanced) {
+  follower.TakePart(fetch.digest, std::move(object->value));
+  Advance();
+}
+
+void ConfigWatcher::Private::Advance() {
+  std::optional<ReadyConfig> ready = follower.TakeReady(SteadyNow());
+  if (ready) {
+    holder->Advance(std::make_shared<ConfigSnapshot>(
+        ready->generation, ready->digest, ready->set));
+    fleet->SetGeneration(ready->generation);
     LogEvent(kLog, Severity::kInfo, "config_in_force",
-             {{"generation", newest.generation}, {"digest", newest.manifest}});
+             {{"generation", ready->generation}, {"digest", ready->digest}});
     on_change();
+    for (const std::string& it : fleet->RandomPeers(kConfigNoticePeers))
+      Notify(it);
   }
-  co_return true;
+  for (const ConfigFetch& it : follower.Fetches(SteadyNow())) {
+    if (it.peer.empty())
+      asio::co_spawn(*executor, FetchFromPlatform(it), asio::detached);
+    else
+      fleet->Send(it.peer, ConfigRequest{it.digest, fleet->address()});
+  }
+}
+
+void ConfigWatcher::Private::Notify(const std::string& address) {
+  notified[address] = SteadyNow();
+  fleet->Send(address, ConfigNotice{follower.generation(), follower.digest(),
+                                    fleet->address()});
+}
+
+void ConfigWatcher::Private::Receive(const ConfigNotice& notice) {
+  follower.HeardPeer(notice.generation);
+  const OfferVerdict verdict = follower.Offer(
+      {notice.generation, notice.digest}, notice.peer, SteadyNow());
+  if (verdict == OfferVerdict::kFork) {
+    LogEvent(kLog, Severity::kError, "config_fork",
+             {{"peer", notice.peer}, {"generation", notice.generation}});
+  }
+  if (verdict == OfferVerdict::kBehind &&
+      notice.generation < follower.generation())
+    Notify(notice.peer);
+  Advance();
+}
+
+void ConfigWatcher::Private::Answer(const ConfigRequest& request) {
+  const std::string* text = follower.Part(request.digest);
+  ConfigPart part{request.digest, text != nullptr, text ? *text : "",
+                  fleet->address()};
+  fleet->Send(request.peer, part);
+}
+
+void ConfigWatcher::Private::Take(const ConfigPart& part) {
+  if (!part.found || !follower.TakePart(part.digest, part.text))
+    follower.FetchFailed(part.digest, part.peer);
+  Advance();
+}
+
+void ConfigWatcher::Receive(const PeerFrame& frame) {
+  if (!d_->executor)
+    return;
+  if (const auto* notice = std::get_if<ConfigNotice>(&frame))
+    d_->Receive(*notice);
+  else if (const auto* request = std::get_if<ConfigRequest>(&frame))
+    d_->Answer(*request);
+  else if (const auto* part = std::get_if<ConfigPart>(&frame))
+    d_->Take(*part);
+}
+
+void ConfigWatcher::HearPeer(const std::string& address,
+                             std::uint64_t generation) {
+  d_->follower.HeardPeer(generation);
+  if (generation >= d_->follower.generation())
+    return;
+  const Time now = SteadyNow();
+  auto it = d_->notified.find(address);
+  if (it == d_->notified.end() || now - it->second >= kConfigNoticeInterval)
+    d_->Notify(address);
 }
 
 asio::awaitable<void> ConfigWatcher::Run() {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  std::chrono::milliseconds pause = kPlatformPauseFirst;
+  d_->executor = co_await asio::this_coro::executor;
+  if (d_->fleet->ExpectsPeers())
+    d_->follower.WaitForPeers(SteadyNow() + kStartSpread + kConfigPeerWait);
+  asio::co_spawn(*d_->executor, d_->FollowPlatform(), asio::detached);
   for (;;) {
-    Reason reason;
-    std::optional<PlatformObject> object =
-        co_await d_->platform->Watch(PlatformDuty::kConfig, kConfigHeadName,
-                                     d_->version, kWatchWait, &reason);
-    const bool answered =
-        object || reason.code == ResultCode::kPlatformNotFound;
-    d_->platform_reachable = answered;
-    if (object && co_await d_->TakeOver(*object)) {
-      d_->version = object->version;
-      pause = kPlatformPauseFirst;
-      continue;
-    }
-    if (answered && !object)
-      continue;
-    timer.expires_after(pause);
-    co_await timer.async_wait(asio::use_awaitable);
-    pause = std::min(pause * 2, kPlatformPauseMost);
+    d_->Advance();
+    std::erase_if(d_->notified, [](const auto& it) {
+      return SteadyNow() - it.second >= kConfigNoticeInterval;
+    });
+    co_await d_->Pause(kFleetTick);
+  }
+}
+
+bool ConfigWatcher::platform_reachable() const {
+  return d_->platform_reachable;
+}
+
+std::string ConfigWatcher::Trouble() const {
+  if (!d_->follower.alarm().empty())
+    return d_->follower.alarm();
+  if (d_->follower.generation() > 0)
+    return {};
+  if (d_->follower.fetching() > 0) {
+    return "generation " + std::to_string(d_->follower.fetching()) +
+           " is being fetched";
   }
+  const std::string platform =
+      d_->platform_reachable ? "the platform has no published configuration"
+                             : "the platform does not answer";
+  if (!d_->fleet->enabled())
+    return platform + ", and this host has no fleet key to ask peers with";
+  return platform + ", and no peer that was heard has a configuration";
+}
+
+json::object ConfigWatcher::Dump() const {
+  return {{"fetching", d_->follower.fetching()},
+          {"alarm", d_->follower.alarm()},
+          {"bad_parts", d_->follower.bad_parts()},
+          {"watching_platform", d_->watching},
+          {"platform_reachable", d_->platform_reachable}};
 }
 
 }  // namespace turmericwinch
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -10,7 +10,6 @@
 #include "libs/http/http_constants.h"
 #include "libs/http/http_server.h"
 #include "libs/node/caller_handler.h"
-#include "libs/node/config_watcher.h"
 #include "libs/node/host_list_poller.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
@@ -55,7 +54,6 @@
   std::vector<std::thread> threads;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> operator_server;
-  std::unique_ptr<ConfigWatcher> config_watcher;
   std::unique_ptr<HostListPoller> host_list;
   asio::signal_set signals;
   int exit_code = 0;
@@ -82,13 +80,23 @@
       return;
     context.targets->Update(host_list->list(), *config);
   };
-  config_watcher = std::make_unique<ConfigWatcher>(
-      *context.platform, context.config, update_targets);
-  host_list = std::make_unique<HostListPoller>(
-      *context.platform, [this, update_targets](const HostList&) {
-        context.targets_known = true;
-        update_targets();
+  context.fleet = std::make_unique<FleetKeeper>(context.control, settings);
+  context.config_watcher = std::make_unique<ConfigWatcher>(
+      *context.platform, *context.fleet, context.config, update_targets);
+  context.fleet->SetFrameHook([this](const PeerFrame& frame) {
+    if (!host_list->Receive(frame))
+      context.config_watcher->Receive(frame);
+  });
+  context.fleet->SetPeerHook(
+      [this](const std::string& address, std::uint64_t generation) {
+        context.config_watcher->HearPeer(address, generation);
       });
+  host_list =
+      std::make_unique<HostListPoller>(*context.platform, *context.fleet,
+                                       [this, update_targets](const HostList&) {
+                                         context.targets_known = true;
+                                         update_targets();
+                                       });
   BudgetKeeperParts parts;
   parts.control = &context.control;
   parts.platform = context.platform.get();
@@ -123,6 +131,7 @@
 
 asio::awaitable<void> Node::Private::ShutDown() {
   caller_server->StopAccepting();
+  context.fleet->Leave();
   asio::steady_timer timer(context.control);
   const auto deadline = std::chrono::steady_clock::now() + kShutdownDeadline;
   bool flushed = false;
@@ -177,6 +186,9 @@
       d_->operator_server->Listen(context.settings.operator_listen, reason);
   if (!operators)
     return std::nullopt;
+  auto peers = context.fleet->Listen(reason);
+  if (!peers)
+    return std::nullopt;
   boost::system::error_code ec;
   d_->signals.add(SIGTERM, ec);
   d_->signals.add(SIGINT, ec);
@@ -184,7 +196,8 @@
            {{"failure_domain", context.settings.failure_domain},
             {"incarnation", context.incarnation},
             {"callers", ToText(*callers)},
-            {"operators", ToText(*operators)}});
+            {"operators", ToText(*operators)},
+            {"peers", ToText(*peers)}});
   return true;
 }
 
@@ -193,7 +206,9 @@
   for (auto& it : context.traffic)
     d_->threads.emplace_back([&io = *it] { io.run(); });
   asio::co_spawn(context.control, d_->WaitForSignal(), asio::detached);
-  asio::co_spawn(context.control, d_->config_watcher->Run(), asio::detached);
+  asio::co_spawn(context.control, context.config_watcher->Run(),
+                 asio::detached);
+  asio::co_spawn(context.control, context.fleet->Run(), asio::detached);
   asio::co_spawn(context.control, d_->host_list->Run(), asio::detached);
   asio::co_spawn(context.control, context.budgets->Run(), asio::detached);
   context.control.run();
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -15,6 +15,22 @@
 inline constexpr std::chrono::milliseconds kPlatformPauseMost{2'000};
 // Time between readings of the host list.
 inline constexpr std::chrono::milliseconds kHostListInterval{1'000};
+// Hosts of a failure domain that read the host list, and that wait on the
+// published configuration.
+inline constexpr std::size_t kHostListReaders = 2;
+inline constexpr std::size_t kConfigWatchers = 2;
+// Time without an answer from a reader of the host list after which a host
+// reads it on its own.
+inline constexpr std::chrono::milliseconds kHostListPatience{5'000};
+// Spread of the first call of hosts that start together.
+inline constexpr std::chrono::milliseconds kStartSpread{2'000};
+// Least time between two checks of the published configuration by a host that
+// does not wait on it; the most is twice that.
+inline constexpr std::chrono::milliseconds kConfigCheckInterval{60'000};
+// Least time between two notices to one peer.
+inline constexpr std::chrono::milliseconds kConfigNoticeInterval{1'000};
+// Time between two rounds of the fleet's work on a host.
+inline constexpr std::chrono::milliseconds kFleetTick{100};
 // Time between flushes of bills and counters.
 inline constexpr std::chrono::milliseconds kFlushInterval{1'000};
 // Longest time that a request waits for a grant.
--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -12,6 +12,8 @@
 #include "libs/node/budget_keeper.h"
 #include "libs/node/claim_keeper.h"
 #include "libs/node/config_holder.h"
+#include "libs/node/config_watcher.h"
+#include "libs/node/fleet_keeper.h"
 #include "libs/node/node_metrics.h"
 #include "libs/node/node_settings.h"
 #include "libs/node/shared_ledger.h"
@@ -33,6 +35,8 @@
   std::unique_ptr<SharedTargets> targets;
   std::unique_ptr<SharedLedger> ledger;
   std::unique_ptr<HttpPlatformClient> platform;
+  std::unique_ptr<FleetKeeper> fleet;
+  std::unique_ptr<ConfigWatcher> config_watcher;
   std::unique_ptr<ClaimKeeper> claims;
   std::unique_ptr<BudgetKeeper> budgets;
   std::atomic<bool> shutting_down{false};
--- a/src/libs/node/node_settings.cc
+++ b/src/libs/node/node_settings.cc
@@ -43,6 +43,19 @@
        .label = "token that operators present",
        .required = true,
        .secret = true},
+      {.name = "peer-listen",
+       .type = SettingType::kEndpoint,
+       .label = "address for the fleet's other hosts, as they reach it",
+       .unit = "IP:PORT",
+       .default_value = "127.0.0.1:0"},
+      {.name = "peers",
+       .type = SettingType::kEndpointList,
+       .label = "peer addresses of some other hosts",
+       .unit = "IP:PORT,..."},
+      {.name = "fleet-key",
+       .label = "key that the fleet's hosts prove to one another; without it "
+                "this host has no peers",
+       .secret = true},
       {.name = "traffic-threads",
        .type = SettingType::kInteger,
        .label = "threads that carry requests",
@@ -80,6 +93,9 @@
   settings.operator_listen = EndpointOf(table, "operator-listen");
   settings.platform = EndpointOf(table, "platform");
   settings.operator_token = table.Text("operator-token");
+  settings.peer_listen = EndpointOf(table, "peer-listen");
+  settings.peers = table.List("peers");
+  settings.fleet_key = table.Text("fleet-key");
   settings.traffic_threads =
       static_cast<std::size_t>(table.Integer("traffic-threads"));
   settings.flush_interval =
--- a/src/libs/node/node_settings.h
+++ b/src/libs/node/node_settings.h
@@ -22,6 +22,11 @@
   boost::asio::ip::tcp::endpoint operator_listen;
   boost::asio::ip::tcp::endpoint platform;
   std::string operator_token;
+  boost::asio::ip::tcp::endpoint peer_listen;
+  // Addresses of some other hosts, IP:PORT.
+  std::vector<std::string> peers;
+  // Empty for a host without peers.
+  std::string fleet_key;
   std::size_t traffic_threads = 1;
   std::chrono::milliseconds flush_interval{0};
   std::string log_level;
--- a/src/libs/node/operator_handler.cc
+++ b/src/libs/node/operator_handler.cc
@@ -30,9 +30,11 @@
   if (node.shutting_down)
     return Refused(ResultCode::kShuttingDown, "this host is shutting down");
   if (!node.config.Get())
-    return Refused(ResultCode::kNoConfig, "no configuration is in force yet");
-  if (!node.targets_known)
-    return Refused(ResultCode::kNotReady, "the host list was not read yet");
+    return Refused(ResultCode::kNoConfig, node.config_watcher->Trouble());
+  if (!node.targets_known) {
+    return Refused(ResultCode::kNotReady,
+                   "neither the platform nor a peer gave a host list yet");
+  }
   return JsonResponse(kStatusOk, "{\"ready\":true}");
 }
 
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -73,6 +73,7 @@
 }  // namespace
 
 std::string DumpState(NodeContext& node) {
+  const json::object fleet = node.fleet->Dump();
   json::object dump = {
       {"host", node.settings.host},
       {"failure_domain", node.settings.failure_domain},
@@ -82,6 +83,9 @@
       {"ledger", DumpLedger(node)},
       {"targets", DumpTargets(node)},
       {"platform_calls", DumpPlatformCalls(node)},
+      {"config_source", node.config_watcher->Dump()},
+      {"members", fleet.at("members")},
+      {"fleet_counters", fleet.at("counters")},
       {"soft_asserts", SoftAssertCount()},
   };
   return json::serialize(dump);
--- /dev/null
+++ b/src/libs/peer/peer_codec.cc
@@ -0,0 +1,201 @@
+#include "libs/peer/peer_codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "libs/peer/gen/peer_types.h"
+#include "libs/peer/peer_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int kLastKind = static_cast<int>(MembershipMessageKind::kTableAnswer);
+
+wire::Member ToWire(const Member& member) {
+  wire::Member result;
+  result.name = member.name;
+  result.failure_domain = member.failure_domain;
+  result.address = member.address;
+  result.incarnation = static_cast<std::int64_t>(member.incarnation);
+  result.refutation = static_cast<std::int64_t>(member.refutation);
+  result.state = static_cast<std::int32_t>(member.state);
+  result.weight = member.weight;
+  result.generation = static_cast<std::int64_t>(member.generation);
+  return result;
+}
+
+std::optional<Member> FromWire(const wire::Member& wire) {
+  std::optional<MemberState> state = MemberStateOf(wire.state);
+  if (!state || wire.incarnation < 0 || wire.refutation < 0 ||
+      wire.generation < 0 || wire.weight < 0)
+    return std::nullopt;
+  Member member;
+  member.name = wire.name;
+  member.failure_domain = wire.failure_domain;
+  member.address = wire.address;
+  member.incarnation = static_cast<std::uint64_t>(wire.incarnation);
+  member.refutation = static_cast<std::uint64_t>(wire.refutation);
+  member.state = *state;
+  member.weight = wire.weight;
+  member.generation = static_cast<std::uint64_t>(wire.generation);
+  return member;
+}
+
+// Sets the field of the wire frame that belongs to the content's type.
+class FrameBuilder {
+ public:
+  explicit FrameBuilder(wire::Frame* frame) : frame_(frame) {}
+
+  void operator()(const PeerHello& hello) const {
+    wire::Hello result;
+    result.version = hello.version;
+    result.challenge = hello.challenge;
+    frame_->__set_hello(result);
+  }
+  void operator()(const PeerProof& proof) const {
+    wire::Proof result;
+    result.proof = proof.proof;
+    frame_->__set_proof(result);
+  }
+  void operator()(const MembershipMessage& message) const {
+    wire::Membership result;
+    result.kind = static_cast<std::int32_t>(message.kind);
+    result.sequence = static_cast<std::int64_t>(message.sequence);
+    result.sender = ToWire(message.sender);
+    result.target = message.target;
+    for (const Member& it : message.changes)
+      result.changes.push_back(ToWire(it));
+    frame_->__set_membership(result);
+  }
+  void operator()(const ConfigNotice& notice) const {
+    wire::ConfigNotice result;
+    result.generation = static_cast<std::int64_t>(notice.generation);
+    result.digest = notice.digest;
+    result.peer = notice.peer;
+    frame_->__set_config_notice(result);
+  }
+  void operator()(const ConfigRequest& request) const {
+    wire::ConfigRequest result;
+    result.digest = request.digest;
+    result.peer = request.peer;
+    frame_->__set_config_request(result);
+  }
+  void operator()(const ConfigPart& part) const {
+    wire::ConfigPart result;
+    result.digest = part.digest;
+    result.found = part.found;
+    result.text = part.text;
+    result.peer = part.peer;
+    frame_->__set_config_part(result);
+  }
+
+ private:
+  wire::Frame* frame_;
+};
+
+std::optional<PeerFrame> MembershipOf(const wire::Membership& wire) {
+  std::optional<Member> sender = FromWire(wire.sender);
+  if (!sender || sender->name.empty() || wire.kind < 0 || wire.kind > kLastKind)
+    return std::nullopt;
+  MembershipMessage message;
+  message.kind = static_cast<MembershipMessageKind>(wire.kind);
+  message.sequence = static_cast<std::uint64_t>(wire.sequence);
+  message.sender = *sender;
+  message.target = wire.target;
+  for (const wire::Member& it : wire.changes) {
+    std::optional<Member> change = FromWire(it);
+    if (!change)
+      return std::nullopt;
+    message.changes.push_back(std::move(*change));
+  }
+  return message;
+}
+
+std::optional<PeerFrame> ContentOf(const wire::Frame& wire) {
+  if (wire.__isset.hello)
+    return PeerHello{wire.hello.version, wire.hello.challenge};
+  if (wire.__isset.proof)
+    return PeerProof{wire.proof.proof};
+  if (wire.__isset.membership)
+    return MembershipOf(wire.membership);
+  if (wire.__isset.config_notice) {
+    const wire::ConfigNotice& it = wire.config_notice;
+    if (it.generation < 0)
+      return std::nullopt;
+    return ConfigNotice{static_cast<std::uint64_t>(it.generation), it.digest,
+                        it.peer};
+  }
+  if (wire.__isset.config_request)
+    return ConfigRequest{wire.config_request.digest, wire.config_request.peer};
+  if (wire.__isset.config_part) {
+    const wire::ConfigPart& it = wire.config_part;
+    return ConfigPart{it.digest, it.found, it.text, it.peer};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EncodeFrame(const PeerFrame& frame) {
+  wire::Frame wire;
+  wire.version = kPeerVersion;
+  std::visit(FrameBuilder(&wire), frame);
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  wire.write(&protocol);
+  const std::string payload = buffer->getBufferAsString();
+  std::string bytes;
+  for (std::size_t n = kPeerLengthBytes; n-- > 0;)
+    bytes.push_back(static_cast<char>(payload.size() >> (8 * n)));
+  return bytes + payload;
+}
+
+std::optional<std::size_t> PayloadLength(std::string_view header,
+                                         std::size_t most,
+                                         Reason* reason) {
+  std::size_t length = 0;
+  for (const char it : header)
+    length = length << 8 | static_cast<unsigned char>(it);
+  if (length == 0 || length > most) {
+    return Fail(reason, ResultCode::kPeerProtocol,
+                "a frame of " + std::to_string(length) +
+                    " bytes is outside 1 to " + std::to_string(most));
+  }
+  return length;
+}
+
+std::optional<PeerFrame> DecodePayload(std::string_view payload,
+                                       Reason* reason) {
+  std::string copy(payload);
+  auto buffer = std::make_shared<TMemoryBuffer>(
+      reinterpret_cast<std::uint8_t*>(copy.data()),
+      static_cast<std::uint32_t>(copy.size()), TMemoryBuffer::OBSERVE);
+  TCompactProtocolT<TMemoryBuffer> protocol(
+      buffer, static_cast<int>(kPeerMostFrameBytes),
+      static_cast<int>(kPeerMostListLength));
+  wire::Frame wire;
+  try {
+    wire.read(&protocol);
+  } catch (const TException& error) {
+    return Fail(reason, ResultCode::kPeerProtocol,
+                std::string("a frame cannot be read: ") + error.what());
+  }
+  if (wire.version != kPeerVersion) {
+    return Fail(reason, ResultCode::kPeerProtocol,
+                "a frame has version " + std::to_string(wire.version) +
+                    "; this host speaks " + std::to_string(kPeerVersion));
+  }
+  std::optional<PeerFrame> frame = ContentOf(wire);
+  if (!frame || buffer->available_read() > 0) {
+    return Fail(reason, ResultCode::kPeerProtocol,
+                "a frame has no known content or a value out of range");
+  }
+  return frame;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/tests/peer/peer_codec_test.cc
@@ -0,0 +1,104 @@
+#include "libs/peer/peer_codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+#include "libs/peer/peer_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr int kMutations = 20'000;
+constexpr std::uint64_t kSeed = 11;
+
+PeerFrame SampleFrame() {
+  MembershipMessage message;
+  message.kind = MembershipMessageKind::kProbe;
+  message.sequence = 77;
+  message.sender = {"host-1", "dk-east-a", "10.0.0.1:7000", 5, 2};
+  message.target = "host-2";
+  message.changes = {{"host-3", "dk-east-b", "10.0.0.3:7000", 9, 1,
+                      MemberState::kSuspected, 4, 12}};
+  return message;
+}
+
+std::string Payload(const PeerFrame& frame) {
+  return EncodeFrame(frame).substr(kPeerLengthBytes);
+}
+
+}  // namespace
+
+TEST_GROUP(PeerCodec) {
+  Reason reason;
+};
+
+TEST(PeerCodec, MembershipSurvives) {
+  auto frame = DecodePayload(Payload(SampleFrame()), &reason);
+  CHECK(frame.has_value());
+  const auto& message = std::get<MembershipMessage>(*frame);
+  LONGS_EQUAL(77, message.sequence);
+  STRCMP_EQUAL("host-2", message.target.c_str());
+  const Member& change = message.changes.at(0);
+  CHECK(change.state == MemberState::kSuspected);
+  LONGS_EQUAL(4, change.weight);
+  LONGS_EQUAL(12, change.generation);
+  LONGS_EQUAL(9, change.incarnation);
+}
+
+TEST(PeerCodec, ConfigFramesSurvive) {
+  const PeerFrame frames[] = {
+      ConfigNotice{3, "d1", "10.0.0.1:1"}, ConfigRequest{"d2", "10.0.0.2:1"},
+      ConfigPart{"d3", true, std::string(40'000, 'x'), "10.0.0.3:1"}};
+  for (const PeerFrame& it : frames) {
+    auto read = DecodePayload(Payload(it), &reason);
+    CHECK(read.has_value());
+    LONGS_EQUAL(it.index(), read->index());
+  }
+  auto part = DecodePayload(Payload(frames[2]), &reason);
+  LONGS_EQUAL(40'000, std::get<ConfigPart>(*part).text.size());
+}
+
+TEST(PeerCodec, EveryTruncationIsAnError) {
+  const std::string payload = Payload(SampleFrame());
+  for (std::size_t n = 0; n < payload.size(); ++n) {
+    CHECK(!DecodePayload(payload.substr(0, n), &reason));
+    CHECK(reason.code == ResultCode::kPeerProtocol);
+  }
+  CHECK(!DecodePayload(payload + "x", &reason));
+}
+
+TEST(PeerCodec, MutationsAreReadOrRejectedButNeverCrash) {
+  const std::string payload = Payload(SampleFrame());
+  std::mt19937_64 random(kSeed);
+  int rejected = 0;
+  for (int n = 0; n < kMutations; ++n) {
+    std::string mutated = payload;
+    const int flips = 1 + static_cast<int>(random() % 4);
+    for (int k = 0; k < flips; ++k)
+      mutated[random() % mutated.size()] = static_cast<char>(random());
+    rejected += DecodePayload(mutated, &reason) ? 0 : 1;
+  }
+  CHECK(rejected > kMutations / 4);
+}
+
+TEST(PeerCodec, OtherVersionIsNamed) {
+  std::string payload = Payload(SampleFrame());
+  // The first field is the version, as a zigzag number after its header.
+  payload[1] = static_cast<char>(2 * (kPeerVersion + 1));
+  CHECK(!DecodePayload(payload, &reason));
+  STRCMP_CONTAINS("version 2", reason.text.c_str());
+}
+
+TEST(PeerCodec, LengthsOutsideTheBoundAreErrors) {
+  const std::string frame = EncodeFrame(SampleFrame());
+  const std::string header = frame.substr(0, kPeerLengthBytes);
+  LONGS_EQUAL(frame.size() - kPeerLengthBytes,
+              *PayloadLength(header, kPeerMostFrameBytes, &reason));
+  CHECK(!PayloadLength(header, 16, &reason));
+  CHECK(!PayloadLength(std::string(4, '\0'), 16, &reason));
+  CHECK(!PayloadLength("\xff\xff\xff\xff", kPeerMostFrameBytes, &reason));
+}
+
+}  // namespace turmericwinch
