--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -45,6 +45,7 @@
   }
 
   void BuildParts();
+  void StartShutdown();
   asio::awaitable<void> WaitForSignal();
   asio::awaitable<void> ShutDown();
   void Stop(int code);
@@ -68,12 +69,15 @@
         std::make_unique<HttpClient>(*context.traffic.back()));
     guards.emplace_back(context.traffic.back()->get_executor());
   }
-  context.targets = std::make_unique<SharedTargets>(settings.failure_domain);
+  context.targets =
+      std::make_unique<SharedTargets>(settings.failure_domain, settings.host);
   context.ledger =
       std::make_unique<SharedLedger>(settings.host + "_" + context.incarnation);
   context.platform =
       std::make_unique<HttpPlatformClient>(context.control, settings.platform);
-  context.claims = std::make_unique<ClaimKeeper>(*context.platform);
+  context.start_shutdown = [this] { StartShutdown(); };
+  context.claims =
+      std::make_unique<ClaimKeeper>(context.control, *context.platform);
   auto update_targets = [this] {
     std::shared_ptr<const ConfigSnapshot> config = context.config.Get();
     if (!config)
@@ -117,12 +121,17 @@
   context.ledger->SetWishHook([this] { context.budgets->RequestDraw(); });
 }
 
-asio::awaitable<void> Node::Private::WaitForSignal() {
-  co_await signals.async_wait(asio::use_awaitable);
+void Node::Private::StartShutdown() {
+  if (context.shutting_down.exchange(true))
+    return;
   LogEvent(kLog, Severity::kInfo, "shutdown_started",
            {{"active", caller_server->ActiveRequests()}});
-  context.shutting_down = true;
   asio::co_spawn(context.control, ShutDown(), asio::detached);
+}
+
+asio::awaitable<void> Node::Private::WaitForSignal() {
+  co_await signals.async_wait(asio::use_awaitable);
+  StartShutdown();
   co_await signals.async_wait(asio::use_awaitable);
   LogEvent(kLog, Severity::kWarning, "shutdown_cut_short",
            {{"active", caller_server->ActiveRequests()}});
@@ -136,7 +145,8 @@
   const auto deadline = std::chrono::steady_clock::now() + kShutdownDeadline;
   bool flushed = false;
   while (std::chrono::steady_clock::now() < deadline) {
-    if (caller_server->ActiveRequests() == 0)
+    if (caller_server->ActiveRequests() == 0 &&
+        context.claims->Figures().unsettled == 0)
       flushed = co_await context.budgets->FlushAll();
     if (flushed)
       break;
@@ -211,6 +221,7 @@
   asio::co_spawn(context.control, context.fleet->Run(), asio::detached);
   asio::co_spawn(context.control, d_->host_list->Run(), asio::detached);
   asio::co_spawn(context.control, context.budgets->Run(), asio::detached);
+  asio::co_spawn(context.control, context.claims->Sweep(), asio::detached);
   context.control.run();
   return d_->exit_code;
 }
