--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -13,6 +13,8 @@
 #include "libs/node/budget_keeper.h"
 #include "libs/node/claim_keeper.h"
 #include "libs/node/config_holder.h"
+#include "libs/node/config_watcher.h"
+#include "libs/node/fleet_keeper.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_metrics.h"
 #include "libs/node/node_settings.h"
@@ -40,6 +42,8 @@
   SharedLimits limits;
   std::unique_ptr<SharedLedger> ledger;
   std::unique_ptr<HttpPlatformClient> platform;
+  std::unique_ptr<FleetKeeper> fleet;
+  std::unique_ptr<ConfigWatcher> config_watcher;
   std::unique_ptr<ClaimKeeper> claims;
   std::unique_ptr<QuarantineKeeper> quarantine;
   std::unique_ptr<BudgetKeeper> budgets;
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -93,6 +93,7 @@
 }  // namespace
 
 std::string DumpState(NodeContext& node) {
+  const json::object fleet = node.fleet->Dump();
   json::object dump = {
       {"host", node.settings.host},
       {"failure_domain", node.settings.failure_domain},
@@ -105,6 +106,9 @@
       {"claims", DumpClaims(node)},
       {"quarantine_suspects", node.quarantine->suspects()},
       {"platform_calls", DumpPlatformCalls(node)},
+      {"config_source", node.config_watcher->Dump()},
+      {"members", fleet.at("members")},
+      {"fleet_counters", fleet.at("counters")},
       {"soft_asserts", SoftAssertCount()},
   };
   return json::serialize(dump);
