--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -3,9 +3,11 @@
 #include <boost/asio.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "libs/base/digest.h"
 #include "libs/base/log.h"
 #include "libs/delivery/delivery_constants.h"
 #include "libs/http/http_constants.h"
+#include "libs/node/chat_wish.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
 
@@ -20,6 +22,7 @@
 
 constexpr LogCategory kLog{"node"};
 constexpr int kStatusOk = 200;
+constexpr std::size_t kDigestDigits = 40;
 
 }  // namespace
 
@@ -36,29 +39,42 @@
       reserved_(std::move(reserved)),
       exchange_(exchange),
       deadline_(steady_clock::now() + service.deadline),
+      digest_(
+          Sha256Hex(caller.team->name + "\n" + json::serialize(request_.body))
+              .substr(0, kDigestDigits)),
+      wish_(ChatWishOf(service.name, request_)),
       progress_(caller.request_id, request_.max_tokens) {}
 
 asio::awaitable<ResultCode> ChatCall::Run() {
   std::set<std::string> excluded;
   std::set<std::string> asked_again;
-  for (int n = 0; n < kTargetAttempts; ++n) {
-    std::optional<TargetChoice> choice = Choose(excluded);
+  for (int n = 0; n < kTargetAttempts && MayTry(n); ++n) {
+    std::optional<TargetChoice> choice;
+    if (n == 0)
+      choice = co_await ChooseFirst();
+    else
+      choice = Choose(excluded);
     if (!choice)
       break;
     if (answer_started_)
       node_.metrics.CountEvent(DeliveryEvent::kResumedStream);
+    meter_.emplace(*node_.targets, *choice);
     const AttemptEnd end = co_await Attempt(*choice);
-    node_.targets->End(*choice);
+    if (end == AttemptEnd::kWhole)
+      meter_->Judge(TargetAnswer::kGood);
+    else if (end == AttemptEnd::kTargetLost)
+      meter_->Judge(TargetAnswer::kFailed);
+    else if (end != AttemptEnd::kTargetFailed)
+      meter_->Judge(TargetAnswer::kNoVerdict);
+    meter_.reset();
     if (end == AttemptEnd::kWhole)
       co_return co_await Finish();
-    const bool gone = end == AttemptEnd::kCallerGone;
-    if (gone || answer_started_)
+    if (end == AttemptEnd::kTargetLost)
+      node_.quarantine->OnLost(digest_, choice->name);
+    else if (end == AttemptEnd::kCallerGone || answer_started_)
       co_await Cancel(*choice);
-    if (gone) {
-      reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
-      exchange_.Abort();
-      co_return ResultCode::kCallerGone;
-    }
+    if (end == AttemptEnd::kCallerGone)
+      co_return EndForGoneCaller();
     const bool again = end == AttemptEnd::kConnectionFailed &&
                        asked_again.insert(choice->name).second;
     if (!again)
@@ -67,14 +83,43 @@
   co_return co_await GiveUp();
 }
 
+ResultCode ChatCall::EndForGoneCaller() {
+  reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+  exchange_.Abort();
+  return ResultCode::kCallerGone;
+}
+
+bool ChatCall::MayTry(int n) {
+  if (node_.quarantine->IsQuarantined(digest_)) {
+    refusal_ = MakeRefusal(
+        {ResultCode::kQuarantined, "targets were lost that ran this request"},
+        refusal_.ran);
+    return false;
+  }
+  if (n > 0)
+    return node_.quarantine->TakeRetry();
+  node_.quarantine->OnRequest();
+  return true;
+}
+
+asio::awaitable<std::optional<TargetChoice>> ChatCall::ChooseFirst() {
+  Reason reason;
+  const QueuePlace place{caller_.team->name, caller_.team->share, deadline_};
+  std::optional<TargetChoice> choice =
+      co_await node_.targets->Wait(wish_, place, &reason);
+  if (!choice)
+    refusal_ = MakeRefusal(reason);
+  co_return choice;
+}
+
 // A stream may also go on where it broke, if there is no other target.
 std::optional<TargetChoice> ChatCall::Choose(std::set<std::string>& excluded) {
   Reason reason;
   std::optional<TargetChoice> choice =
-      node_.targets->Begin(service_.name, excluded, &reason);
+      node_.targets->Begin(wish_, excluded, &reason);
   if (!choice && answer_started_ && !excluded.empty()) {
     excluded.clear();
-    choice = node_.targets->Begin(service_.name, excluded, &reason);
+    choice = node_.targets->Begin(wish_, excluded, &reason);
   }
   if (!choice && refusal_.reason.code == ResultCode::kOk)
     refusal_ = MakeRefusal(reason);
@@ -120,6 +165,7 @@
       co_await client().Open(*endpoint, TargetRequest(), timeouts, &failure);
   if (!stream) {
     NoteFailure(choice, "failed: " + failure.text, failure.may_have_arrived);
+    meter_->Judge(AnswerOfFailure(failure));
     co_return co_await Probe(*endpoint, failure);
   }
   const std::string resumed(stream->headers().Get("X-Resumed-From"));
@@ -130,6 +176,8 @@
                 resumes ? "answered " + std::to_string(stream->status())
                         : "did not resume the stream",
                 true);
+    if (stream->status() != kStatusOk)
+      meter_->Judge(AnswerOfStatus(stream->status(), stream->headers()));
     co_return AttemptEnd::kTargetFailed;
   }
   if (request_.stream)
@@ -172,6 +220,8 @@
     parser.Feed(*piece);
     std::string out;
     const bool sound = TakeEvents(parser, choice, out);
+    if (!out.empty())
+      meter_->OnTokens(progress_.tokens());
     const bool caller_there = out.empty() || (co_await StartAnswer() &&
                                               co_await exchange_.Write(out));
     if (!caller_there)
@@ -223,6 +273,7 @@
             {"target", choice.name},
             {"tokens", progress_.tokens()},
             {"reason", text}});
+  meter_->Judge(TargetAnswer::kFailed);
   const bool unknown = may_have_run || refusal_.ran != RanState::kNotRun;
   refusal_ = MakeRefusal(
       {ResultCode::kTargetFailed, "target " + choice.name + " " + text},
@@ -237,6 +288,7 @@
               crossed ? "answered another request"
                       : "sent an answer without usage or not in JSON",
               true);
+  meter_->Judge(TargetAnswer::kWrong);
 }
 
 asio::awaitable<ChatCall::AttemptEnd> ChatCall::Probe(
@@ -256,7 +308,11 @@
     node_.metrics.CountEvent(alive ? DeliveryEvent::kSilentConnection
                                    : DeliveryEvent::kSilentTarget);
   }
-  co_return alive ? AttemptEnd::kConnectionFailed : AttemptEnd::kTargetFailed;
+  if (alive)
+    co_return AttemptEnd::kConnectionFailed;
+  // A process that ends breaks the connection and resets or refuses the next.
+  const bool lost = !response && !probe_failure.timed_out && !failure.timed_out;
+  co_return lost ? AttemptEnd::kTargetLost : AttemptEnd::kTargetFailed;
 }
 
 // Ends the generation that no one reads any more, and learns its usage.
@@ -279,6 +335,7 @@
 }
 
 asio::awaitable<ResultCode> ChatCall::Finish() {
+  node_.quarantine->OnAnswered(digest_);
   reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
   bool sent = false;
   if (request_.stream) {
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -83,9 +83,17 @@
   return calls;
 }
 
+json::object DumpQueues(NodeContext& node) {
+  json::object queues;
+  for (const auto& [service, size] : node.targets->QueueSizes())
+    queues[service] = size;
+  return queues;
+}
+
 }  // namespace
 
 std::string DumpState(NodeContext& node) {
+  const json::object fleet = node.fleet->Dump();
   json::object dump = {
       {"host", node.settings.host},
       {"failure_domain", node.settings.failure_domain},
@@ -94,8 +102,13 @@
       {"config", DumpConfig(node)},
       {"ledger", DumpLedger(node)},
       {"targets", DumpTargets(node)},
+      {"waiting_for_target", DumpQueues(node)},
       {"claims", DumpClaims(node)},
+      {"quarantine_suspects", node.quarantine->suspects()},
       {"platform_calls", DumpPlatformCalls(node)},
+      {"config_source", node.config_watcher->Dump()},
+      {"members", fleet.at("members")},
+      {"fleet_counters", fleet.at("counters")},
       {"soft_asserts", SoftAssertCount()},
   };
   return json::serialize(dump);
--- a/tests/delivery/chat_progress_test.cc
+++ b/tests/delivery/chat_progress_test.cc
@@ -1,10 +1,10 @@
 #include "libs/delivery/chat_progress.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <random>
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
 #include "libs/delivery/claim_record.h"
 #include "libs/delivery/delivery_constants.h"
 #include "libs/delivery/progress_limits.h"
@@ -143,8 +143,8 @@
     SseParser parser;
     const std::string mutated = mutate(stream);
     const std::size_t cut = mutated.empty() ? 0 : random() % mutated.size();
-    parser.Feed(std::string_view(mutated).substr(0, cut));
-    parser.Feed(std::string_view(mutated).substr(cut));
+    parser.Feed(mutated.substr(0, cut));
+    parser.Feed(mutated.substr(cut));
     ChatProgress progress("r", kMostTokens);
     AnswerVerdict verdict = AnswerVerdict::kPass;
     while (verdict == AnswerVerdict::kPass) {
