--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "libs/base/digest.h"
 #include "libs/base/log.h"
 #include "libs/delivery/delivery_constants.h"
 #include "libs/http/http_constants.h"
@@ -21,6 +22,7 @@
 
 constexpr LogCategory kLog{"node"};
 constexpr int kStatusOk = 200;
+constexpr std::size_t kDigestDigits = 40;
 
 }  // namespace
 
@@ -37,13 +39,16 @@
       reserved_(std::move(reserved)),
       exchange_(exchange),
       deadline_(steady_clock::now() + service.deadline),
+      digest_(
+          Sha256Hex(caller.team->name + "\n" + json::serialize(request_.body))
+              .substr(0, kDigestDigits)),
       wish_(ChatWishOf(service.name, request_)),
       progress_(caller.request_id, request_.max_tokens) {}
 
 asio::awaitable<ResultCode> ChatCall::Run() {
   std::set<std::string> excluded;
   std::set<std::string> asked_again;
-  for (int n = 0; n < kTargetAttempts; ++n) {
+  for (int n = 0; n < kTargetAttempts && MayTry(n); ++n) {
     std::optional<TargetChoice> choice;
     if (n == 0)
       choice = co_await ChooseFirst();
@@ -57,19 +62,19 @@
     const AttemptEnd end = co_await Attempt(*choice);
     if (end == AttemptEnd::kWhole)
       meter_->Judge(TargetAnswer::kGood);
+    else if (end == AttemptEnd::kTargetLost)
+      meter_->Judge(TargetAnswer::kFailed);
     else if (end != AttemptEnd::kTargetFailed)
       meter_->Judge(TargetAnswer::kNoVerdict);
     meter_.reset();
     if (end == AttemptEnd::kWhole)
       co_return co_await Finish();
-    const bool gone = end == AttemptEnd::kCallerGone;
-    if (gone || answer_started_)
+    if (end == AttemptEnd::kTargetLost)
+      node_.quarantine->OnLost(digest_, choice->name);
+    else if (end == AttemptEnd::kCallerGone || answer_started_)
       co_await Cancel(*choice);
-    if (gone) {
-      reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
-      exchange_.Abort();
-      co_return ResultCode::kCallerGone;
-    }
+    if (end == AttemptEnd::kCallerGone)
+      co_return EndForGoneCaller();
     const bool again = end == AttemptEnd::kConnectionFailed &&
                        asked_again.insert(choice->name).second;
     if (!again)
@@ -78,6 +83,25 @@
   co_return co_await GiveUp();
 }
 
+ResultCode ChatCall::EndForGoneCaller() {
+  reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+  exchange_.Abort();
+  return ResultCode::kCallerGone;
+}
+
+bool ChatCall::MayTry(int n) {
+  if (node_.quarantine->IsQuarantined(digest_)) {
+    refusal_ = MakeRefusal(
+        {ResultCode::kQuarantined, "targets were lost that ran this request"},
+        refusal_.ran);
+    return false;
+  }
+  if (n > 0)
+    return node_.quarantine->TakeRetry();
+  node_.quarantine->OnRequest();
+  return true;
+}
+
 asio::awaitable<std::optional<TargetChoice>> ChatCall::ChooseFirst() {
   Reason reason;
   const QueuePlace place{caller_.team->name, caller_.team->share, deadline_};
@@ -284,7 +308,11 @@
     node_.metrics.CountEvent(alive ? DeliveryEvent::kSilentConnection
                                    : DeliveryEvent::kSilentTarget);
   }
-  co_return alive ? AttemptEnd::kConnectionFailed : AttemptEnd::kTargetFailed;
+  if (alive)
+    co_return AttemptEnd::kConnectionFailed;
+  // A process that ends breaks the connection and resets or refuses the next.
+  const bool lost = !response && !probe_failure.timed_out && !failure.timed_out;
+  co_return lost ? AttemptEnd::kTargetLost : AttemptEnd::kTargetFailed;
 }
 
 // Ends the generation that no one reads any more, and learns its usage.
@@ -307,6 +335,7 @@
 }
 
 asio::awaitable<ResultCode> ChatCall::Finish() {
+  node_.quarantine->OnAnswered(digest_);
   reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
   bool sent = false;
   if (request_.stream) {
--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -13,9 +13,12 @@
 #include "libs/node/budget_keeper.h"
 #include "libs/node/claim_keeper.h"
 #include "libs/node/config_holder.h"
+#include "libs/node/config_watcher.h"
+#include "libs/node/fleet_keeper.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_metrics.h"
 #include "libs/node/node_settings.h"
+#include "libs/node/quarantine_keeper.h"
 #include "libs/node/request_log.h"
 #include "libs/node/shared_ledger.h"
 #include "libs/node/shared_limits.h"
@@ -39,7 +42,10 @@
   SharedLimits limits;
   std::unique_ptr<SharedLedger> ledger;
   std::unique_ptr<HttpPlatformClient> platform;
+  std::unique_ptr<FleetKeeper> fleet;
+  std::unique_ptr<ConfigWatcher> config_watcher;
   std::unique_ptr<ClaimKeeper> claims;
+  std::unique_ptr<QuarantineKeeper> quarantine;
   std::unique_ptr<BudgetKeeper> budgets;
   // Starts a graceful shutdown; set by the node, called on the control thread.
   std::function<void()> start_shutdown;
--- a/src/libs/operations/winch_commands.cc
+++ b/src/libs/operations/winch_commands.cc
@@ -9,6 +9,7 @@
 #include "libs/config/config_diff.h"
 #include "libs/operations/budget_report.h"
 #include "libs/operations/budget_store.h"
+#include "libs/operations/budget_verbs.h"
 #include "libs/operations/config_directory.h"
 #include "libs/operations/config_store.h"
 #include "libs/operations/daemon_verbs.h"
@@ -223,6 +224,9 @@
       {"budget show", "BUDGET", "explain a budget", 1, ShowBudget},
       {"budget top-up", "BUDGET TOKENS", "add tokens to a budget", 2,
        TopUpVerb},
+      {"budget release", "HOLDER", "free what an ended process was granted", 1,
+       ReleaseVerb},
+      {"bills", "", "show bills by request, team or time", 0, BillsVerb},
       {"hosts", "", "show the platform's list of entry hosts", 0, ShowHosts},
       {"targets", "", "show the platform's list of targets", 0, ShowTargets},
       {"status", "", "show which daemons run which generation", 0, ShowStatus},
