--- a/src/libs/delivery/delivery_constants.h
+++ b/src/libs/delivery/delivery_constants.h
@@ -39,6 +39,15 @@
 inline constexpr std::int64_t kSlowestPrefillTokensPerSecond = 500;
 // Time for a target to answer a probe or a cancellation.
 inline constexpr std::chrono::milliseconds kProbeLimit{1'000};
+// Targets lost with the same request in flight before it is refused.
+inline constexpr int kLossesToQuarantine = 2;
+// Time within which requests lost on one target were lost together.
+inline constexpr std::chrono::seconds kLostTogether{2};
+// Time for which a request is refused: alone on its lost targets, or not.
+inline constexpr std::chrono::milliseconds kQuarantineHold{600'000};
+inline constexpr std::chrono::milliseconds kQuarantineDoubtHold{30'000};
+// Requests that are suspected or refused at the same time.
+inline constexpr std::size_t kMostSuspects = 4'096;
 
 }  // namespace turmericwinch
 
