Build the engine stand-in's statistics only when asked

Every request to the stand-in serialized the statistics of all earlier ones, so 5,000 streams at once starved: tw_load directly at the stand-in got 0 of 5,000 answers in 6 s (1,453 broken, 3,547 none), and 1,664 of 5,000 through a host ended as target_failed.

--- a/src/libs/standin/engine_stand_in.cc
+++ b/src/libs/standin/engine_stand_in.cc
@@ -177,8 +177,9 @@
     engine_faults = EngineFaultsOf(request.body).value_or(engine_faults);
   if (co_await HandleFaultRequest(faults, request, exchange))
     co_return;
-  HttpResponse response = Stats();
+  HttpResponse response;
   if (request.target == "/stats") {
+    response = Stats();
     co_await exchange.Send(response);
     co_return;
   }
