--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -1,9 +1,9 @@
 #include "libs/peer/peer_codec.h"
 
+#include <peer_types.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
-#include "libs/peer/gen/peer_types.h"
 #include "libs/peer/peer_constants.h"
 
 namespace turmericwinch {
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -1,9 +1,9 @@
 #include "libs/membership/membership.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include "membership/fake_network.h"
 
+#include <CppUTest/TestHarness.h>
+
 namespace turmericwinch {
 
 namespace {
--- a/tests/peer/peer_handshake_test.cc
+++ b/tests/peer/peer_handshake_test.cc
@@ -1,9 +1,9 @@
 #include "libs/peer/peer_handshake.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include "libs/peer/peer_constants.h"
 
+#include <CppUTest/TestHarness.h>
+
 namespace turmericwinch {
 
 namespace {
--- a/tests/peer/peer_network_test.cc
+++ b/tests/peer/peer_network_test.cc
@@ -1,13 +1,13 @@
 #include "libs/peer/peer_network.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <boost/asio.hpp>
 
 #include "libs/http/http_client.h"
 #include "libs/peer/peer_codec.h"
 #include "libs/peer/peer_constants.h"
 
+#include <CppUTest/TestHarness.h>
+
 namespace turmericwinch {
 
 namespace {
