--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -36,7 +36,7 @@
 
 auth="Authorization: Bearer demo-archive-key"
 for it in "${callers[@]}"; do
-  curl -sf "http://$it/v1/chat/completions" -H "$auth" -d '{
+  curl -sf "http://$it/v1/chat/completions" -H "$auth" -H 'X-Request-Id: chat-1' -d '{
     "model":"turmericwinch-llm","stream":true,"max_tokens":8,
     "messages":[{"role":"user","content":"Which sheet is this?"}]}' |
     grep -q 'data: \[DONE\]'
@@ -45,6 +45,9 @@
   curl -sf "http://$it/services/drawer-app/checkouts/7" -H "$auth" \
     -H 'Idempotency-Key: checkout-7' -d '{"sheet":7}' >/dev/null
 done
+operators=$(daemon_address host-1 operators)
+"$bin/winch" explain chat-1 --daemons="$operators" | grep -q '"attempts":\[{"target":"engine-1","failure":""}\]'
+"$bin/winch" status --daemons="$operators" | grep -q 'host-1 .* live'
 runs=$(curl -sf "http://$service/stats")
 [ "$runs" = '{"checkout-7":1}' ] || { echo "the checkout ran: $runs" >&2; exit 1; }
 
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -59,6 +59,7 @@
     if (answer_started_)
       node_.metrics.CountEvent(DeliveryEvent::kResumedStream);
     meter_.emplace(*node_.targets, *choice);
+    caller_.record->attempts.push_back({choice->name, ""});
     const AttemptEnd end = co_await Attempt(*choice);
     if (end == AttemptEnd::kWhole)
       meter_->Judge(TargetAnswer::kGood);
@@ -273,6 +274,7 @@
             {"target", choice.name},
             {"tokens", progress_.tokens()},
             {"reason", text}});
+  caller_.record->attempts.back().failure = text;
   meter_->Judge(TargetAnswer::kFailed);
   const bool unknown = may_have_run || refusal_.ran != RanState::kNotRun;
   refusal_ = MakeRefusal(
@@ -349,6 +351,7 @@
 }
 
 asio::awaitable<ResultCode> ChatCall::GiveUp() {
+  caller_.record->reason = refusal_.reason.text;
   if (!answer_started_) {
     co_await exchange_.Send(RefusalResponse(refusal_, caller_.request_id));
     co_return refusal_.reason.code;
--- a/src/libs/node/chat_handler.cc
+++ b/src/libs/node/chat_handler.cc
@@ -15,6 +15,7 @@
 asio::awaitable<ResultCode> Refuse(const Caller& caller,
                                    const Reason& reason,
                                    HttpExchange& exchange) {
+  caller.record->reason = reason.text;
   co_await exchange.Send(
       RefusalResponse(MakeRefusal(reason), caller.request_id));
   co_return reason.code;
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -66,6 +66,7 @@
   std::chrono::steady_clock::time_point deadline;
   // Set for a call that may not be repeated.
   std::optional<ClaimSession> claim;
+  RequestRecord* record = nullptr;
 };
 
 HttpTimeouts TimeoutsUntil(std::chrono::steady_clock::time_point deadline) {
@@ -109,6 +110,7 @@
       co_return outcome;
     }
     std::optional<AttemptMeter> meter(std::in_place, *node.targets, *choice);
+    call.record->attempts.push_back({choice->name, ""});
     HttpFailure failure;
     std::optional<asio::ip::tcp::endpoint> endpoint =
         ParseEndpoint(choice->address);
@@ -131,6 +133,7 @@
       co_return outcome;
     excluded.insert(choice->name);
     NoteFailure(*choice, failure, outcome);
+    call.record->attempts.back().failure = outcome.refusal.reason.text;
     if (!call.route->repeatable && failure.may_have_arrived) {
       outcome.refusal.reason.code = ResultCode::kOutcomeUnknown;
       outcome.refusal.retry_after_s = 0;
@@ -159,6 +162,7 @@
 asio::awaitable<ResultCode> Refuse(const Caller& caller,
                                    const Refusal& refusal,
                                    HttpExchange& exchange) {
+  caller.record->reason = refusal.reason.text;
   co_await exchange.Send(RefusalResponse(refusal, caller.request_id));
   co_return refusal.reason.code;
 }
@@ -246,6 +250,7 @@
   PlainCall call;
   call.route = route;
   call.deadline = start + route->deadline;
+  call.record = caller.record.get();
   call.request = TargetRequest(caller, request, target->path, key);
   if (wish) {
     ClaimAnswer answer = co_await OnControl(node, node.claims->Take(*wish));
