--- a/src/libs/membership/membership.cc
+++ b/src/libs/membership/membership.cc
@@ -2,12 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
-#include <random>
-#include <set>
 
 #include "libs/membership/duty_table.h"
 #include "libs/membership/membership_constants.h"
+#include "libs/membership/membership_private.h"
 
 namespace turmericwinch {
 
@@ -15,80 +13,14 @@
 
 using Kind = MembershipMessageKind;
 using Time = Membership::Time;
+using membership_internal::Entry;
+using membership_internal::OpenProbe;
+using membership_internal::RelayedProbe;
 
 constexpr char kGatewayDuty[] = "membership-gateway";
 
-struct Entry {
-  Member member;
-  Time since{0};
-  int sends_left = 0;
-};
-
-// A probe by this host that is not answered yet.
-struct OpenProbe {
-  std::string target;
-  std::uint64_t sequence = 0;
-  Time started{0};
-  bool asked_others = false;
-};
-
-// A probe by this host for another one.
-struct RelayedProbe {
-  std::string target;
-  std::string origin_address;
-  std::uint64_t origin_sequence = 0;
-  Time started{0};
-};
-
 }  // namespace
 
-class Membership::Private {
- public:
-  Private(Member self, std::uint64_t seed)
-      : self(std::move(self)), random(seed) {}
-
-  void Apply(const Member& report, Time now);
-  void Contradict(const Member& report);
-  void HeardFrom(const Member& sender, Time now);
-  void ExpireSuspicions(Time now);
-  void NotePause(Time now);
-  void FollowProbes(Time now, Messages* out);
-  void StartProbes(Time now, Messages* out);
-  void ProbeOneOf(std::vector<std::string>* queue,
-                  bool own_domain,
-                  Time now,
-                  Messages* out);
-  void Answer(const MembershipMessage& message, Kind kind, Messages* out);
-  void Relay(const MembershipMessage& message, Time now, Messages* out);
-  void TakeAnswer(const MembershipMessage& message, Messages* out);
-  void TrySeeds(Time now, Messages* out);
-  void ExchangeTable(Time now, Messages* out);
-  bool IsGateway() const;
-  std::vector<Member> Known(bool own_domain_only) const;
-  int Log2Members() const;
-  MembershipMessage Make(Kind kind, std::uint64_t sequence);
-  std::vector<Member> TakeChanges();
-  std::vector<Member> Table() const;
-  std::string NextOf(std::vector<std::string>* queue, bool own_domain);
-
-  Member self;
-  std::mt19937_64 random;
-  std::map<std::string, Entry> entries;
-  std::set<std::string> seeds;
-  std::set<std::string> listed;
-  std::set<std::string> delisted;
-  std::vector<OpenProbe> probes;
-  std::map<std::uint64_t, RelayedProbe> relays;
-  std::vector<std::string> near_queue;
-  std::vector<std::string> far_queue;
-  std::uint64_t next_sequence = 1;
-  Time last_tick{-1};
-  Time next_probe{0};
-  Time next_seed{0};
-  Time next_table{0};
-  MembershipCounters counters;
-};
-
 int Membership::Private::Log2Members() const {
   return static_cast<int>(std::ceil(std::log2(entries.size() + 2.0)));
 }
@@ -229,170 +161,6 @@
   return table;
 }
 
-MembershipMessage Membership::Private::Make(Kind kind, std::uint64_t sequence) {
-  MembershipMessage message;
-  message.kind = kind;
-  message.sequence = sequence;
-  message.sender = self;
-  const bool whole = kind == Kind::kTable || kind == Kind::kTableAnswer;
-  message.changes = whole ? Table() : TakeChanges();
-  return message;
-}
-
-// Hosts come in random rounds, so that each is probed once a round.
-std::string Membership::Private::NextOf(std::vector<std::string>* queue,
-                                        bool own_domain) {
-  for (int round = 0; round < 2; ++round) {
-    while (!queue->empty()) {
-      std::string name = std::move(queue->back());
-      queue->pop_back();
-      auto it = entries.find(name);
-      if (it != entries.end() && it->second.member.state < MemberState::kDead)
-        return name;
-    }
-    for (const auto& [name, it] : entries) {
-      if ((it.member.failure_domain == self.failure_domain) == own_domain)
-        queue->push_back(name);
-    }
-    std::shuffle(queue->begin(), queue->end(), random);
-  }
-  return {};
-}
-
-void Membership::Private::ProbeOneOf(std::vector<std::string>* queue,
-                                     bool own_domain,
-                                     Time now,
-                                     Messages* out) {
-  const std::string target = NextOf(queue, own_domain);
-  if (target.empty())
-    return;
-  Entry& entry = entries[target];
-  MembershipMessage probe = Make(Kind::kProbe, next_sequence++);
-  probe.target = target;
-  // A suspected host has to hear of it to be able to contradict.
-  if (entry.member.state != MemberState::kAlive)
-    probe.changes.push_back(entry.member);
-  probes.push_back({target, probe.sequence, now});
-  ++counters.probes;
-  out->push_back({entry.member.address, std::move(probe)});
-}
-
-void Membership::Private::FollowProbes(Time now, Messages* out) {
-  std::erase_if(probes, [&](OpenProbe& it) {
-    if (now - it.started < kProbePeriod)
-      return false;
-    ++counters.failed_probes;
-    auto entry = entries.find(it.target);
-    if (entry != entries.end() &&
-        entry->second.member.state == MemberState::kAlive) {
-      Member report = entry->second.member;
-      report.state = MemberState::kSuspected;
-      Apply(report, now);
-    }
-    return true;
-  });
-  std::erase_if(relays, [&](const auto& it) {
-    return now - it.second.started >= kProbePeriod;
-  });
-  for (OpenProbe& it : probes) {
-    if (it.asked_others || now - it.started < kProbeTimeout)
-      continue;
-    it.asked_others = true;
-    std::vector<Member> helpers = Known(true);
-    std::erase_if(helpers, [&](const Member& member) {
-      return member.state != MemberState::kAlive || member.name == it.target ||
-             member.name == self.name;
-    });
-    std::shuffle(helpers.begin(), helpers.end(), random);
-    helpers.resize(std::min(helpers.size(), kIndirectProbes));
-    for (const Member& helper : helpers) {
-      MembershipMessage request = Make(Kind::kProbeRequest, it.sequence);
-      request.target = it.target;
-      out->push_back({helper.address, std::move(request)});
-    }
-  }
-}
-
-void Membership::Private::StartProbes(Time now, Messages* out) {
-  if (now < next_probe)
-    return;
-  next_probe = now + kProbePeriod;
-  ProbeOneOf(&near_queue, true, now, out);
-  if (IsGateway())
-    ProbeOneOf(&far_queue, false, now, out);
-}
-
-void Membership::Private::TrySeeds(Time now, Messages* out) {
-  if (now < next_seed)
-    return;
-  next_seed = now + kSeedPeriod;
-  seeds.erase(self.address);
-  for (const auto& [name, it] : entries)
-    seeds.erase(it.member.address);
-  std::vector<std::string> some(seeds.begin(), seeds.end());
-  std::shuffle(some.begin(), some.end(), random);
-  some.resize(std::min(some.size(), kIndirectProbes));
-  for (const std::string& it : some)
-    out->push_back({it, Make(Kind::kTable, next_sequence++)});
-}
-
-void Membership::Private::ExchangeTable(Time now, Messages* out) {
-  if (now < next_table || entries.empty())
-    return;
-  const bool first = next_table == Time(0);
-  next_table = now + Time(random() % (2 * kTableExchangePeriod.count()));
-  if (first)
-    return;
-  auto it = entries.begin();
-  std::advance(it, static_cast<long>(random() % entries.size()));
-  if (it->second.member.state < MemberState::kDead) {
-    out->push_back(
-        {it->second.member.address, Make(Kind::kTable, next_sequence++)});
-  }
-}
-
-void Membership::Private::Answer(const MembershipMessage& message,
-                                 Kind kind,
-                                 Messages* out) {
-  MembershipMessage answer = Make(kind, message.sequence);
-  auto it = entries.find(message.sender.name);
-  // The sender can contradict only what it hears.
-  if (it != entries.end() && it->second.member.state != MemberState::kAlive)
-    answer.changes.push_back(it->second.member);
-  out->push_back({message.sender.address, std::move(answer)});
-}
-
-void Membership::Private::Relay(const MembershipMessage& message,
-                                Time now,
-                                Messages* out) {
-  auto it = entries.find(message.target);
-  if (it == entries.end())
-    return;
-  MembershipMessage probe = Make(Kind::kProbe, next_sequence++);
-  probe.target = message.target;
-  relays[probe.sequence] = {message.target, message.sender.address,
-                            message.sequence, now};
-  out->push_back({it->second.member.address, std::move(probe)});
-}
-
-void Membership::Private::TakeAnswer(const MembershipMessage& message,
-                                     Messages* out) {
-  // Another host may have taken over the address of the one that was probed.
-  std::erase_if(probes, [&](const OpenProbe& it) {
-    return it.sequence == message.sequence &&
-           (message.sender.name == it.target || message.target == it.target);
-  });
-  auto relay = relays.find(message.sequence);
-  if (relay == relays.end() || relay->second.target != message.sender.name)
-    return;
-  MembershipMessage answer =
-      Make(Kind::kProbeAnswer, relay->second.origin_sequence);
-  answer.target = relay->second.target;
-  answer.changes.push_back(message.sender);
-  out->push_back({relay->second.origin_address, std::move(answer)});
-  relays.erase(relay);
-}
-
 Membership::Membership(Member self, std::uint64_t seed)
     : d_(std::make_unique<Private>(std::move(self), seed)) {}
 
