--- a/src/libs/membership/membership.cc
+++ b/src/libs/membership/membership.cc
@@ -14,8 +14,6 @@
 using Kind = MembershipMessageKind;
 using Time = Membership::Time;
 using membership_internal::Entry;
-using membership_internal::OpenProbe;
-using membership_internal::RelayedProbe;
 
 constexpr char kGatewayDuty[] = "membership-gateway";
 
