Refuse teams that a route does not name

Cause: a route's teams were checked for names and then ignored, so an accepted configuration was not in force. Ruled out: dropping the field; it is promised. Conclusion: the field holds on both kinds of route.

--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -45,6 +45,9 @@
   curl -sf "http://$it/services/drawer-app/checkouts/7" -H "$auth" \
     -H 'Idempotency-Key: checkout-7' -d '{"sheet":7}' >/dev/null
 done
+status=$(curl -s -o /dev/null -w '%{http_code}' -X POST "http://${callers[0]}/services/drawer-app/seals/1" \
+  -H 'Authorization: Bearer demo-library-key' -H 'Idempotency-Key: seal-1')
+[ "$status" = 403 ] || { echo "a closed route answered $status" >&2; exit 1; }
 operators=$(daemon_address host-1 operators)
 "$bin/winch" explain chat-1 --daemons="$operators" | grep -q '"attempts":\[{"target":"engine-1","failure":""}\]'
 "$bin/winch" status --daemons="$operators" | grep -q 'host-1 .* live'
--- a/src/libs/node/admission.cc
+++ b/src/libs/node/admission.cc
@@ -1,5 +1,6 @@
 #include "libs/node/admission.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "libs/base/digest.h"
@@ -129,4 +130,10 @@
   co_return std::nullopt;
 }
 
+bool MayCall(const RouteConfig& route, const TeamConfig& team) {
+  return route.teams.empty() ||
+         std::find(route.teams.begin(), route.teams.end(), team.name) !=
+             route.teams.end();
+}
+
 }  // namespace turmericwinch
--- a/src/libs/node/admission.h
+++ b/src/libs/node/admission.h
@@ -72,6 +72,9 @@
     std::int64_t tokens,
     Reason* reason);
 
+// Whether `route` is open to `team`: to all if it names none.
+bool MayCall(const RouteConfig& route, const TeamConfig& team);
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_NODE_ADMISSION_H_
--- a/src/libs/node/chat_handler.cc
+++ b/src/libs/node/chat_handler.cc
@@ -36,6 +36,14 @@
     reason = {ResultCode::kNotFound, "no model is named " + chat->model};
     co_return co_await Refuse(caller, reason, exchange);
   }
+  const RouteConfig* route =
+      caller.config->Route(service->name, service->name, request.method);
+  if (route && !MayCall(*route, *caller.team)) {
+    reason = {
+        ResultCode::kForbidden,
+        "model " + service->name + " is not open to team " + caller.team->name};
+    co_return co_await Refuse(caller, reason, exchange);
+  }
   if (chat->max_tokens == 0)
     chat->max_tokens = service->most_output_tokens;
   if (chat->max_tokens > service->most_output_tokens) {
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -231,6 +231,12 @@
   const ServiceConfig* service = caller.config->Service(target->service);
   if (!route || !service)
     co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
+  if (!MayCall(*route, *caller.team)) {
+    reason = {
+        ResultCode::kForbidden,
+        "route " + route->name + " is not open to team " + caller.team->name};
+    co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
+  }
   const std::string key(request.headers.Get("Idempotency-Key"));
   if (!route->repeatable && key.empty()) {
     reason = {ResultCode::kKeyRequired,
