--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,8 +7,8 @@
 mapfile -t all < <(git ls-files --cached --others --exclude-standard 'src/*.cc' 'src/*.h' 'tests/*.cc' 'tests/*.h' | grep -v /gen/)
 clang-format --dry-run -Werror "${all[@]}"
 mkdir -p .cache/lint
-# clang-tidy cannot read GCC's precompiled headers.
-cmake -S . -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >build-lint.log 2>&1
+# clang-tidy reads neither GCC's precompiled headers nor all of its flags.
+cmake -S . -B build-lint -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >build-lint.log 2>&1
 base=$(cat .clang-tidy $(printf '%s\n' "${all[@]}" | grep '\.h$') | sha256sum | cut -c1-16)
 if [ $# -gt 0 ]; then sources=("$@"); else mapfile -t sources < <(printf '%s\n' "${all[@]}" | grep '\.cc$'); fi
 lint_one() {
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -2,7 +2,7 @@
 # Installs the packages that the build and the tests need.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache lld pkg-config clang-format clang-tidy curl
+  g++ clang cmake ninja-build ccache lld pkg-config clang-format clang-tidy curl
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libpopt-dev liblog4cxx-dev libcpputest-dev libthrift-dev thrift-compiler
   libxxhash-dev libssl-dev
