Give every wrong input a number, and let winch explain in sentences

Seen, on this tree (ASan, machine at load 30): `scripts/errors_check.sh build-asan` passed, 37 wrong inputs; node, http, standin, base and operations tests pass; `scripts/smoke.sh build-asan` passed. The head's effect on latency is not measured here: that needs a quiet machine.

--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -49,7 +49,7 @@
   -H 'Authorization: Bearer demo-library-key' -H 'Idempotency-Key: seal-1')
 [ "$status" = 403 ] || { echo "a closed route answered $status" >&2; exit 1; }
 operators=$(daemon_address host-1 operators)
-"$bin/winch" explain chat-1 --daemons="$operators" | grep -q '"attempts":\[{"target":"engine-1","failure":""}\]'
+"$bin/winch" explain chat-1 --daemons="$operators" --output=json | grep -q '"attempts":\[{"target":"engine-1","failure":""}\]'
 "$bin/winch" status --daemons="$operators" | grep -q 'host-1 .* live'
 runs=$(curl -sf "http://$service/stats")
 [ "$runs" = '{"checkout-7":1}' ] || { echo "the checkout ran: $runs" >&2; exit 1; }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,6 +10,7 @@
 export ASAN_OPTIONS=detect_leaks=0
 ctest --test-dir build-asan --output-on-failure -j "$(nproc)"
 scripts/smoke.sh build-asan
+scripts/errors_check.sh build-asan
 scripts/system_test.sh build-asan
 scripts/routing_check.sh build-asan
 scripts/build.sh tsan daemons threaded_tests
--- a/src/apps/turmericwinchd/main.cc
+++ b/src/apps/turmericwinchd/main.cc
@@ -24,7 +24,7 @@
   Node node(std::move(settings));
   Reason reason;
   if (!node.Start(&reason)) {
-    std::cerr << reason.text << "\n";
+    std::cerr << ErrorText(reason);
     return InfoOf(reason.code).exit_code;
   }
   return node.Run();
@@ -40,7 +40,7 @@
   std::optional<SettingsTable> table = SettingsTable::Read(
       NodeSettingSpecs(), argc, argv, ProcessEnvironment(), &reason);
   if (!table) {
-    std::cerr << reason.text;
+    std::cerr << ErrorText(reason);
     return InfoOf(reason.code).exit_code;
   }
   if (table->Flag("print-settings")) {
--- a/src/libs/base/reason.cc
+++ b/src/libs/base/reason.cc
@@ -10,4 +10,14 @@
   return std::nullopt;
 }
 
+std::string ErrorText(const Reason& reason) {
+  std::string text = reason.text;
+  if (!text.ends_with('\n'))
+    text += '\n';
+  text += "error " + std::to_string(static_cast<int>(reason.code)) + " ";
+  text += NameOf(reason.code);
+  text += '\n';
+  return text;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -20,6 +20,9 @@
 // Fills `reason`, which may be null, and gives the empty optional to return.
 std::nullopt_t Fail(Reason* reason, ResultCode code, std::string text);
 
+// Lines for a terminal: the sentence, then number and name of the code.
+std::string ErrorText(const Reason& reason);
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_BASE_REASON_H_
--- a/src/libs/base/settings_table.cc
+++ b/src/libs/base/settings_table.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <cctype>
@@ -51,13 +52,22 @@
   return parts;
 }
 
+std::string ChoiceFault(const SettingSpec& spec, const std::string& text) {
+  const auto& choices = spec.choices;
+  if (choices.empty() ||
+      std::find(choices.begin(), choices.end(), text) != choices.end())
+    return "";
+  return "is '" + text + "', not one of " +
+         boost::algorithm::join(choices, ", ");
+}
+
 // The fault in `text` as a value of `spec`, or an empty string.
 std::string FaultOf(const SettingSpec& spec, const std::string& text) {
   if (text.empty())
     return spec.required ? "is required and has no value" : "";
   switch (spec.type) {
     case SettingType::kText:
-      return "";
+      return ChoiceFault(spec, text);
     case SettingType::kInteger: {
       std::optional<std::int64_t> n = ParseInteger(text);
       if (!n)
@@ -198,6 +208,8 @@
       text += "; range: " + std::to_string(it.least) + ".." +
               std::to_string(it.most);
     }
+    if (!it.choices.empty())
+      text += "; one of: " + boost::algorithm::join(it.choices, ", ");
     if (!it.default_value.empty())
       text += "; default: " + it.default_value;
     if (it.required)
--- a/src/libs/base/settings_table.h
+++ b/src/libs/base/settings_table.h
@@ -28,6 +28,8 @@
   std::int64_t most = 0;
   bool required = false;
   bool secret = false;
+  // The values that a kText may have; any if empty.
+  std::vector<std::string> choices = {};
 };
 
 // Where a value came from.
--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -115,6 +115,8 @@
   // Writes as much as the socket takes at once, mostly all: that saves the
   // way through the scheduler. Answers the rest, nothing if the caller is gone.
   std::optional<asio::const_buffer> WriteNow(asio::const_buffer data) {
+    if (!first_byte)
+      first_byte = std::chrono::steady_clock::now();
     boost::system::error_code ec;
     const std::size_t n = socket.write_some(data, ec);
     if (!ec || ec == asio::error::would_block)
@@ -131,6 +133,21 @@
     co_return !ec;
   }
 
+  // Writes all of `buf`. False if the caller is gone.
+  asio::awaitable<bool> WriteBuffer() {
+    head_waits = false;
+    auto rest = WriteNow(asio::buffer(buf));
+    if (!rest || rest->size() == 0)
+      co_return rest.has_value();
+    co_return co_await WriteRest(*rest);
+  }
+
+  // Empties `buf` but for a head that waits.
+  void StartBuffer() {
+    if (!head_waits)
+      buf.clear();
+  }
+
   tcp::socket& socket;
   SocketDeadline& deadline;
   bool keep_alive;
@@ -138,7 +155,11 @@
   bool ended = false;
   std::size_t thread_index;
   std::uint64_t connection = 0;
+  // Bytes of the write under way; the head of a stream waits here for its
+  // first chunk.
   std::string buf;
+  bool head_waits = false;
+  std::optional<std::chrono::steady_clock::time_point> first_byte;
 };
 
 namespace {
@@ -173,44 +194,34 @@
   d_->buf += std::to_string(response.body.size());
   d_->buf += "\r\n\r\n";
   d_->buf += response.body;
-  auto rest = d_->WriteNow(asio::buffer(d_->buf));
-  if (!rest || rest->size() == 0)
-    co_return rest.has_value();
-  co_return co_await d_->WriteRest(*rest);
+  co_return co_await d_->WriteBuffer();
 }
 
-asio::awaitable<bool> HttpExchange::StartStream(int status,
-                                                const HttpHeaders& headers) {
+void HttpExchange::StartStream(int status, const HttpHeaders& headers) {
   d_->started = true;
   d_->buf.clear();
   AppendHead(d_->buf, status, headers, d_->keep_alive);
   d_->buf += "Transfer-Encoding: chunked\r\n\r\n";
-  auto rest = d_->WriteNow(asio::buffer(d_->buf));
-  if (!rest || rest->size() == 0)
-    co_return rest.has_value();
-  co_return co_await d_->WriteRest(*rest);
+  d_->head_waits = true;
 }
 
 asio::awaitable<bool> HttpExchange::Write(std::string_view data) {
   if (data.empty())
     co_return true;
   char size[24];
-  int n = std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
-  d_->buf.assign(size, n);
+  const int n = std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+  d_->StartBuffer();
+  d_->buf.append(size, n);
   d_->buf += data;
   d_->buf += "\r\n";
-  auto rest = d_->WriteNow(asio::buffer(d_->buf));
-  if (!rest || rest->size() == 0)
-    co_return rest.has_value();
-  co_return co_await d_->WriteRest(*rest);
+  co_return co_await d_->WriteBuffer();
 }
 
 asio::awaitable<bool> HttpExchange::EndStream() {
   d_->ended = true;
-  auto rest = d_->WriteNow(asio::buffer("0\r\n\r\n", 5));
-  if (!rest || rest->size() == 0)
-    co_return rest.has_value();
-  co_return co_await d_->WriteRest(*rest);
+  d_->StartBuffer();
+  d_->buf += "0\r\n\r\n";
+  co_return co_await d_->WriteBuffer();
 }
 
 void HttpExchange::Abort() {
@@ -230,6 +241,11 @@
   return d_->started;
 }
 
+std::optional<std::chrono::steady_clock::time_point>
+HttpExchange::first_byte_at() const {
+  return d_->first_byte;
+}
+
 std::size_t HttpExchange::thread_index() const {
   return d_->thread_index;
 }
--- a/src/libs/http/http_server.h
+++ b/src/libs/http/http_server.h
@@ -30,9 +30,9 @@
 
   // Sends a whole response. False if the caller is gone.
   boost::asio::awaitable<bool> Send(const HttpResponse& response);
-  // Starts a chunked response; its body follows by Write() and EndStream().
-  boost::asio::awaitable<bool> StartStream(int status,
-                                           const HttpHeaders& headers);
+  // Starts a chunked response; its body follows by Write() and EndStream(),
+  // the first of which also sends the head.
+  void StartStream(int status, const HttpHeaders& headers);
   // Sends one chunk. False if the caller is gone.
   boost::asio::awaitable<bool> Write(std::string_view data);
   // Ends a chunked response. False if the caller is gone.
@@ -44,6 +44,8 @@
   bool CallerGone() const;
   // Whether a response was started.
   bool started() const;
+  // When the first byte of the response was sent, if any was.
+  std::optional<std::chrono::steady_clock::time_point> first_byte_at() const;
   // Index of the traffic thread, for per-thread state.
   std::size_t thread_index() const;
   // Number of the connection: later ones of the process have higher numbers.
--- a/src/libs/node/caller_handler.cc
+++ b/src/libs/node/caller_handler.cc
@@ -56,6 +56,8 @@
     record->result = co_await Dispatch(node, record, request, exchange);
     record->elapsed = std::chrono::steady_clock::now() - start;
     node.metrics.CountResult(record->result);
+    if (exchange.first_byte_at())
+      node.metrics.AddFirstByte(*exchange.first_byte_at() - start);
     node.metrics.AddWhole(record->elapsed);
     LogEvent(kLog, Severity::kDebug, "request_done",
              {{"request", record->request_id},
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -223,9 +223,7 @@
     const bool sound = TakeEvents(parser, choice, out);
     if (!out.empty())
       meter_->OnTokens(progress_.tokens());
-    const bool caller_there = out.empty() || (co_await StartAnswer() &&
-                                              co_await exchange_.Write(out));
-    if (!caller_there)
+    if (!out.empty() && !co_await WriteAnswer(out))
       co_return AttemptEnd::kCallerGone;
     if (ended_)
       co_return AttemptEnd::kWhole;
@@ -255,15 +253,16 @@
   return true;
 }
 
-asio::awaitable<bool> ChatCall::StartAnswer() {
-  if (answer_started_)
-    co_return true;
-  answer_started_ = true;
-  HttpHeaders headers;
-  headers.Add("Content-Type", "text/event-stream");
-  headers.Add("Cache-Control", "no-store");
-  headers.Add("X-Request-Id", caller_.request_id);
-  co_return co_await exchange_.StartStream(kStatusOk, headers);
+asio::awaitable<bool> ChatCall::WriteAnswer(std::string_view events) {
+  if (!answer_started_) {
+    answer_started_ = true;
+    HttpHeaders headers;
+    headers.Add("Content-Type", "text/event-stream");
+    headers.Add("Cache-Control", "no-store");
+    headers.Add("X-Request-Id", caller_.request_id);
+    exchange_.StartStream(kStatusOk, headers);
+  }
+  co_return co_await exchange_.Write(events);
 }
 
 void ChatCall::NoteFailure(const TargetChoice& choice,
--- a/src/libs/node/chat_call.h
+++ b/src/libs/node/chat_call.h
@@ -65,7 +65,8 @@
   bool TakeEvents(SseParser& parser,
                   const TargetChoice& choice,
                   std::string& out);
-  boost::asio::awaitable<bool> StartAnswer();
+  // Sends events to the caller, with the head of the answer before the first.
+  boost::asio::awaitable<bool> WriteAnswer(std::string_view events);
   // Notes a failed attempt, and that the request may have run.
   void NoteFailure(const TargetChoice& choice,
                    const std::string& text,
--- a/src/libs/node/node_metrics.cc
+++ b/src/libs/node/node_metrics.cc
@@ -26,23 +26,39 @@
       LatencyAxis(kBins, kLeastSeconds, kMostSeconds));
 }
 
-using Latency = decltype(MakeLatency());
-
-std::string ExpositionOf(const std::string& name, const Latency& latency) {
-  std::string text = "# TYPE " + name + " histogram\n";
-  double total = latency.at(-1);
-  for (int n = 0; n < kBins; ++n) {
-    total += latency.at(n);
-    text += name + "_bucket{le=\"" +
-            std::to_string(latency.axis().bin(n).upper()) + "\"} " +
-            std::to_string(static_cast<std::uint64_t>(total)) + "\n";
+using Bins = decltype(MakeLatency());
+
+// Times in logarithmic bins, and their sum in seconds.
+class Latency {
+ public:
+  void Add(std::chrono::nanoseconds elapsed) {
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    bins_(seconds);
+    sum_ += seconds;
   }
-  total += latency.at(kBins);
-  const std::string all = std::to_string(static_cast<std::uint64_t>(total));
-  text += name + "_bucket{le=\"+Inf\"} " + all + "\n";
-  text += name + "_count " + all + "\n";
-  return text;
-}
+
+  // In text exposition format: each bucket counts all times up to its bound.
+  std::string Exposition(const std::string& name) const {
+    std::string text = "# TYPE " + name + " histogram\n";
+    double total = bins_.at(-1);
+    for (int n = 0; n < kBins; ++n) {
+      total += bins_.at(n);
+      text += name + "_bucket{le=\"" +
+              std::to_string(bins_.axis().bin(n).upper()) + "\"} " +
+              std::to_string(static_cast<std::uint64_t>(total)) + "\n";
+    }
+    total += bins_.at(kBins);
+    const std::string all = std::to_string(static_cast<std::uint64_t>(total));
+    text += name + "_bucket{le=\"+Inf\"} " + all + "\n";
+    text += name + "_sum " + std::to_string(sum_) + "\n";
+    text += name + "_count " + all + "\n";
+    return text;
+  }
+
+ private:
+  Bins bins_ = MakeLatency();
+  double sum_ = 0;
+};
 
 }  // namespace
 
@@ -51,8 +67,8 @@
   mutable std::mutex mutex;
   std::map<ResultCode, std::uint64_t> results;
   std::array<std::uint64_t, kDeliveryEvents> events{};
-  Latency first_byte = MakeLatency();
-  Latency whole = MakeLatency();
+  Latency first_byte;
+  Latency whole;
 };
 
 NodeMetrics::NodeMetrics() : d_(std::make_unique<Private>()) {}
@@ -71,12 +87,12 @@
 
 void NodeMetrics::AddFirstByte(std::chrono::nanoseconds elapsed) {
   std::lock_guard lock(d_->mutex);
-  d_->first_byte(std::chrono::duration<double>(elapsed).count());
+  d_->first_byte.Add(elapsed);
 }
 
 void NodeMetrics::AddWhole(std::chrono::nanoseconds elapsed) {
   std::lock_guard lock(d_->mutex);
-  d_->whole(std::chrono::duration<double>(elapsed).count());
+  d_->whole.Add(elapsed);
 }
 
 std::uint64_t NodeMetrics::ResultCount(ResultCode code) const {
@@ -98,8 +114,8 @@
             std::string(NameOf(static_cast<DeliveryEvent>(n))) + "\"} " +
             std::to_string(d_->events[n]) + "\n";
   }
-  text += ExpositionOf("turmericwinch_first_byte_seconds", d_->first_byte);
-  text += ExpositionOf("turmericwinch_whole_answer_seconds", d_->whole);
+  text += d_->first_byte.Exposition("turmericwinch_first_byte_seconds");
+  text += d_->whole.Exposition("turmericwinch_whole_answer_seconds");
   text += "# TYPE turmericwinch_soft_asserts_total counter\n";
   text += "turmericwinch_soft_asserts_total " +
           std::to_string(SoftAssertCount()) + "\n";
--- a/src/libs/operations/daemon_verbs.cc
+++ b/src/libs/operations/daemon_verbs.cc
@@ -6,6 +6,8 @@
 
 #include "libs/base/json_fields.h"
 #include "libs/http/http_client.h"
+#include "libs/operations/explanation_text.h"
+#include "libs/operations/indented_json.h"
 #include "libs/operations/text_table.h"
 #include "libs/operations/winch_commands.h"
 
@@ -121,7 +123,8 @@
       context, context.settings->Text("daemon"), "GET", "/dump", &reason);
   if (!dump)
     co_return reason;
-  context.out = *dump + "\n";
+  std::optional<json::value> value = ParseJson(*dump);
+  context.out = context.json() || !value ? *dump + "\n" : IndentedJson(*value);
   co_return Reason{};
 }
 
@@ -146,22 +149,26 @@
 
 asio::awaitable<Reason> ExplainRequest(WinchContext& context) {
   const std::string& id = context.words[0];
-  bool found = false;
+  json::array found;
   for (const std::string& it : Daemons(context)) {
     Reason reason;
-    std::optional<std::string> records =
+    std::optional<std::string> text =
         co_await Ask(context, it, "GET", "/requests?id=" + id, &reason);
-    if (!records)
+    if (!text)
       co_return reason;
-    if (*records == "[]")
-      continue;
-    found = true;
-    context.out += *records + "\n";
+    std::optional<json::value> records = ParseJson(*text);
+    if (!records || !records->is_array())
+      co_return Reason{ResultCode::kPeerProtocol,
+                       "the daemon at " + it + " answered nonsense"};
+    for (json::value& record : records->as_array())
+      found.push_back(std::move(record));
   }
-  if (found)
-    co_return Reason{};
-  co_return Reason{ResultCode::kNotFound,
-                   "no daemon asked remembers request '" + id + "'"};
+  if (found.empty())
+    co_return Reason{ResultCode::kNotFound,
+                     "no daemon asked remembers request '" + id + "'"};
+  context.out =
+      context.json() ? json::serialize(found) + "\n" : ExplanationText(found);
+  co_return Reason{};
 }
 
 asio::awaitable<Reason> DrainDaemon(WinchContext& context) {
--- a/src/libs/operations/winch.cc
+++ b/src/libs/operations/winch.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "libs/http/http_client.h"
+#include "libs/operations/help_text.h"
 #include "libs/operations/winch_commands.h"
 #include "libs/operations/winch_settings.h"
 #include "libs/platform/http_platform_client.h"
@@ -15,14 +16,6 @@
 
 namespace asio = boost::asio;
 
-void PrintHelp(std::ostream& out) {
-  out << "winch: the operators' client of turmericwinch\n\nVerbs:\n";
-  for (const WinchVerb& it : WinchVerbs())
-    out << "  winch " << it.name << " " << it.words << "\n      " << it.help
-        << "\n";
-  out << "\nSettings:\n" << SettingsHelp(WinchSettingSpecs());
-}
-
 // The verb that `words` start with; its words are removed.
 const WinchVerb* TakeVerb(std::vector<std::string>& words) {
   for (std::size_t n = std::min<std::size_t>(2, words.size()); n > 0; --n) {
@@ -38,10 +31,8 @@
 }
 
 int Report(const Reason& reason) {
-  if (reason.code != ResultCode::kOk) {
-    std::cerr << reason.text << "\nerror " << static_cast<int>(reason.code)
-              << " " << NameOf(reason.code) << "\n";
-  }
+  if (reason.code != ResultCode::kOk)
+    std::cerr << ErrorText(reason);
   return InfoOf(reason.code).exit_code;
 }
 
@@ -54,17 +45,19 @@
   if (!settings)
     return Report(reason);
   std::vector<std::string> words = settings->arguments();
+  const WinchVerb* verb = TakeVerb(words);
   if (settings->Flag("help")) {
-    PrintHelp(std::cout);
+    std::cout << (verb ? HelpText(*verb) : HelpText());
     return 0;
   }
-  const WinchVerb* verb = TakeVerb(words);
-  if (!verb || words.size() < verb->word_count) {
-    PrintHelp(std::cerr);
+  if (!verb) {
     return Report({ResultCode::kBadRequest,
-                   verb ? "'" + std::string(verb->name) + "' needs " +
-                              std::string(verb->words)
-                        : "no such verb"});
+                   "no such verb; `winch --help` lists all of them"});
+  }
+  if (words.size() < verb->word_count) {
+    return Report({ResultCode::kBadRequest, "'" + std::string(verb->name) +
+                                                "' needs " +
+                                                std::string(verb->words)});
   }
   asio::io_context io(1);
   HttpPlatformClient platform(io, *ParseEndpoint(settings->Text("platform")));
--- a/src/libs/operations/winch_commands.h
+++ b/src/libs/operations/winch_commands.h
@@ -32,12 +32,14 @@
 using WinchAction =
     std::function<boost::asio::awaitable<Reason>(WinchContext&)>;
 
-// One verb; `name` may be of two words. `words` says what follows it.
+// One verb; `name` may be of two words. `words` says what follows it, at least
+// `word_count` of them; `settings` are those that it looks at.
 struct WinchVerb {
   std::string_view name;
   std::string_view words;
   std::string_view help;
   std::size_t word_count;
+  std::vector<std::string_view> settings;
   WinchAction action;
 };
 
--- a/src/libs/standin/engine_stand_in.cc
+++ b/src/libs/standin/engine_stand_in.cc
@@ -245,8 +245,8 @@
   headers.Add("Content-Type", "text/event-stream");
   if (job.first > 0)
     headers.Add("X-Resumed-From", std::to_string(job.first));
-  if (job.stream && !co_await exchange.StartStream(200, headers))
-    co_return;
+  if (job.stream)
+    exchange.StartStream(200, headers);
   std::string text;
   for (std::int64_t n = job.first; n < job.max_tokens; ++n) {
     if (n > job.first)
--- a/tests/base/settings_table_test.cc
+++ b/tests/base/settings_table_test.cc
@@ -7,12 +7,14 @@
 namespace {
 
 std::vector<SettingSpec> Specs() {
-  return {{.name = "threads",
-           .type = SettingType::kInteger,
-           .default_value = "2",
-           .least = 1,
-           .most = 8},
-          {.name = "listen", .type = SettingType::kEndpoint, .required = true}};
+  return {
+      {.name = "threads",
+       .type = SettingType::kInteger,
+       .default_value = "2",
+       .least = 1,
+       .most = 8},
+      {.name = "listen", .type = SettingType::kEndpoint, .required = true},
+      {.name = "level", .default_value = "low", .choices = {"low", "high"}}};
 }
 
 }  // namespace
@@ -28,9 +30,9 @@
 }
 
 TEST(SettingsTable, ReportsAllFaultsTogether) {
-  const char* argv[] = {"program", "--threads=9", "--bogus"};
+  const char* argv[] = {"program", "--threads=9", "--bogus", "--level=odd"};
   Reason reason;
-  auto table = SettingsTable::Read(Specs(), 3, argv, {}, &reason);
+  auto table = SettingsTable::Read(Specs(), 4, argv, {}, &reason);
   CHECK(!table.has_value());
   LONGS_EQUAL(static_cast<int>(ResultCode::kSettingsInvalid),
               static_cast<int>(reason.code));
@@ -38,6 +40,7 @@
   STRCMP_CONTAINS("outside 1..8", reason.text.c_str());
   STRCMP_CONTAINS("--listen", reason.text.c_str());
   STRCMP_CONTAINS("--bogus", reason.text.c_str());
+  STRCMP_CONTAINS("is 'odd', not one of low, high", reason.text.c_str());
 }
 
 }  // namespace turmericwinch
