Send targets an id of the host's own, and a key of the team's own

Cause: a caller's X-Request-Id went to the engine as it was, and the engine cancels and resumes by it. Of two teams' streams under one id, the end of one aborted the other's generation. A plain service got the Idempotency-Key as it was too, so two teams with one key looked like one call.

Change: targets get RUN.N, 16 random bytes for the request and the number of the attempt; X-Resume-Id names the attempt that a resumed stream goes on from; Idempotency-Key is a digest of team and key. The caller's own names travel as X-Caller-Request-Id and X-Caller-Idempotency-Key, for the target's records only; the stand-ins count runs by them, so the load tool matches as before. Pieces with another id are dropped, counted (crossed_answer, late_answer) and their connection is closed, now for plain services too if they send an id back. Callers see their own id in every event, also after a resume.

Ruled out: the team's name before the caller's id (late answers and a team's own requests still collide); the attempt's number in a header of its own (engines send back only the id).

--- a/scripts/system_test.sh
+++ b/scripts/system_test.sh
@@ -158,6 +158,36 @@
 [ "$(metric 1 malformed_answer)" = 2 ] || fail "no malformed answer was counted"
 fault "${engines[1]}" '{}'
 
+echo "- a crossed answer of a plain service is never delivered"
+fault "$service" '{"wrong_id":true}'
+expect "drawer" '"name":"target_failed"' \
+  "$(curl -s "http://${callers[0]}/services/drawer-app/drawers/1" -H "$auth")"
+[ "$(metric 1 crossed_answer)" -ge 2 ] || fail "no crossed answer was counted"
+fault "$service" '{}'
+
+echo "- a team that uses another's request id ends nothing of the other's"
+list_targets engine-1 drawer-1
+wait_for "host-1 to see engine-1 only" sees 1 engine-1 engine-2
+resumed=$(metric 1 resumed_stream)
+chat 1 shared-id 100 >"$TW_WORK/shared-id.out" &
+shared=$!
+streams() { grep -q '"t2 "' "$TW_WORK/shared-id.out"; }
+wait_for "the first stream to flow" streams
+timeout 0.2 curl -sN "http://${callers[0]}/v1/chat/completions" -H "Authorization: Bearer demo-library-key" \
+  -H "X-Request-Id: shared-id" -d '{"model":"turmericwinch-llm","stream":true,"max_tokens":2000,
+    "messages":[{"role":"user","content":"Which sheet is this?"}]}' >"$TW_WORK/other-id.out" || true
+grep -q '"t2 "' "$TW_WORK/other-id.out" || fail "the second stream did not flow"
+wait "$shared" || fail "the first stream was cut"
+tokens_once 100 "$(cat "$TW_WORK/shared-id.out")"
+expect "the caller's own id" '"id":"shared-id"' "$(tail -n 4 "$TW_WORK/shared-id.out")"
+[ "$(metric 1 resumed_stream)" = "$resumed" ] || fail "another team's stream was ended"
+
+echo "- a key of two teams names two calls at the service"
+fault "$service" '{}'
+expect "one team" '"execution":1' "$(checkout 1 two-teams)"
+expect "the other" '"execution":2' "$(curl -s "http://${callers[0]}/services/drawer-app/checkouts/7" \
+  -H "Authorization: Bearer demo-library-key" -H "Idempotency-Key: two-teams" -d '{}')"
+
 echo "- a request that crashes its targets is refused after the second"
 list_targets engine-3 engine-4 engine-5 drawer-1
 wait_for "host-1 to see the other engines" sees 1 engine-5 engine-2
--- a/src/libs/delivery/chat_progress.h
+++ b/src/libs/delivery/chat_progress.h
@@ -20,24 +20,41 @@
   kEnd,
   // It belongs to another request: drop it and close its connection.
   kCrossed,
+  // It belongs to an earlier attempt at this request: the same.
+  kLate,
   // It is not what a sound target sends: the same.
   kMalformed,
 };
 
-// Checks the pieces of an answer against the request's id, and counts the
-// tokens passed on, so that a broken stream goes on after the last of them.
+// Checks the pieces of an answer against the id of the attempt under way, and
+// counts the tokens passed on, so that a broken stream goes on after the last
+// of them.
 class ChatProgress {
  public:
+  // `run_id` is the host's own id of the request, `caller_id` the caller's;
   // `most_tokens` is the number that the request allows the engine.
-  ChatProgress(std::string request_id, std::int64_t most_tokens);
+  ChatProgress(std::string run_id,
+               std::string caller_id,
+               std::int64_t most_tokens);
+
+  // Starts the next attempt: only answers with its id pass from now on.
+  void StartAttempt();
+  // The id that the attempt's target gets.
+  const std::string& attempt_id() const { return attempt_id_; }
+  // The id of the attempt that the last token came from; empty if none came.
+  const std::string& resumed_id() const { return resumed_id_; }
 
   // Takes the data of one server-sent event.
   AnswerVerdict OnEvent(std::string_view data);
   // Takes a whole answer that was not streamed.
   AnswerVerdict OnWhole(std::string_view body);
-  // Takes the answer to a cancellation; false if it is not this request's.
+  // Takes the answer to a cancellation; false if it is not this attempt's.
   bool OnCancelled(std::string_view body);
 
+  // `piece`, an event or an answer that passed, with the caller's id in place
+  // of the attempt's.
+  std::string ForCaller(std::string_view piece) const;
+
   // Tokens passed on, and their text.
   std::int64_t tokens() const { return tokens_; }
   const std::string& text() const { return text_; }
@@ -48,9 +65,15 @@
   std::int64_t BilledTokens() const;
 
  private:
+  // kPass if `answer` has the attempt's id.
+  AnswerVerdict CheckId(const boost::json::object& answer) const;
   bool TakeUsage(const boost::json::object& answer);
 
-  std::string request_id_;
+  std::string run_id_;
+  std::string caller_id_;
+  int attempts_ = 0;
+  std::string attempt_id_;
+  std::string resumed_id_;
   std::int64_t most_tokens_;
   std::int64_t tokens_ = 0;
   std::string text_;
--- a/src/libs/delivery/claim_record.cc
+++ b/src/libs/delivery/claim_record.cc
@@ -29,10 +29,14 @@
 }  // namespace
 
 std::string ClaimName(std::string_view team, std::string_view key) {
+  return kClaimPrefix + TargetKey(team, key);
+}
+
+std::string TargetKey(std::string_view team, std::string_view key) {
   std::string text(team);
   text += '\n';
   text += key;
-  return kClaimPrefix + Sha256Hex(text).substr(0, kNameDigits);
+  return Sha256Hex(text).substr(0, kNameDigits);
 }
 
 std::string ToJson(const ClaimRecord& record) {
--- a/src/libs/delivery/claim_record.h
+++ b/src/libs/delivery/claim_record.h
@@ -38,6 +38,9 @@
 // Name of the object that claims `key` of `team`. All hosts find the same.
 std::string ClaimName(std::string_view team, std::string_view key);
 
+// The key that targets get for `key` of `team`: no other team's is the same.
+std::string TargetKey(std::string_view team, std::string_view key);
+
 // `record` as JSON text.
 std::string ToJson(const ClaimRecord& record);
 
--- a/src/libs/delivery/delivery_event.cc
+++ b/src/libs/delivery/delivery_event.cc
@@ -4,9 +4,9 @@
 
 namespace {
 
-constexpr std::string_view kNames[] = {"crossed_answer",    "malformed_answer",
-                                       "silent_connection", "silent_target",
-                                       "resumed_stream",    "cancelled_stream"};
+constexpr std::string_view kNames[] = {
+    "crossed_answer", "late_answer",    "malformed_answer", "silent_connection",
+    "silent_target",  "resumed_stream", "cancelled_stream"};
 
 }  // namespace
 
--- a/src/libs/delivery/delivery_event.h
+++ b/src/libs/delivery/delivery_event.h
@@ -10,6 +10,8 @@
 enum class DeliveryEvent {
   // An answer or event that carries another request's id.
   kCrossedAnswer,
+  // An answer of an earlier attempt at the same request.
+  kLateAnswer,
   // An answer that is not the JSON it should be, or has no usage.
   kMalformedAnswer,
   // A connection made no progress while its target answered a probe.
@@ -21,7 +23,7 @@
   // A stream was cancelled at its engine since its caller was gone.
   kCancelledStream,
 };
-inline constexpr int kDeliveryEvents = 6;
+inline constexpr int kDeliveryEvents = 7;
 
 // Name of `event` in metrics, such as "crossed_answer".
 std::string_view NameOf(DeliveryEvent event);
--- a/src/libs/node/admission.cc
+++ b/src/libs/node/admission.cc
@@ -16,6 +16,7 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::size_t kMostIdLength = 128;
 constexpr std::size_t kNewIdBytes = 12;
+constexpr std::size_t kRunIdBytes = 16;
 
 std::int64_t UtcMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -69,6 +70,10 @@
     caller.record->billed_tokens = settled->tokens;
 }
 
+std::string NewRunId() {
+  return RandomHex(kRunIdBytes);
+}
+
 std::string RequestIdOf(const HttpRequest& request) {
   std::string_view id = request.headers.Get("X-Request-Id");
   return IsSoundId(id) ? std::string(id) : RandomHex(kNewIdBytes);
--- a/src/libs/node/admission.h
+++ b/src/libs/node/admission.h
@@ -53,6 +53,9 @@
   LimitPass pass_;
 };
 
+// A new id that no one can guess, for the targets' side of a request.
+std::string NewRunId();
+
 // The request's id: the caller's own if it is sound, else a new one.
 std::string RequestIdOf(const HttpRequest& request);
 
--- a/src/libs/node/caller_handler.cc
+++ b/src/libs/node/caller_handler.cc
@@ -52,6 +52,7 @@
     const auto start = std::chrono::steady_clock::now();
     auto record = std::make_shared<RequestRecord>();
     record->request_id = RequestIdOf(request);
+    record->run_id = NewRunId();
     record->target = std::string(PathOf(request.target));
     record->result = co_await Dispatch(node, record, request, exchange);
     record->elapsed = std::chrono::steady_clock::now() - start;
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -43,7 +43,8 @@
           Sha256Hex(caller.team->name + "\n" + json::serialize(request_.body))
               .substr(0, kDigestDigits)),
       wish_(ChatWishOf(service.name, request_)),
-      progress_(caller.request_id, request_.max_tokens) {}
+      progress_(caller.record->run_id, caller.request_id, request_.max_tokens) {
+}
 
 asio::awaitable<ResultCode> ChatCall::Run() {
   std::set<std::string> excluded;
@@ -60,6 +61,7 @@
       node_.metrics.CountEvent(DeliveryEvent::kResumedStream);
     meter_.emplace(*node_.targets, *choice);
     caller_.record->attempts.push_back({choice->name, ""});
+    progress_.StartAttempt();
     const AttemptEnd end = co_await Attempt(*choice);
     if (end == AttemptEnd::kWhole)
       meter_->Judge(TargetAnswer::kGood);
@@ -132,10 +134,12 @@
   request.method = "POST";
   request.target = "/v1/chat/completions";
   request.headers.Add("Content-Type", "application/json");
-  request.headers.Add("X-Request-Id", caller_.request_id);
+  request.headers.Add("X-Request-Id", progress_.attempt_id());
+  request.headers.Add("X-Caller-Request-Id", caller_.request_id);
   request.headers.Add("X-Priority", std::to_string(caller_.team->priority));
   json::object body = request_.body;
   if (progress_.tokens() > 0) {
+    request.headers.Add("X-Resume-Id", progress_.resumed_id());
     request.headers.Add("X-Resume-From", std::to_string(progress_.tokens()));
     body["resume_text"] = progress_.text();
   }
@@ -247,7 +251,7 @@
       NoteFault(verdict, choice);
       return false;
     }
-    out += "data: " + *event + "\n\n";
+    out += "data: " + progress_.ForCaller(*event) + "\n\n";
     ended_ = verdict == AnswerVerdict::kEnd;
     if (ended_)
       break;
@@ -271,6 +275,7 @@
                            bool may_have_run) {
   LogEvent(kLog, Severity::kWarning, "attempt_failed",
            {{"request", caller_.request_id},
+            {"attempt", progress_.attempt_id()},
             {"target", choice.name},
             {"tokens", progress_.tokens()},
             {"reason", text}});
@@ -283,13 +288,17 @@
 }
 
 void ChatCall::NoteFault(AnswerVerdict verdict, const TargetChoice& choice) {
-  const bool crossed = verdict == AnswerVerdict::kCrossed;
-  node_.metrics.CountEvent(crossed ? DeliveryEvent::kCrossedAnswer
-                                   : DeliveryEvent::kMalformedAnswer);
-  NoteFailure(choice,
-              crossed ? "answered another request"
-                      : "sent an answer without usage or not in JSON",
-              true);
+  DeliveryEvent event = DeliveryEvent::kMalformedAnswer;
+  std::string text = "sent an answer without usage or not in JSON";
+  if (verdict == AnswerVerdict::kCrossed) {
+    event = DeliveryEvent::kCrossedAnswer;
+    text = "answered another request";
+  } else if (verdict == AnswerVerdict::kLate) {
+    event = DeliveryEvent::kLateAnswer;
+    text = "answered an earlier attempt";
+  }
+  node_.metrics.CountEvent(event);
+  NoteFailure(choice, text, true);
   meter_->Judge(TargetAnswer::kWrong);
 }
 
@@ -325,7 +334,7 @@
     co_return;
   HttpRequest request;
   request.method = "DELETE";
-  request.target = "/v1/requests/" + caller_.request_id;
+  request.target = "/v1/requests/" + progress_.attempt_id();
   const HttpTimeouts timeouts{kConnectLimit, kProbeLimit, kProbeLimit};
   HttpFailure failure;
   std::optional<HttpResponse> response =
@@ -343,7 +352,8 @@
   if (request_.stream) {
     sent = co_await exchange_.EndStream();
   } else {
-    HttpResponse response = JsonResponse(kStatusOk, std::move(whole_));
+    HttpResponse response =
+        JsonResponse(kStatusOk, progress_.ForCaller(whole_));
     response.headers.Add("X-Request-Id", caller_.request_id);
     sent = co_await exchange_.Send(response);
   }
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -5,6 +5,7 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/delivery/attempt_id.h"
 #include "libs/node/attempt_meter.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
@@ -42,6 +43,9 @@
   Refusal refusal;
 };
 
+// The call as its target gets it, but for the attempt's id. Names that callers
+// choose are passed for the target's records only: two teams may choose the
+// same.
 HttpRequest TargetRequest(const Caller& caller,
                           const HttpRequest& request,
                           const std::string& path,
@@ -53,9 +57,11 @@
   std::string_view type = request.headers.Get("Content-Type");
   if (!type.empty())
     out.headers.Add("Content-Type", std::string(type));
-  out.headers.Add("X-Request-Id", caller.request_id);
-  if (!key.empty())
-    out.headers.Add("Idempotency-Key", key);
+  out.headers.Add("X-Caller-Request-Id", caller.request_id);
+  if (!key.empty()) {
+    out.headers.Add("Idempotency-Key", TargetKey(caller.team->name, key));
+    out.headers.Add("X-Caller-Idempotency-Key", key);
+  }
   return out;
 }
 
@@ -78,6 +84,41 @@
   return timeouts;
 }
 
+// Whether `response` names another attempt than `id`. Targets need not name
+// any.
+bool IsCrossed(const HttpResponse& response, const std::string& id) {
+  const std::string_view answered = response.headers.Get("X-Request-Id");
+  return !answered.empty() && answered != id;
+}
+
+// Sends the call to one target under the id of attempt `n`. An answer that
+// names another is dropped, and the target's idle connections with it.
+asio::awaitable<std::optional<HttpResponse>> SendAttempt(
+    NodeContext& node,
+    const PlainCall& call,
+    int n,
+    const asio::ip::tcp::endpoint& endpoint,
+    std::size_t thread_index,
+    HttpFailure* failure) {
+  const std::string id = AttemptId(call.record->run_id, n);
+  HttpRequest request = call.request;
+  request.headers.Add("X-Request-Id", id);
+  HttpClient& client = *node.clients[thread_index];
+  std::optional<HttpResponse> response = co_await client.Call(
+      endpoint, request, TimeoutsUntil(call.deadline), failure);
+  if (!response || !IsCrossed(*response, id))
+    co_return response;
+  const bool late =
+      IsAttemptOf(response->headers.Get("X-Request-Id"), call.record->run_id);
+  node.metrics.CountEvent(late ? DeliveryEvent::kLateAnswer
+                               : DeliveryEvent::kCrossedAnswer);
+  client.DropIdle(endpoint);
+  *failure = {
+      HttpPhase::kFirstByte, true, false,
+      late ? "it answered an earlier attempt" : "it answered another request"};
+  co_return std::nullopt;
+}
+
 // Notes a failed attempt. Once one may have run, the call may have.
 void NoteFailure(const TargetChoice& choice,
                  const HttpFailure& failure,
@@ -120,8 +161,8 @@
     }
     outcome.response.reset();
     if (endpoint) {
-      outcome.response = co_await node.clients[thread_index]->Call(
-          *endpoint, call.request, TimeoutsUntil(call.deadline), &failure);
+      outcome.response = co_await SendAttempt(node, call, n + 1, *endpoint,
+                                              thread_index, &failure);
     }
     meter->Judge(outcome.response ? AnswerOfStatus(outcome.response->status,
                                                    outcome.response->headers)
--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -19,6 +19,7 @@
   const auto us =
       std::chrono::duration_cast<std::chrono::microseconds>(record.elapsed);
   return {{"request_id", record.request_id},
+          {"run_id", record.run_id},
           {"path", record.target},
           {"team", record.team},
           {"service", record.service},
--- a/src/libs/node/request_record.h
+++ b/src/libs/node/request_record.h
@@ -20,7 +20,9 @@
 
 // Filled by the handlers of one request, on its traffic thread.
 struct RequestRecord {
+  // The caller's id, and the one from which targets' ids are made.
   std::string request_id;
+  std::string run_id;
   std::string target;
   std::string team;
   std::string service;
--- a/src/libs/standin/engine_stand_in.cc
+++ b/src/libs/standin/engine_stand_in.cc
@@ -26,12 +26,20 @@
 // What the engine was asked for.
 struct EngineJob {
   std::string id;
+  // The caller's id, by which runs and tokens are counted.
+  std::string account;
   std::int64_t prompt_tokens = 0;
   std::int64_t max_tokens = 0;
   std::int64_t first = 0;
   bool stream = false;
 };
 
+std::string AccountOf(const HttpRequest& request) {
+  const bool has = request.headers.Has("X-Caller-Request-Id");
+  return std::string(
+      request.headers.Get(has ? "X-Caller-Request-Id" : "X-Request-Id"));
+}
+
 std::optional<EngineJob> JobOf(const HttpRequest& request) {
   std::optional<json::value> value = ParseJson(request.body);
   const json::object* body = value ? value->if_object() : nullptr;
@@ -40,6 +48,7 @@
     return std::nullopt;
   EngineJob job;
   job.id = std::string(request.headers.Get("X-Request-Id"));
+  job.account = AccountOf(request);
   job.max_tokens = IntField(*body, "max_tokens").value_or(kDefaultTokens);
   std::string_view from = request.headers.Get("X-Resume-From");
   std::from_chars(from.data(), from.data() + from.size(), job.first);
@@ -201,7 +210,7 @@
     co_await exchange.Send(response);
     co_return;
   }
-  ++runs_of_request[job->id];
+  ++runs_of_request[job->account];
   cancelled.erase(job->id);
   jobs[job->id] = *job;
   generated[job->id] = std::max(generated[job->id], job->first);
@@ -255,14 +264,14 @@
       exchange.Abort();
       co_return;
     }
-    ++tokens_of_request[job.id];
+    ++tokens_of_request[job.account];
     generated[job.id] = std::max(generated[job.id], n + 1);
     if (!job.stream)
       text += TokenText(n);
     else if (!co_await exchange.Write(TokenEvent(job, n, engine_faults)))
       co_return;
   }
-  tokens_of_request[job.id] += job.prompt_tokens;
+  tokens_of_request[job.account] += job.prompt_tokens;
   if (!job.stream) {
     HttpResponse response = WholeAnswer(job, text, engine_faults);
     co_await exchange.Send(response);
--- a/src/libs/standin/fault_switches.cc
+++ b/src/libs/standin/fault_switches.cc
@@ -47,6 +47,7 @@
   faults.delay_ms = IntField(*object, "delay_ms").value_or(0);
   faults.lose_write_answers =
       IntField(*object, "lose_write_answers").value_or(0);
+  faults.wrong_id = BoolField(*object, "wrong_id").value_or(false);
   faults.crash_on = StringField(*object, "crash_on").value_or("");
   return faults;
 }
--- a/src/libs/standin/fault_switches.h
+++ b/src/libs/standin/fault_switches.h
@@ -33,6 +33,8 @@
   std::int64_t delay_ms = 0;
   // Writes whose answer is lost after they took effect.
   std::int64_t lose_write_answers = 0;
+  // Answers name another request. Model engines have more such faults.
+  bool wrong_id = false;
   // Ends the process when a request's body contains this text.
   std::string crash_on;
 };
--- a/src/libs/standin/service_stand_in.cc
+++ b/src/libs/standin/service_stand_in.cc
@@ -13,6 +13,16 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
+// The name by which executions are counted, the caller's own if it is there.
+std::string AccountOf(const HttpRequest& request) {
+  for (const char* it : {"X-Caller-Idempotency-Key", "Idempotency-Key",
+                         "X-Caller-Request-Id", "X-Request-Id"}) {
+    if (request.headers.Has(it))
+      return std::string(request.headers.Get(it));
+  }
+  return {};
+}
+
 }  // namespace
 
 class ServiceStandIn::Private {
@@ -47,9 +57,7 @@
   }
   if (!co_await PassFaults(faults, request, exchange))
     co_return;
-  std::string key(request.headers.Get("Idempotency-Key"));
-  if (key.empty())
-    key = std::string(request.headers.Get("X-Request-Id"));
+  const std::string key = AccountOf(request);
   const std::int64_t n = ++executions[key];
   if (request.method != "GET" && faults.lose_write_answers > 0) {
     --faults.lose_write_answers;
@@ -58,7 +66,12 @@
   }
   json::object answer = {
       {"key", key}, {"path", request.target}, {"execution", n}};
-  co_await exchange.Send(JsonResponse(200, json::serialize(answer)));
+  HttpResponse response = JsonResponse(200, json::serialize(answer));
+  std::string id(request.headers.Get("X-Request-Id"));
+  if (faults.wrong_id)
+    id = "other";
+  response.headers.Add("X-Request-Id", id);
+  co_await exchange.Send(response);
 }
 
 }  // namespace turmericwinch
--- a/tests/delivery/chat_progress_test.cc
+++ b/tests/delivery/chat_progress_test.cc
@@ -15,9 +15,9 @@
 namespace {
 
 constexpr char kToken[] =
-    R"({"id":"r","choices":[{"index":0,"delta":{"content":"t"}}]})";
+    R"({"id":"r.1","choices":[{"index":0,"delta":{"content":"t"}}]})";
 constexpr char kUsage[] =
-    R"({"id":"r","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}})";
+    R"({"id":"r.1","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}})";
 constexpr std::int64_t kMostTokens = 4;
 
 struct EventRow {
@@ -39,13 +39,23 @@
      AnswerVerdict::kCrossed,
      1,
      1},
+    {"an earlier attempt's token",
+     {kToken, R"({"id":"r.0","choices":[{"delta":{"content":"t"}}]})"},
+     AnswerVerdict::kLate,
+     1,
+     1},
+    {"the caller's id, which others may know",
+     {R"({"id":"caller","choices":[{"delta":{"content":"t"}}]})"},
+     AnswerVerdict::kCrossed,
+     0,
+     0},
     {"neither token nor usage",
-     {R"({"id":"r","choices":[]})"},
+     {R"({"id":"r.1","choices":[]})"},
      AnswerVerdict::kMalformed,
      0,
      0},
     {"negative usage",
-     {R"({"id":"r","usage":{"prompt_tokens":-3,"completion_tokens":2}})"},
+     {R"({"id":"r.1","usage":{"prompt_tokens":-3,"completion_tokens":2}})"},
      AnswerVerdict::kMalformed,
      0,
      0},
@@ -56,13 +66,19 @@
      4},
 };
 
+ChatProgress NewProgress() {
+  ChatProgress progress("r", "caller", kMostTokens);
+  progress.StartAttempt();
+  return progress;
+}
+
 }  // namespace
 
 TEST_GROUP(ChatProgress){};
 
 TEST(ChatProgress, OnlySoundPiecesOfThisAnswerPass) {
   for (const EventRow& row : kRows) {
-    ChatProgress progress("r", kMostTokens);
+    ChatProgress progress = NewProgress();
     AnswerVerdict verdict = AnswerVerdict::kPass;
     for (const std::string& it : row.events) {
       CHECK_TEXT(AnswerVerdict::kPass == verdict, row.name);
@@ -75,26 +91,43 @@
 }
 
 TEST(ChatProgress, AWholeAnswerNeedsItsIdAndUsage) {
-  ChatProgress progress("r", kMostTokens);
+  ChatProgress progress = NewProgress();
   CHECK(AnswerVerdict::kMalformed == progress.OnWhole("{"));
-  CHECK(AnswerVerdict::kMalformed == progress.OnWhole(R"({"id":"r"})"));
+  CHECK(AnswerVerdict::kMalformed == progress.OnWhole(R"({"id":"r.1"})"));
+  CHECK(AnswerVerdict::kLate == progress.OnWhole(R"({"id":"r.2"})"));
   CHECK(AnswerVerdict::kCrossed == progress.OnWhole(R"({"id":"x"})"));
   CHECK(AnswerVerdict::kEnd == progress.OnWhole(kUsage));
   LONGS_EQUAL(5, progress.BilledTokens());
 }
 
 TEST(ChatProgress, ACancelledStreamIsBilledByWhatWasGenerated) {
-  ChatProgress progress("r", kMostTokens);
+  ChatProgress progress = NewProgress();
   progress.OnEvent(kToken);
   CHECK(!progress.OnCancelled(
       R"({"id":"x","usage":{"prompt_tokens":9,"completion_tokens":9}})"));
   LONGS_EQUAL(1, progress.BilledTokens());
   CHECK(progress.OnCancelled(
-      R"({"id":"r","usage":{"prompt_tokens":3,"completion_tokens":4}})"));
+      R"({"id":"r.1","usage":{"prompt_tokens":3,"completion_tokens":4}})"));
   LONGS_EQUAL(7, progress.BilledTokens());
   CHECK(AnswerVerdict::kMalformed == progress.OnEvent("[DONE]"));
 }
 
+TEST(ChatProgress, EachAttemptHasItsIdAndTheCallerSeesItsOwn) {
+  ChatProgress progress = NewProgress();
+  STRCMP_EQUAL("", progress.resumed_id().c_str());
+  progress.OnEvent(kToken);
+  progress.StartAttempt();
+  STRCMP_EQUAL("r.2", progress.attempt_id().c_str());
+  STRCMP_EQUAL("r.1", progress.resumed_id().c_str());
+  CHECK(AnswerVerdict::kLate == progress.OnEvent(kToken));
+  LONGS_EQUAL(1, progress.tokens());
+  const std::string answer = R"({"id":"r.2","a":1})";
+  STRCMP_EQUAL(R"({"id":"caller","a":1})", progress.ForCaller(answer).c_str());
+  const std::string escaped = R"({"id":"\u0072.2","a":1})";
+  STRCMP_EQUAL(R"({"id":"caller","a":1})", progress.ForCaller(escaped).c_str());
+  STRCMP_EQUAL("[DONE]", progress.ForCaller("[DONE]").c_str());
+}
+
 TEST(ChatProgress, ALongPromptHasALongerFirstByteWithinItsDeadline) {
   using std::chrono::milliseconds;
   const ProgressLimits none = StreamLimits(0, milliseconds(60'000));
@@ -145,7 +178,7 @@
     const std::size_t cut = mutated.empty() ? 0 : random() % mutated.size();
     parser.Feed(mutated.substr(0, cut));
     parser.Feed(mutated.substr(cut));
-    ChatProgress progress("r", kMostTokens);
+    ChatProgress progress = NewProgress();
     AnswerVerdict verdict = AnswerVerdict::kPass;
     while (verdict == AnswerVerdict::kPass) {
       std::optional<std::string> event = parser.Next();
