Run a chat with an Idempotency-Key once, and bill it once

Cause: keys were honoured on unrepeatable routes only. Two chats with one key both ran and were billed, on one host or on two.

Change: a chat with a key is claimed in the platform like a checkout. On the host that runs it, equal requests follow its answer from the first token (SharedAnswer), and for 5 min get the whole of it; another body is refused. On other hosts the claim says in_progress, then the kept answer up to 16 KB, then unknown if the host was lost. A caller that goes no longer ends a chat with a key: its retry gets the answer. A chat that gave no token and no bill abandons its claim. A repeatable plain call with a key is claimed too.

Ruled out: memory alone (breaks over hosts); handing tokens to other hosts (a frame per token for a rare retry).

Found on the way: GCC 12 miscompiles `a && (!co_await b || !co_await c)` into an illegal instruction; the test died on it. One co_await in a statement.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -70,7 +70,7 @@
     echo "processor time of the host: $used ms for $requests requests: $((used * 1000 / requests)) us each"
     ;;
   stream)
-    flags=(--mix=1,0,0,0 --rate=100 --max-tokens=32 --duration="$ms")
+    flags=(--mix=1,0,0,0 --chat-keys=0 --rate=100 --max-tokens=32 --duration="$ms")
     load "$HOST_ADDRESS" /x /x "${flags[@]}" --duration=1000 >/dev/null
     for n in 1 2; do
       echo "direct"
@@ -85,7 +85,7 @@
     ;;
   memory)
     echo "idle: $(rss_kb "$HOST_PID") kB"
-    load "$HOST_ADDRESS" /x /x --mix=1,0,0,0 --closed-loops=5000 --duration=2000 \
+    load "$HOST_ADDRESS" /x /x --mix=1,0,0,0 --chat-keys=0 --closed-loops=5000 --duration=2000 \
       --max-tokens=8 --give-up=60000 >"$TW_WORK/memory" &
     loading=$!
     sleep 8
--- a/src/libs/delivery/delivery_constants.h
+++ b/src/libs/delivery/delivery_constants.h
@@ -21,6 +21,15 @@
 inline constexpr std::chrono::milliseconds kClaimClockSlack{5'000};
 // Bytes of the longest answer that is kept for retries.
 inline constexpr std::size_t kClaimMostAnswerBytes = 16 * 1024;
+// Time for which a host keeps the answer to a chat with a key, how many and how
+// many bytes of them, and how many of these chats it runs at the same time.
+inline constexpr std::chrono::minutes kAnswerHold{5};
+inline constexpr std::size_t kMostKeptAnswers = 8'192;
+inline constexpr std::size_t kMostKeptAnswerBytes = 16 * 1024 * 1024;
+inline constexpr std::size_t kMostKeyedRuns = 4'096;
+// Bytes of one answer that others can join, and of all of them.
+inline constexpr std::size_t kMostSharedAnswerBytes = 1024 * 1024;
+inline constexpr std::size_t kMostSharedBytes = 48 * 1024 * 1024;
 // First and longest pause before an outcome is written again, and the time
 // after which it is given up.
 inline constexpr std::chrono::milliseconds kSettlePauseFirst{100};
--- a/src/libs/delivery/delivery_event.cc
+++ b/src/libs/delivery/delivery_event.cc
@@ -6,7 +6,7 @@
 
 constexpr std::string_view kNames[] = {
     "crossed_answer", "late_answer",    "malformed_answer", "silent_connection",
-    "silent_target",  "resumed_stream", "cancelled_stream"};
+    "silent_target",  "resumed_stream", "cancelled_stream", "joined_answer"};
 
 }  // namespace
 
--- a/src/libs/delivery/delivery_event.h
+++ b/src/libs/delivery/delivery_event.h
@@ -22,8 +22,10 @@
   kResumedStream,
   // A stream was cancelled at its engine since its caller was gone.
   kCancelledStream,
+  // A request was given the answer of an earlier one with its key.
+  kJoinedAnswer,
 };
-inline constexpr int kDeliveryEvents = 7;
+inline constexpr int kDeliveryEvents = 8;
 
 // Name of `event` in metrics, such as "crossed_answer".
 std::string_view NameOf(DeliveryEvent event);
--- a/src/libs/load/load_caller.cc
+++ b/src/libs/load/load_caller.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
+#include "libs/base/digest.h"
 #include "libs/base/json_fields.h"
 #include "libs/http/sse_parser.h"
 
@@ -28,6 +29,12 @@
   std::string result;
 };
 
+// The same chats in each run of a seed.
+bool HasChatKey(const std::string& id, const LoadSettings& settings) {
+  return static_cast<std::int64_t>(Hash64(id) % 100) <
+         settings.chat_key_percent;
+}
+
 HttpRequest RequestOf(const PlannedCall& call, const LoadSettings& settings) {
   const CallKind kind = call.record.kind;
   HttpRequest request;
@@ -38,7 +45,8 @@
     return request;
   }
   request.method = "POST";
-  request.headers.Add("Idempotency-Key", call.record.id);
+  if (kind == CallKind::kWrite || HasChatKey(call.record.id, settings))
+    request.headers.Add("Idempotency-Key", call.record.id);
   request.headers.Add("Content-Type", "application/json");
   if (kind == CallKind::kWrite) {
     request.target = call.profile->write_path;
--- a/src/libs/load/load_settings.cc
+++ b/src/libs/load/load_settings.cc
@@ -15,6 +15,7 @@
 constexpr std::int64_t kMostLoops = 20'000;
 constexpr std::int64_t kMostMs = 3'600'000;
 constexpr std::int64_t kMostTokens = 100'000;
+constexpr std::int64_t kMostPercent = 100;
 constexpr std::size_t kProfileParts = 4;
 
 SettingSpec Number(std::string name,
@@ -107,6 +108,8 @@
       Number("attempts", "attempts of a request at most", "attempts", "4", 100),
       Number("max-tokens", "output tokens of a chat", "tokens", "16",
              kMostTokens),
+      Number("chat-keys", "share of chats with an Idempotency-Key", "percent",
+             "100", kMostPercent),
       Number("call-tokens", "tokens that a plain call costs", "tokens", "5",
              kMostTokens),
       Number("seed", "seed of arrivals, kinds and ids", "", "1", kMostMs),
@@ -149,6 +152,7 @@
       std::chrono::milliseconds(table.Integer("settle-time"));
   settings.attempts = static_cast<int>(table.Integer("attempts"));
   settings.max_tokens = table.Integer("max-tokens");
+  settings.chat_key_percent = table.Integer("chat-keys");
   settings.call_tokens = table.Integer("call-tokens");
   settings.seed = static_cast<std::uint64_t>(table.Integer("seed"));
   settings.platform = ParseEndpoint(table.Text("platform"));
--- a/src/libs/load/load_settings.h
+++ b/src/libs/load/load_settings.h
@@ -39,6 +39,7 @@
   std::chrono::milliseconds settle_time{0};
   int attempts = 0;
   std::int64_t max_tokens = 0;
+  std::int64_t chat_key_percent = 0;
   std::int64_t call_tokens = 0;
   std::uint64_t seed = 0;
   std::optional<boost::asio::ip::tcp::endpoint> platform;
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -46,6 +46,12 @@
       progress_(caller.record->run_id, caller.request_id, request_.max_tokens) {
 }
 
+void ChatCall::SetKeyed(ClaimSession* claim,
+                        std::shared_ptr<SharedAnswer> answer) {
+  claim_ = claim;
+  answer_ = std::move(answer);
+}
+
 asio::awaitable<ResultCode> ChatCall::Run() {
   std::set<std::string> excluded;
   std::set<std::string> asked_again;
@@ -60,6 +66,8 @@
     if (answer_started_)
       node_.metrics.CountEvent(DeliveryEvent::kResumedStream);
     meter_.emplace(*node_.targets, *choice);
+    if (n == 0 && !MaySend())
+      break;
     caller_.record->attempts.push_back({choice->name, ""});
     progress_.StartAttempt();
     const AttemptEnd end = co_await Attempt(*choice);
@@ -92,6 +100,14 @@
   return ResultCode::kCallerGone;
 }
 
+bool ChatCall::MaySend() {
+  if (!claim_ || claim_->MaySend(steady_clock::now()))
+    return true;
+  refusal_ = MakeRefusal(claim_->reason(), claim_->ran());
+  meter_.reset();
+  return false;
+}
+
 bool ChatCall::MayTry(int n) {
   if (node_.quarantine->IsQuarantined(digest_)) {
     refusal_ = MakeRefusal(
@@ -227,10 +243,11 @@
     const bool sound = TakeEvents(parser, choice, out);
     if (!out.empty())
       meter_->OnTokens(progress_.tokens());
-    const bool caller_there = out.empty() || (co_await StartAnswer() &&
-                                              co_await exchange_.Write(out));
-    if (!caller_there)
-      co_return AttemptEnd::kCallerGone;
+    if (!out.empty()) {
+      const bool caller_there = co_await Deliver(out);
+      if (!caller_there)
+        co_return AttemptEnd::kCallerGone;
+    }
     if (ended_)
       co_return AttemptEnd::kWhole;
     if (!sound)
@@ -259,6 +276,18 @@
   return true;
 }
 
+asio::awaitable<bool> ChatCall::Deliver(const std::string& events) {
+  if (answer_)
+    answer_->Append(events);
+  // One co_await in a statement: GCC 12 miscompiles `a && (b || c)` of them.
+  if (!caller_gone_)
+    caller_gone_ = !co_await StartAnswer();
+  if (!caller_gone_)
+    caller_gone_ = !co_await exchange_.Write(events);
+  // A caller that named its request may come again for the answer.
+  co_return !caller_gone_ || answer_ != nullptr;
+}
+
 asio::awaitable<bool> ChatCall::StartAnswer() {
   if (answer_started_)
     co_return true;
@@ -348,12 +377,21 @@
 asio::awaitable<ResultCode> ChatCall::Finish() {
   node_.quarantine->OnAnswered(digest_);
   reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+  whole_answer_ = true;
   bool sent = false;
   if (request_.stream) {
-    sent = co_await exchange_.EndStream();
+    if (answer_)
+      answer_->EndStream(true);
+    if (caller_gone_)
+      exchange_.Abort();
+    else
+      sent = co_await exchange_.EndStream();
   } else {
+    answer_started_ = true;
     HttpResponse response =
         JsonResponse(kStatusOk, progress_.ForCaller(whole_));
+    if (answer_)
+      answer_->EndWith(response);
     response.headers.Add("X-Request-Id", caller_.request_id);
     sent = co_await exchange_.Send(response);
   }
@@ -363,14 +401,22 @@
 asio::awaitable<ResultCode> ChatCall::GiveUp() {
   caller_.record->reason = refusal_.reason.text;
   if (!answer_started_) {
+    if (answer_)
+      answer_->EndWith(refusal_);
     co_await exchange_.Send(RefusalResponse(refusal_, caller_.request_id));
     co_return refusal_.reason.code;
   }
   refusal_.ran = RanState::kRan;
   reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
-  co_await exchange_.Write(
-      "data: " + RefusalBody(refusal_, caller_.request_id) + "\n\n");
-  co_await exchange_.EndStream();
+  const std::string events =
+      "data: " + RefusalBody(refusal_, caller_.request_id) + "\n\n";
+  co_await Deliver(events);
+  if (answer_)
+    answer_->EndStream(false);
+  if (caller_gone_)
+    exchange_.Abort();
+  else
+    co_await exchange_.EndStream();
   co_return refusal_.reason.code;
 }
 
--- a/src/libs/node/chat_call.h
+++ b/src/libs/node/chat_call.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "libs/delivery/chat_progress.h"
+#include "libs/delivery/claim_session.h"
 #include "libs/delivery/progress_limits.h"
 #include "libs/http/http_client.h"
 #include "libs/http/http_server.h"
@@ -18,6 +19,7 @@
 #include "libs/node/admission.h"
 #include "libs/node/attempt_meter.h"
 #include "libs/node/chat_request.h"
+#include "libs/node/shared_answer.h"
 #include "libs/routing/target_table.h"
 
 namespace turmericwinch {
@@ -33,9 +35,19 @@
            ReservedTokens reserved,
            HttpExchange& exchange);
 
+  // For a call with a key. `claim`, which must outlive the call, is asked
+  // before the first send; `answer` gets what the caller gets, to the end of
+  // the answer even if the caller goes.
+  void SetKeyed(ClaimSession* claim, std::shared_ptr<SharedAnswer> answer);
+
   // Tries targets until one answers or the attempts are used up.
   boost::asio::awaitable<ResultCode> Run();
 
+  // Whether a part of an answer was delivered and billed, and whether the
+  // answer was whole.
+  bool answer_started() const { return answer_started_; }
+  bool whole() const { return whole_answer_; }
+
  private:
   // How an attempt on one target ended.
   enum class AttemptEnd {
@@ -66,6 +78,10 @@
                   const TargetChoice& choice,
                   std::string& out);
   boost::asio::awaitable<bool> StartAnswer();
+  // Sends events to the caller; false if it is gone and no other may come.
+  boost::asio::awaitable<bool> Deliver(const std::string& events);
+  // Whether the claim, if there is one, still allows the first send.
+  bool MaySend();
   // Notes a failed attempt, and that the request may have run.
   void NoteFailure(const TargetChoice& choice,
                    const std::string& text,
@@ -94,7 +110,11 @@
   ChatProgress progress_;
   Refusal refusal_;
   std::string whole_;
+  ClaimSession* claim_ = nullptr;
+  std::shared_ptr<SharedAnswer> answer_;
+  bool caller_gone_ = false;
   bool answer_started_ = false;
+  bool whole_answer_ = false;
   bool ended_ = false;
 };
 
--- a/src/libs/node/chat_handler.cc
+++ b/src/libs/node/chat_handler.cc
@@ -4,6 +4,7 @@
 
 #include "libs/node/chat_call.h"
 #include "libs/node/chat_request.h"
+#include "libs/node/keyed_chat.h"
 #include "libs/node/node_context.h"
 
 namespace turmericwinch {
@@ -54,6 +55,12 @@
     co_return co_await Refuse(caller, reason, exchange);
   }
   chat->body["max_tokens"] = chat->max_tokens;
+  std::string key(request.headers.Get("Idempotency-Key"));
+  if (!key.empty()) {
+    co_return co_await HandleKeyedChat(node, caller, *service, request,
+                                       std::move(*chat), std::move(key),
+                                       exchange);
+  }
   std::optional<ReservedTokens> reserved = co_await ReserveTokens(
       node, caller, *service, chat->prompt_bound + chat->max_tokens, &reason);
   if (!reserved)
--- a/src/libs/node/claim_keeper.cc
+++ b/src/libs/node/claim_keeper.cc
@@ -162,6 +162,15 @@
   co_await Private::SettleSoon(d_, std::move(settlement));
 }
 
+asio::awaitable<void> ClaimKeeper::CompleteUnkept(ClaimSession session) {
+  ClaimRecord record = session.record();
+  record.outcome = ClaimOutcome::kDone;
+  ClaimSettlement settlement = ClaimSettlement::Record(
+      session.name(), session.version(), std::move(record),
+      std::chrono::steady_clock::now());
+  co_await Private::SettleSoon(d_, std::move(settlement));
+}
+
 asio::awaitable<void> ClaimKeeper::Private::SettleSoon(
     std::shared_ptr<Private> d,
     ClaimSettlement settlement) {
--- a/src/libs/node/claim_keeper.h
+++ b/src/libs/node/claim_keeper.h
@@ -66,6 +66,8 @@
   // the background if the platform does not take it soon.
   boost::asio::awaitable<void> Complete(ClaimSession session,
                                         std::optional<HttpResponse> response);
+  // Records that the request was answered, but not how.
+  boost::asio::awaitable<void> CompleteUnkept(ClaimSession session);
 
   // Deletes old claims, a part at a time, for as long as the host runs.
   boost::asio::awaitable<void> Sweep();
--- /dev/null
+++ b/src/libs/node/claimed_call.cc
@@ -0,0 +1,45 @@
+#include "libs/node/claimed_call.h"
+
+#include "libs/base/digest.h"
+
+namespace turmericwinch {
+
+namespace asio = boost::asio;
+
+ClaimWish ClaimWishOf(const Caller& caller,
+                      const HttpRequest& request,
+                      const std::string& key,
+                      std::chrono::milliseconds deadline) {
+  const std::string digest =
+      Sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
+  return {caller.team->name, key, digest, deadline};
+}
+
+asio::awaitable<ClaimAnswer> FindUnpaid(NodeContext& node,
+                                        const ClaimWish& wish,
+                                        const Reason& reason) {
+  ClaimAnswer found = co_await OnControl(node, node.claims->Find(wish));
+  if (found.kept || found.reason.code != ResultCode::kOk)
+    co_return found;
+  found.reason = reason;
+  found.ran = RanState::kNotRun;
+  co_return found;
+}
+
+asio::awaitable<ResultCode> Refuse(const Caller& caller,
+                                   const Refusal& refusal,
+                                   HttpExchange& exchange) {
+  caller.record->reason = refusal.reason.text;
+  co_await exchange.Send(RefusalResponse(refusal, caller.request_id));
+  co_return refusal.reason.code;
+}
+
+asio::awaitable<ResultCode> Replay(const Caller& caller,
+                                   HttpResponse kept,
+                                   HttpExchange& exchange) {
+  kept.headers.Add("X-Request-Id", caller.request_id);
+  const bool sent = co_await exchange.Send(kept);
+  co_return sent ? ResultCode::kOk : ResultCode::kCallerGone;
+}
+
+}  // namespace turmericwinch
--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -20,6 +20,7 @@
 #include "libs/node/node_settings.h"
 #include "libs/node/quarantine_keeper.h"
 #include "libs/node/request_log.h"
+#include "libs/node/shared_answers.h"
 #include "libs/node/shared_ledger.h"
 #include "libs/node/shared_limits.h"
 #include "libs/node/shared_targets.h"
@@ -38,6 +39,7 @@
   ConfigHolder config;
   NodeMetrics metrics;
   RequestLog requests{kRequestsRemembered};
+  SharedAnswers answers;
   std::unique_ptr<SharedTargets> targets;
   SharedLimits limits;
   std::unique_ptr<SharedLedger> ledger;
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -3,10 +3,10 @@
 #include <boost/asio.hpp>
 #include <set>
 
-#include "libs/base/digest.h"
 #include "libs/base/log.h"
 #include "libs/delivery/attempt_id.h"
 #include "libs/node/attempt_meter.h"
+#include "libs/node/claimed_call.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
 
@@ -68,9 +68,11 @@
 // One call on its way to a target.
 struct PlainCall {
   const RouteConfig* route = nullptr;
+  // Whether it may be sent again though it may have run: a key forbids it.
+  bool repeatable = false;
   HttpRequest request;
   std::chrono::steady_clock::time_point deadline;
-  // Set for a call that may not be repeated.
+  // Set for a call with a key.
   std::optional<ClaimSession> claim;
   RequestRecord* record = nullptr;
 };
@@ -170,12 +172,12 @@
     meter.reset();
     const bool failed =
         !outcome.response || outcome.response->status >= kServerError;
-    if (!failed || (outcome.response && !call.route->repeatable))
+    if (!failed || (outcome.response && !call.repeatable))
       co_return outcome;
     excluded.insert(choice->name);
     NoteFailure(*choice, failure, outcome);
     call.record->attempts.back().failure = outcome.refusal.reason.text;
-    if (!call.route->repeatable && failure.may_have_arrived) {
+    if (!call.repeatable && failure.may_have_arrived) {
       outcome.refusal.reason.code = ResultCode::kOutcomeUnknown;
       outcome.refusal.retry_after_s = 0;
       co_return outcome;
@@ -184,13 +186,6 @@
   co_return outcome;
 }
 
-// Claims and completions run on the control thread.
-template <typename T>
-asio::awaitable<T> OnControl(NodeContext& node, asio::awaitable<T> action) {
-  co_return co_await asio::co_spawn(node.control, std::move(action),
-                                    asio::use_awaitable);
-}
-
 asio::awaitable<void> RecordOutcome(NodeContext& node,
                                     const ClaimSession& claim,
                                     const PlainOutcome& outcome) {
@@ -200,41 +195,6 @@
     co_await OnControl(node, node.claims->Abandon(claim));
 }
 
-asio::awaitable<ResultCode> Refuse(const Caller& caller,
-                                   const Refusal& refusal,
-                                   HttpExchange& exchange) {
-  caller.record->reason = refusal.reason.text;
-  co_await exchange.Send(RefusalResponse(refusal, caller.request_id));
-  co_return refusal.reason.code;
-}
-
-asio::awaitable<ResultCode> Replay(const Caller& caller,
-                                   HttpResponse kept,
-                                   HttpExchange& exchange) {
-  kept.headers.Add("X-Request-Id", caller.request_id);
-  const bool sent = co_await exchange.Send(kept);
-  co_return sent ? ResultCode::kOk : ResultCode::kCallerGone;
-}
-
-// The answer when the budget has no tokens: a retry of a call that ran is
-// still told so, since it costs nothing.
-asio::awaitable<ResultCode> RefuseUnpaid(NodeContext& node,
-                                         const Caller& caller,
-                                         const std::optional<ClaimWish>& wish,
-                                         const Reason& reason,
-                                         HttpExchange& exchange) {
-  ClaimAnswer found;
-  if (wish)
-    found = co_await OnControl(node, node.claims->Find(*wish));
-  if (found.kept)
-    co_return co_await Replay(caller, std::move(*found.kept), exchange);
-  if (found.reason.code != ResultCode::kOk) {
-    co_return co_await Refuse(caller, MakeRefusal(found.reason, found.ran),
-                              exchange);
-  }
-  co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
-}
-
 // Gives the caller what the targets answered.
 asio::awaitable<ResultCode> Answer(const Caller& caller,
                                    PlainOutcome outcome,
@@ -285,22 +245,24 @@
     co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
   }
   std::optional<ClaimWish> wish;
-  if (!route->repeatable) {
-    const std::string digest =
-        Sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
-    wish = ClaimWish{caller.team->name, key, digest, route->deadline};
-  }
+  if (!key.empty())
+    wish = ClaimWishOf(caller, request, key, route->deadline);
   std::optional<ReservedTokens> reserved = co_await ReserveTokens(
       node, caller, *service, service->call_tokens, &reason);
-  if (!reserved)
-    co_return co_await RefuseUnpaid(node, caller, wish, reason, exchange);
+  if (!reserved && !wish)
+    co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
   PlainCall call;
   call.route = route;
+  call.repeatable = route->repeatable && key.empty();
   call.deadline = start + route->deadline;
   call.record = caller.record.get();
   call.request = TargetRequest(caller, request, target->path, key);
   if (wish) {
-    ClaimAnswer answer = co_await OnControl(node, node.claims->Take(*wish));
+    ClaimAnswer answer;
+    if (reserved)
+      answer = co_await OnControl(node, node.claims->Take(*wish));
+    else
+      answer = co_await FindUnpaid(node, *wish, reason);
     if (answer.kept)
       co_return co_await Replay(caller, std::move(*answer.kept), exchange);
     if (!answer.held) {
--- /dev/null
+++ b/src/libs/node/shared_answers.cc
@@ -0,0 +1,52 @@
+#include "libs/node/shared_answers.h"
+
+namespace turmericwinch {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+}  // namespace
+
+KeyedAnswer SharedAnswers::Begin(const std::string& name,
+                                 const std::string& body_digest) {
+  std::lock_guard lock(mutex_);
+  KeyedAnswer keyed;
+  keyed.verdict = keys_.Begin(name, body_digest, steady_clock::now());
+  DropForgotten();
+  if (keyed.verdict == KeyVerdict::kJoin)
+    keyed.answer = answers_[name];
+  else if (keyed.verdict != KeyVerdict::kReused)
+    keyed.answer = std::make_shared<SharedAnswer>(total_);
+  if (keyed.verdict == KeyVerdict::kRun)
+    answers_[name] = keyed.answer;
+  return keyed;
+}
+
+void SharedAnswers::End(const std::string& name, bool whole) {
+  std::lock_guard lock(mutex_);
+  std::size_t bytes = 0;
+  if (auto it = answers_.find(name); whole && it != answers_.end()) {
+    std::optional<HttpResponse> response = it->second->Whole();
+    whole = response.has_value();
+    bytes = whole ? response->body.size() : 0;
+  }
+  keys_.End(name, whole, bytes, steady_clock::now());
+  DropForgotten();
+}
+
+std::size_t SharedAnswers::size() const {
+  std::lock_guard lock(mutex_);
+  return keys_.size();
+}
+
+std::size_t SharedAnswers::bytes() const {
+  return *total_;
+}
+
+void SharedAnswers::DropForgotten() {
+  for (const std::string& it : keys_.TakeForgotten())
+    answers_.erase(it);
+}
+
+}  // namespace turmericwinch
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -69,6 +69,10 @@
           {"swept", figures.swept}};
 }
 
+json::object DumpKeyedAnswers(NodeContext& node) {
+  return {{"count", node.answers.size()}, {"bytes", node.answers.bytes()}};
+}
+
 json::object DumpPlatformCalls(NodeContext& node) {
   json::object calls;
   for (int duty = 0; duty < kPlatformDuties; ++duty) {
@@ -104,6 +108,7 @@
       {"targets", DumpTargets(node)},
       {"waiting_for_target", DumpQueues(node)},
       {"claims", DumpClaims(node)},
+      {"keyed_answers", DumpKeyedAnswers(node)},
       {"quarantine_suspects", node.quarantine->suspects()},
       {"platform_calls", DumpPlatformCalls(node)},
       {"config_source", node.config_watcher->Dump()},
