--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -43,7 +43,14 @@
           Sha256Hex(caller.team->name + "\n" + json::serialize(request_.body))
               .substr(0, kDigestDigits)),
       wish_(ChatWishOf(service.name, request_)),
-      progress_(caller.request_id, request_.max_tokens) {}
+      progress_(caller.record->run_id, caller.request_id, request_.max_tokens) {
+}
+
+void ChatCall::SetKeyed(ClaimSession* claim,
+                        std::shared_ptr<SharedAnswer> answer) {
+  claim_ = claim;
+  answer_ = std::move(answer);
+}
 
 asio::awaitable<ResultCode> ChatCall::Run() {
   std::set<std::string> excluded;
@@ -59,7 +66,10 @@
     if (answer_started_)
       node_.metrics.CountEvent(DeliveryEvent::kResumedStream);
     meter_.emplace(*node_.targets, *choice);
+    if (n == 0 && !MaySend())
+      break;
     caller_.record->attempts.push_back({choice->name, ""});
+    progress_.StartAttempt();
     const AttemptEnd end = co_await Attempt(*choice);
     if (end == AttemptEnd::kWhole)
       meter_->Judge(TargetAnswer::kGood);
@@ -90,6 +100,14 @@
   return ResultCode::kCallerGone;
 }
 
+bool ChatCall::MaySend() {
+  if (!claim_ || claim_->MaySend(steady_clock::now()))
+    return true;
+  refusal_ = MakeRefusal(claim_->reason(), claim_->ran());
+  meter_.reset();
+  return false;
+}
+
 bool ChatCall::MayTry(int n) {
   if (node_.quarantine->IsQuarantined(digest_)) {
     refusal_ = MakeRefusal(
@@ -132,10 +150,12 @@
   request.method = "POST";
   request.target = "/v1/chat/completions";
   request.headers.Add("Content-Type", "application/json");
-  request.headers.Add("X-Request-Id", caller_.request_id);
+  request.headers.Add("X-Request-Id", progress_.attempt_id());
+  request.headers.Add("X-Caller-Request-Id", caller_.request_id);
   request.headers.Add("X-Priority", std::to_string(caller_.team->priority));
   json::object body = request_.body;
   if (progress_.tokens() > 0) {
+    request.headers.Add("X-Resume-Id", progress_.resumed_id());
     request.headers.Add("X-Resume-From", std::to_string(progress_.tokens()));
     body["resume_text"] = progress_.text();
   }
@@ -223,8 +243,11 @@
     const bool sound = TakeEvents(parser, choice, out);
     if (!out.empty())
       meter_->OnTokens(progress_.tokens());
-    if (!out.empty() && !co_await WriteAnswer(out))
-      co_return AttemptEnd::kCallerGone;
+    if (!out.empty()) {
+      const bool caller_there = co_await Deliver(out);
+      if (!caller_there)
+        co_return AttemptEnd::kCallerGone;
+    }
     if (ended_)
       co_return AttemptEnd::kWhole;
     if (!sound)
@@ -245,7 +268,7 @@
       NoteFault(verdict, choice);
       return false;
     }
-    out += "data: " + *event + "\n\n";
+    out += "data: " + progress_.ForCaller(*event) + "\n\n";
     ended_ = verdict == AnswerVerdict::kEnd;
     if (ended_)
       break;
@@ -253,16 +276,26 @@
   return true;
 }
 
-asio::awaitable<bool> ChatCall::WriteAnswer(std::string_view events) {
-  if (!answer_started_) {
-    answer_started_ = true;
-    HttpHeaders headers;
-    headers.Add("Content-Type", "text/event-stream");
-    headers.Add("Cache-Control", "no-store");
-    headers.Add("X-Request-Id", caller_.request_id);
-    exchange_.StartStream(kStatusOk, headers);
+asio::awaitable<bool> ChatCall::Deliver(const std::string& events) {
+  if (answer_)
+    answer_->Append(events);
+  if (!caller_gone_) {
+    StartAnswer();
+    caller_gone_ = !co_await exchange_.Write(events);
   }
-  co_return co_await exchange_.Write(events);
+  // A caller that named its request may come again for the answer.
+  co_return !caller_gone_ || answer_ != nullptr;
+}
+
+void ChatCall::StartAnswer() {
+  if (answer_started_)
+    return;
+  answer_started_ = true;
+  HttpHeaders headers;
+  headers.Add("Content-Type", "text/event-stream");
+  headers.Add("Cache-Control", "no-store");
+  headers.Add("X-Request-Id", caller_.request_id);
+  exchange_.StartStream(kStatusOk, headers);
 }
 
 void ChatCall::NoteFailure(const TargetChoice& choice,
@@ -270,6 +303,7 @@
                            bool may_have_run) {
   LogEvent(kLog, Severity::kWarning, "attempt_failed",
            {{"request", caller_.request_id},
+            {"attempt", progress_.attempt_id()},
             {"target", choice.name},
             {"tokens", progress_.tokens()},
             {"reason", text}});
@@ -282,13 +316,17 @@
 }
 
 void ChatCall::NoteFault(AnswerVerdict verdict, const TargetChoice& choice) {
-  const bool crossed = verdict == AnswerVerdict::kCrossed;
-  node_.metrics.CountEvent(crossed ? DeliveryEvent::kCrossedAnswer
-                                   : DeliveryEvent::kMalformedAnswer);
-  NoteFailure(choice,
-              crossed ? "answered another request"
-                      : "sent an answer without usage or not in JSON",
-              true);
+  DeliveryEvent event = DeliveryEvent::kMalformedAnswer;
+  std::string text = "sent an answer without usage or not in JSON";
+  if (verdict == AnswerVerdict::kCrossed) {
+    event = DeliveryEvent::kCrossedAnswer;
+    text = "answered another request";
+  } else if (verdict == AnswerVerdict::kLate) {
+    event = DeliveryEvent::kLateAnswer;
+    text = "answered an earlier attempt";
+  }
+  node_.metrics.CountEvent(event);
+  NoteFailure(choice, text, true);
   meter_->Judge(TargetAnswer::kWrong);
 }
 
@@ -324,7 +362,7 @@
     co_return;
   HttpRequest request;
   request.method = "DELETE";
-  request.target = "/v1/requests/" + caller_.request_id;
+  request.target = "/v1/requests/" + progress_.attempt_id();
   const HttpTimeouts timeouts{kConnectLimit, kProbeLimit, kProbeLimit};
   HttpFailure failure;
   std::optional<HttpResponse> response =
@@ -338,11 +376,21 @@
 asio::awaitable<ResultCode> ChatCall::Finish() {
   node_.quarantine->OnAnswered(digest_);
   reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
+  whole_answer_ = true;
   bool sent = false;
   if (request_.stream) {
-    sent = co_await exchange_.EndStream();
+    if (answer_)
+      answer_->EndStream(true);
+    if (caller_gone_)
+      exchange_.Abort();
+    else
+      sent = co_await exchange_.EndStream();
   } else {
-    HttpResponse response = JsonResponse(kStatusOk, std::move(whole_));
+    answer_started_ = true;
+    HttpResponse response =
+        JsonResponse(kStatusOk, progress_.ForCaller(whole_));
+    if (answer_)
+      answer_->EndWith(response);
     response.headers.Add("X-Request-Id", caller_.request_id);
     sent = co_await exchange_.Send(response);
   }
@@ -352,14 +400,22 @@
 asio::awaitable<ResultCode> ChatCall::GiveUp() {
   caller_.record->reason = refusal_.reason.text;
   if (!answer_started_) {
+    if (answer_)
+      answer_->EndWith(refusal_);
     co_await exchange_.Send(RefusalResponse(refusal_, caller_.request_id));
     co_return refusal_.reason.code;
   }
   refusal_.ran = RanState::kRan;
   reserved_.Settle(caller_, service_.name, progress_.BilledTokens());
-  co_await exchange_.Write(
-      "data: " + RefusalBody(refusal_, caller_.request_id) + "\n\n");
-  co_await exchange_.EndStream();
+  const std::string events =
+      "data: " + RefusalBody(refusal_, caller_.request_id) + "\n\n";
+  co_await Deliver(events);
+  if (answer_)
+    answer_->EndStream(false);
+  if (caller_gone_)
+    exchange_.Abort();
+  else
+    co_await exchange_.EndStream();
   co_return refusal_.reason.code;
 }
 
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -3,9 +3,10 @@
 #include <boost/asio.hpp>
 #include <set>
 
-#include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/delivery/attempt_id.h"
 #include "libs/node/attempt_meter.h"
+#include "libs/node/claimed_call.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
 
@@ -42,6 +43,9 @@
   Refusal refusal;
 };
 
+// The call as its target gets it, but for the attempt's id. Names that callers
+// choose are passed for the target's records only: two teams may choose the
+// same.
 HttpRequest TargetRequest(const Caller& caller,
                           const HttpRequest& request,
                           const std::string& path,
@@ -53,18 +57,22 @@
   std::string_view type = request.headers.Get("Content-Type");
   if (!type.empty())
     out.headers.Add("Content-Type", std::string(type));
-  out.headers.Add("X-Request-Id", caller.request_id);
-  if (!key.empty())
-    out.headers.Add("Idempotency-Key", key);
+  out.headers.Add("X-Caller-Request-Id", caller.request_id);
+  if (!key.empty()) {
+    out.headers.Add("Idempotency-Key", TargetKey(caller.team->name, key));
+    out.headers.Add("X-Caller-Idempotency-Key", key);
+  }
   return out;
 }
 
 // One call on its way to a target.
 struct PlainCall {
   const RouteConfig* route = nullptr;
+  // Whether it may be sent again though it may have run: a key forbids it.
+  bool repeatable = false;
   HttpRequest request;
   std::chrono::steady_clock::time_point deadline;
-  // Set for a call that may not be repeated.
+  // Set for a call with a key.
   std::optional<ClaimSession> claim;
   RequestRecord* record = nullptr;
 };
@@ -78,6 +86,41 @@
   return timeouts;
 }
 
+// Whether `response` names another attempt than `id`. Targets need not name
+// any.
+bool IsCrossed(const HttpResponse& response, const std::string& id) {
+  const std::string_view answered = response.headers.Get("X-Request-Id");
+  return !answered.empty() && answered != id;
+}
+
+// Sends the call to one target under the id of attempt `n`. An answer that
+// names another is dropped, and the target's idle connections with it.
+asio::awaitable<std::optional<HttpResponse>> SendAttempt(
+    NodeContext& node,
+    const PlainCall& call,
+    int n,
+    const asio::ip::tcp::endpoint& endpoint,
+    std::size_t thread_index,
+    HttpFailure* failure) {
+  const std::string id = AttemptId(call.record->run_id, n);
+  HttpRequest request = call.request;
+  request.headers.Add("X-Request-Id", id);
+  HttpClient& client = *node.clients[thread_index];
+  std::optional<HttpResponse> response = co_await client.Call(
+      endpoint, request, TimeoutsUntil(call.deadline), failure);
+  if (!response || !IsCrossed(*response, id))
+    co_return response;
+  const bool late =
+      IsAttemptOf(response->headers.Get("X-Request-Id"), call.record->run_id);
+  node.metrics.CountEvent(late ? DeliveryEvent::kLateAnswer
+                               : DeliveryEvent::kCrossedAnswer);
+  client.DropIdle(endpoint);
+  *failure = {
+      HttpPhase::kFirstByte, true, false,
+      late ? "it answered an earlier attempt" : "it answered another request"};
+  co_return std::nullopt;
+}
+
 // Notes a failed attempt. Once one may have run, the call may have.
 void NoteFailure(const TargetChoice& choice,
                  const HttpFailure& failure,
@@ -120,8 +163,8 @@
     }
     outcome.response.reset();
     if (endpoint) {
-      outcome.response = co_await node.clients[thread_index]->Call(
-          *endpoint, call.request, TimeoutsUntil(call.deadline), &failure);
+      outcome.response = co_await SendAttempt(node, call, n + 1, *endpoint,
+                                              thread_index, &failure);
     }
     meter->Judge(outcome.response ? AnswerOfStatus(outcome.response->status,
                                                    outcome.response->headers)
@@ -129,12 +172,12 @@
     meter.reset();
     const bool failed =
         !outcome.response || outcome.response->status >= kServerError;
-    if (!failed || (outcome.response && !call.route->repeatable))
+    if (!failed || (outcome.response && !call.repeatable))
       co_return outcome;
     excluded.insert(choice->name);
     NoteFailure(*choice, failure, outcome);
     call.record->attempts.back().failure = outcome.refusal.reason.text;
-    if (!call.route->repeatable && failure.may_have_arrived) {
+    if (!call.repeatable && failure.may_have_arrived) {
       outcome.refusal.reason.code = ResultCode::kOutcomeUnknown;
       outcome.refusal.retry_after_s = 0;
       co_return outcome;
@@ -143,13 +186,6 @@
   co_return outcome;
 }
 
-// Claims and completions run on the control thread.
-template <typename T>
-asio::awaitable<T> OnControl(NodeContext& node, asio::awaitable<T> action) {
-  co_return co_await asio::co_spawn(node.control, std::move(action),
-                                    asio::use_awaitable);
-}
-
 asio::awaitable<void> RecordOutcome(NodeContext& node,
                                     const ClaimSession& claim,
                                     const PlainOutcome& outcome) {
@@ -159,41 +195,6 @@
     co_await OnControl(node, node.claims->Abandon(claim));
 }
 
-asio::awaitable<ResultCode> Refuse(const Caller& caller,
-                                   const Refusal& refusal,
-                                   HttpExchange& exchange) {
-  caller.record->reason = refusal.reason.text;
-  co_await exchange.Send(RefusalResponse(refusal, caller.request_id));
-  co_return refusal.reason.code;
-}
-
-asio::awaitable<ResultCode> Replay(const Caller& caller,
-                                   HttpResponse kept,
-                                   HttpExchange& exchange) {
-  kept.headers.Add("X-Request-Id", caller.request_id);
-  const bool sent = co_await exchange.Send(kept);
-  co_return sent ? ResultCode::kOk : ResultCode::kCallerGone;
-}
-
-// The answer when the budget has no tokens: a retry of a call that ran is
-// still told so, since it costs nothing.
-asio::awaitable<ResultCode> RefuseUnpaid(NodeContext& node,
-                                         const Caller& caller,
-                                         const std::optional<ClaimWish>& wish,
-                                         const Reason& reason,
-                                         HttpExchange& exchange) {
-  ClaimAnswer found;
-  if (wish)
-    found = co_await OnControl(node, node.claims->Find(*wish));
-  if (found.kept)
-    co_return co_await Replay(caller, std::move(*found.kept), exchange);
-  if (found.reason.code != ResultCode::kOk) {
-    co_return co_await Refuse(caller, MakeRefusal(found.reason, found.ran),
-                              exchange);
-  }
-  co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
-}
-
 // Gives the caller what the targets answered.
 asio::awaitable<ResultCode> Answer(const Caller& caller,
                                    PlainOutcome outcome,
@@ -244,22 +245,24 @@
     co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
   }
   std::optional<ClaimWish> wish;
-  if (!route->repeatable) {
-    const std::string digest =
-        Sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
-    wish = ClaimWish{caller.team->name, key, digest, route->deadline};
-  }
+  if (!key.empty())
+    wish = ClaimWishOf(caller, request, key, route->deadline);
   std::optional<ReservedTokens> reserved = co_await ReserveTokens(
       node, caller, *service, service->call_tokens, &reason);
-  if (!reserved)
-    co_return co_await RefuseUnpaid(node, caller, wish, reason, exchange);
+  if (!reserved && !wish)
+    co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
   PlainCall call;
   call.route = route;
+  call.repeatable = route->repeatable && key.empty();
   call.deadline = start + route->deadline;
   call.record = caller.record.get();
   call.request = TargetRequest(caller, request, target->path, key);
   if (wish) {
-    ClaimAnswer answer = co_await OnControl(node, node.claims->Take(*wish));
+    ClaimAnswer answer;
+    if (reserved)
+      answer = co_await OnControl(node, node.claims->Take(*wish));
+    else
+      answer = co_await FindUnpaid(node, *wish, reason);
     if (answer.kept)
       co_return co_await Replay(caller, std::move(*answer.kept), exchange);
     if (!answer.held) {
