Limit platform calls, shared between duties, with a pause while it is away

Cause: nothing held a host back. Each duty had its own pause after failures and no limit, so 420 hosts that start, or find the platform back, call as fast as they can, and a flood of one duty delays bills and claims.

Change: PlatformLimiter (no clock, no I/O) gives each host an equal part of what the fleet may call, reads and writes apart; what does not start at once waits in a bounded queue for each duty, and the queues take turns by weight (bills and claims 16, budgets 8, configuration and host list 4, caches 2, operator 1), so that none starves. After three calls in a row without an answer one call after each growing, random pause finds out whether the platform is back, and all else is refused at once. PlatformGate holds the calls of HttpPlatformClient by it. A refusal is the new result 506, of which nothing was sent; 203 has another meaning already (budget_too_small). 429 counts as no answer. Verdicts of the quarantine are read as caches.

Ruled out: strict priority (starves), a fixed rate a host (nine hosts would get what 420 leave them), saved-up calls at the start: with four a host, 420 hosts that all ask made 1,680 calls at once on top of their rate. First pause of 100 ms: its probes alone took the first second of an outage over the bound of the test (900 writes); it is 500 ms.

Tests: platform_limiter_test (burst, starvation, outage, recovery of 420 hosts without a stampede, share), and the client over sockets in standin_test.

--- a/src/libs/base/result_code.cc
+++ b/src/libs/base/result_code.cc
@@ -39,6 +39,7 @@
     {ResultCode::kPlatformExists, "platform_exists", 409, 4},
     {ResultCode::kPlatformUnknown, "platform_unknown", 503, 5},
     {ResultCode::kPlatformRejected, "platform_rejected", 502, 5},
+    {ResultCode::kPlatformLimited, "platform_limited", 503, 5},
     {ResultCode::kConfigInvalid, "config_invalid", 0, 2},
     {ResultCode::kConfigConflict, "config_conflict", 0, 4},
     {ResultCode::kSettingsInvalid, "settings_invalid", 0, 2},
--- a/src/libs/base/result_code.h
+++ b/src/libs/base/result_code.h
@@ -47,6 +47,7 @@
   kPlatformExists = 503,
   kPlatformUnknown = 504,
   kPlatformRejected = 505,
+  kPlatformLimited = 506,
   // 6xx: configuration and settings.
   kConfigInvalid = 600,
   kConfigConflict = 601,
--- a/src/libs/delivery/claim_settlement.cc
+++ b/src/libs/delivery/claim_settlement.cc
@@ -47,7 +47,8 @@
     step_ = SettleStep::kDone;
     return;
   }
-  if (code == ResultCode::kPlatformUnavailable) {
+  if (code == ResultCode::kPlatformUnavailable ||
+      code == ResultCode::kPlatformLimited) {
     RetryLater(now);
     return;
   }
--- /dev/null
+++ b/src/libs/node/platform_metrics.cc
@@ -0,0 +1,70 @@
+#include "libs/node/platform_metrics.h"
+
+#include <functional>
+
+namespace turmericwinch {
+
+namespace {
+
+using Value = std::function<std::uint64_t(const PlatformDutyFigures&)>;
+
+std::string TypeLine(const std::string& name, const char* type) {
+  return "# TYPE " + name + " " + type + "\n";
+}
+
+std::string Calls(const CallCounter& counter) {
+  const std::string name = "turmericwinch_platform_calls_total";
+  std::string text = TypeLine(name, "counter");
+  for (int duty = 0; duty < kPlatformDuties; ++duty) {
+    for (int kind = 0; kind < kPlatformCallKinds; ++kind) {
+      const auto the_duty = static_cast<PlatformDuty>(duty);
+      const auto the_kind = static_cast<PlatformCallKind>(kind);
+      text += name + "{duty=\"" + std::string(NameOf(the_duty)) + "\",kind=\"" +
+              std::string(NameOf(the_kind)) + "\"} " +
+              std::to_string(counter.Count(the_duty, the_kind)) + "\n";
+    }
+  }
+  return text;
+}
+
+std::string ByDuty(const PlatformLimiter& limiter,
+                   const std::string& name,
+                   const char* type,
+                   const Value& value) {
+  std::string text = TypeLine(name, type);
+  for (int n = 0; n < kPlatformDuties; ++n) {
+    const auto duty = static_cast<PlatformDuty>(n);
+    text += name + "{duty=\"" + std::string(NameOf(duty)) + "\"} " +
+            std::to_string(value(limiter.Figures(duty))) + "\n";
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string ExpositionOf(const HttpPlatformClient& platform) {
+  std::string text = Calls(platform.counter());
+  const PlatformLimiter* limiter = platform.limiter();
+  if (!limiter)
+    return text;
+  text += ByDuty(*limiter, "turmericwinch_platform_waiting", "gauge",
+                 [](const auto& it) { return it.waiting; });
+  text += ByDuty(*limiter, "turmericwinch_platform_waited_total", "counter",
+                 [](const auto& it) { return it.waited; });
+  text += ByDuty(*limiter, "turmericwinch_platform_over_limit_total", "counter",
+                 [](const auto& it) { return it.over_limit; });
+  text += ByDuty(*limiter, "turmericwinch_platform_while_away_total", "counter",
+                 [](const auto& it) { return it.while_away; });
+  const std::string share = "turmericwinch_platform_share_per_second";
+  text += TypeLine(share, "gauge");
+  text += share + "{kind=\"read\"} " + std::to_string(limiter->share().reads) +
+          "\n";
+  text += share + "{kind=\"write\"} " +
+          std::to_string(limiter->share().writes) + "\n";
+  const std::string away = "turmericwinch_platform_away";
+  text += TypeLine(away, "gauge");
+  text += away + " " + (limiter->away() ? "1" : "0") + "\n";
+  return text;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/node/platform_metrics.h
@@ -0,0 +1,18 @@
+// Metrics of a node's calls to the platform.
+
+#ifndef SRC_LIBS_NODE_PLATFORM_METRICS_H_
+#define SRC_LIBS_NODE_PLATFORM_METRICS_H_
+
+#include <string>
+
+#include "libs/platform/http_platform_client.h"
+
+namespace turmericwinch {
+
+// Calls made, waiting and refused by duty, and this host's share, in text
+// exposition format. Called on the client's thread.
+std::string ExpositionOf(const HttpPlatformClient& platform);
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_NODE_PLATFORM_METRICS_H_
--- a/src/libs/node/quarantine_keeper.cc
+++ b/src/libs/node/quarantine_keeper.cc
@@ -148,7 +148,7 @@
 asio::awaitable<void> QuarantineKeeper::Private::ReadVerdicts() {
   Reason reason;
   std::optional<std::vector<PlatformObject>> objects = co_await platform.List(
-      PlatformDuty::kClaims, std::string(kPrefix), &reason);
+      PlatformDuty::kCaches, std::string(kPrefix), &reason);
   if (!objects)
     co_return;
   for (const PlatformObject& it : *objects) {
@@ -159,7 +159,7 @@
                        steady_clock::now());
       continue;
     }
-    co_await platform.Delete(PlatformDuty::kClaims, it.name, it.version,
+    co_await platform.Delete(PlatformDuty::kCaches, it.name, it.version,
                              &reason);
   }
 }
--- a/src/libs/node/refusal.cc
+++ b/src/libs/node/refusal.cc
@@ -26,6 +26,7 @@
     case ResultCode::kNotReady:
     case ResultCode::kNoConfig:
     case ResultCode::kPlatformUnavailable:
+    case ResultCode::kPlatformLimited:
       return kRetryLaterS;
     default:
       return 0;
--- a/src/libs/platform/call_counter.cc
+++ b/src/libs/platform/call_counter.cc
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr std::string_view kDutyNames[] = {"config", "budget", "bills",
-                                           "claims", "hosts",  "operator"};
+constexpr std::string_view kDutyNames[] = {
+    "config", "budget", "bills", "claims", "hosts", "operator", "caches"};
 constexpr std::string_view kKindNames[] = {"read", "write", "watch"};
 
 int IndexOf(PlatformDuty duty, PlatformCallKind kind) {
--- a/src/libs/platform/http_platform_client.cc
+++ b/src/libs/platform/http_platform_client.cc
@@ -21,6 +21,8 @@
 constexpr int kStatusNoContent = 204;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusConflict = 409;
+constexpr int kStatusGone = 410;
+constexpr int kStatusTooMany = 429;
 
 HttpRequest MakeRequest(std::string method, std::string target) {
   HttpRequest request;
@@ -81,7 +83,7 @@
 class HttpPlatformClient::Private {
  public:
   Private(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
-      : client(context), endpoint(endpoint) {}
+      : context(context), client(context), endpoint(endpoint) {}
 
   // Sends one call and sorts failures into results. `writes` tells whether a
   // lost answer leaves the effect in doubt.
@@ -90,11 +92,17 @@
                             HttpRequest request,
                             std::chrono::milliseconds timeout,
                             Reason* reason) {
+    if (gate && !co_await gate->Enter(duty, kind, reason))
+      co_return std::nullopt;
     counter.Add(duty, kind);
     HttpFailure failure;
     const HttpTimeouts timeouts{kConnectTimeout, timeout, timeout};
     std::optional<HttpResponse> response =
         co_await client.Call(endpoint, request, timeouts, &failure);
+    if (gate) {
+      gate->Leave(response && response->status < 500 &&
+                  response->status != kStatusTooMany);
+    }
     const bool writes = kind == PlatformCallKind::kWrite;
     if (!response) {
       const bool in_doubt = writes && failure.may_have_arrived;
@@ -107,11 +115,13 @@
         response->status == kStatusNoContent)
       co_return response;
     ResultCode code = ResultCode::kPlatformRejected;
-    if (response->status == kStatusNotFound)
+    if (response->status == kStatusNotFound || response->status == kStatusGone)
       code = ResultCode::kPlatformNotFound;
     else if (response->status == kStatusConflict)
       code = request.method == "POST" ? ResultCode::kPlatformExists
                                       : ResultCode::kPlatformConflict;
+    else if (response->status == kStatusTooMany)
+      code = ResultCode::kPlatformUnavailable;
     else if (response->status >= 500)
       code = writes ? ResultCode::kPlatformUnknown
                     : ResultCode::kPlatformUnavailable;
@@ -120,9 +130,11 @@
                        " to " + request.method + " " + request.target);
   }
 
+  asio::io_context& context;
   HttpClient client;
   asio::ip::tcp::endpoint endpoint;
   CallCounter counter;
+  std::unique_ptr<PlatformGate> gate;
 };
 
 HttpPlatformClient::HttpPlatformClient(asio::io_context& context,
@@ -131,6 +143,19 @@
 
 HttpPlatformClient::~HttpPlatformClient() = default;
 
+void HttpPlatformClient::Limit(PlatformRates fleet, std::size_t hosts) {
+  d_->gate = std::make_unique<PlatformGate>(d_->context, fleet, hosts);
+}
+
+void HttpPlatformClient::SetHosts(std::size_t hosts) {
+  if (d_->gate)
+    d_->gate->SetHosts(hosts);
+}
+
+const PlatformLimiter* HttpPlatformClient::limiter() const {
+  return d_->gate ? &d_->gate->limiter() : nullptr;
+}
+
 const CallCounter& HttpPlatformClient::counter() const {
   return d_->counter;
 }
@@ -245,4 +270,35 @@
   co_return std::move(response->body);
 }
 
+PlatformClient::Answer<PlatformHosts> HttpPlatformClient::HostsSince(
+    std::uint64_t after,
+    std::chrono::milliseconds wait,
+    Reason* reason) {
+  const PlatformCallKind kind =
+      after > 0 ? PlatformCallKind::kWatch : PlatformCallKind::kRead;
+  HttpRequest request =
+      MakeRequest("GET", "/hosts?watch=1&after=" + std::to_string(after) +
+                             "&wait_ms=" + std::to_string(wait.count()));
+  std::optional<HttpResponse> response =
+      co_await d_->Send(PlatformDuty::kHosts, kind, std::move(request),
+                        wait + kWatchSlack, reason);
+  if (!response && after > 0 && reason->code == ResultCode::kPlatformNotFound)
+    co_return co_await HostsSince(0, wait, reason);
+  if (!response)
+    co_return std::nullopt;
+  if (response->status == kStatusNoContent)
+    co_return PlatformHosts{after, false, ""};
+  PlatformHosts hosts;
+  std::optional<json::value> value = ParseJson(response->body);
+  const json::object* top = value ? value->if_object() : nullptr;
+  const json::object* metadata = top ? ObjectField(*top, "metadata") : nullptr;
+  if (metadata) {
+    hosts.version = static_cast<std::uint64_t>(
+        IntField(*metadata, "resourceVersion").value_or(0));
+    hosts.is_whole = !top->contains("changes");
+  }
+  hosts.text = std::move(response->body);
+  co_return hosts;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/platform/http_platform_client.h
+++ b/src/libs/platform/http_platform_client.h
@@ -9,6 +9,7 @@
 
 #include "libs/platform/call_counter.h"
 #include "libs/platform/platform_client.h"
+#include "libs/platform/platform_gate.h"
 
 namespace turmericwinch {
 
@@ -19,6 +20,11 @@
                      boost::asio::ip::tcp::endpoint endpoint);
   ~HttpPlatformClient() override;
 
+  // From here on calls wait for this host's part of what `fleet` may call.
+  void Limit(PlatformRates fleet, std::size_t hosts);
+  // Sets how many hosts share the fleet's rates. Needs Limit().
+  void SetHosts(std::size_t hosts);
+
   Answer<PlatformObject> Get(PlatformDuty duty,
                              std::string name,
                              Reason* reason) override;
@@ -42,8 +48,13 @@
                                std::chrono::milliseconds wait,
                                Reason* reason) override;
   Answer<std::string> Hosts(Reason* reason) override;
+  Answer<PlatformHosts> HostsSince(std::uint64_t after,
+                                   std::chrono::milliseconds wait,
+                                   Reason* reason) override;
 
   const CallCounter& counter() const;
+  // Null without Limit().
+  const PlatformLimiter* limiter() const;
 
  private:
   class Private;
--- /dev/null
+++ b/src/libs/platform/platform_client.cc
@@ -0,0 +1,15 @@
+#include "libs/platform/platform_client.h"
+
+namespace turmericwinch {
+
+PlatformClient::Answer<PlatformHosts> PlatformClient::HostsSince(
+    std::uint64_t,
+    std::chrono::milliseconds,
+    Reason* reason) {
+  std::optional<std::string> text = co_await Hosts(reason);
+  if (!text)
+    co_return std::nullopt;
+  co_return PlatformHosts{0, true, std::move(*text)};
+}
+
+}  // namespace turmericwinch
--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -23,12 +23,24 @@
   kBills,
   kClaims,
   kHosts,
-  kOperator
+  kOperator,
+  kCaches
+};
+inline constexpr int kPlatformDuties = 7;
+
+// What the platform says of its hosts and targets. `version` is 0 if its list
+// has none; then it is always whole.
+struct PlatformHosts {
+  std::uint64_t version = 0;
+  bool is_whole = true;
+  // The list, or an object whose "changes" are rows with a "kind", of which
+  // those that are gone have the "state" gone.
+  std::string text;
 };
-inline constexpr int kPlatformDuties = 6;
 
 // Calls answer nothing on failure. Reasons: kPlatformUnavailable (nothing was
-// written), kPlatformUnknown (a write may have taken effect),
+// written), kPlatformLimited (the same; this host's share of calls is
+// used up), kPlatformUnknown (a write may have taken effect),
 // kPlatformConflict, kPlatformNotFound, kPlatformExists, kPlatformRejected.
 // Used from one thread.
 class PlatformClient {
@@ -69,6 +81,13 @@
                                        Reason* reason) = 0;
   // The platform's list of hosts and targets, as JSON text.
   virtual Answer<std::string> Hosts(Reason* reason) = 0;
+  // The list's changes since version `after`, waiting for one at most `wait`;
+  // the whole list at once for 0, for a version that the platform no longer
+  // knows, and from a platform without versions. A wait that ends without a
+  // change gives an empty text.
+  virtual Answer<PlatformHosts> HostsSince(std::uint64_t after,
+                                           std::chrono::milliseconds wait,
+                                           Reason* reason);
 };
 
 }  // namespace turmericwinch
