--- a/src/libs/budget/bill.cc
+++ b/src/libs/budget/bill.cc
@@ -13,11 +13,13 @@
 namespace json = boost::json;
 
 constexpr std::size_t kSequenceDigits = 12;
+// The holder that is charged follows only if it is another than the writer.
 constexpr std::size_t kRowItems = 8;
+constexpr std::size_t kChargedRowItems = 9;
 
 std::optional<Bill> BillOf(const json::value& value) {
   const json::array* row = value.if_array();
-  if (!row || row->size() != kRowItems)
+  if (!row || (row->size() != kRowItems && row->size() != kChargedRowItems))
     return std::nullopt;
   for (std::size_t n : {0, 5, 6, 7}) {
     if (!(*row)[n].is_int64())
@@ -27,6 +29,9 @@
     if (!(*row)[n].is_string())
       return std::nullopt;
   }
+  const bool charged = row->size() == kChargedRowItems;
+  if (charged && !row->back().is_string())
+    return std::nullopt;
   const auto text = [&](std::size_t n) {
     return std::string((*row)[n].get_string());
   };
@@ -37,7 +42,8 @@
               text(4),
               (*row)[5].get_int64(),
               (*row)[6].get_int64(),
-              (*row)[7].get_int64()};
+              (*row)[7].get_int64(),
+              charged ? text(kRowItems) : ""};
 }
 
 }  // namespace
@@ -45,9 +51,17 @@
 std::string ToJson(const std::vector<Bill>& bills) {
   json::array rows;
   for (const Bill& it : bills) {
-    rows.push_back(json::array{static_cast<std::int64_t>(it.sequence),
-                               it.request_id, it.budget, it.team, it.service,
-                               it.tokens, it.time_ms, it.settled_total});
+    json::array row{static_cast<std::int64_t>(it.sequence),
+                    it.request_id,
+                    it.budget,
+                    it.team,
+                    it.service,
+                    it.tokens,
+                    it.time_ms,
+                    it.settled_total};
+    if (!it.charged_to.empty())
+      row.emplace_back(it.charged_to);
+    rows.push_back(std::move(row));
   }
   return json::serialize(rows);
 }
--- a/src/libs/budget/bill.h
+++ b/src/libs/budget/bill.h
@@ -15,9 +15,10 @@
 
 // `sequence` counts the bills of one incarnation of a host, from 1. `time_ms`
 // is milliseconds of UTC, for people only. Tokens are what the team pays.
-// `settled_total` is what the incarnation settled of the budget up to and with
-// this bill, so that merging any subset of bills by maximum never counts one
-// twice.
+// `charged_to` is the holder that lent the tokens, empty if the host's own row
+// stands behind them. `settled_total` is what the incarnation settled of the
+// budget on that row up to and with this bill, so that merging any subset of
+// bills by maximum never counts one twice.
 struct Bill {
   std::uint64_t sequence = 0;
   std::string request_id;
@@ -27,6 +28,7 @@
   std::int64_t tokens = 0;
   std::int64_t time_ms = 0;
   std::int64_t settled_total = 0;
+  std::string charged_to;
 };
 
 // Bills of one segment as JSON text, and back.
--- a/src/libs/budget/bucket_plan.cc
+++ b/src/libs/budget/bucket_plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "libs/budget/grant_planner.h"
+#include "libs/budget/lender.h"
 
 namespace turmericwinch {
 
@@ -30,6 +31,7 @@
   void MergeCounters(const HostLedger& ledger);
   void Grant(const GrantWish& wish, const HostLedger& ledger);
   void ReturnIdle(const GrantWishes& wishes);
+  void ListBorrowers();
   void Close(const HostLedger& ledger);
   BucketPlan Take() { return std::move(plan_); }
 
@@ -96,28 +98,57 @@
   std::int64_t free =
       shard.Free(AllocatedTo(plan_.account, wish.budget, parts_.domain));
   const std::int64_t account_free = std::max<std::int64_t>(account.Free(), 0);
-  if (std::max<std::int64_t>(free, 0) + account_free <
-      std::max<std::int64_t>(wish.smallest, 1)) {
-    plan_.short_of_tokens[wish.budget] = wish;
+  const std::int64_t anywhere =
+      AddSaturated(std::max<std::int64_t>(free, 0), account_free);
+  if (anywhere < std::max<std::int64_t>(wish.smallest, 1)) {
+    if (wish.needed > 0)
+      plan_.short_of_tokens[wish.budget] = wish;
     return;
   }
-  if (free < wish.needed) {
+  const bool lends = parts_.lender && wish.lent_rate > 0;
+  const int domains = static_cast<int>(account.domains.size());
+  std::int64_t wanted = wish.needed;
+  double rate = wish.rate * hosts;
+  if (lends) {
+    rate = wish.rate + wish.lent_rate;
+    wanted = PlanStock({wish.needed, rate, domains, anywhere, reserve_percent},
+                       account, ledger.Available(wish.budget));
+  }
+  if (free < wanted) {
     account.domains[parts_.domain];
-    const std::int64_t wanted =
-        PlanAllocation({wish.needed - free, wish.rate * hosts,
-                        static_cast<int>(account.domains.size()), account_free,
-                        reserve_percent});
-    const std::int64_t added = Allocate(account, parts_.domain, wanted);
+    const std::int64_t allocation = PlanAllocation(
+        {wanted - free, rate, static_cast<int>(account.domains.size()),
+         account_free, reserve_percent});
+    const std::int64_t added = Allocate(account, parts_.domain, allocation);
     plan_.account_changed |= added > 0;
     free += added;
   }
   HolderCounters counters = ledger.Counters(wish.budget);
   counters.granted = AddSaturated(
       counters.granted,
-      PlanGrant({wish.needed, wish.rate, hosts, free, reserve_percent}));
+      lends
+          ? std::min(wanted, std::max<std::int64_t>(free, 0))
+          : PlanGrant({wish.needed, wish.rate, hosts, free, reserve_percent}));
   Merge(wish.budget, counters);
 }
 
+// Lists the borrowers in any write of the shard, and in one of its own while
+// a borrower that is not listed waits.
+void Planner::ListBorrowers() {
+  if (!parts_.lender)
+    return;
+  const std::set<std::string> list = parts_.lender->Borrowers(parts_.bucket);
+  auto it = plan_.shard.borrowers.find(parts_.holder);
+  const bool listed = it != plan_.shard.borrowers.end();
+  if (listed ? it->second == list : list.empty())
+    return;
+  if (!plan_.shard_changed &&
+      !parts_.lender->BucketsToList().contains(parts_.bucket))
+    return;
+  plan_.shard_changed = true;
+  plan_.shard.borrowers[parts_.holder] = list;
+}
+
 // Gives a budget's free tokens back to the account once no host of the domain
 // holds any, or as far as the budget was lowered below what is allocated. The
 // shard is written first, the account after it.
@@ -129,7 +160,9 @@
     const std::int64_t lacking =
         std::max<std::int64_t>(-plan_.account.budgets[name].Free(), 0);
     const bool idle = shard.Outstanding() == 0 && !wishes.contains(name);
-    const std::int64_t tokens = idle ? free : std::min(free, lacking);
+    const bool scarce = IsScarce(plan_.account.budgets[name]);
+    const std::int64_t tokens =
+        idle || (scarce && parts_.lender) ? free : std::min(free, lacking);
     if (tokens <= 0)
       continue;
     shard.returned = AddSaturated(shard.returned, tokens);
@@ -144,10 +177,8 @@
     if (row != shard.holders.end() && row->second.Outstanding() != 0)
       return;
   }
-  for (auto& [name, budget] : plan_.shard.budgets) {
-    plan_.shard_changed |= budget.holders.contains(parts_.holder);
-    CloseHolder(budget, parts_.holder);
-  }
+  plan_.shard_changed |= plan_.shard.Names(parts_.holder);
+  CloseHolder(plan_.shard, parts_.holder);
   plan_.closes = plan_.shard_changed;
 }
 
@@ -166,6 +197,8 @@
   planner.ReturnIdle(wishes);
   if (closing)
     planner.Close(ledger);
+  else
+    planner.ListBorrowers();
   return planner.Take();
 }
 
--- a/src/libs/budget/bucket_sync.cc
+++ b/src/libs/budget/bucket_sync.cc
@@ -7,6 +7,8 @@
 #include "libs/budget/budget_account.h"
 #include "libs/budget/budget_constants.h"
 #include "libs/budget/domain_shard.h"
+#include "libs/budget/grant_planner.h"
+#include "libs/budget/lender.h"
 
 namespace turmericwinch {
 
@@ -36,6 +38,8 @@
  public:
   void Plan(HostLedger& ledger);
   void AdoptGrants(HostLedger& ledger);
+  void ConfirmList(const DomainShard& shard);
+  void GiveBackScarce(HostLedger& ledger);
   bool IsClosed(const HostLedger& ledger) const;
   void StartGathering();
   void NextForeign();
@@ -79,7 +83,7 @@
 
 BucketSync::~BucketSync() = default;
 
-void BucketSync::Begin(GrantWishes wishes, bool closing) {
+void BucketSync::Begin(GrantWishes wishes, bool closing, bool refresh) {
   d_->wishes = std::move(wishes);
   d_->closing = closing;
   d_->loaded = false;
@@ -88,6 +92,7 @@
   d_->pause = {};
   d_->result = {};
   d_->state.foreign_returned.clear();
+  d_->fresh = d_->fresh && !refresh;
   d_->phase = d_->fresh ? Phase::kPlan : Phase::kLoadAccount;
 }
 
@@ -252,6 +257,28 @@
   return false;
 }
 
+void BucketSync::Private::ConfirmList(const DomainShard& shard) {
+  if (!parts.lender)
+    return;
+  auto it = shard.borrowers.find(parts.holder);
+  parts.lender->ConfirmList(parts.bucket, it == shard.borrowers.end()
+                                              ? std::set<std::string>()
+                                              : it->second);
+}
+
+// A lender's stock shrinks as the budget ends, so that other domains find it.
+void BucketSync::Private::GiveBackScarce(HostLedger& ledger) {
+  if (!parts.lender)
+    return;
+  for (const std::string& it : ledger.ConfirmedBudgets(parts.bucket)) {
+    auto account = state.account.budgets.find(it);
+    if (account == state.account.budgets.end() || wishes.contains(it))
+      continue;
+    if (IsScarce(account->second))
+      ledger.GiveBackAbove(it, ScarceStock(account->second));
+  }
+}
+
 void BucketSync::Private::Plan(HostLedger& ledger) {
   if (IsClosed(ledger) && !closing) {
     ledger.Fence();
@@ -266,6 +293,8 @@
   if (ledger.fenced())
     wishes.clear();
   AdoptGrants(ledger);
+  ConfirmList(state.shard);
+  GiveBackScarce(ledger);
   plan = MakeBucketPlan(parts, state, wishes, closing, ledger);
   if (!plan.short_of_tokens.empty() && !loaded)
     return Restart({});
@@ -340,6 +369,7 @@
 
 void BucketSync::Private::ShardWritten(HostLedger& ledger) {
   state.shard = plan.shard;
+  ConfirmList(state.shard);
   for (const auto& [name, counters] : plan.counters) {
     if (counters.granted > ledger.Counters(name).granted) {
       ledger.ApplyGrant(name, counters.granted);
--- a/src/libs/budget/bucket_sync.h
+++ b/src/libs/budget/bucket_sync.h
@@ -19,6 +19,8 @@
 
 namespace turmericwinch {
 
+class Lender;
+
 // What the configuration says of a budget. `reserve_percent` is 1..100.
 struct BudgetSetting {
   std::int64_t tokens = 0;
@@ -33,6 +35,8 @@
   std::function<std::optional<BudgetSetting>(const std::string&)> setting_of;
   // Live hosts of the own failure domain, at least 1.
   std::function<int()> hosts_in_domain;
+  // Set if this host lends to others; outlives the sync.
+  Lender* lender = nullptr;
 };
 
 // Wishes by budget.
@@ -58,8 +62,9 @@
   ~BucketSync();
 
   // Starts a turn. `closing` ends the holder in this bucket as soon as nothing
-  // is reserved; all bills must be confirmed then.
-  void Begin(GrantWishes wishes, bool closing);
+  // is reserved or lent; all bills must be confirmed then. `refresh` reads the
+  // objects first, to see how much others took.
+  void Begin(GrantWishes wishes, bool closing, bool refresh = false);
   // The next call, or nothing if the turn is over.
   std::optional<PlatformCall> Next(HostLedger& ledger);
   // Takes the answer to the last call.
--- a/src/libs/budget/budget_constants.h
+++ b/src/libs/budget/budget_constants.h
@@ -24,6 +24,34 @@
 inline constexpr std::chrono::seconds kAllocationHorizon{600};
 // Time without a request after which a host gives a grant back.
 inline constexpr std::chrono::seconds kGrantIdle{30};
+// Time over which a host averages the demand of its requests, and a lender that
+// of its borrowers.
+inline constexpr std::chrono::seconds kRateWindow{30};
+inline constexpr std::chrono::seconds kLentRateWindow{600};
+// Time of demand that a lender's stock is meant to last, and the time without
+// a loan after which it gives the stock back.
+inline constexpr std::chrono::seconds kStockHorizon{600};
+inline constexpr std::chrono::seconds kStockIdle{1'800};
+// Share of that stock below which a lender fills it up with its next write.
+inline constexpr double kStockLowShare = 0.5;
+// A budget is scarce once its free tokens are below this share of what was
+// paid; all stocks together then keep at most the second share.
+inline constexpr int kScarcePercent = 10;
+inline constexpr int kScarceStockPercent = 1;
+// Time for which a closed end is remembered at least.
+inline constexpr std::chrono::milliseconds kEndRemembered{24 * 3'600'000};
+// Object of a failure domain with the holders that ended; the domain follows.
+inline constexpr char kEndsPrefix[] = "budget-ends-";
+// First pause before an ask is repeated, and the time after which a host that
+// got no answer draws for itself.
+inline constexpr std::chrono::milliseconds kAskPause{150};
+inline constexpr std::chrono::milliseconds kAskPatience{500};
+// Time for which a lender that did not answer is not asked.
+inline constexpr std::chrono::milliseconds kLenderSilence{5'000};
+// Time for which a lender keeps an ask that it cannot meet yet.
+inline constexpr std::chrono::milliseconds kAskKept{1'500};
+// Budgets in one ask or answer.
+inline constexpr std::size_t kMostLoanItems = 1'000;
 // Top-up ids that an account remembers, to count a repeated one once.
 inline constexpr std::size_t kTopUpsRemembered = 64;
 // Bills that a host keeps at most until they are confirmed.
--- a/src/libs/budget/domain_shard.cc
+++ b/src/libs/budget/domain_shard.cc
@@ -53,8 +53,49 @@
   return budget;
 }
 
+// No budget can have this name. Hosts and tools that know no lending take it
+// for a malformed budget and leave the bucket alone.
+constexpr char kBorrowersField[] = "/borrowers";
+
+json::object BorrowersToObject(const DomainShard& shard) {
+  json::object object;
+  for (const auto& [lender, borrowers] : shard.borrowers) {
+    json::array names;
+    for (const std::string& it : borrowers)
+      names.emplace_back(it);
+    object[lender] = std::move(names);
+  }
+  return object;
+}
+
+bool ReadBorrowers(const json::value& value, DomainShard& shard) {
+  const json::object* object = value.if_object();
+  if (!object)
+    return false;
+  for (const auto& it : *object) {
+    const json::array* names = it.value().if_array();
+    if (!names)
+      return false;
+    std::set<std::string>& borrowers = shard.borrowers[it.key()];
+    for (const json::value& name : *names) {
+      if (!name.is_string())
+        return false;
+      borrowers.emplace(name.get_string());
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
+bool DomainShard::Names(const std::string& holder) const {
+  if (borrowers.contains(holder))
+    return true;
+  return std::any_of(budgets.begin(), budgets.end(), [&](const auto& it) {
+    return it.second.holders.contains(holder);
+  });
+}
+
 std::int64_t ShardBudget::Spent() const {
   std::int64_t spent = settled_retired;
   for (const auto& [name, it] : holders)
@@ -77,6 +118,8 @@
   json::object object;
   for (const auto& [name, budget] : shard.budgets)
     object[name] = ToObject(budget);
+  if (!shard.borrowers.empty())
+    object[kBorrowersField] = BorrowersToObject(shard);
   return json::serialize(object);
 }
 
@@ -90,6 +133,13 @@
   }
   DomainShard shard;
   for (const auto& it : *object) {
+    if (it.key() == kBorrowersField) {
+      if (!ReadBorrowers(it.value(), shard)) {
+        return Fail(reason, ResultCode::kPlatformRejected,
+                    "the borrowers of a budget shard are malformed");
+      }
+      continue;
+    }
     std::optional<ShardBudget> budget = ShardBudgetOf(it.value());
     if (!budget) {
       return Fail(
@@ -136,4 +186,10 @@
   budget.holders.erase(it);
 }
 
+void CloseHolder(DomainShard& shard, const std::string& holder) {
+  for (auto& [name, budget] : shard.budgets)
+    CloseHolder(budget, holder);
+  shard.borrowers.erase(holder);
+}
+
 }  // namespace turmericwinch
--- a/src/libs/budget/domain_shard.h
+++ b/src/libs/budget/domain_shard.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -40,9 +41,15 @@
   std::int64_t Free(std::int64_t allocated) const;
 };
 
-// All budgets of one bucket in one domain.
+// All budgets of one bucket in one domain. `borrowers` lists by lender the
+// holders that may have tokens of its rows: each is listed before the first
+// loan to it, so who is not listed has none.
 struct DomainShard {
   std::map<std::string, ShardBudget> budgets;
+  std::map<std::string, std::set<std::string>> borrowers;
+
+  // Whether `holder` has a row or a list of borrowers.
+  bool Names(const std::string& holder) const;
 };
 
 std::string ToJson(const DomainShard& shard);
@@ -66,6 +73,8 @@
 // free, its row is removed. A holder that finds a row missing which the
 // platform had confirmed knows by that that it was closed; no mark is kept.
 void CloseHolder(ShardBudget& budget, const std::string& holder);
+// The same in all budgets; its list of borrowers goes too.
+void CloseHolder(DomainShard& shard, const std::string& holder);
 
 }  // namespace turmericwinch
 
--- a/src/libs/budget/grant_planner.h
+++ b/src/libs/budget/grant_planner.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 
+#include "libs/budget/budget_account.h"
+
 namespace turmericwinch {
 
 // What is known when a host wants tokens of a budget. Tokens; rates in tokens
@@ -31,6 +33,19 @@
 // rule over kAllocationHorizon. `hosts` is then the number of domains.
 std::int64_t PlanAllocation(const GrantDemand& demand);
 
+// Tokens to grant to a lender that has `available`: beyond what is needed, it
+// keeps a stock for kStockHorizon of its borrowers' demand, `host_rate`.
+// `demand.hosts` is the number of domains, `demand.free` what the domain and
+// the account have. The stock is small once the budget is scarce.
+std::int64_t PlanStock(const GrantDemand& demand,
+                       const BudgetAccount& account,
+                       std::int64_t available);
+
+// Whether little of a budget is left that no domain holds.
+bool IsScarce(const BudgetAccount& account);
+// Tokens that the hosts of one domain may then have in stock.
+std::int64_t ScarceStock(const BudgetAccount& account);
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_BUDGET_GRANT_PLANNER_H_
--- /dev/null
+++ b/src/libs/budget/holder_closing.cc
@@ -0,0 +1,353 @@
+#include "libs/budget/holder_closing.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "libs/budget/budget_account.h"
+#include "libs/budget/budget_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+enum class Phase {
+  kLoadEnds,
+  kWriteEnds,
+  kListShards,
+  kLoadBills,
+  kWriteShard,
+  kOver,
+};
+
+// A shard that a closing changes, as it was read and with its new text.
+struct ShardWrite {
+  std::string name;
+  std::uint64_t version = 0;
+  DomainShard shard;
+};
+
+}  // namespace
+
+class HolderClosing::Private {
+ public:
+  void TakeEnds(const PlatformAnswer& answer, HostLedger* ledger);
+  bool Acknowledge(HostLedger& ledger);
+  void AfterEnds();
+  void FindBorrowers();
+  void TakeShards(const PlatformAnswer& answer);
+  bool IsOfDomain(const std::string& shard_name) const;
+  void NeedBills(const std::string& writer);
+  void TakeBills(const PlatformAnswer& answer);
+  void AfterBills(HostLedger* ledger);
+  void PlanShards();
+  void AfterShards();
+  void TakeFailure(const Reason& reason);
+  void Restart();
+  void End(Reason reason);
+  std::vector<std::string> EndedWithRows() const;
+
+  HolderClosingParts parts;
+  Phase phase = Phase::kOver;
+  std::set<std::string> ending;
+  bool closes = false;
+  std::int64_t now_ms = 0;
+  int attempts = 0;
+  std::chrono::milliseconds pause{0};
+  HolderEnds ends;
+  HolderEnds written;
+  std::uint64_t ends_version = 0;
+  // Whether the ends were written, and the shards looked through, in this turn.
+  bool shards_done = false;
+  std::vector<ShardWrite> shards;
+  std::vector<ShardWrite> writes;
+  std::vector<std::string> writers;
+  std::map<std::string, SettledTotals> totals;
+  HolderClosingResult result;
+};
+
+HolderClosing::HolderClosing(HolderClosingParts parts)
+    : d_(std::make_unique<Private>()) {
+  d_->parts = std::move(parts);
+}
+
+HolderClosing::~HolderClosing() = default;
+
+void HolderClosing::Begin(std::set<std::string> ending,
+                          bool closes,
+                          std::int64_t now_ms) {
+  d_->ending = std::move(ending);
+  d_->closes = closes;
+  d_->now_ms = now_ms;
+  d_->attempts = 0;
+  d_->pause = {};
+  d_->totals.clear();
+  d_->result = {};
+  d_->shards_done = false;
+  d_->phase = Phase::kLoadEnds;
+}
+
+const HolderClosingResult& HolderClosing::result() const {
+  return d_->result;
+}
+
+std::optional<PlatformCall> HolderClosing::Next(HostLedger* ledger) {
+  if (d_->phase == Phase::kLoadBills && d_->writers.empty())
+    d_->AfterBills(ledger);
+  const std::string ends_name = EndsObjectName(d_->parts.domain);
+  switch (d_->phase) {
+    case Phase::kLoadEnds:
+      return PlatformCall{PlatformVerb::kGet, ends_name, 0, "", d_->pause};
+    case Phase::kWriteEnds:
+      return PlatformCall{
+          d_->ends_version == 0 ? PlatformVerb::kCreate : PlatformVerb::kUpdate,
+          ends_name, d_->ends_version, ToJson(d_->written), d_->pause};
+    case Phase::kListShards:
+      return PlatformCall{PlatformVerb::kList,
+                          kShardPrefix + d_->parts.domain + "-", 0, "",
+                          d_->pause};
+    case Phase::kLoadBills:
+      return PlatformCall{
+          PlatformVerb::kList,
+          kBillPrefix + d_->parts.domain + "-" + d_->writers.back() + "-", 0,
+          "", d_->pause};
+    case Phase::kWriteShard:
+      return PlatformCall{PlatformVerb::kUpdate, d_->writes.back().name,
+                          d_->writes.back().version,
+                          ToJson(d_->writes.back().shard), d_->pause};
+    case Phase::kOver:
+      break;
+  }
+  return std::nullopt;
+}
+
+void HolderClosing::Take(const PlatformAnswer& answer, HostLedger* ledger) {
+  Private& d = *d_;
+  const ResultCode code = answer.reason.code;
+  if (d.phase == Phase::kLoadEnds &&
+      (code == ResultCode::kOk || code == ResultCode::kPlatformNotFound))
+    return d.TakeEnds(answer, ledger);
+  if (code != ResultCode::kOk)
+    return d.TakeFailure(answer.reason);
+  switch (d.phase) {
+    case Phase::kWriteEnds:
+      d.ends = d.written;
+      d.ends_version = answer.version;
+      return d.AfterEnds();
+    case Phase::kListShards:
+      return d.TakeShards(answer);
+    case Phase::kLoadBills:
+      return d.TakeBills(answer);
+    case Phase::kWriteShard:
+      d.writes.pop_back();
+      if (d.writes.empty())
+        d.AfterShards();
+      return;
+    default:
+      return;
+  }
+}
+
+void HolderClosing::Private::End(Reason reason) {
+  result.reason = std::move(reason);
+  phase = Phase::kOver;
+}
+
+// Reads the ends and shards again; bills that were read stay true.
+void HolderClosing::Private::Restart() {
+  pause = kSyncPause * attempts;
+  shards_done = false;
+  phase = Phase::kLoadEnds;
+}
+
+void HolderClosing::Private::TakeFailure(const Reason& reason) {
+  const bool write = phase == Phase::kWriteEnds || phase == Phase::kWriteShard;
+  if (write && IsSettledByReading(reason.code) && ++attempts < kSyncAttempts)
+    return Restart();
+  End(reason);
+}
+
+void HolderClosing::Private::TakeEnds(const PlatformAnswer& answer,
+                                      HostLedger* ledger) {
+  Reason reason;
+  ends = {};
+  ends_version = 0;
+  if (answer.reason.code == ResultCode::kOk) {
+    std::optional<HolderEnds> read = HolderEndsOf(answer.value, &reason);
+    if (!read)
+      return End(reason);
+    ends = std::move(*read);
+    ends_version = answer.version;
+  }
+  written = ends;
+  bool changed = false;
+  for (const std::string& it : ending)
+    changed |= written.ended.try_emplace(it, HolderEnd{now_ms, false}).second;
+  if (ledger)
+    changed |= Acknowledge(*ledger);
+  changed |= closes && written.Forget(now_ms);
+  if (changed)
+    phase = Phase::kWriteEnds;
+  else
+    AfterEnds();
+}
+
+// Closes with each holder that has ended, and says so once all that was spent
+// of its tokens is in bills that the platform confirmed.
+bool HolderClosing::Private::Acknowledge(HostLedger& ledger) {
+  if (ends.ended.contains(parts.holder))
+    ledger.Fence();
+  bool changed = false;
+  for (const auto& [lender, end] : ends.ended) {
+    if (end.closed || lender == parts.holder)
+      continue;
+    ledger.CloseLender(lender);
+    if (ledger.IsClosedWith(lender))
+      changed |= written.acknowledged[parts.holder].insert(lender).second;
+  }
+  return changed;
+}
+
+std::vector<std::string> HolderClosing::Private::EndedWithRows() const {
+  std::vector<std::string> names;
+  for (const auto& [name, end] : ends.ended) {
+    if (!end.closed)
+      names.push_back(name);
+  }
+  return names;
+}
+
+void HolderClosing::Private::AfterEnds() {
+  writers.clear();
+  if (shards_done)
+    return End({});
+  if (closes && !EndedWithRows().empty()) {
+    phase = Phase::kListShards;
+    return;
+  }
+  FindBorrowers();
+}
+
+// Borrowers of this host that have ended; their bills prove what they spent.
+void HolderClosing::Private::FindBorrowers() {
+  if (parts.lender) {
+    for (const auto& [name, end] : ends.ended) {
+      if (parts.lender->HasLoans(name))
+        NeedBills(name);
+    }
+  }
+  phase = Phase::kLoadBills;
+}
+
+void HolderClosing::Private::NeedBills(const std::string& writer) {
+  const bool waits =
+      std::find(writers.begin(), writers.end(), writer) != writers.end();
+  if (!totals.contains(writer) && !waits)
+    writers.push_back(writer);
+}
+
+// Another domain's name may begin with this one's.
+bool HolderClosing::Private::IsOfDomain(const std::string& shard_name) const {
+  const std::string bucket =
+      shard_name.substr((sizeof(kShardPrefix) - 1) + parts.domain.size() + 1);
+  return !bucket.empty() &&
+         bucket.find_first_not_of("0123456789") == std::string::npos;
+}
+
+void HolderClosing::Private::TakeShards(const PlatformAnswer& answer) {
+  shards.clear();
+  result.waits_for.clear();
+  const std::vector<std::string> ended = EndedWithRows();
+  for (const ListedObject& it : answer.objects) {
+    if (!IsOfDomain(it.name))
+      continue;
+    Reason reason;
+    std::optional<DomainShard> shard = DomainShardOf(it.value, &reason);
+    if (!shard)
+      return End(reason);
+    bool needed = false;
+    for (const std::string& holder : ended) {
+      if (!shard->Names(holder))
+        continue;
+      needed = true;
+      const std::set<std::string>& list = shard->borrowers[holder];
+      if (!ends.Open(holder, list).empty())
+        continue;
+      NeedBills(holder);
+      for (const std::string& borrower : list)
+        NeedBills(borrower);
+    }
+    if (needed)
+      shards.push_back({it.name, it.version, std::move(*shard)});
+  }
+  FindBorrowers();
+}
+
+void HolderClosing::Private::TakeBills(const PlatformAnswer& answer) {
+  const std::string writer = writers.back();
+  std::vector<Bill> bills;
+  for (const ListedObject& it : answer.objects) {
+    Reason reason;
+    std::optional<std::vector<Bill>> found = BillsOf(it.value, &reason);
+    if (!found)
+      return End(reason);
+    bills.insert(bills.end(), found->begin(), found->end());
+  }
+  totals[writer] = SettledIn(writer, bills);
+  writers.pop_back();
+}
+
+void HolderClosing::Private::AfterBills(HostLedger* ledger) {
+  if (parts.lender && ledger) {
+    for (const auto& [name, end] : ends.ended) {
+      const bool proved =
+          totals.contains(name) || !parts.lender->HasLoans(name);
+      if (proved && !parts.lender->HasEnded(name))
+        parts.lender->EndBorrower(name, totals[name][parts.holder], *ledger);
+    }
+  }
+  PlanShards();
+}
+
+void HolderClosing::Private::PlanShards() {
+  writes.clear();
+  for (ShardWrite& it : shards) {
+    bool changed = false;
+    for (const std::string& holder : EndedWithRows()) {
+      if (!it.shard.Names(holder))
+        continue;
+      HolderRelease release = ReleaseHolder(it.shard, holder, ends, totals);
+      result.waits_for[holder].insert(release.waits_for.begin(),
+                                      release.waits_for.end());
+      changed |= release.waits_for.empty();
+      result.released[holder].insert(release.released.begin(),
+                                     release.released.end());
+    }
+    if (changed)
+      writes.push_back(std::move(it));
+  }
+  std::erase_if(result.waits_for,
+                [](const auto& it) { return it.second.empty(); });
+  shards.clear();
+  if (writes.empty())
+    AfterShards();
+  else
+    phase = Phase::kWriteShard;
+}
+
+// Marks the ends that no shard has a row of any more.
+void HolderClosing::Private::AfterShards() {
+  shards_done = true;
+  written = ends;
+  bool changed = false;
+  for (const std::string& it : EndedWithRows()) {
+    if (!closes || result.waits_for.contains(it))
+      continue;
+    written.ended[it].closed = changed = true;
+  }
+  if (!changed)
+    return End({});
+  phase = Phase::kWriteEnds;
+}
+
+}  // namespace turmericwinch
--- a/src/libs/budget/holder_release.cc
+++ b/src/libs/budget/holder_release.cc
@@ -1,25 +1,60 @@
 #include "libs/budget/holder_release.h"
 
+#include <algorithm>
+
+#include "libs/budget/budget_account.h"
+
 namespace turmericwinch {
 
-std::map<std::string, ReleasedTokens> ReleaseHolder(
+SettledTotals SettledIn(const std::string& writer,
+                        const std::vector<Bill>& bills) {
+  SettledTotals totals;
+  for (const Bill& it : bills) {
+    const std::string& charged = it.charged_to.empty() ? writer : it.charged_to;
+    std::int64_t& total = totals[charged][it.budget];
+    total = std::max(total, it.settled_total);
+  }
+  return totals;
+}
+
+HolderRelease ReleaseHolder(
     DomainShard& shard,
     const std::string& holder,
-    const std::vector<Bill>& bills) {
-  for (const Bill& it : bills) {
-    auto budget = shard.budgets.find(it.budget);
-    if (budget != shard.budgets.end())
-      MergeSettled(budget->second, holder, it.settled_total);
+    const HolderEnds& ends,
+    const std::map<std::string, SettledTotals>& totals) {
+  HolderRelease release;
+  if (!ends.ended.contains(holder)) {
+    release.waits_for.insert(holder);
+    return release;
+  }
+  std::set<std::string> writers = {holder};
+  auto list = shard.borrowers.find(holder);
+  if (list != shard.borrowers.end()) {
+    release.waits_for = ends.Open(holder, list->second);
+    writers.insert(list->second.begin(), list->second.end());
+  }
+  if (!release.waits_for.empty())
+    return release;
+  std::map<std::string, std::int64_t> settled;
+  for (const std::string& writer : writers) {
+    auto found = totals.find(writer);
+    if (found == totals.end())
+      continue;
+    auto charged = found->second.find(holder);
+    if (charged == found->second.end())
+      continue;
+    for (const auto& [budget, total] : charged->second)
+      settled[budget] = AddSaturated(settled[budget], total);
   }
-  std::map<std::string, ReleasedTokens> released;
   for (auto& [name, budget] : shard.budgets) {
     auto row = budget.holders.find(holder);
     if (row == budget.holders.end())
       continue;
-    released[name] = {row->second.settled, row->second.Outstanding()};
-    CloseHolder(budget, holder);
+    MergeSettled(budget, holder, settled[name]);
+    release.released[name] = {row->second.settled, row->second.Outstanding()};
   }
-  return released;
+  CloseHolder(shard, holder);
+  return release;
 }
 
 }  // namespace turmericwinch
--- a/src/libs/budget/host_ledger.cc
+++ b/src/libs/budget/host_ledger.cc
@@ -1,89 +1,15 @@
 #include "libs/budget/host_ledger.h"
 
 #include <algorithm>
-#include <cmath>
-#include <deque>
-#include <set>
-#include <unordered_map>
+#include <utility>
 
 #include "libs/base/soft_assert.h"
 #include "libs/budget/budget_account.h"
 #include "libs/budget/budget_constants.h"
+#include "libs/budget/host_ledger_private.h"
 
 namespace turmericwinch {
 
-namespace {
-
-constexpr std::chrono::duration<double> kRateWindow{30.0};
-
-// Demand averaged with exponential decay over kRateWindow.
-class DemandRate {
- public:
-  void Add(std::int64_t tokens, MonotonicTime now) {
-    Decay(now);
-    rate_ += static_cast<double>(tokens) / kRateWindow.count();
-  }
-  double Value() const { return rate_; }
-  void Decay(MonotonicTime now) {
-    if (now <= last_)
-      return;
-    const std::chrono::duration<double> elapsed = now - last_;
-    rate_ *= std::exp(-elapsed / kRateWindow);
-    last_ = now;
-  }
-
- private:
-  double rate_ = 0;
-  MonotonicTime last_;
-};
-
-struct LedgerBudget {
-  HolderCounters counters;
-  HolderCounters confirmed;
-  // What the confirmed bills come to.
-  std::int64_t billed = 0;
-  std::int64_t reserved = 0;
-  std::int64_t wished = 0;
-  std::int64_t smallest_wish = 0;
-  DemandRate rate;
-  MonotonicTime last_use;
-
-  // The platform learns of spend only with its bills.
-  HolderCounters Reported() const {
-    return {counters.granted, billed, counters.given_back};
-  }
-  std::int64_t Available() const { return counters.Outstanding() - reserved; }
-};
-
-struct OpenReservation {
-  std::string budget;
-  std::int64_t tokens = 0;
-};
-
-}  // namespace
-
-class HostLedger::Private {
- public:
-  explicit Private(std::string holder) : holder(std::move(holder)) {}
-
-  void MarkDirty(const std::string& name) {
-    dirty[BucketOf(name)].insert(name);
-  }
-
-  std::string holder;
-  std::unordered_map<std::string, LedgerBudget> budgets;
-  std::unordered_map<std::uint64_t, OpenReservation> reservations;
-  std::map<std::uint64_t, std::set<std::string>> dirty;
-  // Budgets of which the platform confirmed a grant, by bucket.
-  std::map<std::uint64_t, std::set<std::string>> held;
-  std::set<std::string> wishes;
-  std::deque<Bill> bills;
-  std::uint64_t next_reservation = 1;
-  std::uint64_t next_sequence = 1;
-  std::int64_t overrun_tokens = 0;
-  bool fenced = false;
-};
-
 HostLedger::HostLedger(std::string holder)
     : d_(std::make_unique<Private>(std::move(holder))) {}
 
@@ -99,15 +25,42 @@
     return {ReserveOutcome::kBillsFull, 0};
   LedgerBudget& budget = d_->budgets[name];
   budget.last_use = now;
-  if (budget.Available() < tokens)
+  std::optional<OpenReservation> taken = d_->Take(name, tokens);
+  if (!taken)
     return {ReserveOutcome::kNeedsGrant, 0};
   budget.rate.Add(tokens, now);
-  budget.reserved += tokens;
   const std::uint64_t id = d_->next_reservation++;
-  d_->reservations.emplace(id, OpenReservation{name, tokens});
+  d_->reservations.emplace(id, std::move(*taken));
   return {ReserveOutcome::kReserved, id};
 }
 
+// The own row goes first: what it has was drawn because no lender answered.
+std::optional<OpenReservation> HostLedger::Private::Take(
+    const std::string& name,
+    std::int64_t tokens) {
+  LedgerBudget& budget = budgets[name];
+  if (budget.Available() >= tokens) {
+    budget.reserved += tokens;
+    return OpenReservation{name, "", tokens};
+  }
+  for (auto& [lender, loan] : budget.loans) {
+    if (loan.Available() < tokens || closed_lenders.contains(lender))
+      continue;
+    loan.reserved += tokens;
+    return OpenReservation{name, lender, tokens};
+  }
+  return std::nullopt;
+}
+
+const LedgerLoan* HostLedger::Private::LoanAt(const std::string& lender,
+                                              const std::string& name) const {
+  auto budget = budgets.find(name);
+  if (budget == budgets.end())
+    return nullptr;
+  auto loan = budget->second.loans.find(lender);
+  return loan == budget->second.loans.end() ? nullptr : &loan->second;
+}
+
 std::optional<Bill> HostLedger::Settle(std::uint64_t reservation,
                                        Bill bill,
                                        MonotonicTime now) {
@@ -121,10 +74,21 @@
   bill.tokens = std::clamp<std::int64_t>(bill.tokens, 0, held);
   bill.budget = it->second.budget;
   bill.sequence = d_->next_sequence++;
-  budget.reserved -= held;
-  budget.counters.settled += bill.tokens;
-  bill.settled_total = budget.counters.settled;
+  const std::string& lender = it->second.lender;
+  if (lender.empty()) {
+    budget.reserved -= held;
+    budget.counters.settled += bill.tokens;
+    bill.settled_total = budget.counters.settled;
+  } else {
+    LedgerLoan& loan = budget.loans[lender];
+    loan.reserved -= held;
+    loan.settled += bill.tokens;
+    bill.settled_total = loan.settled;
+  }
+  bill.charged_to = lender;
   budget.last_use = now;
+  if (d_->closed_lenders.contains(lender))
+    d_->ReturnLoan(bill.budget, lender);
   d_->reservations.erase(it);
   d_->bills.push_back(bill);
   return bill;
@@ -134,17 +98,28 @@
   auto it = d_->reservations.find(reservation);
   if (it == d_->reservations.end())
     return false;
-  d_->budgets[it->second.budget].reserved -= it->second.tokens;
+  LedgerBudget& budget = d_->budgets[it->second.budget];
+  const std::string& lender = it->second.lender;
+  (lender.empty() ? budget.reserved : budget.loans[lender].reserved) -=
+      it->second.tokens;
+  if (d_->closed_lenders.contains(lender))
+    d_->ReturnLoan(it->second.budget, lender);
   d_->reservations.erase(it);
   return true;
 }
 
 void HostLedger::AddWish(const std::string& name, std::int64_t tokens) {
+  AddWishes(name, tokens, tokens);
+}
+
+void HostLedger::AddWishes(const std::string& name,
+                           std::int64_t needed,
+                           std::int64_t smallest) {
   LedgerBudget& budget = d_->budgets[name];
   const bool first = d_->wishes.insert(name).second;
   budget.smallest_wish =
-      first ? tokens : std::min(budget.smallest_wish, tokens);
-  budget.wished = AddSaturated(budget.wished, tokens);
+      first ? smallest : std::min(budget.smallest_wish, smallest);
+  budget.wished = AddSaturated(budget.wished, needed);
 }
 
 std::vector<GrantWish> HostLedger::TakeWishes() {
@@ -157,7 +132,8 @@
     const std::int64_t smallest =
         std::max<std::int64_t>(budget.smallest_wish - available, 0);
     if (needed > 0)
-      wishes.push_back({it, needed, smallest, budget.rate.Value()});
+      wishes.push_back({it, needed, smallest, budget.rate.Value(),
+                        budget.lent_rate.Value()});
     budget.wished = 0;
   }
   d_->wishes.clear();
@@ -183,23 +159,37 @@
 
 void HostLedger::Forget(std::uint64_t bucket) {
   d_->fenced = true;
-  for (const std::string& it : d_->held[bucket])
-    d_->budgets.erase(it);
+  for (const std::string& it : d_->held[bucket]) {
+    LedgerBudget& budget = d_->budgets[it];
+    budget.counters = budget.confirmed = {};
+    budget.billed = budget.lent = budget.lent_billed = 0;
+    if (budget.loans.empty())
+      d_->budgets.erase(it);
+  }
   d_->held.erase(bucket);
   d_->dirty.erase(bucket);
 }
 
 void HostLedger::GiveBackIdle(MonotonicTime now, bool all) {
   for (auto& [name, budget] : d_->budgets) {
-    const bool idle = now - budget.last_use >= kGrantIdle;
-    const std::int64_t available = budget.Available();
-    if (available <= 0 || !(idle || all))
-      continue;
-    budget.counters.given_back += available;
-    d_->MarkDirty(name);
+    const bool unused = now - budget.last_use >= kGrantIdle;
+    if (unused || all)
+      d_->ReturnLoans(name);
+    const bool stocked =
+        budget.last_loan && now - *budget.last_loan < kStockIdle;
+    if (all || (unused && !stocked))
+      GiveBackAbove(name, 0);
   }
 }
 
+void HostLedger::GiveBackAbove(const std::string& name, std::int64_t most) {
+  auto it = d_->budgets.find(name);
+  if (it == d_->budgets.end() || it->second.Available() <= most)
+    return;
+  it->second.counters.given_back += it->second.Available() - most;
+  d_->MarkDirty(name);
+}
+
 std::map<std::string, HolderCounters> HostLedger::UnconfirmedCounters(
     std::uint64_t bucket) const {
   std::map<std::string, HolderCounters> counters;
@@ -260,8 +250,14 @@
 void HostLedger::ConfirmBills(std::uint64_t sequence) {
   while (!d_->bills.empty() && d_->bills.front().sequence <= sequence) {
     const Bill& bill = d_->bills.front();
-    d_->budgets[bill.budget].billed = bill.settled_total;
-    d_->MarkDirty(bill.budget);
+    LedgerBudget& budget = d_->budgets[bill.budget];
+    if (bill.charged_to.empty()) {
+      budget.billed = bill.settled_total;
+      d_->MarkDirty(bill.budget);
+    } else {
+      budget.loans[bill.charged_to].billed = bill.settled_total;
+      d_->unreported[bill.charged_to].insert(bill.budget);
+    }
     d_->bills.pop_front();
   }
 }
@@ -273,8 +269,13 @@
 
 std::map<std::string, LedgerFigures> HostLedger::Figures() const {
   std::map<std::string, LedgerFigures> figures;
-  for (const auto& [name, it] : d_->budgets)
-    figures[name] = {it.counters, it.reserved, it.rate.Value()};
+  for (const auto& [name, it] : d_->budgets) {
+    LedgerFigures& row = figures[name];
+    row = {it.counters,    it.reserved, it.lent,
+           it.lent_billed, {},          it.rate.Value()};
+    for (const auto& [lender, loan] : it.loans)
+      row.loans[lender] = {loan.Totals(), loan.settled, loan.reserved};
+  }
   return figures;
 }
 
--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -14,13 +14,12 @@
 #include <vector>
 
 #include "libs/budget/bill.h"
+#include "libs/budget/demand_rate.h"
 #include "libs/budget/domain_shard.h"
+#include "libs/budget/loan_totals.h"
 
 namespace turmericwinch {
 
-// Time since an arbitrary start, never set back by a change of the clock.
-using MonotonicTime = std::chrono::steady_clock::time_point;
-
 enum class ReserveOutcome {
   kReserved,
   // More tokens must be granted first.
@@ -37,7 +36,7 @@
   std::uint64_t id = 0;
 };
 
-// A budget for which the host wants more tokens.
+// A budget for which the host wants more tokens, beyond what its own row has.
 struct GrantWish {
   std::string budget;
   // For all requests that wait.
@@ -45,17 +44,34 @@
   // For the smallest of them.
   std::int64_t smallest = 0;
   double rate = 0;
+  // Demand of borrowers, over kLentRateWindow.
+  double lent_rate = 0;
+};
+
+// A loan for dumps: the totals, and what was settled, with or without a
+// confirmed bill, and is reserved.
+struct LoanFigures {
+  LoanTotals totals;
+  std::int64_t settled = 0;
+  std::int64_t reserved = 0;
 };
 
-// Figures of one budget for dumps.
+// Figures of one budget for dumps. `counters` and `reserved` are of the own
+// row; `lent` is what borrowers have of it, `lent_billed` what they billed.
 struct LedgerFigures {
   HolderCounters counters;
   std::int64_t reserved = 0;
+  std::int64_t lent = 0;
+  std::int64_t lent_billed = 0;
+  std::map<std::string, LoanFigures> loans;
   double rate = 0;
 };
 
-// Only granted tokens can be reserved: settled + reserved + given back never
-// exceed what was granted, whatever order the calls come in.
+// Tokens come from the host's own row and from lenders of its failure domain.
+// A reservation takes from one of these sources, and its bill is charged to
+// the holder whose row stands behind it. Of each source, settled + reserved +
+// lent + given back never exceed what was granted, whatever order the calls
+// come in.
 class HostLedger {
  public:
   // `holder` names this incarnation of the host in the platform's objects.
@@ -79,6 +95,13 @@
 
   // Notes that a request waits for `tokens` of `budget`.
   void AddWish(const std::string& budget, std::int64_t tokens);
+  // Notes that requests of a borrower wait, for `needed` tokens in all and
+  // `smallest` at least.
+  void AddWishes(const std::string& budget,
+                 std::int64_t needed,
+                 std::int64_t smallest);
+  // Wishes for budgets of `bucket` whose stock for borrowers runs low.
+  std::vector<GrantWish> StockWishes(std::uint64_t bucket, MonotonicTime now);
   // Wishes since the last call, by budget.
   std::vector<GrantWish> TakeWishes();
 
@@ -92,9 +115,12 @@
   // fences: its counters must not start again from 0.
   void Forget(std::uint64_t bucket);
 
-  // Offers tokens of budgets without a request since kGrantIdle, and, at
-  // shutdown, of all, by raising their given_back.
+  // Offers tokens of budgets without a request since kGrantIdle, and without a
+  // loan since kStockIdle; at shutdown of all. Those of the own row go back to
+  // the platform, borrowed ones to their lender.
   void GiveBackIdle(MonotonicTime now, bool all);
+  // Gives back what the own row has available above `most`.
+  void GiveBackAbove(const std::string& budget, std::int64_t most);
 
   // Counters of the budgets of `bucket` that the platform does not have yet.
   std::map<std::string, HolderCounters> UnconfirmedCounters(
@@ -117,8 +143,48 @@
   // Forgets bills up to `sequence`.
   void ConfirmBills(std::uint64_t sequence);
 
-  // Tokens that can be reserved now.
+  // Sets tokens of the own row aside for a borrower. False if it has fewer.
+  bool Lend(const std::string& budget, std::int64_t tokens, MonotonicTime now);
+  // Notes that a borrower asked, whether or not it got tokens.
+  void AddLoanDemand(const std::string& budget,
+                     std::int64_t tokens,
+                     MonotonicTime now);
+  // Takes over that borrowers billed and returned this much more of what was
+  // set aside.
+  void TakeBack(const std::string& budget,
+                std::int64_t billed,
+                std::int64_t returned);
+
+  // Takes over what `lender` lent in all. False if that is nothing new or
+  // CloseLender() was called.
+  bool ApplyLoan(const std::string& lender,
+                 const std::string& budget,
+                 std::int64_t lent_total);
+  // Notes how much of billed + returned the lender accounts for.
+  void ConfirmLoan(const std::string& lender,
+                   const std::string& budget,
+                   std::int64_t accounted);
+  // What `lender` does not know yet, by budget, and whether there is any.
+  std::map<std::string, LoanTotals> UnreportedLoans(
+      const std::string& lender) const;
+  LoanTotals LoanOf(const std::string& lender, const std::string& budget) const;
+  // Lenders whose tokens this host had.
+  std::vector<std::string> Lenders() const;
+  // Returns what is not reserved of a lender's tokens.
+  void ReturnLoans(const std::string& lender);
+  // Returns what is not reserved of a lender's tokens, and takes none of them
+  // any more, ever.
+  void CloseLender(const std::string& lender);
+  // Whether the lender's tokens are closed, and all that was spent of them is
+  // proved by confirmed bills.
+  bool IsClosedWith(const std::string& lender) const;
+
+  // Tokens of the own row, or of a lender, that can be reserved now.
   std::int64_t Available(const std::string& budget) const;
+  std::int64_t AvailableFrom(const std::string& lender,
+                             const std::string& budget) const;
+  // Demand of the borrowers of a budget, averaged over kLentRateWindow.
+  double LentRate(const std::string& budget, MonotonicTime now);
   std::map<std::string, LedgerFigures> Figures() const;
   std::size_t unconfirmed_bills() const;
   std::size_t open_reservations() const;
--- a/src/libs/budget/platform_call.h
+++ b/src/libs/budget/platform_call.h
@@ -6,15 +6,17 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "libs/base/reason.h"
 
 namespace turmericwinch {
 
-enum class PlatformVerb { kGet, kCreate, kUpdate };
+enum class PlatformVerb { kGet, kCreate, kUpdate, kList };
 
-// One call to make. `version` is that to update against; `value` is empty for
-// kGet. `pause` is the time to wait before the call.
+// One call to make. `name` is the prefix of the names for kList. `version` is
+// that to update against; `value` is empty for kGet and kList. `pause` is the
+// time to wait before the call.
 struct PlatformCall {
   PlatformVerb verb = PlatformVerb::kGet;
   std::string name;
@@ -23,12 +25,20 @@
   std::chrono::milliseconds pause{0};
 };
 
-// Its answer: kOk with the version, and for kGet the value, or why not. The
-// codes are those of PlatformClient.
+// One object of an answer to kList.
+struct ListedObject {
+  std::string name;
+  std::uint64_t version = 0;
+  std::string value;
+};
+
+// Its answer: kOk with the version, and for kGet the value, for kList the
+// objects, or why not. The codes are those of PlatformClient.
 struct PlatformAnswer {
   Reason reason;
   std::uint64_t version = 0;
   std::string value;
+  std::vector<ListedObject> objects;
 };
 
 // Whether a failed write is settled by reading the object again.
--- a/src/libs/node/budget_keeper.cc
+++ b/src/libs/node/budget_keeper.cc
@@ -12,6 +12,7 @@
 #include "libs/budget/bill_flush.h"
 #include "libs/budget/bucket_sync.h"
 #include "libs/budget/budget_account.h"
+#include "libs/platform/platform_caller.h"
 
 namespace turmericwinch {
 
@@ -29,7 +30,6 @@
   void Draw();
   asio::awaitable<bool> SyncBucket(std::uint64_t bucket, bool closing);
   asio::awaitable<void> RunTurn(BucketSync& sync);
-  asio::awaitable<PlatformAnswer> Make(PlatformDuty duty, PlatformCall call);
   asio::awaitable<bool> FlushBills();
   asio::awaitable<bool> FlushOnce();
   asio::awaitable<bool> CloseHolder();
@@ -137,41 +137,12 @@
     parts.ledger->With([&](HostLedger& ledger) { call = sync.Next(ledger); });
     if (!call)
       co_return;
-    PlatformAnswer answer =
-        co_await Make(PlatformDuty::kBudget, std::move(*call));
+    PlatformAnswer answer = co_await MakeCall(
+        *parts.platform, PlatformDuty::kBudget, std::move(*call));
     parts.ledger->With([&](HostLedger& ledger) { sync.Take(answer, ledger); });
   }
 }
 
-asio::awaitable<PlatformAnswer> BudgetKeeper::Private::Make(PlatformDuty duty,
-                                                            PlatformCall call) {
-  if (call.pause.count() > 0) {
-    asio::steady_timer timer(*parts.control, call.pause);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-  PlatformAnswer answer;
-  std::optional<std::uint64_t> version;
-  if (call.verb == PlatformVerb::kGet) {
-    std::optional<PlatformObject> object =
-        co_await parts.platform->Get(duty, call.name, &answer.reason);
-    if (object) {
-      version = object->version;
-      answer.value = std::move(object->value);
-    }
-  } else if (call.verb == PlatformVerb::kCreate) {
-    version = co_await parts.platform->Create(duty, call.name, call.value,
-                                              &answer.reason);
-  } else {
-    PlatformObject object{call.name, call.version, call.value};
-    version = co_await parts.platform->Update(duty, object, &answer.reason);
-  }
-  if (version) {
-    answer.reason = {};
-    answer.version = *version;
-  }
-  co_return answer;
-}
-
 // Wakes the requests that wait, with their grant or with why there is none.
 void BudgetKeeper::Private::Publish(const GrantWishes& wanted,
                                     const SyncResult& result) {
@@ -209,8 +180,8 @@
     parts.ledger->With([&](HostLedger& ledger) { call = flush.Next(ledger); });
     if (!call)
       break;
-    PlatformAnswer answer =
-        co_await Make(PlatformDuty::kBills, std::move(*call));
+    PlatformAnswer answer = co_await MakeCall(
+        *parts.platform, PlatformDuty::kBills, std::move(*call));
     parts.ledger->With([&](HostLedger& ledger) { flush.Take(answer, ledger); });
   }
   const Reason& result = flush.result();
--- a/src/libs/operations/budget_verbs.cc
+++ b/src/libs/operations/budget_verbs.cc
@@ -1,9 +1,11 @@
 #include "libs/operations/budget_verbs.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <chrono>
 #include <ctime>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,9 +13,9 @@
 #include "libs/budget/bill.h"
 #include "libs/budget/budget_constants.h"
 #include "libs/budget/domain_shard.h"
-#include "libs/budget/holder_release.h"
-#include "libs/budget/platform_call.h"
+#include "libs/budget/holder_closing.h"
 #include "libs/operations/text_table.h"
+#include "libs/platform/platform_caller.h"
 
 namespace turmericwinch {
 
@@ -22,12 +24,9 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-constexpr int kWriteAttempts = 20;
 constexpr std::int64_t kMillisecondsPerSecond = 1'000;
 constexpr char kTimeFormat[] = "%Y-%m-%dT%H:%M:%SZ";
 
-using Released = std::map<std::string, ReleasedTokens>;
-
 // Milliseconds of UTC of a time such as 2026-03-29T01:00:00Z.
 std::optional<std::int64_t> MillisecondsOf(const std::string& text) {
   std::tm parts{};
@@ -100,49 +99,47 @@
   return shard_name.substr(start, shard_name.rfind('-') - start);
 }
 
-bool HasHolder(const DomainShard& shard, const std::string& holder) {
-  for (const auto& [name, budget] : shard.budgets) {
-    if (budget.holders.contains(holder))
-      return true;
-  }
-  return false;
+// Whether `holder` has a row or a list in the shard, or may have borrowed.
+bool Mentions(const DomainShard& shard, const std::string& holder) {
+  if (shard.Names(holder))
+    return true;
+  return std::any_of(
+      shard.borrowers.begin(), shard.borrowers.end(),
+      [&](const auto& it) { return it.second.contains(holder); });
 }
 
-// Releases the holder in one shard, read anew after each failed write.
-asio::awaitable<std::optional<Released>> ReleaseInShard(
-    PlatformClient& platform,
-    PlatformObject object,
-    std::string holder,
-    Reason* reason) {
-  Released released;
-  for (int n = 0; n < kWriteAttempts; ++n) {
-    std::optional<DomainShard> shard = DomainShardOf(object.value, reason);
+// Domains of which a shard mentions `holder`.
+asio::awaitable<std::optional<std::set<std::string>>>
+DomainsOf(PlatformClient& platform, std::string holder, Reason* reason) {
+  std::optional<std::vector<PlatformObject>> shards =
+      co_await platform.List(PlatformDuty::kOperator, kShardPrefix, reason);
+  if (!shards)
+    co_return std::nullopt;
+  std::set<std::string> domains;
+  for (const PlatformObject& it : *shards) {
+    std::optional<DomainShard> shard = DomainShardOf(it.value, reason);
     if (!shard)
       co_return std::nullopt;
-    // A row that is gone after a lost answer was removed by that write.
-    if (!HasHolder(*shard, holder))
-      co_return released;
-    const std::string prefix =
-        kBillPrefix + DomainOf(object.name) + "-" + holder + "-";
-    std::optional<std::vector<Bill>> bills =
-        co_await FetchBills(platform, prefix, reason);
-    if (!bills)
-      co_return std::nullopt;
-    released = ReleaseHolder(*shard, holder, *bills);
-    object.value = ToJson(*shard);
-    std::optional<std::uint64_t> version =
-        co_await platform.Update(PlatformDuty::kOperator, object, reason);
-    if (version)
-      co_return released;
-    if (!IsSettledByReading(reason->code))
-      co_return std::nullopt;
-    std::optional<PlatformObject> read =
-        co_await platform.Get(PlatformDuty::kOperator, object.name, reason);
-    if (!read)
-      co_return std::nullopt;
-    object = std::move(*read);
+    if (Mentions(*shard, holder))
+      domains.insert(DomainOf(it.name));
   }
-  co_return std::nullopt;
+  co_return domains;
+}
+
+// Writes the holder's end and closes what can be closed now.
+asio::awaitable<HolderClosingResult> EndHolder(PlatformClient& platform,
+                                               std::string domain,
+                                               std::string holder) {
+  HolderClosing closing({std::move(domain), "", nullptr});
+  const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  closing.Begin({std::move(holder)}, true, now_ms.count());
+  while (std::optional<PlatformCall> call = closing.Next(nullptr)) {
+    PlatformAnswer answer =
+        co_await MakeCall(platform, PlatformDuty::kOperator, std::move(*call));
+    closing.Take(answer, nullptr);
+  }
+  co_return closing.result();
 }
 
 }  // namespace
@@ -185,27 +182,33 @@
                          "--process-ended"};
   }
   Reason reason;
-  std::optional<std::vector<PlatformObject>> shards =
-      co_await context.platform->List(PlatformDuty::kOperator, kShardPrefix,
-                                      &reason);
-  if (!shards)
+  std::optional<std::set<std::string>> domains =
+      co_await DomainsOf(*context.platform, holder, &reason);
+  if (!domains)
     co_return reason;
+  if (domains->empty()) {
+    co_return Reason{ResultCode::kNotFound,
+                     "no budget has a grant at " + holder};
+  }
   TextRows rows = {{"BUDGET", "SPENT BY IT", "FREED"}};
-  for (const PlatformObject& it : *shards) {
-    std::optional<Released> released =
-        co_await ReleaseInShard(*context.platform, it, holder, &reason);
-    if (!released)
-      co_return reason;
-    for (const auto& [name, tokens] : *released) {
+  std::set<std::string> waits_for;
+  for (const std::string& it : *domains) {
+    HolderClosingResult result =
+        co_await EndHolder(*context.platform, it, holder);
+    if (result.reason.code != ResultCode::kOk)
+      co_return result.reason;
+    for (const auto& [name, tokens] : result.released[holder]) {
       rows.push_back(
           {name, std::to_string(tokens.settled), std::to_string(tokens.freed)});
     }
-  }
-  if (rows.size() == 1) {
-    co_return Reason{ResultCode::kNotFound,
-                     "no budget has a grant at " + holder};
+    waits_for.merge(result.waits_for[holder]);
   }
   context.out = FormatTable(rows);
+  if (waits_for.empty())
+    co_return Reason{};
+  context.out += "\nThe rest is freed once these hosts have closed with it:\n";
+  for (const std::string& it : waits_for)
+    context.out += "  " + it + "\n";
   co_return Reason{};
 }
 
--- a/src/libs/operations/budget_verbs.h
+++ b/src/libs/operations/budget_verbs.h
@@ -14,7 +14,8 @@
 boost::asio::awaitable<Reason> BillsVerb(WinchContext& context);
 
 // `winch budget release HOLDER`: charges what the holder's bills prove, and
-// frees the rest of its grants. Needs --process-ended: the operator's word that
+// frees the rest of its grants, once all hosts that may have borrowed from it
+// have closed with it or ended. Needs --process-ended: the operator's word that
 // the process cannot spend any more is the evidence.
 boost::asio::awaitable<Reason> ReleaseVerb(WinchContext& context);
 
--- a/tests/budget/fake_platform.cc
+++ b/tests/budget/fake_platform.cc
@@ -5,7 +5,7 @@
 namespace {
 
 PlatformAnswer Failed(ResultCode code, const std::string& text) {
-  return {{code, text}, 0, ""};
+  return {{code, text}, 0, "", {}};
 }
 
 }  // namespace
@@ -13,7 +13,9 @@
 PlatformFault FakePlatform::NextFault(const PlatformCall& call) {
   if (down)
     return PlatformFault::kRefused;
-  if (call.verb != PlatformVerb::kGet && !write_faults.empty()) {
+  const bool write =
+      call.verb == PlatformVerb::kCreate || call.verb == PlatformVerb::kUpdate;
+  if (write && !write_faults.empty()) {
     const PlatformFault fault = write_faults.front();
     write_faults.pop_front();
     return fault;
@@ -34,13 +36,25 @@
   return answer;
 }
 
+PlatformAnswer FakePlatform::List(const std::string& prefix) {
+  ++reads;
+  PlatformAnswer answer;
+  for (const auto& [name, object] : objects) {
+    if (name.starts_with(prefix))
+      answer.objects.push_back({name, object.version, object.value});
+  }
+  return answer;
+}
+
 PlatformAnswer FakePlatform::Apply(const PlatformCall& call) {
+  if (call.verb == PlatformVerb::kList)
+    return List(call.name);
   auto it = objects.find(call.name);
   if (call.verb == PlatformVerb::kGet) {
     ++reads;
     if (it == objects.end())
       return Failed(ResultCode::kPlatformNotFound, call.name);
-    return {{}, it->second.version, it->second.value};
+    return {{}, it->second.version, it->second.value, {}};
   }
   ++writes;
   if (call.verb == PlatformVerb::kCreate && it != objects.end())
@@ -53,7 +67,7 @@
   }
   const std::uint64_t version = next_version_++;
   objects[call.name] = {version, call.value};
-  return {{}, version, ""};
+  return {{}, version, "", {}};
 }
 
 }  // namespace turmericwinch
--- a/tests/budget/fake_platform.h
+++ b/tests/budget/fake_platform.h
@@ -46,6 +46,7 @@
  private:
   PlatformFault NextFault(const PlatformCall& call);
   PlatformAnswer Apply(const PlatformCall& call);
+  PlatformAnswer List(const std::string& prefix);
 
   std::uint64_t next_version_ = 1;
 };
--- a/tests/budget/test_host.cc
+++ b/tests/budget/test_host.cc
@@ -7,7 +7,7 @@
 #include "libs/budget/bill.h"
 #include "libs/budget/budget_account.h"
 #include "libs/budget/budget_constants.h"
-#include "libs/budget/holder_release.h"
+#include "libs/budget/holder_closing.h"
 
 namespace turmericwinch {
 
@@ -15,10 +15,14 @@
                    const TestBudgets& budgets,
                    std::string domain,
                    std::string holder)
-    : ledger(std::move(holder)),
+    : ledger(holder),
+      lender({holder, [holder] { return "at-" + holder; }, [] { return 2; },
+              [](const std::string&) { return 50; }}),
+      borrower(holder, [holder] { return "at-" + holder; }),
       domain(std::move(domain)),
       platform_(platform),
-      budgets_(budgets) {}
+      budgets_(budgets),
+      closing_({this->domain, holder, &lender}) {}
 
 BucketSync& TestHost::SyncOf(std::uint64_t bucket) {
   std::unique_ptr<BucketSync>& sync = syncs_[bucket];
@@ -29,6 +33,7 @@
   parts.domain = domain;
   parts.holder = ledger.holder();
   parts.hosts_in_domain = [] { return 2; };
+  parts.lender = lends ? &lender : nullptr;
   parts.setting_of =
       [this](const std::string& name) -> std::optional<BudgetSetting> {
     auto it = budgets_.find(name);
@@ -42,12 +47,13 @@
 
 void TestHost::StartTurn(const std::string& budget,
                          std::int64_t tokens,
-                         bool closing) {
+                         bool closing,
+                         bool refresh) {
   sync_ = &SyncOf(BucketOf(budget));
   GrantWishes wishes;
   if (tokens > 0)
     wishes[budget] = {budget, tokens, tokens, rate};
-  sync_->Begin(std::move(wishes), closing);
+  sync_->Begin(std::move(wishes), closing, refresh);
 }
 
 bool TestHost::Step() {
@@ -128,6 +134,76 @@
   return done && !(closing && !ledger.HeldBuckets().empty());
 }
 
+void TestHost::Want(const TestHost& from,
+                    const std::string& budget,
+                    std::int64_t tokens) {
+  const std::int64_t own = std::max<std::int64_t>(ledger.Available(budget), 0);
+  borrower.Want(from.address(), {budget, tokens - own, tokens - own, rate, 0},
+                now);
+}
+
+std::vector<OutgoingAsk> TestHost::Asks() {
+  std::vector<OutgoingAsk> asks = borrower.Due(ledger, now);
+  for (OutgoingAsk& it : borrower.Reports(ledger))
+    asks.push_back(std::move(it));
+  return asks;
+}
+
+std::vector<OutgoingAnswer> TestHost::DrawForBorrowers() {
+  std::map<std::uint64_t, GrantWishes> wishes;
+  for (GrantWish& it : ledger.TakeWishes())
+    wishes[BucketOf(it.budget)][it.budget] = it;
+  for (std::uint64_t it : lender.BucketsToList())
+    wishes[it];
+  std::vector<OutgoingAnswer> answers;
+  for (auto& [bucket, wanted] : wishes) {
+    BucketSync& sync = SyncOf(bucket);
+    sync.Begin(wanted, false);
+    while (std::optional<PlatformCall> call = sync.Next(ledger))
+      sync.Take(platform_.Call(*call), ledger);
+    answers = lender.Retry(ledger, now);
+    const bool failed = sync.result().reason.code != ResultCode::kOk;
+    for (const auto& [name, wish] :
+         failed ? wanted : sync.result().short_of_tokens) {
+      for (OutgoingAnswer& it : lender.Deny(
+               name, failed ? LoanOutcome::kUnreachable : LoanOutcome::kShort,
+               ledger))
+        answers.push_back(std::move(it));
+    }
+  }
+  return answers;
+}
+
+bool TestHost::Borrow(TestHost& from,
+                      const std::string& budget,
+                      std::int64_t tokens) {
+  Want(from, budget, tokens);
+  Exchange(from);
+  return ledger.AvailableFrom(from.ledger.holder(), budget) >= tokens;
+}
+
+void TestHost::Exchange(TestHost& from) {
+  for (const OutgoingAsk& it : Asks()) {
+    if (it.address == from.address())
+      borrower.Take(from.lender.Take(it.ask, from.ledger, from.now).answer,
+                    ledger);
+  }
+  for (const OutgoingAnswer& it : from.DrawForBorrowers()) {
+    if (it.address == address())
+      borrower.Take(it.answer, ledger);
+  }
+}
+
+HolderClosingResult TestHost::LookForEnds(bool ends_itself) {
+  std::set<std::string> ending;
+  if (ends_itself)
+    ending.insert(ledger.holder());
+  closing_.Begin(ending, true, 0);
+  while (std::optional<PlatformCall> call = closing_.Next(&ledger))
+    closing_.Take(platform_.Call(*call), &ledger);
+  return closing_.result();
+}
+
 PlatformFigures FiguresOf(const FakePlatform& platform,
                           const std::string& budget) {
   const std::uint64_t bucket = BucketOf(budget);
@@ -166,27 +242,16 @@
   return requests;
 }
 
-void Release(FakePlatform& platform,
-             const std::string& domain,
-             const std::string& holder) {
-  Reason reason;
-  std::vector<Bill> bills;
-  const std::string prefix = kBillPrefix + domain + "-" + holder + "-";
-  for (const auto& [name, object] : platform.objects) {
-    if (!name.starts_with(prefix))
-      continue;
-    const std::vector<Bill> found = BillsOf(object.value, &reason).value();
-    bills.insert(bills.end(), found.begin(), found.end());
-  }
-  for (const auto& [name, object] : platform.objects) {
-    if (!name.starts_with(kShardPrefix + domain + "-"))
-      continue;
-    DomainShard shard = *DomainShardOf(object.value, &reason);
-    if (ReleaseHolder(shard, holder, bills).empty())
-      continue;
-    platform.Call(
-        {PlatformVerb::kUpdate, name, object.version, ToJson(shard), {}});
-  }
+std::set<std::string> Release(FakePlatform& platform,
+                              const std::string& domain,
+                              const std::string& holder) {
+  HolderClosing closing({domain, "", nullptr});
+  closing.Begin({holder}, true, 0);
+  while (std::optional<PlatformCall> call = closing.Next(nullptr))
+    closing.Take(platform.Call(*call), nullptr);
+  auto it = closing.result().waits_for.find(holder);
+  return it == closing.result().waits_for.end() ? std::set<std::string>()
+                                                : it->second;
 }
 
 }  // namespace turmericwinch
--- a/tests/budget/test_host.h
+++ b/tests/budget/test_host.h
@@ -8,12 +8,17 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "budget/fake_platform.h"
 #include "libs/budget/bill_flush.h"
+#include "libs/budget/borrower.h"
 #include "libs/budget/bucket_sync.h"
+#include "libs/budget/holder_closing.h"
 #include "libs/budget/host_ledger.h"
+#include "libs/budget/lender.h"
 
 namespace turmericwinch {
 
@@ -31,7 +36,8 @@
   // of the last one. False once the turn is over.
   void StartTurn(const std::string& budget,
                  std::int64_t tokens,
-                 bool closing = false);
+                 bool closing = false,
+                 bool refresh = false);
   bool Step();
   bool busy() const { return sync_ != nullptr; }
 
@@ -46,7 +52,27 @@
   // Bills, then counters. `closing` ends the holder.
   bool Flush(bool closing = false);
 
+  // Wants `tokens` of `budget` in one piece from another host.
+  void Want(const TestHost& from,
+            const std::string& budget,
+            std::int64_t tokens);
+  // Asks and reports that are due.
+  std::vector<OutgoingAsk> Asks();
+  // Draws and lists for what borrowers asked; answers what they get.
+  std::vector<OutgoingAnswer> DrawForBorrowers();
+  // Asks, reports and answers, none of them lost.
+  void Exchange(TestHost& from);
+  // Want and Exchange. True if the lender's tokens suffice then.
+  bool Borrow(TestHost& from, const std::string& budget, std::int64_t tokens);
+  // A turn of HolderClosing.
+  HolderClosingResult LookForEnds(bool ends_itself = false);
+  std::string address() const { return "at-" + ledger.holder(); }
+
   HostLedger ledger;
+  Lender lender;
+  Borrower borrower;
+  // Whether it lends; set before the first turn.
+  bool lends = false;
   MonotonicTime now;
   std::string domain;
   double rate = 0;
@@ -60,6 +86,7 @@
   BucketSync* sync_ = nullptr;
   std::optional<PlatformAnswer> answer_;
   int next_request_ = 0;
+  HolderClosing closing_;
 };
 
 // What the platform holds of a budget, over all domains.
@@ -75,10 +102,10 @@
 // Bills in all segments, by request id.
 std::map<std::string, int> BilledRequests(const FakePlatform& platform);
 
-// What `winch budget release` does.
-void Release(FakePlatform& platform,
-             const std::string& domain,
-             const std::string& holder);
+// What `winch budget release` does. Answers the borrowers it waits for.
+std::set<std::string> Release(FakePlatform& platform,
+                              const std::string& domain,
+                              const std::string& holder);
 
 }  // namespace turmericwinch
 
