Count plain calls for quarantine and retries, and share first losses over peers

Cause: only chats counted. A checkout that crashes its service was free to do so once per host and key, and plain retries were not held to the retry budget. A first loss was known to its own host only, so one request could cost two targets per host; verdicts reached others by each host reading the platform every 5 s (84 reads/s at 420 hosts).

Change: plain calls are probed, counted and refused like chats (digest of team, service, method, path and body, not of the key, and only worked out while there are suspects), and their retries take from the same budget. A loss, the answer to a suspect and a verdict go to all hosts of the domain and to two of each other domain, which pass them on (Frame field 10); 16 at once and 20/s per host. One host of each domain reads the platform's verdicts, as the way between domains that don't reach each other. A target's loss heard twice counts once.

The test has three hosts in two domains: each attempt at another host, two services lost and not a third; eight reads in flight on the first are answered and cleared on all hosts.

--- a/src/libs/delivery/answer_keys.cc
+++ b/src/libs/delivery/answer_keys.cc
@@ -1,5 +1,7 @@
 #include "libs/delivery/answer_keys.h"
 
+#include <utility>
+
 #include "libs/delivery/delivery_constants.h"
 
 namespace turmericwinch {
--- a/src/libs/delivery/delivery_constants.h
+++ b/src/libs/delivery/delivery_constants.h
@@ -52,6 +52,9 @@
 inline constexpr int kLossesToQuarantine = 2;
 // Time within which requests lost on one target were lost together.
 inline constexpr std::chrono::seconds kLostTogether{2};
+// Losses that a host tells its peers at once, and the time that earns one more.
+inline constexpr int kNoticeBurst = 16;
+inline constexpr std::chrono::milliseconds kNoticeInterval{50};
 // Time for which a request is refused: alone on its lost targets, or not.
 inline constexpr std::chrono::milliseconds kQuarantineHold{600'000};
 inline constexpr std::chrono::milliseconds kQuarantineDoubtHold{30'000};
--- a/src/libs/delivery/quarantine.cc
+++ b/src/libs/delivery/quarantine.cc
@@ -13,14 +13,15 @@
     Expire(now);
   if (suspects_.size() >= kMostSuspects && !suspects_.contains(digest))
     return std::nullopt;
-  Suspect& suspect = suspects_[digest];
-  ++suspect.losses;
-  suspect.last = now;
   Loss& loss = losses_[target];
   if (now - loss.time > kLostTogether)
     loss.digests.clear();
+  if (!loss.digests.insert(digest).second)
+    return std::nullopt;
   loss.time = now;
-  loss.digests.insert(digest);
+  Suspect& suspect = suspects_[digest];
+  ++suspect.losses;
+  suspect.last = now;
   if (loss.digests.size() > 1)
     ++suspect.shared_losses;
   // The first one was alone until now.
@@ -47,8 +48,8 @@
     suspect.hold = kQuarantineDoubtHold;
 }
 
-void Quarantine::OnAnswered(const std::string& digest) {
-  suspects_.erase(digest);
+bool Quarantine::OnAnswered(const std::string& digest) {
+  return suspects_.erase(digest) > 0;
 }
 
 bool Quarantine::IsQuarantined(const std::string& digest, Time now) const {
--- a/src/libs/delivery/quarantine.h
+++ b/src/libs/delivery/quarantine.h
@@ -27,13 +27,15 @@
  public:
   using Time = std::chrono::steady_clock::time_point;
 
-  // A target was lost while it ran the request `digest`. Answers a verdict if
-  // this makes one that other hosts should learn.
+  // A target was lost while it ran the request `digest`, here or at another
+  // host. Answers a verdict if this makes one that other hosts should learn.
+  // What is heard of one target's loss again counts once.
   std::optional<QuarantineVerdict> OnLost(const std::string& digest,
                                           const std::string& target,
                                           Time now);
-  // A target answered the request: it is no suspect any more.
-  void OnAnswered(const std::string& digest);
+  // A target answered the request: it is no suspect any more. Answers whether
+  // it was one.
+  bool OnAnswered(const std::string& digest);
   // Whether the request is to be refused.
   bool IsQuarantined(const std::string& digest, Time now) const;
   // Takes over the verdict of another host.
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -3,13 +3,13 @@
 #include <boost/asio.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "libs/base/digest.h"
 #include "libs/base/log.h"
 #include "libs/delivery/delivery_constants.h"
 #include "libs/http/http_constants.h"
 #include "libs/node/chat_wish.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
+#include "libs/node/target_probe.h"
 
 namespace turmericwinch {
 
@@ -22,7 +22,6 @@
 
 constexpr LogCategory kLog{"node"};
 constexpr int kStatusOk = 200;
-constexpr std::size_t kDigestDigits = 40;
 
 }  // namespace
 
@@ -39,9 +38,8 @@
       reserved_(std::move(reserved)),
       exchange_(exchange),
       deadline_(steady_clock::now() + service.deadline),
-      digest_(
-          Sha256Hex(caller.team->name + "\n" + json::serialize(request_.body))
-              .substr(0, kDigestDigits)),
+      digest_(QuarantineKeeper::DigestOf(caller.team->name,
+                                         json::serialize(request_.body))),
       wish_(ChatWishOf(service.name, request_)),
       progress_(caller.record->run_id, caller.request_id, request_.max_tokens) {
 }
@@ -334,25 +332,22 @@
 asio::awaitable<ChatCall::AttemptEnd> ChatCall::Probe(
     const asio::ip::tcp::endpoint& endpoint,
     const HttpFailure& failure) {
-  if (failure.phase == HttpPhase::kConnect)
-    co_return AttemptEnd::kTargetFailed;
-  client().DropIdle(endpoint);
-  HttpRequest request;
-  request.target = "/healthz";
-  const HttpTimeouts timeouts{kConnectLimit, kProbeLimit, kProbeLimit};
-  HttpFailure probe_failure;
-  std::optional<HttpResponse> response =
-      co_await client().Call(endpoint, request, timeouts, &probe_failure);
-  const bool alive = response && response->status == kStatusOk;
-  if (failure.timed_out) {
-    node_.metrics.CountEvent(alive ? DeliveryEvent::kSilentConnection
-                                   : DeliveryEvent::kSilentTarget);
+  const ProbeResult result =
+      co_await ProbeTarget(client(), endpoint, failure, true);
+  if (failure.timed_out && failure.phase != HttpPhase::kConnect) {
+    node_.metrics.CountEvent(result == ProbeResult::kAlive
+                                 ? DeliveryEvent::kSilentConnection
+                                 : DeliveryEvent::kSilentTarget);
+  }
+  switch (result) {
+    case ProbeResult::kAlive:
+      co_return AttemptEnd::kConnectionFailed;
+    case ProbeResult::kFailed:
+      co_return AttemptEnd::kTargetFailed;
+    case ProbeResult::kLost:
+      break;
   }
-  if (alive)
-    co_return AttemptEnd::kConnectionFailed;
-  // A process that ends breaks the connection and resets or refuses the next.
-  const bool lost = !response && !probe_failure.timed_out && !failure.timed_out;
-  co_return lost ? AttemptEnd::kTargetLost : AttemptEnd::kTargetFailed;
+  co_return AttemptEnd::kTargetLost;
 }
 
 // Ends the generation that no one reads any more, and learns its usage.
--- a/src/libs/node/fleet_keeper.cc
+++ b/src/libs/node/fleet_keeper.cc
@@ -194,16 +194,25 @@
   return addresses;
 }
 
+std::vector<Member> FleetKeeper::Peers() {
+  std::vector<Member> peers;
+  if (!d_->membership)
+    return peers;
+  peers = d_->membership->Members();
+  std::erase_if(peers, [this](const Member& it) {
+    return it.name == d_->settings.host || !IsUsable(it);
+  });
+  std::shuffle(peers.begin(), peers.end(), d_->random);
+  return peers;
+}
+
 std::vector<std::string> FleetKeeper::RandomPeers(std::size_t n) {
   std::vector<std::string> addresses;
-  if (!d_->membership)
-    return addresses;
-  for (const Member& it : d_->membership->Members()) {
-    if (it.name != d_->settings.host && IsUsable(it))
-      addresses.push_back(it.address);
+  for (const Member& it : Peers()) {
+    if (addresses.size() == n)
+      break;
+    addresses.push_back(it.address);
   }
-  std::shuffle(addresses.begin(), addresses.end(), d_->random);
-  addresses.resize(std::min(n, addresses.size()));
   return addresses;
 }
 
--- a/src/libs/node/fleet_keeper.h
+++ b/src/libs/node/fleet_keeper.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/membership/member.h"
 #include "libs/node/node_settings.h"
 #include "libs/peer/peer_frame.h"
 #include "libs/routing/host_list.h"
@@ -48,6 +49,8 @@
   // Addresses of those `n`, best first; empty where this host is one.
   std::vector<std::string> HolderAddresses(std::string_view duty,
                                            std::size_t n) const;
+  // All other hosts that can be used, in random order.
+  std::vector<Member> Peers();
   // Addresses of `n` random hosts that can be used.
   std::vector<std::string> RandomPeers(std::size_t n);
   void Send(const std::string& address, const PeerFrame& frame);
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -90,8 +90,6 @@
   context.start_shutdown = [this] { StartShutdown(); };
   context.claims =
       std::make_unique<ClaimKeeper>(context.control, *context.platform);
-  context.quarantine =
-      std::make_unique<QuarantineKeeper>(context.control, *context.platform);
   auto update_targets = [this] {
     std::shared_ptr<const ConfigSnapshot> config = context.config.Get();
     if (!config)
@@ -99,10 +97,13 @@
     context.targets->Update(host_list->list(), *config);
   };
   context.fleet = std::make_unique<FleetKeeper>(context.control, settings);
+  context.quarantine = std::make_unique<QuarantineKeeper>(
+      context.control, *context.platform, *context.fleet,
+      settings.failure_domain);
   context.config_watcher = std::make_unique<ConfigWatcher>(
       *context.platform, *context.fleet, context.config, update_targets);
   context.fleet->SetFrameHook([this](const PeerFrame& frame) {
-    if (!host_list->Receive(frame))
+    if (!context.quarantine->Receive(frame) && !host_list->Receive(frame))
       context.config_watcher->Receive(frame);
   });
   context.fleet->SetPeerHook(
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -53,7 +53,11 @@
 inline constexpr std::uint64_t kMostUnsettledBytes = 8 * 1024 * 1024;
 // Time between two looks for old claims, each at a 256th of them.
 inline constexpr std::chrono::seconds kClaimSweepInterval{60};
-// Time between readings of other hosts' quarantine verdicts.
+// Hosts of each other domain that are told of a lost target, and hosts of a
+// domain that read the verdicts in the platform.
+inline constexpr int kNoticeRelays = 2;
+inline constexpr std::size_t kVerdictReaders = 1;
+// Time between these readings.
 inline constexpr std::chrono::milliseconds kVerdictInterval{5'000};
 // Time for a graceful shutdown.
 inline constexpr std::chrono::milliseconds kShutdownDeadline{30'000};
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -9,6 +9,7 @@
 #include "libs/node/claimed_call.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
+#include "libs/node/target_probe.h"
 
 namespace turmericwinch {
 
@@ -75,6 +76,7 @@
   // Set for a call with a key.
   std::optional<ClaimSession> claim;
   RequestRecord* record = nullptr;
+  std::string team;
 };
 
 HttpTimeouts TimeoutsUntil(std::chrono::steady_clock::time_point deadline) {
@@ -136,6 +138,74 @@
                   may_have_run ? RanState::kUnknown : RanState::kNotRun);
 }
 
+// What the quarantine knows the call by.
+std::string DigestOf(const PlainCall& call) {
+  std::string text = call.route->service;
+  text += ' ';
+  text += call.request.method;
+  text += ' ';
+  text += call.request.target;
+  text += '\n';
+  text += call.request.body;
+  return QuarantineKeeper::DigestOf(call.team, text);
+}
+
+bool IsQuarantined(NodeContext& node, const PlainCall& call) {
+  return node.quarantine->HasSuspects() &&
+         node.quarantine->IsQuarantined(DigestOf(call));
+}
+
+Reason QuarantineReason() {
+  return {ResultCode::kQuarantined, "targets were lost that ran this request"};
+}
+
+asio::awaitable<std::optional<ReservedTokens>> Admit(
+    NodeContext& node,
+    const Caller& caller,
+    const PlainCall& call,
+    const ServiceConfig& service,
+    Reason* reason) {
+  if (IsQuarantined(node, call)) {
+    *reason = QuarantineReason();
+    co_return std::nullopt;
+  }
+  node.quarantine->OnRequest();
+  co_return co_await ReserveTokens(node, caller, service, service.call_tokens,
+                                   reason);
+}
+
+// Whether one more attempt may be made; if not `outcome` says why.
+bool MayTryAgain(NodeContext& node,
+                 const PlainCall& call,
+                 PlainOutcome& outcome) {
+  if (!IsQuarantined(node, call))
+    return node.quarantine->TakeRetry();
+  outcome.refusal = MakeRefusal(QuarantineReason(), outcome.refusal.ran);
+  return false;
+}
+
+// Tells the quarantine how the attempt on `target` ended.
+asio::awaitable<void> NoteEnd(NodeContext& node,
+                              const PlainCall& call,
+                              const PlainOutcome& outcome,
+                              HttpFailure failure,
+                              TargetChoice target,
+                              std::size_t thread_index) {
+  if (outcome.response) {
+    if (node.quarantine->HasSuspects())
+      node.quarantine->OnAnswered(DigestOf(call));
+    co_return;
+  }
+  std::optional<asio::ip::tcp::endpoint> endpoint =
+      ParseEndpoint(target.address);
+  if (!endpoint || failure.timed_out || !failure.may_have_arrived)
+    co_return;
+  const ProbeResult result = co_await ProbeTarget(*node.clients[thread_index],
+                                                  *endpoint, failure, false);
+  if (result == ProbeResult::kLost)
+    node.quarantine->OnLost(DigestOf(call), target.name);
+}
+
 // Sends the call. A call that may not be repeated is tried on another target
 // only if nothing can have reached the first.
 asio::awaitable<PlainOutcome> Send(NodeContext& node,
@@ -144,6 +214,8 @@
   PlainOutcome outcome;
   std::set<std::string> excluded;
   for (int n = 0; n < kTargetAttempts; ++n) {
+    if (n > 0 && !MayTryAgain(node, call, outcome))
+      co_return outcome;
     Reason reason;
     std::optional<TargetChoice> choice =
         node.targets->Begin(call.route->service, excluded, &reason);
@@ -170,6 +242,7 @@
                                                    outcome.response->headers)
                                   : AnswerOfFailure(failure));
     meter.reset();
+    co_await NoteEnd(node, call, outcome, failure, *choice, thread_index);
     const bool failed =
         !outcome.response || outcome.response->status >= kServerError;
     if (!failed || (outcome.response && !call.repeatable))
@@ -247,16 +320,17 @@
   std::optional<ClaimWish> wish;
   if (!key.empty())
     wish = ClaimWishOf(caller, request, key, route->deadline);
-  std::optional<ReservedTokens> reserved = co_await ReserveTokens(
-      node, caller, *service, service->call_tokens, &reason);
-  if (!reserved && !wish)
-    co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
   PlainCall call;
   call.route = route;
   call.repeatable = route->repeatable && key.empty();
   call.deadline = start + route->deadline;
   call.record = caller.record.get();
   call.request = TargetRequest(caller, request, target->path, key);
+  call.team = caller.team->name;
+  std::optional<ReservedTokens> reserved =
+      co_await Admit(node, caller, call, *service, &reason);
+  if (!reserved && !wish)
+    co_return co_await Refuse(caller, MakeRefusal(reason), exchange);
   if (wish) {
     ClaimAnswer answer;
     if (reserved)
--- a/src/libs/node/quarantine_keeper.cc
+++ b/src/libs/node/quarantine_keeper.cc
@@ -1,13 +1,18 @@
 #include "libs/node/quarantine_keeper.h"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <mutex>
 
+#include "libs/base/digest.h"
 #include "libs/base/json_fields.h"
 #include "libs/base/log.h"
+#include "libs/delivery/notice_budget.h"
 #include "libs/delivery/retry_budget.h"
+#include "libs/node/fleet_keeper.h"
 #include "libs/node/node_constants.h"
 
 namespace turmericwinch {
@@ -21,6 +26,8 @@
 
 constexpr LogCategory kLog{"node"};
 constexpr std::string_view kPrefix = "quarantine-";
+constexpr std::string_view kVerdictDuty = "quarantine";
+constexpr std::size_t kDigestDigits = 40;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 std::int64_t UtcMs() {
@@ -46,35 +53,113 @@
 
 class QuarantineKeeper::Private {
  public:
-  Private(asio::io_context& control, PlatformClient& platform)
-      : control(control), platform(platform) {}
+  Private(asio::io_context& control,
+          PlatformClient& platform,
+          FleetKeeper& fleet,
+          std::string failure_domain)
+      : control(control),
+        platform(platform),
+        fleet(fleet),
+        failure_domain(std::move(failure_domain)) {}
 
   static asio::awaitable<void> Publish(std::shared_ptr<Private> d,
                                        QuarantineVerdict verdict);
   asio::awaitable<void> ReadVerdicts();
+  asio::awaitable<void> ReadVerdict(const PlatformObject& object);
+  // Tells the peers from any thread.
+  static void Share(std::shared_ptr<Private> d, QuarantineNotice notice);
+  // Sends to the own domain, and if `everywhere` to some of each other one.
+  void Send(QuarantineNotice notice, bool everywhere);
+  // Takes the notice over; answers a verdict that it makes.
+  std::optional<QuarantineVerdict> Take(const QuarantineNotice& notice);
+  void NoteSuspects() { suspects = quarantine.suspects(); }
 
   asio::io_context& control;
   PlatformClient& platform;
-  std::function<void(const QuarantineVerdict&)> on_verdict;
+  FleetKeeper& fleet;
+  std::string failure_domain;
+  NoticeBudget notices;
+  std::atomic<std::uint64_t> unsent{0};
+  std::atomic<std::size_t> suspects{0};
   mutable std::mutex mutex;
   Quarantine quarantine;
   RetryBudget retries;
 };
 
 QuarantineKeeper::QuarantineKeeper(asio::io_context& control,
-                                   PlatformClient& platform)
-    : d_(std::make_shared<Private>(control, platform)) {}
+                                   PlatformClient& platform,
+                                   FleetKeeper& fleet,
+                                   std::string failure_domain)
+    : d_(std::make_shared<Private>(control,
+                                   platform,
+                                   fleet,
+                                   std::move(failure_domain))) {}
 
 QuarantineKeeper::~QuarantineKeeper() = default;
 
-void QuarantineKeeper::SetVerdictHook(
-    std::function<void(const QuarantineVerdict&)> on_verdict) {
-  d_->on_verdict = std::move(on_verdict);
+std::string QuarantineKeeper::DigestOf(std::string_view team,
+                                       std::string_view text) {
+  std::string buf(team);
+  buf += '\n';
+  buf += text;
+  return Sha256Hex(buf).substr(0, kDigestDigits);
 }
 
-void QuarantineKeeper::Learn(const QuarantineVerdict& verdict) {
-  std::lock_guard lock(d_->mutex);
-  d_->quarantine.Learn(verdict, steady_clock::now());
+bool QuarantineKeeper::HasSuspects() const {
+  return d_->suspects > 0;
+}
+
+bool QuarantineKeeper::Receive(const PeerFrame& frame) {
+  const auto* notice = std::get_if<QuarantineNotice>(&frame);
+  if (!notice)
+    return false;
+  std::optional<QuarantineVerdict> verdict = d_->Take(*notice);
+  if (verdict || notice->hold.count() > 0) {
+    LogEvent(kLog, Severity::kWarning, "quarantine_learnt",
+             {{"digest", notice->digest}, {"target", notice->target}});
+  }
+  if (notice->relay)
+    d_->Send(*notice, false);
+  // Hosts that each saw one of the losses make no verdict of their own.
+  if (verdict && d_->fleet.Holds(kVerdictDuty, kVerdictReaders))
+    asio::co_spawn(d_->control, Private::Publish(d_, *verdict), asio::detached);
+  return true;
+}
+
+std::optional<QuarantineVerdict> QuarantineKeeper::Private::Take(
+    const QuarantineNotice& notice) {
+  const auto now = steady_clock::now();
+  std::optional<QuarantineVerdict> verdict;
+  std::lock_guard lock(mutex);
+  if (notice.hold.count() > 0)
+    quarantine.Learn({notice.digest, notice.hold}, now);
+  else if (!notice.target.empty())
+    verdict = quarantine.OnLost(notice.digest, notice.target, now);
+  else
+    quarantine.OnAnswered(notice.digest);
+  NoteSuspects();
+  return verdict;
+}
+
+void QuarantineKeeper::Private::Share(std::shared_ptr<Private> d,
+                                      QuarantineNotice notice) {
+  asio::post(d->control, [d, notice = std::move(notice)] {
+    if (d->notices.Take(steady_clock::now()))
+      d->Send(notice, true);
+    else
+      ++d->unsent;
+  });
+}
+
+void QuarantineKeeper::Private::Send(QuarantineNotice notice, bool everywhere) {
+  std::map<std::string, int> told;
+  for (const Member& it : fleet.Peers()) {
+    notice.relay = it.failure_domain != failure_domain;
+    if (notice.relay &&
+        (!everywhere || ++told[it.failure_domain] > kNoticeRelays))
+      continue;
+    fleet.Send(it.address, notice);
+  }
 }
 
 bool QuarantineKeeper::IsQuarantined(const std::string& digest) const {
@@ -88,7 +173,9 @@
   {
     std::lock_guard lock(d_->mutex);
     verdict = d_->quarantine.OnLost(digest, target, steady_clock::now());
+    d_->NoteSuspects();
   }
+  Private::Share(d_, {digest, target});
   if (!verdict)
     return;
   LogEvent(kLog, Severity::kError, "request_quarantined",
@@ -97,8 +184,14 @@
 }
 
 void QuarantineKeeper::OnAnswered(const std::string& digest) {
-  std::lock_guard lock(d_->mutex);
-  d_->quarantine.OnAnswered(digest);
+  bool suspected = false;
+  {
+    std::lock_guard lock(d_->mutex);
+    suspected = d_->quarantine.OnAnswered(digest);
+    d_->NoteSuspects();
+  }
+  if (suspected)
+    Private::Share(d_, {digest, ""});
 }
 
 std::size_t QuarantineKeeper::suspects() const {
@@ -106,6 +199,10 @@
   return d_->quarantine.suspects();
 }
 
+std::uint64_t QuarantineKeeper::unsent_notices() const {
+  return d_->unsent;
+}
+
 void QuarantineKeeper::OnRequest() {
   std::lock_guard lock(d_->mutex);
   d_->retries.OnRequest();
@@ -119,8 +216,7 @@
 asio::awaitable<void> QuarantineKeeper::Private::Publish(
     std::shared_ptr<Private> d,
     QuarantineVerdict verdict) {
-  if (d->on_verdict)
-    d->on_verdict(verdict);
+  d->Send({verdict.digest, "", verdict.hold}, true);
   Reason reason;
   std::string name = std::string(kPrefix) + verdict.digest;
   std::string value = json::serialize(
@@ -139,9 +235,11 @@
   for (;;) {
     timer.expires_after(kVerdictInterval);
     co_await timer.async_wait(kAwait);
-    co_await d->ReadVerdicts();
+    if (d->fleet.Holds(kVerdictDuty, kVerdictReaders))
+      co_await d->ReadVerdicts();
     std::lock_guard lock(d->mutex);
     d->quarantine.Expire(steady_clock::now());
+    d->NoteSuspects();
   }
 }
 
@@ -151,17 +249,28 @@
       PlatformDuty::kClaims, std::string(kPrefix), &reason);
   if (!objects)
     co_return;
-  for (const PlatformObject& it : *objects) {
-    std::optional<milliseconds> left = HoldLeft(it);
-    if (left) {
-      std::lock_guard lock(mutex);
-      quarantine.Learn({it.name.substr(kPrefix.size()), *left},
-                       steady_clock::now());
-      continue;
-    }
-    co_await platform.Delete(PlatformDuty::kClaims, it.name, it.version,
+  for (const PlatformObject& it : *objects)
+    co_await ReadVerdict(it);
+}
+
+asio::awaitable<void> QuarantineKeeper::Private::ReadVerdict(
+    const PlatformObject& object) {
+  std::optional<milliseconds> left = HoldLeft(object);
+  if (!left) {
+    Reason reason;
+    co_await platform.Delete(PlatformDuty::kClaims, object.name, object.version,
                              &reason);
+    co_return;
+  }
+  const std::string digest = object.name.substr(kPrefix.size());
+  {
+    std::lock_guard lock(mutex);
+    if (quarantine.IsQuarantined(digest, steady_clock::now()))
+      co_return;
   }
+  const QuarantineNotice notice{digest, "", *left};
+  Take(notice);
+  Send(notice, false);
 }
 
 }  // namespace turmericwinch
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -110,6 +110,7 @@
       {"claims", DumpClaims(node)},
       {"keyed_answers", DumpKeyedAnswers(node)},
       {"quarantine_suspects", node.quarantine->suspects()},
+      {"quarantine_unsent_notices", node.quarantine->unsent_notices()},
       {"platform_calls", DumpPlatformCalls(node)},
       {"config_source", node.config_watcher->Dump()},
       {"members", fleet.at("members")},
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1038,6 +1038,158 @@
 }
 
 
+QuarantineNotice::~QuarantineNotice() noexcept {
+}
+
+
+void QuarantineNotice::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void QuarantineNotice::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void QuarantineNotice::__set_hold_ms(const int64_t val) {
+  this->hold_ms = val;
+}
+
+void QuarantineNotice::__set_relay(const bool val) {
+  this->relay = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hold_ms);
+          this->__isset.hold_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relay);
+          this->__isset.relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineNotice");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hold_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->hold_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->relay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineNotice &a, QuarantineNotice &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.target, b.target);
+  swap(a.hold_ms, b.hold_ms);
+  swap(a.relay, b.relay);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineNotice::QuarantineNotice(const QuarantineNotice& other20) {
+  digest = other20.digest;
+  target = other20.target;
+  hold_ms = other20.hold_ms;
+  relay = other20.relay;
+  __isset = other20.__isset;
+}
+QuarantineNotice& QuarantineNotice::operator=(const QuarantineNotice& other21) {
+  digest = other21.digest;
+  target = other21.target;
+  hold_ms = other21.hold_ms;
+  relay = other21.relay;
+  __isset = other21.__isset;
+  return *this;
+}
+void QuarantineNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineNotice(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "hold_ms=" << to_string(hold_ms);
+  out << ", " << "relay=" << to_string(relay);
+  out << ")";
+}
+
+
 Frame::~Frame() noexcept {
 }
 
@@ -1075,6 +1227,11 @@
   this->config_part = val;
 __isset.config_part = true;
 }
+
+void Frame::__set_quarantine_notice(const QuarantineNotice& val) {
+  this->quarantine_notice = val;
+__isset.quarantine_notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -1159,6 +1316,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantine_notice.read(iprot);
+          this->__isset.quarantine_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1210,6 +1375,11 @@
     xfer += this->config_part.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quarantine_notice) {
+    xfer += oprot->writeFieldBegin("quarantine_notice", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->quarantine_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1224,28 +1394,31 @@
   swap(a.config_notice, b.config_notice);
   swap(a.config_request, b.config_request);
   swap(a.config_part, b.config_part);
+  swap(a.quarantine_notice, b.quarantine_notice);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other20) {
-  version = other20.version;
-  hello = other20.hello;
-  proof = other20.proof;
-  membership = other20.membership;
-  config_notice = other20.config_notice;
-  config_request = other20.config_request;
-  config_part = other20.config_part;
-  __isset = other20.__isset;
-}
-Frame& Frame::operator=(const Frame& other21) {
-  version = other21.version;
-  hello = other21.hello;
-  proof = other21.proof;
-  membership = other21.membership;
-  config_notice = other21.config_notice;
-  config_request = other21.config_request;
-  config_part = other21.config_part;
-  __isset = other21.__isset;
+Frame::Frame(const Frame& other22) {
+  version = other22.version;
+  hello = other22.hello;
+  proof = other22.proof;
+  membership = other22.membership;
+  config_notice = other22.config_notice;
+  config_request = other22.config_request;
+  config_part = other22.config_part;
+  quarantine_notice = other22.quarantine_notice;
+  __isset = other22.__isset;
+}
+Frame& Frame::operator=(const Frame& other23) {
+  version = other23.version;
+  hello = other23.hello;
+  proof = other23.proof;
+  membership = other23.membership;
+  config_notice = other23.config_notice;
+  config_request = other23.config_request;
+  config_part = other23.config_part;
+  quarantine_notice = other23.quarantine_notice;
+  __isset = other23.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -1258,6 +1431,7 @@
   out << ", " << "config_notice="; (__isset.config_notice ? (out << to_string(config_notice)) : (out << "<null>"));
   out << ", " << "config_request="; (__isset.config_request ? (out << to_string(config_request)) : (out << "<null>"));
   out << ", " << "config_part="; (__isset.config_part ? (out << to_string(config_part)) : (out << "<null>"));
+  out << ", " << "quarantine_notice="; (__isset.quarantine_notice ? (out << to_string(quarantine_notice)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -35,6 +35,8 @@
 
 class ConfigPart;
 
+class QuarantineNotice;
+
 class Frame;
 
 typedef struct _Member__isset {
@@ -462,8 +464,72 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigPart& obj);
 
+typedef struct _QuarantineNotice__isset {
+  _QuarantineNotice__isset() : digest(false), target(false), hold_ms(false), relay(false) {}
+  bool digest :1;
+  bool target :1;
+  bool hold_ms :1;
+  bool relay :1;
+} _QuarantineNotice__isset;
+
+class QuarantineNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineNotice(const QuarantineNotice&);
+  QuarantineNotice& operator=(const QuarantineNotice&);
+  QuarantineNotice() noexcept
+                   : digest(),
+                     target(),
+                     hold_ms(0),
+                     relay(0) {
+  }
+
+  virtual ~QuarantineNotice() noexcept;
+  std::string digest;
+  std::string target;
+  int64_t hold_ms;
+  bool relay;
+
+  _QuarantineNotice__isset __isset;
+
+  void __set_digest(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_hold_ms(const int64_t val);
+
+  void __set_relay(const bool val);
+
+  bool operator == (const QuarantineNotice & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(hold_ms == rhs.hold_ms))
+      return false;
+    if (!(relay == rhs.relay))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineNotice &a, QuarantineNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj);
+
 typedef struct _Frame__isset {
-  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false) {}
+  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), quarantine_notice(false) {}
   bool version :1;
   bool hello :1;
   bool proof :1;
@@ -471,6 +537,7 @@
   bool config_notice :1;
   bool config_request :1;
   bool config_part :1;
+  bool quarantine_notice :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -490,6 +557,7 @@
   ConfigNotice config_notice;
   ConfigRequest config_request;
   ConfigPart config_part;
+  QuarantineNotice quarantine_notice;
 
   _Frame__isset __isset;
 
@@ -507,6 +575,8 @@
 
   void __set_config_part(const ConfigPart& val);
 
+  void __set_quarantine_notice(const QuarantineNotice& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -535,6 +605,10 @@
       return false;
     else if (__isset.config_part && !(config_part == rhs.config_part))
       return false;
+    if (__isset.quarantine_notice != rhs.__isset.quarantine_notice)
+      return false;
+    else if (__isset.quarantine_notice && !(quarantine_notice == rhs.quarantine_notice))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -53,6 +53,17 @@
   4: string peer
 }
 
+// What became of a request that may crash targets. `hold_ms` above 0: it is
+// refused for so long. `target` set: that target was lost with the request in
+// flight. Neither: it was answered. `relay`: to be passed on to the receiver's
+// failure domain.
+struct QuarantineNotice {
+  1: string digest
+  2: string target
+  3: i64 hold_ms
+  4: bool relay
+}
+
 // One frame carries one of these.
 struct Frame {
   1: i32 version
@@ -62,4 +73,5 @@
   5: optional ConfigNotice config_notice
   6: optional ConfigRequest config_request
   7: optional ConfigPart config_part
+  10: optional QuarantineNotice quarantine_notice
 }
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -93,6 +93,14 @@
     result.peer = part.peer;
     frame_->__set_config_part(result);
   }
+  void operator()(const QuarantineNotice& notice) const {
+    wire::QuarantineNotice result;
+    result.digest = notice.digest;
+    result.target = notice.target;
+    result.hold_ms = notice.hold.count();
+    result.relay = notice.relay;
+    frame_->__set_quarantine_notice(result);
+  }
 
  private:
   wire::Frame* frame_;
@@ -136,6 +144,13 @@
     const wire::ConfigPart& it = wire.config_part;
     return ConfigPart{it.digest, it.found, it.text, it.peer};
   }
+  if (wire.__isset.quarantine_notice) {
+    const wire::QuarantineNotice& it = wire.quarantine_notice;
+    if (it.hold_ms < 0)
+      return std::nullopt;
+    return QuarantineNotice{it.digest, it.target,
+                            std::chrono::milliseconds(it.hold_ms), it.relay};
+  }
   return std::nullopt;
 }
 
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -3,6 +3,7 @@
 #ifndef SRC_LIBS_PEER_PEER_FRAME_H_
 #define SRC_LIBS_PEER_PEER_FRAME_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -43,12 +44,23 @@
   std::string peer;
 };
 
+// What became of a request that may crash targets: it is refused for `hold`
+// if that is above 0; else it was lost with `target`, or answered if that is
+// empty. `relay` asks to pass it on to the receiver's failure domain.
+struct QuarantineNotice {
+  std::string digest;
+  std::string target;
+  std::chrono::milliseconds hold{0};
+  bool relay = false;
+};
+
 using PeerFrame = std::variant<PeerHello,
                                PeerProof,
                                MembershipMessage,
                                ConfigNotice,
                                ConfigRequest,
-                               ConfigPart>;
+                               ConfigPart,
+                               QuarantineNotice>;
 
 }  // namespace turmericwinch
 
--- a/src/libs/standin/service_stand_in.cc
+++ b/src/libs/standin/service_stand_in.cc
@@ -57,6 +57,10 @@
   }
   if (!co_await PassFaults(faults, request, exchange))
     co_return;
+  if (request.target == "/healthz") {
+    co_await exchange.Send(JsonResponse(200, "{\"healthy\":true}"));
+    co_return;
+  }
   const std::string key = AccountOf(request);
   const std::int64_t n = ++executions[key];
   if (request.method != "GET" && faults.lose_write_answers > 0) {
--- a/tests/delivery/quarantine_test.cc
+++ b/tests/delivery/quarantine_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "libs/delivery/delivery_constants.h"
+#include "libs/delivery/notice_budget.h"
 #include "libs/delivery/retry_budget.h"
 
 namespace turmericwinch {
@@ -54,6 +55,30 @@
   CHECK(quarantine.IsQuarantined("r", later + kQuarantineDoubtHold));
 }
 
+TEST(Quarantine, OneTargetsLossCountsOnceThoughHeardTwice) {
+  Quarantine quarantine;
+  quarantine.OnLost("r", "a", kStart);
+  CHECK(!quarantine.OnLost("r", "a", kStart).has_value());
+  CHECK(!quarantine.IsQuarantined("r", kStart));
+  // The target is back, and lost again.
+  CHECK(quarantine.OnLost("r", "a", kStart + kLater).has_value());
+}
+
+TEST(Quarantine, NoticesAreBounded) {
+  NoticeBudget budget;
+  int sent = 0;
+  for (int n = 0; n < 1'000; ++n)
+    sent += budget.Take(kStart) ? 1 : 0;
+  LONGS_EQUAL(kNoticeBurst, sent);
+  CHECK(!budget.Take(kStart + kNoticeInterval / 2));
+  CHECK(budget.Take(kStart + kNoticeInterval));
+  CHECK(!budget.Take(kStart + kNoticeInterval));
+  sent = 0;
+  for (int n = 0; n < 1'000; ++n)
+    sent += budget.Take(kStart + std::chrono::hours(1)) ? 1 : 0;
+  LONGS_EQUAL(kNoticeBurst, sent);
+}
+
 TEST(Quarantine, VerdictsAreLearntAndForgotten) {
   Quarantine quarantine;
   quarantine.Learn({"r", std::chrono::seconds(30)}, kStart);
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -60,6 +60,19 @@
   LONGS_EQUAL(40'000, std::get<ConfigPart>(*part).text.size());
 }
 
+TEST(PeerCodec, QuarantineNoticesSurvive) {
+  const QuarantineNotice sent{"d", "t", std::chrono::milliseconds(7), true};
+  auto frame = DecodePayload(Payload(sent), &reason);
+  CHECK(frame.has_value());
+  const auto& read = std::get<QuarantineNotice>(*frame);
+  STRCMP_EQUAL("d", read.digest.c_str());
+  STRCMP_EQUAL("t", read.target.c_str());
+  LONGS_EQUAL(7, read.hold.count());
+  CHECK(read.relay);
+  const QuarantineNotice bad{"d", "", std::chrono::milliseconds(-1), false};
+  CHECK(!DecodePayload(Payload(bad), &reason));
+}
+
 TEST(PeerCodec, EveryTruncationIsAnError) {
   const std::string payload = Payload(SampleFrame());
   for (std::size_t n = 0; n < payload.size(); ++n) {
