Renew pooled connections at an age of their own

Cause: a pooled connection lived for as long as it was used, so that one which something on the way lost track of, or which leads to an old process behind an address, stayed in use until it failed.

Change: each connection gets an age between half of kHttpPoolMostAge and all of it (5 min) when it is opened, and is not taken from or put into the pool beyond that. A call under way is never cut. Two comparisons per call, one random number per connection.

--- a/src/libs/http/http_client.cc
+++ b/src/libs/http/http_client.cc
@@ -65,7 +65,8 @@
   while (!it->second.empty()) {
     Connection connection = std::move(it->second.back());
     it->second.pop_back();
-    const bool fresh = now - connection->idle_since < kHttpPoolIdle;
+    const bool fresh = now - connection->idle_since < kHttpPoolIdle &&
+                       now < connection->renew_at;
     if (fresh && !IsStale(connection->socket))
       return connection;
   }
@@ -77,6 +78,8 @@
                                    Connection connection) {
   connection->deadline.ExpiresNever();
   connection->idle_since = std::chrono::steady_clock::now();
+  if (connection->idle_since >= connection->renew_at)
+    return;
   std::deque<Connection>& pool = idle[endpoint];
   while (!pool.empty() &&
          connection->idle_since - pool.front()->idle_since >= kHttpPoolIdle)
@@ -84,8 +87,9 @@
   pool.push_back(std::move(connection));
 }
 
-HttpClient::HttpClient(asio::io_context& context)
-    : d_(std::make_shared<Private>(context)) {}
+HttpClient::HttpClient(asio::io_context& context,
+                       std::chrono::milliseconds most_age)
+    : d_(std::make_shared<Private>(context, most_age)) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -104,6 +108,9 @@
       *failure = FailureOf(HttpPhase::kConnect, false, *connection, ec);
       co_return nullptr;
     }
+    connection->renew_at =
+        std::chrono::steady_clock::now() +
+        RenewalAge(d->most_age, static_cast<std::uint32_t>(d->random()));
     boost::system::error_code ignored;
     connection->socket.set_option(tcp::no_delay(true), ignored);
     connection->socket.non_blocking(true, ignored);
@@ -183,6 +190,12 @@
   return n;
 }
 
+std::chrono::milliseconds RenewalAge(std::chrono::milliseconds most,
+                                     std::uint32_t random) {
+  const std::chrono::milliseconds half = most / 2;
+  return half + std::chrono::milliseconds(random % (half.count() + 1));
+}
+
 std::optional<tcp::endpoint> ParseEndpoint(std::string_view text) {
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos)
--- a/src/libs/http/http_client.h
+++ b/src/libs/http/http_client.h
@@ -8,9 +8,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
+#include "libs/http/http_constants.h"
 #include "libs/http/http_failure.h"
 #include "libs/http/http_message.h"
 #include "libs/http/http_stream.h"
@@ -27,7 +29,10 @@
 // Used only from its io_context's thread.
 class HttpClient {
  public:
-  explicit HttpClient(boost::asio::io_context& context);
+  // Pooled connections are renewed at `most_age` at the latest, whether they
+  // work or not: something on the way may lose track of old ones.
+  explicit HttpClient(boost::asio::io_context& context,
+                      std::chrono::milliseconds most_age = kHttpPoolMostAge);
   ~HttpClient();
 
   // Sends `request` and reads the response's header.
@@ -56,6 +61,11 @@
   std::shared_ptr<Private> d_;
 };
 
+// Age at which a connection is renewed: between half of `most` and `most`, by
+// `random`, which is spread over all its values.
+std::chrono::milliseconds RenewalAge(std::chrono::milliseconds most,
+                                     std::uint32_t random);
+
 // "IP:PORT" as an endpoint; nothing if it is not one.
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
     std::string_view text);
--- a/src/libs/http/http_connection.h
+++ b/src/libs/http/http_connection.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -31,6 +32,7 @@
   SocketDeadline deadline;
   boost::beast::flat_buffer buf;
   std::chrono::steady_clock::time_point idle_since;
+  std::chrono::steady_clock::time_point renew_at;
 };
 
 // The failure `ec` of an operation on `connection`.
@@ -52,7 +54,8 @@
  public:
   using Connection = std::unique_ptr<http_internal::HttpConnection>;
 
-  explicit Private(boost::asio::io_context& context) : context(context) {}
+  Private(boost::asio::io_context& context, std::chrono::milliseconds most_age)
+      : context(context), most_age(most_age) {}
 
   // A pooled connection that is still open, or null.
   Connection TakeIdle(const boost::asio::ip::tcp::endpoint& endpoint);
@@ -60,6 +63,8 @@
                 Connection connection);
 
   boost::asio::io_context& context;
+  std::chrono::milliseconds most_age;
+  std::minstd_rand random{std::random_device{}()};
   std::map<boost::asio::ip::tcp::endpoint, std::deque<Connection>> idle;
 };
 
--- a/src/libs/http/http_constants.h
+++ b/src/libs/http/http_constants.h
@@ -20,6 +20,9 @@
 inline constexpr std::chrono::seconds kHttpWriteTimeout{30};
 // Time that a pooled client connection may stay idle before it is closed.
 inline constexpr std::chrono::seconds kHttpPoolIdle{20};
+// Age at which a pooled client connection is renewed at the latest. Each has an
+// age of its own between half of it and this, so that they don't end together.
+inline constexpr std::chrono::minutes kHttpPoolMostAge{5};
 // Bytes of one read.
 inline constexpr std::size_t kHttpReadBytes = 8 * 1024;
 
