--- a/src/libs/node/fleet_keeper.cc
+++ b/src/libs/node/fleet_keeper.cc
@@ -44,15 +44,23 @@
   void SendAll(const Membership::Messages& messages);
   void Receive(const PeerFrame& frame);
   void LogChanges();
+  // The holders of `duty` among the hosts of the domain, best first.
+  const std::vector<std::string>& Holders(std::string_view duty, std::size_t n);
 
   asio::io_context* control = nullptr;
   NodeSettings settings;
   std::string address;
   std::function<void(const PeerFrame&)> on_frame;
+  std::function<void()> on_change;
   std::function<void(const std::string&, std::uint64_t)> on_peer;
   std::unique_ptr<PeerNetwork> network;
   std::unique_ptr<Membership> membership;
   std::map<std::string, MemberState> logged;
+  std::optional<std::uint64_t> logged_revision;
+  // Worked out once for each state of the table.
+  std::uint64_t holders_revision = 0;
+  std::map<std::pair<std::string, std::size_t>, std::vector<std::string>>
+      holders;
   std::mt19937_64 random{std::random_device{}()};
 };
 
@@ -82,18 +90,37 @@
   on_peer(message->sender.address, message->sender.generation);
 }
 
+const std::vector<std::string>& FleetKeeper::Private::Holders(
+    std::string_view duty,
+    std::size_t n) {
+  if (holders_revision != membership->revision())
+    holders.clear();
+  holders_revision = membership->revision();
+  auto [it, is_new] = holders.try_emplace({std::string(duty), n});
+  if (is_new)
+    it->second = HoldersOf(duty, membership->DomainMembers(), n);
+  return it->second;
+}
+
 void FleetKeeper::Private::LogChanges() {
+  bool changed = false;
+  if (logged_revision == membership->revision())
+    return;
+  logged_revision = membership->revision();
   for (const Member& it : membership->Members()) {
     auto [known, added] = logged.try_emplace(it.name, it.state);
     if (!added && known->second == it.state)
       continue;
     known->second = it.state;
+    changed = true;
     LogEvent(kLog, Severity::kInfo, "member_changed",
              {{"member", it.name},
               {"failure_domain", it.failure_domain},
               {"state", NameOf(it.state)},
               {"incarnation", it.incarnation}});
   }
+  if (changed && on_change)
+    on_change();
 }
 
 FleetKeeper::FleetKeeper(asio::io_context& control,
@@ -119,6 +146,10 @@
   d_->on_peer = std::move(on_peer);
 }
 
+void FleetKeeper::SetChangeHook(std::function<void()> on_change) {
+  d_->on_change = std::move(on_change);
+}
+
 std::optional<asio::ip::tcp::endpoint> FleetKeeper::Listen(Reason* reason) {
   if (!enabled())
     return asio::ip::tcp::endpoint();
@@ -149,6 +180,14 @@
   return d_->network != nullptr;
 }
 
+std::size_t FleetKeeper::UsableHosts() const {
+  if (!d_->membership)
+    return 1;
+  const std::vector<Member> members = d_->membership->Members();
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), IsUsable));
+}
+
 bool FleetKeeper::ExpectsPeers() const {
   return enabled() &&
          (!d_->settings.peers.empty() ||
@@ -172,8 +211,7 @@
 bool FleetKeeper::Holds(std::string_view duty, std::size_t n) const {
   if (!d_->membership)
     return true;
-  const std::vector<std::string> holders =
-      HoldersOf(duty, d_->membership->DomainMembers(), n);
+  const std::vector<std::string>& holders = d_->Holders(duty, n);
   return std::count(holders.begin(), holders.end(), d_->settings.host) > 0;
 }
 
@@ -182,14 +220,22 @@
   std::vector<std::string> addresses;
   if (!d_->membership)
     return addresses;
-  const std::vector<Member> members = d_->membership->DomainMembers();
-  for (const std::string& name : HoldersOf(duty, members, n)) {
+  for (const std::string& name : d_->Holders(duty, n)) {
     if (name == d_->settings.host)
       return {};
-    for (const Member& it : members) {
-      if (it.name == name)
-        addresses.push_back(it.address);
-    }
+    if (std::optional<Member> member = d_->membership->Find(name))
+      addresses.push_back(member->address);
+  }
+  return addresses;
+}
+
+std::vector<std::string> FleetKeeper::DomainPeers() const {
+  std::vector<std::string> addresses;
+  if (!d_->membership)
+    return addresses;
+  for (const Member& it : d_->membership->DomainMembers()) {
+    if (it.name != d_->settings.host && IsUsable(it))
+      addresses.push_back(it.address);
   }
   return addresses;
 }
--- a/src/libs/node/fleet_keeper.h
+++ b/src/libs/node/fleet_keeper.h
@@ -31,6 +31,8 @@
   // Told the address and generation of each peer that is heard.
   void SetPeerHook(
       std::function<void(const std::string&, std::uint64_t)> on_peer);
+  // Told when a member appears or changes its state.
+  void SetChangeHook(std::function<void()> on_change);
   // Accepts peers; answers the address in use. Does nothing without a key.
   std::optional<boost::asio::ip::tcp::endpoint> Listen(Reason* reason);
   // Ticks until the io_context stops.
@@ -39,6 +41,8 @@
   void Leave();
 
   bool enabled() const;
+  // Hosts of the whole fleet that can be used, this one among them.
+  std::size_t UsableHosts() const;
   // Whether other hosts are known or named by the settings.
   bool ExpectsPeers() const;
   void SetListed(const HostList& list);
@@ -48,6 +52,8 @@
   // Addresses of those `n`, best first; empty where this host is one.
   std::vector<std::string> HolderAddresses(std::string_view duty,
                                            std::size_t n) const;
+  // Addresses of the other hosts of this domain that can be used.
+  std::vector<std::string> DomainPeers() const;
   // Addresses of `n` random hosts that can be used.
   std::vector<std::string> RandomPeers(std::size_t n);
   void Send(const std::string& address, const PeerFrame& frame);
--- a/src/libs/node/host_list_poller.h
+++ b/src/libs/node/host_list_poller.h
@@ -4,9 +4,9 @@
 #define SRC_LIBS_NODE_HOST_LIST_POLLER_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <chrono>
+#include <boost/json/object.hpp>
 #include <functional>
-#include <string>
+#include <memory>
 
 #include "libs/node/fleet_keeper.h"
 #include "libs/platform/platform_client.h"
@@ -14,37 +14,32 @@
 
 namespace turmericwinch {
 
-// A few hosts of each failure domain read the platform's list; the others ask
-// them whether it changed. The last list stays in use while the platform is
-// away. Runs on the control thread.
+// A few hosts of each failure domain wait on the platform for changes of its
+// list and pass them on to the others, which seldom ask whether they missed
+// any. The last list stays in use while the platform is away. Runs on the
+// control thread.
 class HostListPoller {
  public:
   HostListPoller(PlatformClient& platform,
                  FleetKeeper& fleet,
                  std::function<void(const HostList&)> on_list);
+  ~HostListPoller();
 
-  // Polls until the io_context stops.
+  // Follows the list until the io_context stops.
   boost::asio::awaitable<void> Run();
 
   // A frame from a peer. False if it is not about the host list.
   bool Receive(const PeerFrame& frame);
 
   // The last list read.
-  const HostList& list() const { return list_; }
+  const HostList& list() const;
+
+  // Size, digest and version of the list, and what came from where.
+  boost::json::object Dump() const;
 
  private:
-  boost::asio::awaitable<void> ReadPlatform();
-  void AskPeer();
-  void Take(std::string text);
-
-  PlatformClient& platform_;
-  FleetKeeper& fleet_;
-  std::function<void(const HostList&)> on_list_;
-  HostList list_;
-  std::string text_;
-  std::string digest_;
-  std::chrono::steady_clock::time_point heard_;
-  std::size_t asked_ = 0;
+  class Private;
+  std::unique_ptr<Private> d_;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -10,7 +10,6 @@
 #include "libs/http/http_constants.h"
 #include "libs/http/http_server.h"
 #include "libs/node/caller_handler.h"
-#include "libs/node/host_list_poller.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
 #include "libs/node/operator_handler.h"
@@ -45,6 +44,8 @@
   }
 
   void BuildParts();
+  // Tells the platform's client how many hosts share its calls.
+  void ShareCalls();
   // Live entry hosts of the own failure domain, at least 1.
   int HostsInDomain() const;
   void StartShutdown();
@@ -57,13 +58,12 @@
   std::vector<std::thread> threads;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> operator_server;
-  std::unique_ptr<HostListPoller> host_list;
   asio::signal_set signals;
   int exit_code = 0;
 };
 
 int Node::Private::HostsInDomain() const {
-  const auto& hosts = host_list->list().hosts;
+  const auto& hosts = context.host_list->list().hosts;
   const auto n =
       std::count_if(hosts.begin(), hosts.end(), [this](const ListedMember& it) {
         return it.failure_domain == context.settings.failure_domain &&
@@ -72,6 +72,14 @@
   return std::max(1, static_cast<int>(n));
 }
 
+void Node::Private::ShareCalls() {
+  // During a partition the list still counts the hosts of the other side.
+  const std::size_t listed = context.targets_known
+                                 ? context.host_list->list().hosts.size()
+                                 : context.settings.fleet_hosts;
+  context.platform->SetHosts(std::max(listed, context.fleet->UsableHosts()));
+}
+
 void Node::Private::BuildParts() {
   const NodeSettings& settings = context.settings;
   context.incarnation = NewIncarnation();
@@ -87,6 +95,7 @@
       std::make_unique<SharedLedger>(settings.host + "_" + context.incarnation);
   context.platform =
       std::make_unique<HttpPlatformClient>(context.control, settings.platform);
+  context.platform->Limit(settings.platform_rates, settings.fleet_hosts);
   context.start_shutdown = [this] { StartShutdown(); };
   context.claims =
       std::make_unique<ClaimKeeper>(context.control, *context.platform);
@@ -96,23 +105,25 @@
     std::shared_ptr<const ConfigSnapshot> config = context.config.Get();
     if (!config)
       return;
-    context.targets->Update(host_list->list(), *config);
+    context.targets->Update(context.host_list->list(), *config);
   };
   context.fleet = std::make_unique<FleetKeeper>(context.control, settings);
   context.config_watcher = std::make_unique<ConfigWatcher>(
       *context.platform, *context.fleet, context.config, update_targets);
   context.fleet->SetFrameHook([this](const PeerFrame& frame) {
-    if (!host_list->Receive(frame))
+    if (!context.host_list->Receive(frame))
       context.config_watcher->Receive(frame);
   });
   context.fleet->SetPeerHook(
       [this](const std::string& address, std::uint64_t generation) {
         context.config_watcher->HearPeer(address, generation);
       });
-  host_list =
+  context.fleet->SetChangeHook([this] { ShareCalls(); });
+  context.host_list =
       std::make_unique<HostListPoller>(*context.platform, *context.fleet,
                                        [this, update_targets](const HostList&) {
                                          context.targets_known = true;
+                                         ShareCalls();
                                          update_targets();
                                        });
   BudgetKeeperParts parts;
@@ -225,7 +236,7 @@
   asio::co_spawn(context.control, context.config_watcher->Run(),
                  asio::detached);
   asio::co_spawn(context.control, context.fleet->Run(), asio::detached);
-  asio::co_spawn(context.control, d_->host_list->Run(), asio::detached);
+  asio::co_spawn(context.control, context.host_list->Run(), asio::detached);
   asio::co_spawn(context.control, context.budgets->Run(), asio::detached);
   asio::co_spawn(context.control, context.claims->Sweep(), asio::detached);
   asio::co_spawn(context.control, context.quarantine->Run(), asio::detached);
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -14,8 +14,20 @@
 // First and longest pause after a failed call to the platform.
 inline constexpr std::chrono::milliseconds kPlatformPauseFirst{100};
 inline constexpr std::chrono::milliseconds kPlatformPauseMost{2'000};
-// Time between readings of the host list.
+// Time between two tries to get the host list, each drawn between half of it
+// and one and a half; so are the next two.
 inline constexpr std::chrono::milliseconds kHostListInterval{1'000};
+// Time between two asks of a peer whether changes were missed, and between two
+// whole readings by a reader.
+inline constexpr std::chrono::milliseconds kHostListAskInterval{15'000};
+inline constexpr std::chrono::milliseconds kHostListWholeInterval{600'000};
+// Age of the platform's word up to which a lower version counts as newer.
+inline constexpr std::chrono::milliseconds kHostListFresh{15'000};
+// Age that stands for none.
+inline constexpr std::chrono::milliseconds kHostListMostAge{1'000'000'000};
+// Bytes of the list's text in one frame, and in all.
+inline constexpr std::size_t kHostListPieceBytes = 64 * 1024;
+inline constexpr std::size_t kHostListMostBytes = 16 * 1024 * 1024;
 // Hosts of a failure domain that read the host list, and that wait on the
 // published configuration.
 inline constexpr std::size_t kHostListReaders = 2;
--- a/src/libs/node/node_context.h
+++ b/src/libs/node/node_context.h
@@ -15,6 +15,7 @@
 #include "libs/node/config_holder.h"
 #include "libs/node/config_watcher.h"
 #include "libs/node/fleet_keeper.h"
+#include "libs/node/host_list_poller.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_metrics.h"
 #include "libs/node/node_settings.h"
@@ -44,6 +45,7 @@
   std::unique_ptr<HttpPlatformClient> platform;
   std::unique_ptr<FleetKeeper> fleet;
   std::unique_ptr<ConfigWatcher> config_watcher;
+  std::unique_ptr<HostListPoller> host_list;
   std::unique_ptr<ClaimKeeper> claims;
   std::unique_ptr<QuarantineKeeper> quarantine;
   std::unique_ptr<BudgetKeeper> budgets;
--- a/src/libs/node/node_settings.cc
+++ b/src/libs/node/node_settings.cc
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t kMostThreads = 64;
 constexpr std::int64_t kMostFlushMs = 60'000;
+constexpr std::int64_t kMostPlatformCalls = 1'000'000;
+constexpr std::int64_t kMostFleetHosts = 100'000;
 
 boost::asio::ip::tcp::endpoint EndpointOf(const SettingsTable& table,
                                           std::string_view name) {
@@ -70,6 +72,27 @@
        .default_value = std::to_string(kFlushInterval.count()),
        .least = 10,
        .most = kMostFlushMs},
+      {.name = "platform-reads",
+       .type = SettingType::kInteger,
+       .label = "reads and watches of the platform by all hosts together",
+       .unit = "calls/s",
+       .default_value = "1500",
+       .least = 1,
+       .most = kMostPlatformCalls},
+      {.name = "platform-writes",
+       .type = SettingType::kInteger,
+       .label = "writes to the platform by all hosts together",
+       .unit = "calls/s",
+       .default_value = "300",
+       .least = 1,
+       .most = kMostPlatformCalls},
+      {.name = "fleet-hosts",
+       .type = SettingType::kInteger,
+       .label = "hosts that share these calls until the host list is known",
+       .unit = "hosts",
+       .default_value = "420",
+       .least = 1,
+       .most = kMostFleetHosts},
       {.name = "log-level",
        .label = "least severe events logged: debug, info, warning, error",
        .default_value = "info"},
@@ -98,6 +121,10 @@
   settings.fleet_key = table.Text("fleet-key");
   settings.traffic_threads =
       static_cast<std::size_t>(table.Integer("traffic-threads"));
+  settings.platform_rates = {
+      static_cast<double>(table.Integer("platform-reads")),
+      static_cast<double>(table.Integer("platform-writes"))};
+  settings.fleet_hosts = static_cast<std::size_t>(table.Integer("fleet-hosts"));
   settings.flush_interval =
       std::chrono::milliseconds(table.Integer("flush-interval"));
   settings.log_level = table.Text("log-level");
--- a/src/libs/node/node_settings.h
+++ b/src/libs/node/node_settings.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libs/base/settings_table.h"
+#include "libs/platform/platform_limiter.h"
 
 namespace turmericwinch {
 
@@ -28,6 +29,10 @@
   // Empty for a host without peers.
   std::string fleet_key;
   std::size_t traffic_threads = 1;
+  // Of the whole fleet.
+  PlatformRates platform_rates;
+  // Hosts that are taken to share them until the host list is known.
+  std::size_t fleet_hosts = 1;
   std::chrono::milliseconds flush_interval{0};
   std::string log_level;
 };
--- a/src/libs/node/operator_handler.cc
+++ b/src/libs/node/operator_handler.cc
@@ -4,6 +4,7 @@
 
 #include "libs/base/digest.h"
 #include "libs/node/node_context.h"
+#include "libs/node/platform_metrics.h"
 #include "libs/node/refusal.h"
 #include "libs/node/state_dump.h"
 
@@ -48,7 +49,8 @@
   if (!EqualInConstantTime(request.headers.Get("Authorization"), expected))
     return Refused(ResultCode::kUnauthorized, "the operators' token is needed");
   if (path == "/metrics")
-    return TextResponse(node.metrics.Exposition());
+    return TextResponse(node.metrics.Exposition() +
+                        ExpositionOf(*node.platform));
   if (path == "/dump")
     return JsonResponse(kStatusOk, DumpState(node));
   if (path == "/requests")
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -83,6 +83,25 @@
   return calls;
 }
 
+json::object DumpPlatformLimit(NodeContext& node) {
+  const PlatformLimiter* limiter = node.platform->limiter();
+  if (!limiter)
+    return {};
+  json::object duties;
+  for (int n = 0; n < kPlatformDuties; ++n) {
+    const auto duty = static_cast<PlatformDuty>(n);
+    const PlatformDutyFigures it = limiter->Figures(duty);
+    duties[NameOf(duty)] = {{"waiting", it.waiting},
+                            {"waited", it.waited},
+                            {"over_limit", it.over_limit},
+                            {"while_away", it.while_away}};
+  }
+  return {{"away", limiter->away()},
+          {"reads_per_second", limiter->share().reads},
+          {"writes_per_second", limiter->share().writes},
+          {"duties", duties}};
+}
+
 json::object DumpQueues(NodeContext& node) {
   json::object queues;
   for (const auto& [service, size] : node.targets->QueueSizes())
@@ -106,7 +125,9 @@
       {"claims", DumpClaims(node)},
       {"quarantine_suspects", node.quarantine->suspects()},
       {"platform_calls", DumpPlatformCalls(node)},
+      {"platform_limit", DumpPlatformLimit(node)},
       {"config_source", node.config_watcher->Dump()},
+      {"host_list", node.host_list->Dump()},
       {"members", fleet.at("members")},
       {"fleet_counters", fleet.at("counters")},
       {"soft_asserts", SoftAssertCount()},
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1038,6 +1038,390 @@
 }
 
 
+HostListAsk::~HostListAsk() noexcept {
+}
+
+
+void HostListAsk::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void HostListAsk::__set_part_of(const std::string& val) {
+  this->part_of = val;
+}
+
+void HostListAsk::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void HostListAsk::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostListAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostListAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part_of);
+          this->__isset.part_of = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          this->__isset.peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostListAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostListAsk");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part_of", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->part_of);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostListAsk &a, HostListAsk &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.part_of, b.part_of);
+  swap(a.offset, b.offset);
+  swap(a.peer, b.peer);
+  swap(a.__isset, b.__isset);
+}
+
+HostListAsk::HostListAsk(const HostListAsk& other20) {
+  digest = other20.digest;
+  part_of = other20.part_of;
+  offset = other20.offset;
+  peer = other20.peer;
+  __isset = other20.__isset;
+}
+HostListAsk& HostListAsk::operator=(const HostListAsk& other21) {
+  digest = other21.digest;
+  part_of = other21.part_of;
+  offset = other21.offset;
+  peer = other21.peer;
+  __isset = other21.__isset;
+  return *this;
+}
+void HostListAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostListAsk(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "part_of=" << to_string(part_of);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "peer=" << to_string(peer);
+  out << ")";
+}
+
+
+HostListPart::~HostListPart() noexcept {
+}
+
+
+void HostListPart::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void HostListPart::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void HostListPart::__set_base(const std::string& val) {
+  this->base = val;
+}
+
+void HostListPart::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void HostListPart::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void HostListPart::__set_total(const int64_t val) {
+  this->total = val;
+}
+
+void HostListPart::__set_text(const std::string& val) {
+  this->text = val;
+}
+
+void HostListPart::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostListPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostListPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total);
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          this->__isset.peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostListPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostListPart");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostListPart &a, HostListPart &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.age_ms, b.age_ms);
+  swap(a.base, b.base);
+  swap(a.digest, b.digest);
+  swap(a.offset, b.offset);
+  swap(a.total, b.total);
+  swap(a.text, b.text);
+  swap(a.peer, b.peer);
+  swap(a.__isset, b.__isset);
+}
+
+HostListPart::HostListPart(const HostListPart& other22) {
+  version = other22.version;
+  age_ms = other22.age_ms;
+  base = other22.base;
+  digest = other22.digest;
+  offset = other22.offset;
+  total = other22.total;
+  text = other22.text;
+  peer = other22.peer;
+  __isset = other22.__isset;
+}
+HostListPart& HostListPart::operator=(const HostListPart& other23) {
+  version = other23.version;
+  age_ms = other23.age_ms;
+  base = other23.base;
+  digest = other23.digest;
+  offset = other23.offset;
+  total = other23.total;
+  text = other23.text;
+  peer = other23.peer;
+  __isset = other23.__isset;
+  return *this;
+}
+void HostListPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostListPart(";
+  out << "version=" << to_string(version);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "text=" << to_string(text);
+  out << ", " << "peer=" << to_string(peer);
+  out << ")";
+}
+
+
 Frame::~Frame() noexcept {
 }
 
@@ -1075,6 +1459,16 @@
   this->config_part = val;
 __isset.config_part = true;
 }
+
+void Frame::__set_host_list_ask(const HostListAsk& val) {
+  this->host_list_ask = val;
+__isset.host_list_ask = true;
+}
+
+void Frame::__set_host_list_part(const HostListPart& val) {
+  this->host_list_part = val;
+__isset.host_list_part = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -1159,6 +1553,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->host_list_ask.read(iprot);
+          this->__isset.host_list_ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->host_list_part.read(iprot);
+          this->__isset.host_list_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1210,6 +1620,16 @@
     xfer += this->config_part.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.host_list_ask) {
+    xfer += oprot->writeFieldBegin("host_list_ask", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->host_list_ask.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.host_list_part) {
+    xfer += oprot->writeFieldBegin("host_list_part", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->host_list_part.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1224,28 +1644,34 @@
   swap(a.config_notice, b.config_notice);
   swap(a.config_request, b.config_request);
   swap(a.config_part, b.config_part);
+  swap(a.host_list_ask, b.host_list_ask);
+  swap(a.host_list_part, b.host_list_part);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other20) {
-  version = other20.version;
-  hello = other20.hello;
-  proof = other20.proof;
-  membership = other20.membership;
-  config_notice = other20.config_notice;
-  config_request = other20.config_request;
-  config_part = other20.config_part;
-  __isset = other20.__isset;
-}
-Frame& Frame::operator=(const Frame& other21) {
-  version = other21.version;
-  hello = other21.hello;
-  proof = other21.proof;
-  membership = other21.membership;
-  config_notice = other21.config_notice;
-  config_request = other21.config_request;
-  config_part = other21.config_part;
-  __isset = other21.__isset;
+Frame::Frame(const Frame& other24) {
+  version = other24.version;
+  hello = other24.hello;
+  proof = other24.proof;
+  membership = other24.membership;
+  config_notice = other24.config_notice;
+  config_request = other24.config_request;
+  config_part = other24.config_part;
+  host_list_ask = other24.host_list_ask;
+  host_list_part = other24.host_list_part;
+  __isset = other24.__isset;
+}
+Frame& Frame::operator=(const Frame& other25) {
+  version = other25.version;
+  hello = other25.hello;
+  proof = other25.proof;
+  membership = other25.membership;
+  config_notice = other25.config_notice;
+  config_request = other25.config_request;
+  config_part = other25.config_part;
+  host_list_ask = other25.host_list_ask;
+  host_list_part = other25.host_list_part;
+  __isset = other25.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -1258,6 +1684,8 @@
   out << ", " << "config_notice="; (__isset.config_notice ? (out << to_string(config_notice)) : (out << "<null>"));
   out << ", " << "config_request="; (__isset.config_request ? (out << to_string(config_request)) : (out << "<null>"));
   out << ", " << "config_part="; (__isset.config_part ? (out << to_string(config_part)) : (out << "<null>"));
+  out << ", " << "host_list_ask="; (__isset.host_list_ask ? (out << to_string(host_list_ask)) : (out << "<null>"));
+  out << ", " << "host_list_part="; (__isset.host_list_part ? (out << to_string(host_list_part)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -35,6 +35,10 @@
 
 class ConfigPart;
 
+class HostListAsk;
+
+class HostListPart;
+
 class Frame;
 
 typedef struct _Member__isset {
@@ -462,8 +466,164 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigPart& obj);
 
+typedef struct _HostListAsk__isset {
+  _HostListAsk__isset() : digest(false), part_of(false), offset(false), peer(false) {}
+  bool digest :1;
+  bool part_of :1;
+  bool offset :1;
+  bool peer :1;
+} _HostListAsk__isset;
+
+class HostListAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostListAsk(const HostListAsk&);
+  HostListAsk& operator=(const HostListAsk&);
+  HostListAsk() noexcept
+              : digest(),
+                part_of(),
+                offset(0),
+                peer() {
+  }
+
+  virtual ~HostListAsk() noexcept;
+  std::string digest;
+  std::string part_of;
+  int64_t offset;
+  std::string peer;
+
+  _HostListAsk__isset __isset;
+
+  void __set_digest(const std::string& val);
+
+  void __set_part_of(const std::string& val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_peer(const std::string& val);
+
+  bool operator == (const HostListAsk & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(part_of == rhs.part_of))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(peer == rhs.peer))
+      return false;
+    return true;
+  }
+  bool operator != (const HostListAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostListAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostListAsk &a, HostListAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const HostListAsk& obj);
+
+typedef struct _HostListPart__isset {
+  _HostListPart__isset() : version(false), age_ms(false), base(false), digest(false), offset(false), total(false), text(false), peer(false) {}
+  bool version :1;
+  bool age_ms :1;
+  bool base :1;
+  bool digest :1;
+  bool offset :1;
+  bool total :1;
+  bool text :1;
+  bool peer :1;
+} _HostListPart__isset;
+
+class HostListPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostListPart(const HostListPart&);
+  HostListPart& operator=(const HostListPart&);
+  HostListPart() noexcept
+               : version(0),
+                 age_ms(0),
+                 base(),
+                 digest(),
+                 offset(0),
+                 total(0),
+                 text(),
+                 peer() {
+  }
+
+  virtual ~HostListPart() noexcept;
+  int64_t version;
+  int64_t age_ms;
+  std::string base;
+  std::string digest;
+  int64_t offset;
+  int64_t total;
+  std::string text;
+  std::string peer;
+
+  _HostListPart__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_base(const std::string& val);
+
+  void __set_digest(const std::string& val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_total(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  void __set_peer(const std::string& val);
+
+  bool operator == (const HostListPart & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(total == rhs.total))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    if (!(peer == rhs.peer))
+      return false;
+    return true;
+  }
+  bool operator != (const HostListPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostListPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostListPart &a, HostListPart &b);
+
+std::ostream& operator<<(std::ostream& out, const HostListPart& obj);
+
 typedef struct _Frame__isset {
-  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false) {}
+  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), host_list_ask(false), host_list_part(false) {}
   bool version :1;
   bool hello :1;
   bool proof :1;
@@ -471,6 +631,8 @@
   bool config_notice :1;
   bool config_request :1;
   bool config_part :1;
+  bool host_list_ask :1;
+  bool host_list_part :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -490,6 +652,8 @@
   ConfigNotice config_notice;
   ConfigRequest config_request;
   ConfigPart config_part;
+  HostListAsk host_list_ask;
+  HostListPart host_list_part;
 
   _Frame__isset __isset;
 
@@ -507,6 +671,10 @@
 
   void __set_config_part(const ConfigPart& val);
 
+  void __set_host_list_ask(const HostListAsk& val);
+
+  void __set_host_list_part(const HostListPart& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -535,6 +703,14 @@
       return false;
     else if (__isset.config_part && !(config_part == rhs.config_part))
       return false;
+    if (__isset.host_list_ask != rhs.__isset.host_list_ask)
+      return false;
+    else if (__isset.host_list_ask && !(host_list_ask == rhs.host_list_ask))
+      return false;
+    if (__isset.host_list_part != rhs.__isset.host_list_part)
+      return false;
+    else if (__isset.host_list_part && !(host_list_part == rhs.host_list_part))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -53,6 +53,30 @@
   4: string peer
 }
 
+// Asks for the host list unless it has `digest`. `offset` continues the text
+// with digest `part_of`.
+struct HostListAsk {
+  1: string digest
+  2: string part_of
+  3: i64 offset
+  4: string peer
+}
+
+// With `base`: the changes that lead from the list of that digest to the one of
+// `digest`. Without: the piece at `offset` of a text of `total` bytes, or, with
+// an empty text, that the list of the asking host is the same. An empty digest
+// says that the sender has no list.
+struct HostListPart {
+  1: i64 version
+  2: i64 age_ms
+  3: string base
+  4: string digest
+  5: i64 offset
+  6: i64 total
+  7: string text
+  8: string peer
+}
+
 // One frame carries one of these.
 struct Frame {
   1: i32 version
@@ -62,4 +86,6 @@
   5: optional ConfigNotice config_notice
   6: optional ConfigRequest config_request
   7: optional ConfigPart config_part
+  12: optional HostListAsk host_list_ask
+  13: optional HostListPart host_list_part
 }
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -93,6 +93,26 @@
     result.peer = part.peer;
     frame_->__set_config_part(result);
   }
+  void operator()(const HostListAsk& ask) const {
+    wire::HostListAsk result;
+    result.digest = ask.digest;
+    result.part_of = ask.part_of;
+    result.offset = static_cast<std::int64_t>(ask.offset);
+    result.peer = ask.peer;
+    frame_->__set_host_list_ask(result);
+  }
+  void operator()(const HostListPart& part) const {
+    wire::HostListPart result;
+    result.version = static_cast<std::int64_t>(part.version);
+    result.age_ms = part.age.count();
+    result.base = part.base;
+    result.digest = part.digest;
+    result.offset = static_cast<std::int64_t>(part.offset);
+    result.total = static_cast<std::int64_t>(part.total);
+    result.text = part.text;
+    result.peer = part.peer;
+    frame_->__set_host_list_part(result);
+  }
 
  private:
   wire::Frame* frame_;
@@ -116,6 +136,28 @@
   return message;
 }
 
+std::optional<PeerFrame> HostListAskOf(const wire::HostListAsk& wire) {
+  if (wire.offset < 0)
+    return std::nullopt;
+  return HostListAsk{wire.digest, wire.part_of,
+                     static_cast<std::uint64_t>(wire.offset), wire.peer};
+}
+
+std::optional<PeerFrame> HostListPartOf(const wire::HostListPart& wire) {
+  if (wire.version < 0 || wire.age_ms < 0 || wire.offset < 0 || wire.total < 0)
+    return std::nullopt;
+  HostListPart part;
+  part.version = static_cast<std::uint64_t>(wire.version);
+  part.age = std::chrono::milliseconds(wire.age_ms);
+  part.base = wire.base;
+  part.digest = wire.digest;
+  part.offset = static_cast<std::uint64_t>(wire.offset);
+  part.total = static_cast<std::uint64_t>(wire.total);
+  part.text = wire.text;
+  part.peer = wire.peer;
+  return part;
+}
+
 std::optional<PeerFrame> ContentOf(const wire::Frame& wire) {
   if (wire.__isset.hello)
     return PeerHello{wire.hello.version, wire.hello.challenge};
@@ -136,6 +178,10 @@
     const wire::ConfigPart& it = wire.config_part;
     return ConfigPart{it.digest, it.found, it.text, it.peer};
   }
+  if (wire.__isset.host_list_ask)
+    return HostListAskOf(wire.host_list_ask);
+  if (wire.__isset.host_list_part)
+    return HostListPartOf(wire.host_list_part);
   return std::nullopt;
 }
 
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -3,6 +3,7 @@
 #ifndef SRC_LIBS_PEER_PEER_FRAME_H_
 #define SRC_LIBS_PEER_PEER_FRAME_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -43,12 +44,38 @@
   std::string peer;
 };
 
+// Asks `peer`'s list unless it has `digest`; `offset` continues the text whose
+// digest is `part_of`.
+struct HostListAsk {
+  std::string digest;
+  std::string part_of;
+  std::uint64_t offset = 0;
+  std::string peer;
+};
+
+// With `base`: changes from the list of that digest to the one of `digest`.
+// Without: a piece of the list's text, or no text if the asker has the same. An
+// empty digest: the sender has no list. `age` is the time since the sender had
+// the platform's word on it.
+struct HostListPart {
+  std::uint64_t version = 0;
+  std::chrono::milliseconds age{0};
+  std::string base;
+  std::string digest;
+  std::uint64_t offset = 0;
+  std::uint64_t total = 0;
+  std::string text;
+  std::string peer;
+};
+
 using PeerFrame = std::variant<PeerHello,
                                PeerProof,
                                MembershipMessage,
                                ConfigNotice,
                                ConfigRequest,
-                               ConfigPart>;
+                               ConfigPart,
+                               HostListAsk,
+                               HostListPart>;
 
 }  // namespace turmericwinch
 
--- a/src/libs/routing/host_list.cc
+++ b/src/libs/routing/host_list.cc
@@ -20,18 +20,22 @@
     const json::object* entry = it.if_object();
     if (!entry)
       continue;
-    const auto text = [&](std::string_view field) {
-      return StringField(*entry, field).value_or("");
-    };
-    members.push_back({text("name"), text("failure_domain"), text("address"),
-                       text("incarnation"), text("class"),
-                       text("state") == "leaving"});
+    members.push_back(ListedMemberOf(*entry));
   }
   return members;
 }
 
 }  // namespace
 
+ListedMember ListedMemberOf(const json::object& row) {
+  const auto text = [&](std::string_view field) {
+    return StringField(row, field).value_or("");
+  };
+  return {text("name"),    text("failure_domain"),
+          text("address"), text("incarnation"),
+          text("class"),   text("state") == "leaving"};
+}
+
 std::optional<HostList> HostListOf(std::string_view text, Reason* reason) {
   std::optional<json::value> value = ParseJson(text);
   const json::object* top = value ? value->if_object() : nullptr;
--- a/src/libs/routing/host_list.h
+++ b/src/libs/routing/host_list.h
@@ -3,6 +3,7 @@
 #ifndef SRC_LIBS_ROUTING_HOST_LIST_H_
 #define SRC_LIBS_ROUTING_HOST_LIST_H_
 
+#include <boost/json/object.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
   // Of a target only.
   std::string target_class;
   bool leaving = false;
+
+  bool operator==(const ListedMember&) const = default;
 };
 
 struct HostList {
@@ -29,6 +32,9 @@
   std::vector<ListedMember> targets;
 };
 
+// Reads one row; fields that it lacks are empty.
+ListedMember ListedMemberOf(const boost::json::object& row);
+
 // Reads the list from JSON text.
 std::optional<HostList> HostListOf(std::string_view text, Reason* reason);
 
--- a/src/libs/standin/platform_stand_in.cc
+++ b/src/libs/standin/platform_stand_in.cc
@@ -49,7 +49,10 @@
 std::string KindOf(const HttpRequest& request) {
   std::string_view path = PathOf(request.target);
   if (path == "/hosts")
-    return "hosts";
+    return QueryParameter(request.target, "watch") == "1" &&
+                   QueryParameter(request.target, "after") != "0"
+               ? "host_watch"
+               : "hosts";
   if (request.method == "POST")
     return "create";
   if (request.method == "PUT")
@@ -93,6 +96,7 @@
   asio::awaitable<HttpResponse> Answer(const HttpRequest& request);
   asio::awaitable<HttpResponse> Watch(std::string name,
                                       const HttpRequest& request);
+  asio::awaitable<HttpResponse> WatchHosts(const HttpRequest& request);
   HttpResponse Read(const HttpRequest& request, const std::string& name);
   HttpResponse ListObjects(const HttpRequest& request);
   HttpResponse Create(const HttpRequest& request);
@@ -156,8 +160,12 @@
   std::string_view path = PathOf(request.target);
   if (path == "/hosts") {
     const auto now = std::chrono::steady_clock::now();
-    if (request.method == "PUT")
+    if (request.method == "PUT") {
       hosts.Set(request.body, now);
+      WakeWatches();
+    }
+    if (QueryParameter(request.target, "watch") == "1")
+      co_return co_await WatchHosts(request);
     const std::chrono::milliseconds lag(faults.lag_hosts_ms);
     co_return JsonResponse(200, hosts.At(now - lag));
   }
@@ -257,6 +265,36 @@
   co_return response;
 }
 
+asio::awaitable<HttpResponse> PlatformStandIn::Private::WatchHosts(
+    const HttpRequest& request) {
+  const std::uint64_t after = NumberOf(QueryParameter(request.target, "after"));
+  const std::chrono::milliseconds wait(
+      NumberOf(QueryParameter(request.target, "wait_ms")));
+  const auto deadline = std::chrono::steady_clock::now() + wait;
+  asio::steady_timer timer(context);
+  for (;;) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds lag(faults.lag_hosts_ms);
+    if (after == 0)
+      co_return JsonResponse(200, hosts.WholeAt(now - lag));
+    if (hosts.VersionAt(now - lag) != after) {
+      std::optional<std::string> changes = hosts.ChangesAt(now - lag, after);
+      co_return changes ? JsonResponse(200, *changes)
+                        : ErrorResponse(410, "the version is too old");
+    }
+    if (now >= deadline)
+      break;
+    const auto next = hosts.NextAfter(now - lag);
+    timer.expires_at(next ? std::min(deadline, *next + lag) : deadline);
+    watches.insert(&timer);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    watches.erase(&timer);
+  }
+  HttpResponse response;
+  response.status = 204;
+  co_return response;
+}
+
 void PlatformStandIn::Private::WakeWatches() {
   for (asio::steady_timer* it : watches)
     it->cancel();
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -24,6 +24,19 @@
   return message;
 }
 
+HostListPart SampleHostListPart() {
+  HostListPart part;
+  part.version = 9;
+  part.age = std::chrono::milliseconds(17);
+  part.base = "d6";
+  part.digest = "d7";
+  part.offset = 65'536;
+  part.total = 70'000;
+  part.text = "[]";
+  part.peer = "10.0.0.5:1";
+  return part;
+}
+
 std::string Payload(const PeerFrame& frame) {
   return EncodeFrame(frame).substr(kPeerLengthBytes);
 }
@@ -50,7 +63,8 @@
 TEST(PeerCodec, ConfigFramesSurvive) {
   const PeerFrame frames[] = {
       ConfigNotice{3, "d1", "10.0.0.1:1"}, ConfigRequest{"d2", "10.0.0.2:1"},
-      ConfigPart{"d3", true, std::string(40'000, 'x'), "10.0.0.3:1"}};
+      ConfigPart{"d3", true, std::string(40'000, 'x'), "10.0.0.3:1"},
+      HostListAsk{"d4", "d5", 65'536, "10.0.0.4:1"}, SampleHostListPart()};
   for (const PeerFrame& it : frames) {
     auto read = DecodePayload(Payload(it), &reason);
     CHECK(read.has_value());
@@ -60,6 +74,24 @@
   LONGS_EQUAL(40'000, std::get<ConfigPart>(*part).text.size());
 }
 
+TEST(PeerCodec, HostListFramesSurviveWhole) {
+  auto frame = DecodePayload(Payload(SampleHostListPart()), &reason);
+  const auto& part = std::get<HostListPart>(*frame);
+  LONGS_EQUAL(9, part.version);
+  LONGS_EQUAL(17, part.age.count());
+  STRCMP_EQUAL("d6 d7 [] 10.0.0.5:1", (part.base + " " + part.digest + " " +
+                                       part.text + " " + part.peer)
+                                          .c_str());
+  LONGS_EQUAL(65'536, part.offset);
+  LONGS_EQUAL(70'000, part.total);
+  frame =
+      DecodePayload(Payload(HostListAsk{"d4", "d5", 3, "10.0.0.4:1"}), &reason);
+  const auto& ask = std::get<HostListAsk>(*frame);
+  STRCMP_EQUAL("d4 d5 10.0.0.4:1",
+               (ask.digest + " " + ask.part_of + " " + ask.peer).c_str());
+  LONGS_EQUAL(3, ask.offset);
+}
+
 TEST(PeerCodec, EveryTruncationIsAnError) {
   const std::string payload = Payload(SampleFrame());
   for (std::size_t n = 0; n < payload.size(); ++n) {
--- /dev/null
+++ b/tests/routing/host_list_change_test.cc
@@ -0,0 +1,73 @@
+#include "libs/routing/host_list_change.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 31;
+constexpr int kRounds = 200;
+
+ListedMember Row(int n, std::uint64_t incarnation) {
+  return {"name-" + std::to_string(n), "dk-east-a", "10.0.0.1:1",
+          std::to_string(incarnation), "",          false};
+}
+
+// A random list of up to 20 hosts and 20 targets.
+HostList RandomList(std::mt19937_64& random) {
+  HostList list;
+  for (int n = 0; n < 20; ++n) {
+    if (random() % 2 == 0)
+      list.hosts.push_back(Row(n, random() % 2));
+    if (random() % 2 == 0)
+      list.targets.push_back(Row(n, random() % 2));
+    if (random() % 4 == 0 && !list.targets.empty())
+      list.targets.back().leaving = true;
+  }
+  Sort(&list);
+  return list;
+}
+
+}  // namespace
+
+TEST_GROUP(HostListChange) {
+  Reason reason;
+};
+
+TEST(HostListChange, DifferencesLeadFromAnyListToAnyOther) {
+  std::mt19937_64 random(kSeed);
+  for (int n = 0; n < kRounds; ++n) {
+    HostList from = RandomList(random);
+    const HostList to = RandomList(random);
+    auto changes = HostListChangesOf(ToJson(DiffOf(from, to)), &reason);
+    CHECK(changes.has_value());
+    Apply(*changes, &from);
+    STRCMP_EQUAL(ToJson(to).c_str(), ToJson(from).c_str());
+    LONGS_EQUAL(0, DiffOf(from, to).size());
+    auto read = HostListOf(ToJson(to), &reason);
+    STRCMP_EQUAL(ToJson(to).c_str(), ToJson(*read).c_str());
+  }
+}
+
+TEST(HostListChange, OfRowsWithOneNameTheLastStays) {
+  HostList list;
+  list.hosts = {Row(2, 1), Row(1, 5), Row(2, 7), Row(1, 6)};
+  Sort(&list);
+  LONGS_EQUAL(2, list.hosts.size());
+  STRCMP_EQUAL("6", list.hosts[0].incarnation.c_str());
+  STRCMP_EQUAL("7", list.hosts[1].incarnation.c_str());
+}
+
+TEST(HostListChange, BadChangesAreRefused) {
+  for (const char* it :
+       {"", "{}", "{\"changes\":1}", "[1]", "[{\"name\":\"a\"}]",
+        "[{\"kind\":\"host\"}]", "[{\"kind\":\"rack\",\"name\":\"a\"}]"}) {
+    CHECK_FALSE_TEXT(HostListChangesOf(it, &reason).has_value(), it);
+    CHECK_TEXT(reason.code == ResultCode::kPlatformRejected, it);
+  }
+}
+
+}  // namespace turmericwinch
--- a/tests/standin/platform_contract_test.cc
+++ b/tests/standin/platform_contract_test.cc
@@ -266,6 +266,77 @@
   CHECK_TRUE(Read(platform, platform.client) == ResultCode::kOk);
 }
 
+TEST(PlatformContract, CallsWaitForTheHostsShare) {
+  struct Case {
+    PlatformRates fleet;
+    std::size_t hosts;
+    int calls;
+    int most_ok;
+    int least_ok;
+  };
+  const Case cases[] = {
+      // All get their turn, one after the other.
+      {{1'000, 1'000}, 1, 50, 50, 50},
+      // One call is saved up at the start; some find no room to wait.
+      {{1, 1}, 1'000, 80, 1, 1},
+  };
+  Create("object", "1");
+  for (const Case& it : cases) {
+    HttpPlatformClient client(platform.context, platform.endpoint);
+    client.Limit(it.fleet, it.hosts);
+    int ok = 0;
+    int limited = 0;
+    int ended = 0;
+    const auto read = [&]() -> asio::awaitable<void> {
+      Reason why;
+      const bool found =
+          (co_await client.Get(kDuty, "object", &why)).has_value();
+      ok += found ? 1 : 0;
+      limited += !found && why.code == ResultCode::kPlatformLimited ? 1 : 0;
+      ++ended;
+    };
+    for (int n = 0; n < it.calls; ++n)
+      asio::co_spawn(platform.context, read(), asio::detached);
+    platform.context.restart();
+    while (ended < it.calls)
+      platform.context.run_one();
+    CHECK_TRUE(ok >= it.least_ok && ok <= it.most_ok);
+    LONGS_EQUAL(it.calls, ok + limited);
+    // What was refused was not sent.
+    LONGS_EQUAL(ok, client.counter().Count(kDuty, PlatformCallKind::kRead));
+    const PlatformDutyFigures figures = client.limiter()->Figures(kDuty);
+    LONGS_EQUAL(limited, figures.over_limit);
+    CHECK_TRUE(figures.waited > 0);
+    LONGS_EQUAL(0, figures.waiting);
+  }
+}
+
+TEST(PlatformContract, HostListChangesSinceAVersion) {
+  const auto since = [&](std::uint64_t version, int wait_ms) {
+    auto hosts = RunCoroutine(
+        platform.context,
+        platform.client.HostsSince(version, milliseconds(wait_ms), &reason));
+    CHECK_TRUE(hosts.has_value());
+    return *hosts;
+  };
+  platform.SetHosts("{\"hosts\":[{\"name\":\"host-1\"}]}");
+  const PlatformHosts whole = since(0, 0);
+  CHECK_TRUE(whole.is_whole && whole.version > 0);
+  CHECK_TRUE(whole.text.find("host-1") != std::string::npos);
+  const PlatformHosts unchanged = since(whole.version, 1);
+  CHECK_TRUE(!unchanged.is_whole && unchanged.text.empty());
+  LONGS_EQUAL(whole.version, unchanged.version);
+
+  platform.SetHosts(
+      "{\"hosts\":[{\"name\":\"host-1\"},{\"name\":\"host-2\"}]}");
+  const PlatformHosts changes = since(whole.version, 10'000);
+  CHECK_TRUE(!changes.is_whole && changes.version > whole.version);
+  CHECK_TRUE(changes.text.find("host-2") != std::string::npos);
+  CHECK_TRUE(changes.text.find("host-1") == std::string::npos);
+  // A version that this platform never had, as after a restore.
+  CHECK_TRUE(since(whole.version + 100, 10'000).is_whole);
+}
+
 TEST(PlatformContract, HostListLags) {
   constexpr char kNewList[] = "{\"hosts\":[{\"name\":\"host-1\"}]}";
   platform.SetFaults("{\"lag_hosts_ms\":60000}");
