--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -24,16 +24,28 @@
 "$bin/winch" apply samples/skuffekort | tail -n 1
 callers=()
 hosts=()
+peers=()
+export TURMERICWINCH_FLEET_KEY=key
 for n in 1 2; do
   start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
     --failure-domain=dk-east-a --listen=127.0.0.1:0 \
-    --operator-listen=127.0.0.1:0 --flush-interval=50
+    --operator-listen=127.0.0.1:0 --peer-listen=127.0.0.1:0 \
+    ${peers[0]:+--peers="${peers[0]}"} --flush-interval=50
   hosts+=("$TW_PID")
   callers+=("$(daemon_address "host-$n" callers)")
+  peers+=("$(daemon_address "host-$n" peers)")
   wait_for "host-$n to be ready" \
     curl -sf "http://$(daemon_address "host-$n" operators)/readyz"
 done
 
+# The hosts know each other as members, and one list and one generation.
+dump() { curl -sf "http://$(daemon_address "$1" operators)/dump" -H 'Authorization: Bearer token'; }
+sees() { dump "$1" | grep -qE '"name":"'"$2"'"[^}]*"state":"'"$3"'"'; }
+wait_for "host-1 to see host-2" sees host-1 host-2 alive
+wait_for "host-2 to see host-1" sees host-2 host-1 alive
+has_list() { dump "$1" | grep -q '"host_list":{"hosts":2,"targets":2,'; }
+wait_for "host-2 to have the list" has_list host-2
+
 auth="Authorization: Bearer demo-archive-key"
 for it in "${callers[@]}"; do
   curl -sf "http://$it/v1/chat/completions" -H "$auth" -H 'X-Request-Id: chat-1' -d '{
