--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,6 +12,7 @@
 scripts/smoke.sh build-asan
 scripts/system_test.sh build-asan
 scripts/routing_check.sh build-asan
+scripts/lending_check.sh build-asan
 scripts/build.sh tsan daemons threaded_tests
 export TSAN_OPTIONS=halt_on_error=1
 ctest --test-dir build-tsan -L threaded --output-on-failure --no-tests=ignore
--- a/src/libs/budget/borrower.cc
+++ b/src/libs/budget/borrower.cc
@@ -173,6 +173,15 @@
   return expired;
 }
 
+bool Borrower::HasOpenWishes() const {
+  return !d_->wishes.empty();
+}
+
+std::string Borrower::AddressOf(const std::string& lender) const {
+  auto it = d_->address_of.find(lender);
+  return it == d_->address_of.end() ? "" : it->second;
+}
+
 std::string Borrower::HolderAt(const std::string& address) const {
   auto it = d_->holder_at.find(address);
   return it == d_->holder_at.end() ? "" : it->second;
--- a/src/libs/budget/borrower.h
+++ b/src/libs/budget/borrower.h
@@ -49,6 +49,10 @@
   LoanResult Take(const LoanAnswer& answer, HostLedger& ledger);
   // Wishes that got no answer in time; their lenders are silent from now.
   GrantWishes TakeExpired(MonotonicTime now);
+  // Whether an ask waits for its answer.
+  bool HasOpenWishes() const;
+  // Where the lender was last heard from; empty if never.
+  std::string AddressOf(const std::string& lender) const;
   // Holder name last heard from `address`, if any.
   std::string HolderAt(const std::string& address) const;
 
--- a/src/libs/budget/host_ledger.cc
+++ b/src/libs/budget/host_ledger.cc
@@ -109,17 +109,11 @@
 }
 
 void HostLedger::AddWish(const std::string& name, std::int64_t tokens) {
-  AddWishes(name, tokens, tokens);
-}
-
-void HostLedger::AddWishes(const std::string& name,
-                           std::int64_t needed,
-                           std::int64_t smallest) {
   LedgerBudget& budget = d_->budgets[name];
   const bool first = d_->wishes.insert(name).second;
   budget.smallest_wish =
-      first ? smallest : std::min(budget.smallest_wish, smallest);
-  budget.wished = AddSaturated(budget.wished, needed);
+      first ? tokens : std::min(budget.smallest_wish, tokens);
+  budget.wished = AddSaturated(budget.wished, tokens);
 }
 
 std::vector<GrantWish> HostLedger::TakeWishes() {
--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -95,11 +95,6 @@
 
   // Notes that a request waits for `tokens` of `budget`.
   void AddWish(const std::string& budget, std::int64_t tokens);
-  // Notes that requests of a borrower wait, for `needed` tokens in all and
-  // `smallest` at least.
-  void AddWishes(const std::string& budget,
-                 std::int64_t needed,
-                 std::int64_t smallest);
   // Wishes for budgets of `bucket` whose stock for borrowers runs low.
   std::vector<GrantWish> StockWishes(std::uint64_t bucket, MonotonicTime now);
   // Wishes since the last call, by budget.
--- a/src/libs/budget/lender.cc
+++ b/src/libs/budget/lender.cc
@@ -1,6 +1,7 @@
 #include "libs/budget/lender.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "libs/budget/budget_account.h"
@@ -98,7 +99,7 @@
                                   const LoanWish& wish,
                                   HostLedger& ledger,
                                   MonotonicTime now) {
-  if (ended.contains(borrower))
+  if (ended.contains(borrower) || ledger.fenced())
     return LoanOutcome::kRefused;
   Loan& loan = loans[wish.budget][borrower];
   if (wish.needed <= 0 || loan.lent > loan.totals.received ||
@@ -130,7 +131,6 @@
     return;
   it->second = {address, wish, now};
   ledger.AddLoanDemand(wish.budget, wish.needed, now);
-  ledger.AddWishes(wish.budget, wish.needed, wish.smallest);
 }
 
 LoanGrant Lender::Private::GrantOf(const std::string& borrower,
@@ -197,26 +197,58 @@
   return answers;
 }
 
-std::vector<OutgoingAnswer> Lender::Deny(const std::string& budget,
-                                         LoanOutcome outcome,
-                                         const HostLedger& ledger) {
+std::vector<OutgoingAnswer> Lender::DenyShort(const std::string& budget,
+                                              const HostLedger& ledger) {
   std::vector<OutgoingAnswer> answers;
-  auto asks = d_->kept.find(budget);
-  if (asks == d_->kept.end())
-    return answers;
   const std::int64_t available = ledger.Available(budget);
-  std::erase_if(asks->second, [&](const auto& it) {
+  std::erase_if(d_->kept[budget], [&](const auto& it) {
     const auto& [borrower, ask] = it;
     if (ask.wish.smallest <= available)
       return false;
-    answers.push_back(d_->AnswerTo(borrower, ask.address, budget, outcome));
+    answers.push_back(
+        d_->AnswerTo(borrower, ask.address, budget, LoanOutcome::kShort));
     return true;
   });
-  if (asks->second.empty())
-    d_->kept.erase(asks);
+  if (d_->kept[budget].empty())
+    d_->kept.erase(budget);
   return answers;
 }
 
+std::vector<OutgoingAnswer> Lender::DenyUnreachable(std::uint64_t bucket) {
+  std::vector<OutgoingAnswer> answers;
+  std::erase_if(d_->kept, [&](const auto& row) {
+    if (BucketOf(row.first) != bucket)
+      return false;
+    for (const auto& [borrower, ask] : row.second) {
+      answers.push_back(d_->AnswerTo(borrower, ask.address, row.first,
+                                     LoanOutcome::kUnreachable));
+    }
+    return true;
+  });
+  return answers;
+}
+
+std::vector<GrantWish> Lender::Wishes(HostLedger& ledger,
+                                      MonotonicTime now) const {
+  std::vector<GrantWish> wishes;
+  for (const auto& [budget, asks] : d_->kept) {
+    const std::int64_t available =
+        std::max<std::int64_t>(ledger.Available(budget), 0);
+    std::int64_t needed = 0;
+    std::int64_t smallest = std::numeric_limits<std::int64_t>::max();
+    for (const auto& [borrower, ask] : asks) {
+      needed = AddSaturated(needed, ask.wish.needed);
+      smallest = std::min(smallest, ask.wish.smallest);
+    }
+    if (needed <= available)
+      continue;
+    wishes.push_back({budget, needed - available,
+                      std::max<std::int64_t>(smallest - available, 1), 0,
+                      ledger.LentRate(budget, now)});
+  }
+  return wishes;
+}
+
 std::vector<OutgoingAnswer> Lender::Unheard() const {
   std::map<std::string, LoanAnswer> answers;
   for (const auto& [budget, rows] : d_->loans) {
--- a/src/libs/budget/lender.h
+++ b/src/libs/budget/lender.h
@@ -40,8 +40,7 @@
   explicit Lender(LenderParts parts);
   ~Lender();
 
-  // Takes an ask. Those of its wishes that cannot be met now are kept and added
-  // to the ledger's wishes.
+  // Takes an ask. Those of its wishes that cannot be met now are kept.
   OutgoingAnswer Take(const LoanAsk& ask,
                       HostLedger& ledger,
                       MonotonicTime now);
@@ -50,11 +49,14 @@
   // Tells borrowers again what they were lent and have not said to have
   // received.
   std::vector<OutgoingAnswer> Unheard() const;
-  // Answers kept asks for `budget` whose smallest request is above what the
-  // ledger has.
-  std::vector<OutgoingAnswer> Deny(const std::string& budget,
-                                   LoanOutcome outcome,
-                                   const HostLedger& ledger);
+  // Refuses kept asks for `budget` whose smallest request is above what the
+  // ledger has: too few tokens are left.
+  std::vector<OutgoingAnswer> DenyShort(const std::string& budget,
+                                        const HostLedger& ledger);
+  // Refuses all kept asks of `bucket`: the platform does not answer.
+  std::vector<OutgoingAnswer> DenyUnreachable(std::uint64_t bucket);
+  // What the kept asks need beyond what the ledger has.
+  std::vector<GrantWish> Wishes(HostLedger& ledger, MonotonicTime now) const;
 
   // Buckets whose list of borrowers lacks one that asked.
   std::set<std::uint64_t> BucketsToList() const;
--- a/src/libs/node/budget_keeper.cc
+++ b/src/libs/node/budget_keeper.cc
@@ -12,6 +12,8 @@
 #include "libs/budget/bill_flush.h"
 #include "libs/budget/bucket_sync.h"
 #include "libs/budget/budget_account.h"
+#include "libs/node/loan_keeper.h"
+#include "libs/node/node_constants.h"
 #include "libs/platform/platform_caller.h"
 
 namespace turmericwinch {
@@ -20,15 +22,25 @@
 
 namespace asio = boost::asio;
 
+using Clock = std::chrono::steady_clock;
+
 constexpr LogCategory kLog{"node"};
 
+// kDraw is for wishes alone, kFlush writes counters and fills stocks, kClose
+// ends the holder in the bucket.
+enum class TurnKind { kDraw, kFlush, kClose };
+
 }  // namespace
 
 class BudgetKeeper::Private
     : public std::enable_shared_from_this<BudgetKeeper::Private> {
  public:
+  void Build();
   void Draw();
-  asio::awaitable<bool> SyncBucket(std::uint64_t bucket, bool closing);
+  void DrawDirectly(const std::vector<GrantWish>& taken);
+  void StartTurn(std::uint64_t bucket);
+  GrantWishes TakeWishes(std::uint64_t bucket, TurnKind kind);
+  asio::awaitable<bool> SyncBucket(std::uint64_t bucket, TurnKind kind);
   asio::awaitable<void> RunTurn(BucketSync& sync);
   asio::awaitable<bool> FlushBills();
   asio::awaitable<bool> FlushOnce();
@@ -37,12 +49,19 @@
   BucketSync& SyncOf(std::uint64_t bucket);
   std::optional<BudgetSetting> SettingOf(const std::string& budget) const;
 
+  std::chrono::milliseconds FlushInterval() const;
+
   BudgetKeeperParts parts;
+  std::unique_ptr<LoanKeeper> loans;
   std::string holder;
   std::map<std::uint64_t, BucketSync> buckets;
   std::map<std::uint64_t, GrantWishes> wishes;
   std::set<std::uint64_t> busy;
   std::atomic<bool> draw_requested{false};
+  // Since when a shutdown waits for loans, and its last report.
+  std::optional<Clock::time_point> ending_since;
+  Clock::time_point last_report;
+  bool ended = false;
 };
 
 BudgetKeeper::BudgetKeeper(BudgetKeeperParts parts)
@@ -50,6 +69,24 @@
   d_->parts = std::move(parts);
   d_->parts.ledger->With(
       [this](HostLedger& ledger) { d_->holder = ledger.holder(); });
+  d_->Build();
+}
+
+void BudgetKeeper::Private::Build() {
+  LoanKeeperParts loan;
+  loan.control = parts.control;
+  loan.platform = parts.platform;
+  loan.ledger = parts.ledger;
+  loan.fleet = parts.fleet;
+  loan.holder = holder;
+  loan.failure_domain = parts.failure_domain;
+  loan.hosts_in_domain = parts.hosts_in_domain;
+  loan.reserve_percent_of = [this](const std::string& name) {
+    return SettingOf(name).value_or(BudgetSetting()).reserve_percent;
+  };
+  loan.draw = [this](const std::vector<GrantWish>& it) { DrawDirectly(it); };
+  loan.draw_for_borrowers = [this](std::uint64_t it) { StartTurn(it); };
+  loans = std::make_unique<LoanKeeper>(std::move(loan));
 }
 
 BudgetKeeper::~BudgetKeeper() = default;
@@ -60,13 +97,24 @@
   asio::post(*d_->parts.control, [d = d_] { d->Draw(); });
 }
 
+bool BudgetKeeper::Receive(const PeerFrame& frame) {
+  return d_->loans->Receive(frame);
+}
+
+boost::json::object BudgetKeeper::DumpLoans() const {
+  return d_->loans->Dump();
+}
+
 void BudgetKeeper::Private::Draw() {
-  auto self = shared_from_this();
   draw_requested = false;
   std::vector<GrantWish> taken;
   parts.ledger->With([&](HostLedger& ledger) { taken = ledger.TakeWishes(); });
+  DrawDirectly(loans->Ask(std::move(taken)));
+}
+
+void BudgetKeeper::Private::DrawDirectly(const std::vector<GrantWish>& taken) {
   std::set<std::uint64_t> touched;
-  for (GrantWish& it : taken) {
+  for (const GrantWish& it : taken) {
     const std::uint64_t bucket = BucketOf(it.budget);
     touched.insert(bucket);
     auto [wish, added] = wishes[bucket].emplace(it.budget, it);
@@ -76,16 +124,20 @@
     wish->second.smallest = std::min(wish->second.smallest, it.smallest);
     wish->second.rate = it.rate;
   }
-  for (std::uint64_t it : touched) {
-    if (busy.contains(it))
-      continue;
-    asio::co_spawn(
-        *parts.control,
-        [self, it]() -> asio::awaitable<void> {
-          co_await self->SyncBucket(it, false);
-        },
-        asio::detached);
-  }
+  for (std::uint64_t it : touched)
+    StartTurn(it);
+}
+
+void BudgetKeeper::Private::StartTurn(std::uint64_t bucket) {
+  if (busy.contains(bucket))
+    return;
+  auto self = shared_from_this();
+  asio::co_spawn(
+      *parts.control,
+      [self, bucket]() -> asio::awaitable<void> {
+        co_await self->SyncBucket(bucket, TurnKind::kDraw);
+      },
+      asio::detached);
 }
 
 std::optional<BudgetSetting> BudgetKeeper::Private::SettingOf(
@@ -110,23 +162,44 @@
   sync.holder = holder;
   sync.setting_of = [this](const std::string& name) { return SettingOf(name); };
   sync.hosts_in_domain = parts.hosts_in_domain;
+  sync.lender = loans->lender();
   return buckets.try_emplace(bucket, std::move(sync)).first->second;
 }
 
+GrantWishes BudgetKeeper::Private::TakeWishes(std::uint64_t bucket,
+                                              TurnKind kind) {
+  GrantWishes current = std::move(wishes[bucket]);
+  wishes.erase(bucket);
+  loans->AddWishes(bucket, current);
+  if (kind == TurnKind::kFlush && loans->enabled()) {
+    parts.ledger->With([&](HostLedger& ledger) {
+      for (GrantWish& it : ledger.StockWishes(bucket, Clock::now()))
+        current.emplace(it.budget, it);
+    });
+  }
+  return current;
+}
+
 // Turns until no wish is left for the bucket. Wishes that come while it is
 // busy are taken up by its next turn.
 asio::awaitable<bool> BudgetKeeper::Private::SyncBucket(std::uint64_t bucket,
-                                                        bool closing) {
+                                                        TurnKind kind) {
   if (!busy.insert(bucket).second)
     co_return false;
   BucketSync& sync = SyncOf(bucket);
-  do {
-    GrantWishes current = std::move(wishes[bucket]);
-    wishes.erase(bucket);
-    sync.Begin(current, closing);
+  bool more = true;
+  while (more) {
+    GrantWishes current = TakeWishes(bucket, kind);
+    const bool refresh = kind == TurnKind::kFlush && loans->enabled();
+    sync.Begin(current, kind == TurnKind::kClose, refresh);
     co_await RunTurn(sync);
     Publish(current, sync.result());
-  } while (wishes.contains(bucket));
+    loans->TurnOver(bucket, sync.result());
+    GrantWishes left;
+    more = loans->AddWishes(bucket, left) || wishes.contains(bucket);
+    if (kind == TurnKind::kFlush)
+      kind = TurnKind::kDraw;
+  }
   busy.erase(bucket);
   co_return sync.result().reason.code == ResultCode::kOk;
 }
@@ -209,8 +282,9 @@
     if (sync.NeedsTurn())
       dirty.insert(bucket);
   }
+  loans->Report();
   for (std::uint64_t it : dirty)
-    done = co_await SyncBucket(it, false) && done;
+    done = co_await SyncBucket(it, TurnKind::kFlush) && done;
   co_return done;
 }
 
@@ -229,7 +303,7 @@
   }
   bool done = true;
   for (std::uint64_t it : held) {
-    done = co_await SyncBucket(it, true) && done;
+    done = co_await SyncBucket(it, TurnKind::kClose) && done;
     done = done && !SyncOf(it).NeedsTurn();
   }
   parts.ledger->With(
@@ -237,27 +311,55 @@
   co_return done;
 }
 
+std::chrono::milliseconds BudgetKeeper::Private::FlushInterval() const {
+  if (!loans->enabled())
+    return parts.flush_interval;
+  return std::max(parts.flush_interval,
+                  parts.hosts_in_domain() * kFlushIntervalPerHost);
+}
+
 asio::awaitable<void> BudgetKeeper::Run() {
   auto d = d_;
+  asio::co_spawn(*d->parts.control, d->loans->Run(), asio::detached);
   asio::steady_timer timer(*d->parts.control);
   for (;;) {
-    timer.expires_after(d->parts.flush_interval);
+    timer.expires_after(d->FlushInterval());
     co_await timer.async_wait(asio::use_awaitable);
-    d->parts.ledger->With([](HostLedger& ledger) {
-      ledger.GiveBackIdle(std::chrono::steady_clock::now(), false);
-    });
+    d->parts.ledger->With(
+        [](HostLedger& ledger) { ledger.GiveBackIdle(Clock::now(), false); });
     co_await d->FlushOnce();
   }
 }
 
+// The end is written last: from then on the holder must not reserve, and live
+// borrowers close with it.
 asio::awaitable<bool> BudgetKeeper::FlushAll() {
   auto d = d_;
-  d->parts.ledger->With([](HostLedger& ledger) {
-    ledger.GiveBackIdle(std::chrono::steady_clock::now(), true);
-  });
+  const Clock::time_point now = Clock::now();
+  d->parts.ledger->With(
+      [&](HostLedger& ledger) { ledger.GiveBackIdle(now, true); });
   if (!co_await d->FlushBills())
     co_return false;
-  co_return co_await d->CloseHolder();
+  const bool closed = co_await d->CloseHolder();
+  if (!d->loans->enabled() || d->ended)
+    co_return closed;
+  if (!d->ending_since)
+    d->ending_since = now;
+  if (now - d->last_report >= kShutdownReports) {
+    d->loans->Report();
+    d->last_report = now;
+  }
+  const bool returned = closed && d->loans->IsReported();
+  if (!returned && now - *d->ending_since < kLoanReturnWait)
+    co_return false;
+  bool idle = false;
+  d->parts.ledger->With([&](HostLedger& ledger) {
+    idle = ledger.open_reservations() == 0 && ledger.unconfirmed_bills() == 0;
+    if (idle)
+      ledger.Fence();
+  });
+  d->ended = idle && co_await d->loans->LookForEnds(true);
+  co_return d->ended;
 }
 
 }  // namespace turmericwinch
--- a/src/libs/node/budget_keeper.h
+++ b/src/libs/node/budget_keeper.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -12,6 +13,7 @@
 #include <string>
 
 #include "libs/node/config_holder.h"
+#include "libs/node/fleet_keeper.h"
 #include "libs/node/shared_ledger.h"
 #include "libs/platform/platform_client.h"
 
@@ -27,6 +29,7 @@
   std::chrono::milliseconds flush_interval{0};
   // Live hosts of the own failure domain, at least 1.
   std::function<int()> hosts_in_domain;
+  FleetKeeper* fleet = nullptr;
 };
 
 // One write at a time goes to each bucket. A write whose answer was lost is
@@ -42,8 +45,14 @@
   // Draws for the ledger's wishes. Safe from any thread.
   void RequestDraw();
 
-  // Gives all unused tokens back and writes all bills, for shutdown. True if
-  // nothing is left to write.
+  // Takes a frame of a peer; false if it is not about budgets.
+  bool Receive(const PeerFrame& frame);
+  // What is lent to other hosts.
+  boost::json::object DumpLoans() const;
+
+  // Gives all unused tokens back, writes all bills and the end of this holder,
+  // for shutdown. Waits a bounded time for what is lent; the rest comes back
+  // through the borrowers' acknowledgements. True if nothing is left to write.
   boost::asio::awaitable<bool> FlushAll();
 
  private:
--- a/src/libs/node/fleet_keeper.cc
+++ b/src/libs/node/fleet_keeper.cc
@@ -194,6 +194,15 @@
   return addresses;
 }
 
+bool FleetKeeper::HasLeft(const std::string& address) const {
+  if (!d_->membership)
+    return false;
+  const std::vector<Member> members = d_->membership->Members();
+  return std::any_of(members.begin(), members.end(), [&](const Member& it) {
+    return it.address == address && it.state == MemberState::kLeft;
+  });
+}
+
 std::vector<std::string> FleetKeeper::RandomPeers(std::size_t n) {
   std::vector<std::string> addresses;
   if (!d_->membership)
--- a/src/libs/node/fleet_keeper.h
+++ b/src/libs/node/fleet_keeper.h
@@ -48,6 +48,8 @@
   // Addresses of those `n`, best first; empty where this host is one.
   std::vector<std::string> HolderAddresses(std::string_view duty,
                                            std::size_t n) const;
+  // Whether the host at `address` said that it leaves.
+  bool HasLeft(const std::string& address) const;
   // Addresses of `n` random hosts that can be used.
   std::vector<std::string> RandomPeers(std::size_t n);
   void Send(const std::string& address, const PeerFrame& frame);
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -102,7 +102,7 @@
   context.config_watcher = std::make_unique<ConfigWatcher>(
       *context.platform, *context.fleet, context.config, update_targets);
   context.fleet->SetFrameHook([this](const PeerFrame& frame) {
-    if (!host_list->Receive(frame))
+    if (!context.budgets->Receive(frame) && !host_list->Receive(frame))
       context.config_watcher->Receive(frame);
   });
   context.fleet->SetPeerHook(
@@ -123,6 +123,7 @@
   parts.failure_domain = settings.failure_domain;
   parts.flush_interval = settings.flush_interval;
   parts.hosts_in_domain = [this] { return HostsInDomain(); };
+  parts.fleet = context.fleet.get();
   context.budgets = std::make_unique<BudgetKeeper>(std::move(parts));
   context.ledger->SetWishHook([this] { context.budgets->RequestDraw(); });
 }
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -34,6 +34,16 @@
 inline constexpr std::chrono::milliseconds kFleetTick{100};
 // Time between flushes of bills and counters.
 inline constexpr std::chrono::milliseconds kFlushInterval{1'000};
+// Least time between flushes for each host of the domain: all hosts together
+// write as often as a small domain does.
+inline constexpr std::chrono::milliseconds kFlushIntervalPerHost{333};
+// Time between looks at asks that may have to be repeated.
+inline constexpr std::chrono::milliseconds kAskTick{25};
+// Mean time between looks for ended holders.
+inline constexpr std::chrono::milliseconds kEndsInterval{10'000};
+// Time that a shutdown waits for loans to be returned, and between reports.
+inline constexpr std::chrono::milliseconds kLoanReturnWait{3'000};
+inline constexpr std::chrono::milliseconds kShutdownReports{200};
 // Longest time that a request waits for a grant.
 inline constexpr std::chrono::milliseconds kGrantWait{1'500};
 // Time for which a budget that was found exhausted is refused without asking.
--- a/src/libs/node/shared_ledger.cc
+++ b/src/libs/node/shared_ledger.cc
@@ -143,6 +143,13 @@
     Wake(it);
 }
 
+void SharedLedger::Lent(const std::string& budget) {
+  std::lock_guard lock(d_->mutex);
+  d_->denials.erase(budget);
+  for (const auto& it : d_->TakeWaiters(budget))
+    Wake(it);
+}
+
 void SharedLedger::Deny(const std::string& budget,
                         std::int64_t missing,
                         const Reason& reason) {
--- a/src/libs/node/shared_ledger.h
+++ b/src/libs/node/shared_ledger.h
@@ -40,6 +40,8 @@
 
   // For the control thread: takes a new total over and wakes who waits.
   void Grant(const std::string& budget, std::int64_t granted_total);
+  // For the control thread: wakes who waits, as tokens were lent.
+  void Lent(const std::string& budget);
   // For the control thread: tells who waits that there is no grant of
   // `missing` tokens or more beyond what is granted already.
   void Deny(const std::string& budget,
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -22,6 +22,18 @@
           {"services", config->services().size()}};
 }
 
+json::object DumpBorrowed(const LedgerFigures& budget) {
+  json::object loans;
+  for (const auto& [lender, it] : budget.loans) {
+    loans[lender] = {{"received", it.totals.received},
+                     {"settled", it.settled},
+                     {"billed", it.totals.billed},
+                     {"returned", it.totals.returned},
+                     {"reserved", it.reserved}};
+  }
+  return loans;
+}
+
 json::object DumpLedger(NodeContext& node) {
   json::object ledger;
   node.ledger->With([&](HostLedger& state) {
@@ -31,7 +43,11 @@
                        {"settled", it.counters.settled},
                        {"given_back", it.counters.given_back},
                        {"reserved", it.reserved},
-                       {"available", it.counters.Outstanding() - it.reserved},
+                       {"available", it.counters.Outstanding() - it.reserved -
+                                         it.lent - it.lent_billed},
+                       {"lent", it.lent},
+                       {"lent_billed", it.lent_billed},
+                       {"borrowed", DumpBorrowed(it)},
                        {"tokens_per_second", it.rate}};
     }
     ledger = {{"holder", state.holder()},
@@ -40,6 +56,7 @@
               {"unconfirmed_bills", state.unconfirmed_bills()},
               {"overrun_tokens", state.overrun_tokens()}};
   });
+  ledger["loans"] = node.budgets->DumpLoans();
   return ledger;
 }
 
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1038,6 +1038,714 @@
 }
 
 
+LoanWish::~LoanWish() noexcept {
+}
+
+
+void LoanWish::__set_budget(const std::string& val) {
+  this->budget = val;
+}
+
+void LoanWish::__set_needed(const int64_t val) {
+  this->needed = val;
+}
+
+void LoanWish::__set_smallest(const int64_t val) {
+  this->smallest = val;
+}
+
+void LoanWish::__set_rate(const double val) {
+  this->rate = val;
+}
+
+void LoanWish::__set_received(const int64_t val) {
+  this->received = val;
+}
+
+void LoanWish::__set_billed(const int64_t val) {
+  this->billed = val;
+}
+
+void LoanWish::__set_returned(const int64_t val) {
+  this->returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoanWish& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoanWish::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->budget);
+          this->__isset.budget = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->needed);
+          this->__isset.needed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->smallest);
+          this->__isset.smallest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->received);
+          this->__isset.received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->billed);
+          this->__isset.billed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoanWish::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoanWish");
+
+  xfer += oprot->writeFieldBegin("budget", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->budget);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needed", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->needed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("smallest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->smallest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->received);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("billed", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->billed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoanWish &a, LoanWish &b) {
+  using ::std::swap;
+  swap(a.budget, b.budget);
+  swap(a.needed, b.needed);
+  swap(a.smallest, b.smallest);
+  swap(a.rate, b.rate);
+  swap(a.received, b.received);
+  swap(a.billed, b.billed);
+  swap(a.returned, b.returned);
+  swap(a.__isset, b.__isset);
+}
+
+LoanWish::LoanWish(const LoanWish& other20) {
+  budget = other20.budget;
+  needed = other20.needed;
+  smallest = other20.smallest;
+  rate = other20.rate;
+  received = other20.received;
+  billed = other20.billed;
+  returned = other20.returned;
+  __isset = other20.__isset;
+}
+LoanWish& LoanWish::operator=(const LoanWish& other21) {
+  budget = other21.budget;
+  needed = other21.needed;
+  smallest = other21.smallest;
+  rate = other21.rate;
+  received = other21.received;
+  billed = other21.billed;
+  returned = other21.returned;
+  __isset = other21.__isset;
+  return *this;
+}
+void LoanWish::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoanWish(";
+  out << "budget=" << to_string(budget);
+  out << ", " << "needed=" << to_string(needed);
+  out << ", " << "smallest=" << to_string(smallest);
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "received=" << to_string(received);
+  out << ", " << "billed=" << to_string(billed);
+  out << ", " << "returned=" << to_string(returned);
+  out << ")";
+}
+
+
+BudgetAsk::~BudgetAsk() noexcept {
+}
+
+
+void BudgetAsk::__set_borrower(const std::string& val) {
+  this->borrower = val;
+}
+
+void BudgetAsk::__set_lender(const std::string& val) {
+  this->lender = val;
+}
+
+void BudgetAsk::__set_reply_to(const std::string& val) {
+  this->reply_to = val;
+}
+
+void BudgetAsk::__set_wishes(const std::vector<LoanWish> & val) {
+  this->wishes = val;
+}
+std::ostream& operator<<(std::ostream& out, const BudgetAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BudgetAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->borrower);
+          this->__isset.borrower = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lender);
+          this->__isset.lender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reply_to);
+          this->__isset.reply_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wishes.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->wishes.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->wishes[_i26].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wishes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BudgetAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BudgetAsk");
+
+  xfer += oprot->writeFieldBegin("borrower", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->borrower);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lender", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->lender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reply_to", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->reply_to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wishes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->wishes.size()));
+    std::vector<LoanWish> ::const_iterator _iter27;
+    for (_iter27 = this->wishes.begin(); _iter27 != this->wishes.end(); ++_iter27)
+    {
+      xfer += (*_iter27).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BudgetAsk &a, BudgetAsk &b) {
+  using ::std::swap;
+  swap(a.borrower, b.borrower);
+  swap(a.lender, b.lender);
+  swap(a.reply_to, b.reply_to);
+  swap(a.wishes, b.wishes);
+  swap(a.__isset, b.__isset);
+}
+
+BudgetAsk::BudgetAsk(const BudgetAsk& other28) {
+  borrower = other28.borrower;
+  lender = other28.lender;
+  reply_to = other28.reply_to;
+  wishes = other28.wishes;
+  __isset = other28.__isset;
+}
+BudgetAsk& BudgetAsk::operator=(const BudgetAsk& other29) {
+  borrower = other29.borrower;
+  lender = other29.lender;
+  reply_to = other29.reply_to;
+  wishes = other29.wishes;
+  __isset = other29.__isset;
+  return *this;
+}
+void BudgetAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BudgetAsk(";
+  out << "borrower=" << to_string(borrower);
+  out << ", " << "lender=" << to_string(lender);
+  out << ", " << "reply_to=" << to_string(reply_to);
+  out << ", " << "wishes=" << to_string(wishes);
+  out << ")";
+}
+
+
+LoanGrant::~LoanGrant() noexcept {
+}
+
+
+void LoanGrant::__set_budget(const std::string& val) {
+  this->budget = val;
+}
+
+void LoanGrant::__set_lent(const int64_t val) {
+  this->lent = val;
+}
+
+void LoanGrant::__set_known(const int64_t val) {
+  this->known = val;
+}
+
+void LoanGrant::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoanGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoanGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->budget);
+          this->__isset.budget = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lent);
+          this->__isset.lent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoanGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoanGrant");
+
+  xfer += oprot->writeFieldBegin("budget", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->budget);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lent", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoanGrant &a, LoanGrant &b) {
+  using ::std::swap;
+  swap(a.budget, b.budget);
+  swap(a.lent, b.lent);
+  swap(a.known, b.known);
+  swap(a.outcome, b.outcome);
+  swap(a.__isset, b.__isset);
+}
+
+LoanGrant::LoanGrant(const LoanGrant& other30) {
+  budget = other30.budget;
+  lent = other30.lent;
+  known = other30.known;
+  outcome = other30.outcome;
+  __isset = other30.__isset;
+}
+LoanGrant& LoanGrant::operator=(const LoanGrant& other31) {
+  budget = other31.budget;
+  lent = other31.lent;
+  known = other31.known;
+  outcome = other31.outcome;
+  __isset = other31.__isset;
+  return *this;
+}
+void LoanGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoanGrant(";
+  out << "budget=" << to_string(budget);
+  out << ", " << "lent=" << to_string(lent);
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ")";
+}
+
+
+BudgetAnswer::~BudgetAnswer() noexcept {
+}
+
+
+void BudgetAnswer::__set_lender(const std::string& val) {
+  this->lender = val;
+}
+
+void BudgetAnswer::__set_borrower(const std::string& val) {
+  this->borrower = val;
+}
+
+void BudgetAnswer::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void BudgetAnswer::__set_grants(const std::vector<LoanGrant> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const BudgetAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BudgetAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lender);
+          this->__isset.lender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->borrower);
+          this->__isset.borrower = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->grants.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += this->grants[_i36].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BudgetAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BudgetAnswer");
+
+  xfer += oprot->writeFieldBegin("lender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->lender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("borrower", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->borrower);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<LoanGrant> ::const_iterator _iter37;
+    for (_iter37 = this->grants.begin(); _iter37 != this->grants.end(); ++_iter37)
+    {
+      xfer += (*_iter37).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BudgetAnswer &a, BudgetAnswer &b) {
+  using ::std::swap;
+  swap(a.lender, b.lender);
+  swap(a.borrower, b.borrower);
+  swap(a.address, b.address);
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+BudgetAnswer::BudgetAnswer(const BudgetAnswer& other38) {
+  lender = other38.lender;
+  borrower = other38.borrower;
+  address = other38.address;
+  grants = other38.grants;
+  __isset = other38.__isset;
+}
+BudgetAnswer& BudgetAnswer::operator=(const BudgetAnswer& other39) {
+  lender = other39.lender;
+  borrower = other39.borrower;
+  address = other39.address;
+  grants = other39.grants;
+  __isset = other39.__isset;
+  return *this;
+}
+void BudgetAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BudgetAnswer(";
+  out << "lender=" << to_string(lender);
+  out << ", " << "borrower=" << to_string(borrower);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
 Frame::~Frame() noexcept {
 }
 
@@ -1075,6 +1783,16 @@
   this->config_part = val;
 __isset.config_part = true;
 }
+
+void Frame::__set_budget_ask(const BudgetAsk& val) {
+  this->budget_ask = val;
+__isset.budget_ask = true;
+}
+
+void Frame::__set_budget_answer(const BudgetAnswer& val) {
+  this->budget_answer = val;
+__isset.budget_answer = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -1159,6 +1877,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->budget_ask.read(iprot);
+          this->__isset.budget_ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->budget_answer.read(iprot);
+          this->__isset.budget_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1210,6 +1944,16 @@
     xfer += this->config_part.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.budget_ask) {
+    xfer += oprot->writeFieldBegin("budget_ask", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->budget_ask.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.budget_answer) {
+    xfer += oprot->writeFieldBegin("budget_answer", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->budget_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1224,28 +1968,34 @@
   swap(a.config_notice, b.config_notice);
   swap(a.config_request, b.config_request);
   swap(a.config_part, b.config_part);
+  swap(a.budget_ask, b.budget_ask);
+  swap(a.budget_answer, b.budget_answer);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other20) {
-  version = other20.version;
-  hello = other20.hello;
-  proof = other20.proof;
-  membership = other20.membership;
-  config_notice = other20.config_notice;
-  config_request = other20.config_request;
-  config_part = other20.config_part;
-  __isset = other20.__isset;
-}
-Frame& Frame::operator=(const Frame& other21) {
-  version = other21.version;
-  hello = other21.hello;
-  proof = other21.proof;
-  membership = other21.membership;
-  config_notice = other21.config_notice;
-  config_request = other21.config_request;
-  config_part = other21.config_part;
-  __isset = other21.__isset;
+Frame::Frame(const Frame& other40) {
+  version = other40.version;
+  hello = other40.hello;
+  proof = other40.proof;
+  membership = other40.membership;
+  config_notice = other40.config_notice;
+  config_request = other40.config_request;
+  config_part = other40.config_part;
+  budget_ask = other40.budget_ask;
+  budget_answer = other40.budget_answer;
+  __isset = other40.__isset;
+}
+Frame& Frame::operator=(const Frame& other41) {
+  version = other41.version;
+  hello = other41.hello;
+  proof = other41.proof;
+  membership = other41.membership;
+  config_notice = other41.config_notice;
+  config_request = other41.config_request;
+  config_part = other41.config_part;
+  budget_ask = other41.budget_ask;
+  budget_answer = other41.budget_answer;
+  __isset = other41.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -1258,6 +2008,8 @@
   out << ", " << "config_notice="; (__isset.config_notice ? (out << to_string(config_notice)) : (out << "<null>"));
   out << ", " << "config_request="; (__isset.config_request ? (out << to_string(config_request)) : (out << "<null>"));
   out << ", " << "config_part="; (__isset.config_part ? (out << to_string(config_part)) : (out << "<null>"));
+  out << ", " << "budget_ask="; (__isset.budget_ask ? (out << to_string(budget_ask)) : (out << "<null>"));
+  out << ", " << "budget_answer="; (__isset.budget_answer ? (out << to_string(budget_answer)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -35,6 +35,14 @@
 
 class ConfigPart;
 
+class LoanWish;
+
+class BudgetAsk;
+
+class LoanGrant;
+
+class BudgetAnswer;
+
 class Frame;
 
 typedef struct _Member__isset {
@@ -462,8 +470,283 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigPart& obj);
 
+typedef struct _LoanWish__isset {
+  _LoanWish__isset() : budget(false), needed(false), smallest(false), rate(false), received(false), billed(false), returned(false) {}
+  bool budget :1;
+  bool needed :1;
+  bool smallest :1;
+  bool rate :1;
+  bool received :1;
+  bool billed :1;
+  bool returned :1;
+} _LoanWish__isset;
+
+class LoanWish : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoanWish(const LoanWish&);
+  LoanWish& operator=(const LoanWish&);
+  LoanWish() noexcept
+           : budget(),
+             needed(0),
+             smallest(0),
+             rate(0),
+             received(0),
+             billed(0),
+             returned(0) {
+  }
+
+  virtual ~LoanWish() noexcept;
+  std::string budget;
+  int64_t needed;
+  int64_t smallest;
+  double rate;
+  int64_t received;
+  int64_t billed;
+  int64_t returned;
+
+  _LoanWish__isset __isset;
+
+  void __set_budget(const std::string& val);
+
+  void __set_needed(const int64_t val);
+
+  void __set_smallest(const int64_t val);
+
+  void __set_rate(const double val);
+
+  void __set_received(const int64_t val);
+
+  void __set_billed(const int64_t val);
+
+  void __set_returned(const int64_t val);
+
+  bool operator == (const LoanWish & rhs) const
+  {
+    if (!(budget == rhs.budget))
+      return false;
+    if (!(needed == rhs.needed))
+      return false;
+    if (!(smallest == rhs.smallest))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(received == rhs.received))
+      return false;
+    if (!(billed == rhs.billed))
+      return false;
+    if (!(returned == rhs.returned))
+      return false;
+    return true;
+  }
+  bool operator != (const LoanWish &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoanWish & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoanWish &a, LoanWish &b);
+
+std::ostream& operator<<(std::ostream& out, const LoanWish& obj);
+
+typedef struct _BudgetAsk__isset {
+  _BudgetAsk__isset() : borrower(false), lender(false), reply_to(false), wishes(false) {}
+  bool borrower :1;
+  bool lender :1;
+  bool reply_to :1;
+  bool wishes :1;
+} _BudgetAsk__isset;
+
+class BudgetAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  BudgetAsk(const BudgetAsk&);
+  BudgetAsk& operator=(const BudgetAsk&);
+  BudgetAsk() noexcept
+            : borrower(),
+              lender(),
+              reply_to() {
+  }
+
+  virtual ~BudgetAsk() noexcept;
+  std::string borrower;
+  std::string lender;
+  std::string reply_to;
+  std::vector<LoanWish>  wishes;
+
+  _BudgetAsk__isset __isset;
+
+  void __set_borrower(const std::string& val);
+
+  void __set_lender(const std::string& val);
+
+  void __set_reply_to(const std::string& val);
+
+  void __set_wishes(const std::vector<LoanWish> & val);
+
+  bool operator == (const BudgetAsk & rhs) const
+  {
+    if (!(borrower == rhs.borrower))
+      return false;
+    if (!(lender == rhs.lender))
+      return false;
+    if (!(reply_to == rhs.reply_to))
+      return false;
+    if (!(wishes == rhs.wishes))
+      return false;
+    return true;
+  }
+  bool operator != (const BudgetAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BudgetAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BudgetAsk &a, BudgetAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const BudgetAsk& obj);
+
+typedef struct _LoanGrant__isset {
+  _LoanGrant__isset() : budget(false), lent(false), known(false), outcome(false) {}
+  bool budget :1;
+  bool lent :1;
+  bool known :1;
+  bool outcome :1;
+} _LoanGrant__isset;
+
+class LoanGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoanGrant(const LoanGrant&);
+  LoanGrant& operator=(const LoanGrant&);
+  LoanGrant() noexcept
+            : budget(),
+              lent(0),
+              known(0),
+              outcome(0) {
+  }
+
+  virtual ~LoanGrant() noexcept;
+  std::string budget;
+  int64_t lent;
+  int64_t known;
+  int32_t outcome;
+
+  _LoanGrant__isset __isset;
+
+  void __set_budget(const std::string& val);
+
+  void __set_lent(const int64_t val);
+
+  void __set_known(const int64_t val);
+
+  void __set_outcome(const int32_t val);
+
+  bool operator == (const LoanGrant & rhs) const
+  {
+    if (!(budget == rhs.budget))
+      return false;
+    if (!(lent == rhs.lent))
+      return false;
+    if (!(known == rhs.known))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    return true;
+  }
+  bool operator != (const LoanGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoanGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoanGrant &a, LoanGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const LoanGrant& obj);
+
+typedef struct _BudgetAnswer__isset {
+  _BudgetAnswer__isset() : lender(false), borrower(false), address(false), grants(false) {}
+  bool lender :1;
+  bool borrower :1;
+  bool address :1;
+  bool grants :1;
+} _BudgetAnswer__isset;
+
+class BudgetAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  BudgetAnswer(const BudgetAnswer&);
+  BudgetAnswer& operator=(const BudgetAnswer&);
+  BudgetAnswer() noexcept
+               : lender(),
+                 borrower(),
+                 address() {
+  }
+
+  virtual ~BudgetAnswer() noexcept;
+  std::string lender;
+  std::string borrower;
+  std::string address;
+  std::vector<LoanGrant>  grants;
+
+  _BudgetAnswer__isset __isset;
+
+  void __set_lender(const std::string& val);
+
+  void __set_borrower(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_grants(const std::vector<LoanGrant> & val);
+
+  bool operator == (const BudgetAnswer & rhs) const
+  {
+    if (!(lender == rhs.lender))
+      return false;
+    if (!(borrower == rhs.borrower))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const BudgetAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BudgetAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BudgetAnswer &a, BudgetAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const BudgetAnswer& obj);
+
 typedef struct _Frame__isset {
-  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false) {}
+  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), budget_ask(false), budget_answer(false) {}
   bool version :1;
   bool hello :1;
   bool proof :1;
@@ -471,6 +754,8 @@
   bool config_notice :1;
   bool config_request :1;
   bool config_part :1;
+  bool budget_ask :1;
+  bool budget_answer :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -490,6 +775,8 @@
   ConfigNotice config_notice;
   ConfigRequest config_request;
   ConfigPart config_part;
+  BudgetAsk budget_ask;
+  BudgetAnswer budget_answer;
 
   _Frame__isset __isset;
 
@@ -507,6 +794,10 @@
 
   void __set_config_part(const ConfigPart& val);
 
+  void __set_budget_ask(const BudgetAsk& val);
+
+  void __set_budget_answer(const BudgetAnswer& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -535,6 +826,14 @@
       return false;
     else if (__isset.config_part && !(config_part == rhs.config_part))
       return false;
+    if (__isset.budget_ask != rhs.__isset.budget_ask)
+      return false;
+    else if (__isset.budget_ask && !(budget_ask == rhs.budget_ask))
+      return false;
+    if (__isset.budget_answer != rhs.__isset.budget_answer)
+      return false;
+    else if (__isset.budget_answer && !(budget_answer == rhs.budget_answer))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -53,6 +53,43 @@
   4: string peer
 }
 
+// One budget in an ask: what waiting requests need beyond what the borrower has
+// of this lender, and the borrower's totals, which only grow.
+struct LoanWish {
+  1: string budget
+  2: i64 needed
+  3: i64 smallest
+  4: double rate
+  5: i64 received
+  6: i64 billed
+  7: i64 returned
+}
+
+// Asks a host of the same failure domain for tokens, and reports totals.
+// `lender` is empty while its holder name is not known.
+struct BudgetAsk {
+  1: string borrower
+  2: string lender
+  3: string reply_to
+  4: list<LoanWish> wishes
+}
+
+// One budget in an answer: what was lent in all, and the sum of the borrower's
+// totals that the lender knows.
+struct LoanGrant {
+  1: string budget
+  2: i64 lent
+  3: i64 known
+  4: i32 outcome
+}
+
+struct BudgetAnswer {
+  1: string lender
+  2: string borrower
+  3: string address
+  4: list<LoanGrant> grants
+}
+
 // One frame carries one of these.
 struct Frame {
   1: i32 version
@@ -62,4 +99,6 @@
   5: optional ConfigNotice config_notice
   6: optional ConfigRequest config_request
   7: optional ConfigPart config_part
+  8: optional BudgetAsk budget_ask
+  9: optional BudgetAnswer budget_answer
 }
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -4,6 +4,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include "libs/peer/budget_wire.h"
 #include "libs/peer/peer_constants.h"
 
 namespace turmericwinch {
@@ -93,6 +94,12 @@
     result.peer = part.peer;
     frame_->__set_config_part(result);
   }
+  void operator()(const LoanAsk& ask) const {
+    frame_->__set_budget_ask(ToWire(ask));
+  }
+  void operator()(const LoanAnswer& answer) const {
+    frame_->__set_budget_answer(ToWire(answer));
+  }
 
  private:
   wire::Frame* frame_;
@@ -136,6 +143,10 @@
     const wire::ConfigPart& it = wire.config_part;
     return ConfigPart{it.digest, it.found, it.text, it.peer};
   }
+  if (wire.__isset.budget_ask)
+    return LoanAskOf(wire.budget_ask);
+  if (wire.__isset.budget_answer)
+    return LoanAnswerOf(wire.budget_answer);
   return std::nullopt;
 }
 
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "libs/budget/loan_message.h"
 #include "libs/membership/membership_message.h"
 
 namespace turmericwinch {
@@ -48,7 +49,9 @@
                                MembershipMessage,
                                ConfigNotice,
                                ConfigRequest,
-                               ConfigPart>;
+                               ConfigPart,
+                               LoanAsk,
+                               LoanAnswer>;
 
 }  // namespace turmericwinch
 
--- a/tests/budget/test_host.cc
+++ b/tests/budget/test_host.cc
@@ -150,17 +150,16 @@
 }
 
 void TestHost::StartLenderTurn() {
-  for (GrantWish& it : ledger.TakeWishes())
-    wishes_[BucketOf(it.budget)][it.budget] = it;
+  std::map<std::uint64_t, GrantWishes> wishes;
+  for (GrantWish& it : lender.Wishes(ledger, now))
+    wishes[BucketOf(it.budget)][it.budget] = it;
   for (std::uint64_t it : lender.BucketsToList())
-    wishes_[it];
-  if (wishes_.empty())
+    wishes[it];
+  if (wishes.empty())
     return;
-  const auto first = wishes_.begin();
-  sync_ = lender_sync_ = &SyncOf(first->first);
-  lender_wishes_ = std::move(first->second);
-  wishes_.erase(first);
-  sync_->Begin(lender_wishes_, false);
+  lender_bucket_ = wishes.begin()->first;
+  sync_ = lender_sync_ = &SyncOf(lender_bucket_);
+  sync_->Begin(wishes.begin()->second, false);
 }
 
 std::vector<OutgoingAnswer> TestHost::LenderTurnOver() {
@@ -168,26 +167,27 @@
   if (!lender_sync_)
     return answers;
   const SyncResult& result = std::exchange(lender_sync_, nullptr)->result();
-  const bool failed = result.reason.code != ResultCode::kOk;
-  const LoanOutcome outcome =
-      failed ? LoanOutcome::kUnreachable : LoanOutcome::kShort;
-  for (const auto& [name, wish] :
-       failed ? lender_wishes_ : result.short_of_tokens) {
-    for (OutgoingAnswer& it : lender.Deny(name, outcome, ledger))
-      answers.push_back(std::move(it));
-  }
+  const auto add = [&](std::vector<OutgoingAnswer> more) {
+    answers.insert(answers.end(), more.begin(), more.end());
+  };
+  if (result.reason.code != ResultCode::kOk)
+    add(lender.DenyUnreachable(lender_bucket_));
+  for (const auto& [name, wish] : result.short_of_tokens)
+    add(lender.DenyShort(name, ledger));
   return answers;
 }
 
 std::vector<OutgoingAnswer> TestHost::DrawForBorrowers() {
   std::vector<OutgoingAnswer> answers;
-  do {
+  bool over = false;
+  while (!over) {
     StartLenderTurn();
+    over = !lender_sync_;
     while (Step()) {
     }
     for (OutgoingAnswer& it : LenderTurnOver())
       answers.push_back(std::move(it));
-  } while (!wishes_.empty());
+  }
   return answers;
 }
 
--- a/tests/budget/test_host.h
+++ b/tests/budget/test_host.h
@@ -90,8 +90,7 @@
   BucketSync* sync_ = nullptr;
   // Of the last lender's turn.
   BucketSync* lender_sync_ = nullptr;
-  GrantWishes lender_wishes_;
-  std::map<std::uint64_t, GrantWishes> wishes_;
+  std::uint64_t lender_bucket_ = 0;
   std::optional<PlatformAnswer> answer_;
   int next_request_ = 0;
   HolderClosing closing_;
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -60,6 +60,42 @@
   LONGS_EQUAL(40'000, std::get<ConfigPart>(*part).text.size());
 }
 
+TEST(PeerCodec, BudgetFramesSurvive) {
+  const LoanAsk ask{"e_1",
+                    "a_1",
+                    "10.0.0.2:7000",
+                    {{"budget-1", 500, 20, 1.5, {100, 40, 7}}}};
+  auto frame = DecodePayload(Payload(ask), &reason);
+  CHECK(frame.has_value());
+  const auto& read = std::get<LoanAsk>(*frame);
+  STRCMP_EQUAL("a_1", read.lender.c_str());
+  LONGS_EQUAL(500, read.wishes.at(0).needed);
+  CHECK((read.wishes.at(0).totals == LoanTotals{100, 40, 7}));
+  const LoanAnswer answer{"a_1",
+                          "e_1",
+                          "10.0.0.1:7000",
+                          {{"budget-1", 600, 147, LoanOutcome::kShort}}};
+  frame = DecodePayload(Payload(answer), &reason);
+  CHECK(frame.has_value());
+  const LoanGrant& grant = std::get<LoanAnswer>(*frame).grants.at(0);
+  LONGS_EQUAL(600, grant.lent);
+  LONGS_EQUAL(147, grant.known);
+  CHECK(grant.outcome == LoanOutcome::kShort);
+}
+
+TEST(PeerCodec, BudgetFramesWithValuesOutOfRangeAreErrors) {
+  const PeerFrame frames[] = {
+      LoanAsk{"e_1", "", "", {{"x", -1, 0, 0, {}}}},
+      LoanAsk{"e_1", "", "", {{"x", 1, 1, 0, {0, -1, 0}}}},
+      LoanAsk{"", "", "", {}},
+      LoanAnswer{"a_1", "e_1", "", {{"x", -1, 0, LoanOutcome::kOk}}},
+      LoanAnswer{"a_1", "e_1", "", {{"x", 1, 0, static_cast<LoanOutcome>(9)}}}};
+  for (const PeerFrame& it : frames) {
+    CHECK(!DecodePayload(Payload(it), &reason));
+    CHECK(reason.code == ResultCode::kPeerProtocol);
+  }
+}
+
 TEST(PeerCodec, EveryTruncationIsAnError) {
   const std::string payload = Payload(SampleFrame());
   for (std::size_t n = 0; n < payload.size(); ++n) {
