--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -95,11 +95,6 @@
 
   // Notes that a request waits for `tokens` of `budget`.
   void AddWish(const std::string& budget, std::int64_t tokens);
-  // Notes that requests of a borrower wait, for `needed` tokens in all and
-  // `smallest` at least.
-  void AddWishes(const std::string& budget,
-                 std::int64_t needed,
-                 std::int64_t smallest);
   // Wishes for budgets of `bucket` whose stock for borrowers runs low.
   std::vector<GrantWish> StockWishes(std::uint64_t bucket, MonotonicTime now);
   // Wishes since the last call, by budget.
@@ -154,6 +149,8 @@
   void TakeBack(const std::string& budget,
                 std::int64_t billed,
                 std::int64_t returned);
+  // Notes that a borrower which billed this much goes off the list.
+  void Unlist(const std::string& budget, std::int64_t billed_total);
 
   // Takes over what `lender` lent in all. False if that is nothing new or
   // CloseLender() was called.
--- a/src/libs/node/fleet_keeper.h
+++ b/src/libs/node/fleet_keeper.h
@@ -57,6 +57,8 @@
   std::vector<Member> Peers();
   // Addresses of the other hosts of this domain that can be used.
   std::vector<std::string> DomainPeers() const;
+  // Whether the host at `address` said that it leaves.
+  bool HasLeft(const std::string& address) const;
   // Addresses of `n` random hosts that can be used.
   std::vector<std::string> RandomPeers(std::size_t n);
   void Send(const std::string& address, const PeerFrame& frame);
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1038,6 +1038,714 @@
 }
 
 
+LoanWish::~LoanWish() noexcept {
+}
+
+
+void LoanWish::__set_budget(const std::string& val) {
+  this->budget = val;
+}
+
+void LoanWish::__set_needed(const int64_t val) {
+  this->needed = val;
+}
+
+void LoanWish::__set_smallest(const int64_t val) {
+  this->smallest = val;
+}
+
+void LoanWish::__set_rate(const double val) {
+  this->rate = val;
+}
+
+void LoanWish::__set_received(const int64_t val) {
+  this->received = val;
+}
+
+void LoanWish::__set_billed(const int64_t val) {
+  this->billed = val;
+}
+
+void LoanWish::__set_returned(const int64_t val) {
+  this->returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoanWish& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoanWish::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->budget);
+          this->__isset.budget = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->needed);
+          this->__isset.needed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->smallest);
+          this->__isset.smallest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->received);
+          this->__isset.received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->billed);
+          this->__isset.billed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoanWish::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoanWish");
+
+  xfer += oprot->writeFieldBegin("budget", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->budget);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needed", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->needed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("smallest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->smallest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->received);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("billed", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->billed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoanWish &a, LoanWish &b) {
+  using ::std::swap;
+  swap(a.budget, b.budget);
+  swap(a.needed, b.needed);
+  swap(a.smallest, b.smallest);
+  swap(a.rate, b.rate);
+  swap(a.received, b.received);
+  swap(a.billed, b.billed);
+  swap(a.returned, b.returned);
+  swap(a.__isset, b.__isset);
+}
+
+LoanWish::LoanWish(const LoanWish& other20) {
+  budget = other20.budget;
+  needed = other20.needed;
+  smallest = other20.smallest;
+  rate = other20.rate;
+  received = other20.received;
+  billed = other20.billed;
+  returned = other20.returned;
+  __isset = other20.__isset;
+}
+LoanWish& LoanWish::operator=(const LoanWish& other21) {
+  budget = other21.budget;
+  needed = other21.needed;
+  smallest = other21.smallest;
+  rate = other21.rate;
+  received = other21.received;
+  billed = other21.billed;
+  returned = other21.returned;
+  __isset = other21.__isset;
+  return *this;
+}
+void LoanWish::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoanWish(";
+  out << "budget=" << to_string(budget);
+  out << ", " << "needed=" << to_string(needed);
+  out << ", " << "smallest=" << to_string(smallest);
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "received=" << to_string(received);
+  out << ", " << "billed=" << to_string(billed);
+  out << ", " << "returned=" << to_string(returned);
+  out << ")";
+}
+
+
+BudgetAsk::~BudgetAsk() noexcept {
+}
+
+
+void BudgetAsk::__set_borrower(const std::string& val) {
+  this->borrower = val;
+}
+
+void BudgetAsk::__set_lender(const std::string& val) {
+  this->lender = val;
+}
+
+void BudgetAsk::__set_reply_to(const std::string& val) {
+  this->reply_to = val;
+}
+
+void BudgetAsk::__set_wishes(const std::vector<LoanWish> & val) {
+  this->wishes = val;
+}
+std::ostream& operator<<(std::ostream& out, const BudgetAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BudgetAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->borrower);
+          this->__isset.borrower = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lender);
+          this->__isset.lender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reply_to);
+          this->__isset.reply_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wishes.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->wishes.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->wishes[_i26].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wishes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BudgetAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BudgetAsk");
+
+  xfer += oprot->writeFieldBegin("borrower", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->borrower);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lender", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->lender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reply_to", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->reply_to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wishes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->wishes.size()));
+    std::vector<LoanWish> ::const_iterator _iter27;
+    for (_iter27 = this->wishes.begin(); _iter27 != this->wishes.end(); ++_iter27)
+    {
+      xfer += (*_iter27).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BudgetAsk &a, BudgetAsk &b) {
+  using ::std::swap;
+  swap(a.borrower, b.borrower);
+  swap(a.lender, b.lender);
+  swap(a.reply_to, b.reply_to);
+  swap(a.wishes, b.wishes);
+  swap(a.__isset, b.__isset);
+}
+
+BudgetAsk::BudgetAsk(const BudgetAsk& other28) {
+  borrower = other28.borrower;
+  lender = other28.lender;
+  reply_to = other28.reply_to;
+  wishes = other28.wishes;
+  __isset = other28.__isset;
+}
+BudgetAsk& BudgetAsk::operator=(const BudgetAsk& other29) {
+  borrower = other29.borrower;
+  lender = other29.lender;
+  reply_to = other29.reply_to;
+  wishes = other29.wishes;
+  __isset = other29.__isset;
+  return *this;
+}
+void BudgetAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BudgetAsk(";
+  out << "borrower=" << to_string(borrower);
+  out << ", " << "lender=" << to_string(lender);
+  out << ", " << "reply_to=" << to_string(reply_to);
+  out << ", " << "wishes=" << to_string(wishes);
+  out << ")";
+}
+
+
+LoanGrant::~LoanGrant() noexcept {
+}
+
+
+void LoanGrant::__set_budget(const std::string& val) {
+  this->budget = val;
+}
+
+void LoanGrant::__set_lent(const int64_t val) {
+  this->lent = val;
+}
+
+void LoanGrant::__set_known(const int64_t val) {
+  this->known = val;
+}
+
+void LoanGrant::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoanGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoanGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->budget);
+          this->__isset.budget = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lent);
+          this->__isset.lent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoanGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoanGrant");
+
+  xfer += oprot->writeFieldBegin("budget", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->budget);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lent", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoanGrant &a, LoanGrant &b) {
+  using ::std::swap;
+  swap(a.budget, b.budget);
+  swap(a.lent, b.lent);
+  swap(a.known, b.known);
+  swap(a.outcome, b.outcome);
+  swap(a.__isset, b.__isset);
+}
+
+LoanGrant::LoanGrant(const LoanGrant& other30) {
+  budget = other30.budget;
+  lent = other30.lent;
+  known = other30.known;
+  outcome = other30.outcome;
+  __isset = other30.__isset;
+}
+LoanGrant& LoanGrant::operator=(const LoanGrant& other31) {
+  budget = other31.budget;
+  lent = other31.lent;
+  known = other31.known;
+  outcome = other31.outcome;
+  __isset = other31.__isset;
+  return *this;
+}
+void LoanGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoanGrant(";
+  out << "budget=" << to_string(budget);
+  out << ", " << "lent=" << to_string(lent);
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ")";
+}
+
+
+BudgetAnswer::~BudgetAnswer() noexcept {
+}
+
+
+void BudgetAnswer::__set_lender(const std::string& val) {
+  this->lender = val;
+}
+
+void BudgetAnswer::__set_borrower(const std::string& val) {
+  this->borrower = val;
+}
+
+void BudgetAnswer::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void BudgetAnswer::__set_grants(const std::vector<LoanGrant> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const BudgetAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BudgetAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lender);
+          this->__isset.lender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->borrower);
+          this->__isset.borrower = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->grants.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += this->grants[_i36].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BudgetAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BudgetAnswer");
+
+  xfer += oprot->writeFieldBegin("lender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->lender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("borrower", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->borrower);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<LoanGrant> ::const_iterator _iter37;
+    for (_iter37 = this->grants.begin(); _iter37 != this->grants.end(); ++_iter37)
+    {
+      xfer += (*_iter37).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BudgetAnswer &a, BudgetAnswer &b) {
+  using ::std::swap;
+  swap(a.lender, b.lender);
+  swap(a.borrower, b.borrower);
+  swap(a.address, b.address);
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+BudgetAnswer::BudgetAnswer(const BudgetAnswer& other38) {
+  lender = other38.lender;
+  borrower = other38.borrower;
+  address = other38.address;
+  grants = other38.grants;
+  __isset = other38.__isset;
+}
+BudgetAnswer& BudgetAnswer::operator=(const BudgetAnswer& other39) {
+  lender = other39.lender;
+  borrower = other39.borrower;
+  address = other39.address;
+  grants = other39.grants;
+  __isset = other39.__isset;
+  return *this;
+}
+void BudgetAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BudgetAnswer(";
+  out << "lender=" << to_string(lender);
+  out << ", " << "borrower=" << to_string(borrower);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
 QuarantineNotice::~QuarantineNotice() noexcept {
 }
 
@@ -1164,19 +1872,19 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineNotice::QuarantineNotice(const QuarantineNotice& other20) {
-  digest = other20.digest;
-  target = other20.target;
-  hold_ms = other20.hold_ms;
-  relay = other20.relay;
-  __isset = other20.__isset;
+QuarantineNotice::QuarantineNotice(const QuarantineNotice& other40) {
+  digest = other40.digest;
+  target = other40.target;
+  hold_ms = other40.hold_ms;
+  relay = other40.relay;
+  __isset = other40.__isset;
 }
-QuarantineNotice& QuarantineNotice::operator=(const QuarantineNotice& other21) {
-  digest = other21.digest;
-  target = other21.target;
-  hold_ms = other21.hold_ms;
-  relay = other21.relay;
-  __isset = other21.__isset;
+QuarantineNotice& QuarantineNotice::operator=(const QuarantineNotice& other41) {
+  digest = other41.digest;
+  target = other41.target;
+  hold_ms = other41.hold_ms;
+  relay = other41.relay;
+  __isset = other41.__isset;
   return *this;
 }
 void QuarantineNotice::printTo(std::ostream& out) const {
@@ -1316,19 +2024,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListAsk::HostListAsk(const HostListAsk& other22) {
-  digest = other22.digest;
-  part_of = other22.part_of;
-  offset = other22.offset;
-  peer = other22.peer;
-  __isset = other22.__isset;
+HostListAsk::HostListAsk(const HostListAsk& other42) {
+  digest = other42.digest;
+  part_of = other42.part_of;
+  offset = other42.offset;
+  peer = other42.peer;
+  __isset = other42.__isset;
 }
-HostListAsk& HostListAsk::operator=(const HostListAsk& other23) {
-  digest = other23.digest;
-  part_of = other23.part_of;
-  offset = other23.offset;
-  peer = other23.peer;
-  __isset = other23.__isset;
+HostListAsk& HostListAsk::operator=(const HostListAsk& other43) {
+  digest = other43.digest;
+  part_of = other43.part_of;
+  offset = other43.offset;
+  peer = other43.peer;
+  __isset = other43.__isset;
   return *this;
 }
 void HostListAsk::printTo(std::ostream& out) const {
@@ -1536,27 +2244,27 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListPart::HostListPart(const HostListPart& other24) {
-  version = other24.version;
-  age_ms = other24.age_ms;
-  base = other24.base;
-  digest = other24.digest;
-  offset = other24.offset;
-  total = other24.total;
-  text = other24.text;
-  peer = other24.peer;
-  __isset = other24.__isset;
-}
-HostListPart& HostListPart::operator=(const HostListPart& other25) {
-  version = other25.version;
-  age_ms = other25.age_ms;
-  base = other25.base;
-  digest = other25.digest;
-  offset = other25.offset;
-  total = other25.total;
-  text = other25.text;
-  peer = other25.peer;
-  __isset = other25.__isset;
+HostListPart::HostListPart(const HostListPart& other44) {
+  version = other44.version;
+  age_ms = other44.age_ms;
+  base = other44.base;
+  digest = other44.digest;
+  offset = other44.offset;
+  total = other44.total;
+  text = other44.text;
+  peer = other44.peer;
+  __isset = other44.__isset;
+}
+HostListPart& HostListPart::operator=(const HostListPart& other45) {
+  version = other45.version;
+  age_ms = other45.age_ms;
+  base = other45.base;
+  digest = other45.digest;
+  offset = other45.offset;
+  total = other45.total;
+  text = other45.text;
+  peer = other45.peer;
+  __isset = other45.__isset;
   return *this;
 }
 void HostListPart::printTo(std::ostream& out) const {
@@ -1612,6 +2320,16 @@
 __isset.config_part = true;
 }
 
+void Frame::__set_budget_ask(const BudgetAsk& val) {
+  this->budget_ask = val;
+__isset.budget_ask = true;
+}
+
+void Frame::__set_budget_answer(const BudgetAnswer& val) {
+  this->budget_answer = val;
+__isset.budget_answer = true;
+}
+
 void Frame::__set_quarantine_notice(const QuarantineNotice& val) {
   this->quarantine_notice = val;
 __isset.quarantine_notice = true;
@@ -1710,6 +2428,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->budget_ask.read(iprot);
+          this->__isset.budget_ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->budget_answer.read(iprot);
+          this->__isset.budget_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->quarantine_notice.read(iprot);
@@ -1785,6 +2519,16 @@
     xfer += this->config_part.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.budget_ask) {
+    xfer += oprot->writeFieldBegin("budget_ask", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->budget_ask.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.budget_answer) {
+    xfer += oprot->writeFieldBegin("budget_answer", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->budget_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.quarantine_notice) {
     xfer += oprot->writeFieldBegin("quarantine_notice", ::apache::thrift::protocol::T_STRUCT, 10);
     xfer += this->quarantine_notice.write(oprot);
@@ -1814,37 +2558,43 @@
   swap(a.config_notice, b.config_notice);
   swap(a.config_request, b.config_request);
   swap(a.config_part, b.config_part);
+  swap(a.budget_ask, b.budget_ask);
+  swap(a.budget_answer, b.budget_answer);
   swap(a.quarantine_notice, b.quarantine_notice);
   swap(a.host_list_ask, b.host_list_ask);
   swap(a.host_list_part, b.host_list_part);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other26) {
-  version = other26.version;
-  hello = other26.hello;
-  proof = other26.proof;
-  membership = other26.membership;
-  config_notice = other26.config_notice;
-  config_request = other26.config_request;
-  config_part = other26.config_part;
-  quarantine_notice = other26.quarantine_notice;
-  host_list_ask = other26.host_list_ask;
-  host_list_part = other26.host_list_part;
-  __isset = other26.__isset;
-}
-Frame& Frame::operator=(const Frame& other27) {
-  version = other27.version;
-  hello = other27.hello;
-  proof = other27.proof;
-  membership = other27.membership;
-  config_notice = other27.config_notice;
-  config_request = other27.config_request;
-  config_part = other27.config_part;
-  quarantine_notice = other27.quarantine_notice;
-  host_list_ask = other27.host_list_ask;
-  host_list_part = other27.host_list_part;
-  __isset = other27.__isset;
+Frame::Frame(const Frame& other46) {
+  version = other46.version;
+  hello = other46.hello;
+  proof = other46.proof;
+  membership = other46.membership;
+  config_notice = other46.config_notice;
+  config_request = other46.config_request;
+  config_part = other46.config_part;
+  budget_ask = other46.budget_ask;
+  budget_answer = other46.budget_answer;
+  quarantine_notice = other46.quarantine_notice;
+  host_list_ask = other46.host_list_ask;
+  host_list_part = other46.host_list_part;
+  __isset = other46.__isset;
+}
+Frame& Frame::operator=(const Frame& other47) {
+  version = other47.version;
+  hello = other47.hello;
+  proof = other47.proof;
+  membership = other47.membership;
+  config_notice = other47.config_notice;
+  config_request = other47.config_request;
+  config_part = other47.config_part;
+  budget_ask = other47.budget_ask;
+  budget_answer = other47.budget_answer;
+  quarantine_notice = other47.quarantine_notice;
+  host_list_ask = other47.host_list_ask;
+  host_list_part = other47.host_list_part;
+  __isset = other47.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -1857,6 +2607,8 @@
   out << ", " << "config_notice="; (__isset.config_notice ? (out << to_string(config_notice)) : (out << "<null>"));
   out << ", " << "config_request="; (__isset.config_request ? (out << to_string(config_request)) : (out << "<null>"));
   out << ", " << "config_part="; (__isset.config_part ? (out << to_string(config_part)) : (out << "<null>"));
+  out << ", " << "budget_ask="; (__isset.budget_ask ? (out << to_string(budget_ask)) : (out << "<null>"));
+  out << ", " << "budget_answer="; (__isset.budget_answer ? (out << to_string(budget_answer)) : (out << "<null>"));
   out << ", " << "quarantine_notice="; (__isset.quarantine_notice ? (out << to_string(quarantine_notice)) : (out << "<null>"));
   out << ", " << "host_list_ask="; (__isset.host_list_ask ? (out << to_string(host_list_ask)) : (out << "<null>"));
   out << ", " << "host_list_part="; (__isset.host_list_part ? (out << to_string(host_list_part)) : (out << "<null>"));
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -4,6 +4,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include "libs/peer/budget_wire.h"
 #include "libs/peer/peer_constants.h"
 
 namespace turmericwinch {
@@ -121,6 +122,12 @@
     result.peer = part.peer;
     frame_->__set_host_list_part(result);
   }
+  void operator()(const LoanAsk& ask) const {
+    frame_->__set_budget_ask(ToWire(ask));
+  }
+  void operator()(const LoanAnswer& answer) const {
+    frame_->__set_budget_answer(ToWire(answer));
+  }
 
  private:
   wire::Frame* frame_;
@@ -197,6 +204,10 @@
     return HostListAskOf(wire.host_list_ask);
   if (wire.__isset.host_list_part)
     return HostListPartOf(wire.host_list_part);
+  if (wire.__isset.budget_ask)
+    return LoanAskOf(wire.budget_ask);
+  if (wire.__isset.budget_answer)
+    return LoanAnswerOf(wire.budget_answer);
   return std::nullopt;
 }
 
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <variant>
 
+#include "libs/budget/loan_message.h"
 #include "libs/membership/membership_message.h"
 
 namespace turmericwinch {
@@ -86,7 +87,9 @@
                                ConfigPart,
                                QuarantineNotice,
                                HostListAsk,
-                               HostListPart>;
+                               HostListPart,
+                               LoanAsk,
+                               LoanAnswer>;
 
 }  // namespace turmericwinch
 
