Compare ways of drawing on budgets on one trace

measure_budget runs the decision library in one process against a platform in memory with latency, outages, cuts and lost answers. Each policy gets the same seeded requests and faults. A refusal is false if the budget had room when it was made.

Checks of sums in every run: spent and held never above paid; hosts never hold more than the platform has booked; every bill counted once; nothing outstanding at live hosts after they gave all back, and then recorded = spent.

The check can fail. Not found by it: a grant that the domain's free tokens do not bound in MergeHolder, since the plan before it is bounded already.

--- /dev/null
+++ b/src/apps/measure_budget/budget_run.cc
@@ -0,0 +1,341 @@
+#include "apps/measure_budget/budget_run.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "apps/measure_budget/model_constants.h"
+#include "apps/measure_budget/platform_books.h"
+#include "libs/budget/budget_account.h"
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr double kTopUpShare = 0.25;
+
+std::vector<std::int64_t> PaidSizes(const Trace& trace,
+                                    const ScenarioPlan& plan) {
+  std::vector<std::int64_t> paid;
+  for (std::size_t n = 0; n < trace.names().size(); ++n)
+    paid.push_back(plan.PaidFor(trace.DemandOf(n)));
+  return paid;
+}
+
+}  // namespace
+
+BudgetRun::BudgetRun(Policy policy,
+                     const ScenarioPlan& plan,
+                     const FleetSize& size)
+    : policy_(policy),
+      plan_(plan),
+      size_(size),
+      trace_(size),
+      truth_(PaidSizes(trace_, plan)),
+      platform_(queue_, size),
+      random_(size.seed + 2),
+      slots_(size.hosts),
+      declared_(PaidSizes(trace_, plan)),
+      seen_by_cut_(declared_) {
+  for (std::size_t n = 0; n < trace_.names().size(); ++n)
+    index_[trace_.names()[n]] = n;
+}
+
+// Grants learn of top-ups from the account object, the others from the
+// configuration.
+std::optional<BudgetSetting> BudgetRun::SettingOf(
+    std::size_t host,
+    const std::string& name) const {
+  const std::size_t n = index_.at(name);
+  std::int64_t tokens = declared_[n];
+  if (policy_ == Policy::kChecked || policy_ == Policy::kSplit) {
+    tokens = platform_.IsCut(size_.DomainOf(host)) ? seen_by_cut_[n]
+                                                   : truth_.budgets()[n].paid;
+  }
+  return BudgetSetting{tokens, 1, BudgetSetting().reserve_percent};
+}
+
+void BudgetRun::StartHost(std::size_t n) {
+  Slot& slot = slots_[n];
+  slot.holder =
+      "h" + std::to_string(n) + "_" + std::to_string(slot.incarnation);
+  HostParts parts;
+  parts.queue = &queue_;
+  parts.platform = &platform_;
+  parts.size = size_;
+  parts.host = n;
+  parts.holder = slot.holder;
+  parts.names = &trace_.names();
+  parts.setting_of = [this, n](const std::string& name) {
+    return SettingOf(n, name);
+  };
+  slot.host = MakeHost(policy_, std::move(parts), slot.incarnation > 0, truth_);
+  const double phase =
+      (static_cast<double>(n) + 1) / static_cast<double>(size_.hosts);
+  FlushLater(n, size_.flush_seconds * phase);
+}
+
+void BudgetRun::FlushLater(std::size_t n, double seconds) {
+  queue_.After(Seconds(seconds),
+               [this, n, incarnation = slots_[n].incarnation] {
+                 if (over_ || slots_[n].incarnation != incarnation)
+                   return;
+                 slots_[n].host->Flush(
+                     false, [this, n] { FlushLater(n, size_.flush_seconds); });
+               });
+}
+
+void BudgetRun::ScheduleRequest() {
+  const TraceRequest request = trace_.Next();
+  if (request.arrival > plan_.warm_seconds + plan_.counted_seconds)
+    return;
+  queue_.After(Seconds(request.arrival - queue_.seconds()), [this, request] {
+    ScheduleRequest();
+    Arrive(request);
+  });
+}
+
+void BudgetRun::Arrive(const TraceRequest& request) {
+  // The host outlives the call although it may die in it.
+  const std::shared_ptr<HostModel> host = slots_[request.host].host;
+  host->Request(request, [this, request](bool reserved) {
+    if (reserved)
+      Accepted(request);
+    else
+      truth_.Refuse(request.budget, request.bound);
+  });
+}
+
+void BudgetRun::Accepted(const TraceRequest& request) {
+  truth_.Accept(request.budget, request.bound);
+  Slot& slot = slots_[request.host];
+  slot.open[request.id] = request;
+  queue_.After(Seconds(static_cast<double>(request.used) * kTokenSeconds),
+               [this, request, incarnation = slot.incarnation] {
+                 Finish(request, incarnation);
+               });
+}
+
+void BudgetRun::Finish(const TraceRequest& request, int incarnation) {
+  Slot& slot = slots_[request.host];
+  if (slot.incarnation != incarnation)
+    return;
+  slot.open.erase(request.id);
+  slot.host->Settle(request);
+  truth_.Settle(request.budget, request.bound, request.used);
+}
+
+void BudgetRun::Kill(std::size_t n) {
+  Slot& slot = slots_[n];
+  slot.host->Die();
+  ++figures_.deaths;
+  for (const auto& [name, tokens] : slot.host->Held())
+    figures_.stranded += tokens;
+  for (const auto& [name, tokens] : slot.host->Unbilled())
+    doubtful_[name] += tokens;
+  for (const auto& [id, it] : slot.open)
+    truth_.Release(it.budget, it.bound);
+  slot.open.clear();
+  ++slot.incarnation;
+  StartHost(n);
+}
+
+void BudgetRun::TopUpAll() {
+  const std::string id = "top-up-" + std::to_string(top_ups_++);
+  std::map<std::uint64_t, std::vector<std::size_t>> buckets;
+  for (std::size_t n = 0; n < declared_.size(); ++n)
+    buckets[BucketOf(trace_.names()[n])].push_back(n);
+  for (const auto& [number, budgets] : buckets) {
+    const std::string name = AccountObjectName(number);
+    FakePlatform& store = platform_.store();
+    Reason reason;
+    auto it = store.objects.find(name);
+    const bool exists = it != store.objects.end();
+    AccountBucket bucket;
+    if (exists)
+      bucket = AccountBucketOf(it->second.value, &reason).value();
+    for (std::size_t n : budgets) {
+      const auto tokens = static_cast<std::int64_t>(
+          kTopUpShare * static_cast<double>(declared_[n]));
+      truth_.TopUp(n, tokens);
+      TopUp(bucket.budgets[trace_.names()[n]], tokens, id);
+    }
+    const PlatformCall call{
+        exists ? PlatformVerb::kUpdate : PlatformVerb::kCreate,
+        name,
+        exists ? it->second.version : 0,
+        ToJson(bucket),
+        {}};
+    store.write_faults.push_front(PlatformFault::kNone);
+    store.Call(call);
+  }
+}
+
+void BudgetRun::SchedulePartition() {
+  queue_.After(Seconds(plan_.warm_seconds),
+               [this] { platform_.SetCut(0, true); });
+  for (double share : {1.0 / 3, 2.0 / 3}) {
+    queue_.After(Seconds(plan_.warm_seconds + share * plan_.counted_seconds),
+                 [this] { TopUpAll(); });
+  }
+}
+
+void BudgetRun::ScheduleFaults() {
+  FakePlatform& store = platform_.store();
+  if (plan_.scenario == Scenario::kOutage) {
+    queue_.After(Seconds(plan_.warm_seconds), [&store] { store.down = true; });
+  } else if (plan_.scenario == Scenario::kPartition) {
+    SchedulePartition();
+  } else if (plan_.scenario == Scenario::kDeaths) {
+    for (int n = 0; n < kDeaths; ++n) {
+      const double at =
+          plan_.warm_seconds + plan_.counted_seconds * (n + 0.5) / kDeaths;
+      const std::size_t host = random_() % size_.hosts;
+      queue_.After(Seconds(at), [this, host] { Kill(host); });
+    }
+  }
+}
+
+void BudgetRun::CheckBound() {
+  TokensOf held;
+  for (const Slot& slot : slots_) {
+    for (const auto& [name, tokens] : slot.host->Held())
+      held[name] += tokens;
+    figures_.most_memory_bytes =
+        std::max(figures_.most_memory_bytes, slot.host->MemoryBytes());
+  }
+  std::int64_t above = truth_.Overspent();
+  for (const auto& [name, tokens] : held) {
+    const TruthBudget& it = truth_.budgets()[index_.at(name)];
+    above = std::max(above, it.spent + tokens - it.paid);
+  }
+  figures_.overspent = std::max(figures_.overspent, above);
+  CheckHeld(held);
+}
+
+// A host learns of a grant after the platform has it, and ends its use before
+// the platform hears of it. So hosts never hold more than is booked.
+void BudgetRun::CheckHeld(const TokensOf& held) {
+  if (policy_ == Policy::kSplit || !figures_.violated.empty())
+    return;
+  const std::map<std::string, BookedBudget> books =
+      BooksOf(platform_.store(), {});
+  for (const auto& [name, tokens] : held) {
+    const auto it = books.find(name);
+    const std::int64_t booked = it == books.end() ? 0 : it->second.outstanding;
+    if (tokens > booked) {
+      figures_.violated = name + ": hosts hold " + std::to_string(tokens) +
+                          " of " + std::to_string(booked) + " booked";
+      return;
+    }
+  }
+}
+
+void BudgetRun::RunFor(double seconds) {
+  queue_.RunUntil(queue_.now() + Seconds(seconds));
+}
+
+// Ends all faults and streams, and lets every host give back all it has.
+void BudgetRun::Quiesce() {
+  over_ = true;
+  platform_.EndFaults();
+  RunFor(kQuiesceSeconds);
+  for (int n = 0; n < kQuiesceRounds; ++n) {
+    for (Slot& it : slots_) {
+      it.host->Flush(true, [] {});
+      RunFor(kQuiesceSeconds / static_cast<double>(size_.hosts));
+    }
+    RunFor(kQuiesceSeconds);
+  }
+}
+
+std::string BudgetRun::CheckBudget(std::size_t n,
+                                   const BookedBudget* booked) const {
+  const TruthBudget& truth = truth_.budgets()[n];
+  const std::string& name = trace_.names()[n];
+  const auto doubt = doubtful_.find(name);
+  const std::int64_t doubtful = doubt == doubtful_.end() ? 0 : doubt->second;
+  const auto billed = platform_.billed().find(name);
+  const std::int64_t bills =
+      billed == platform_.billed().end() ? 0 : billed->second;
+  if (truth.reserved != 0)
+    return name + ": a request did not end";
+  if (bills > truth.spent || bills + doubtful < truth.spent)
+    return name + ": " + std::to_string(bills) + " billed of " +
+           std::to_string(truth.spent) + " spent";
+  if (!booked)
+    return "";
+  const bool deaths = figures_.deaths > 0;
+  const bool counted =
+      deaths ? booked->spent <= truth.spent &&
+                   booked->spent + booked->outstanding >= truth.spent
+             : booked->spent == truth.spent && booked->outstanding == 0;
+  if (!counted || booked->outstanding_live != 0 || booked->free < 0) {
+    return name + ": spent " + std::to_string(truth.spent) + ", recorded " +
+           std::to_string(booked->spent) + ", outstanding " +
+           std::to_string(booked->outstanding) + " (" +
+           std::to_string(booked->outstanding_live) + " at live hosts), free " +
+           std::to_string(booked->free);
+  }
+  if (policy_ != Policy::kChecked && booked->paid != truth.paid)
+    return name + ": paid " + std::to_string(truth.paid) + ", recorded " +
+           std::to_string(booked->paid);
+  return "";
+}
+
+std::string BudgetRun::CheckBooks() const {
+  if (policy_ == Policy::kPerfect)
+    return "";
+  std::set<std::string> live;
+  for (const Slot& it : slots_)
+    live.insert(it.holder);
+  const std::map<std::string, BookedBudget> books =
+      BooksOf(platform_.store(), live);
+  for (std::size_t n = 0; n < declared_.size(); ++n) {
+    const auto it = books.find(trace_.names()[n]);
+    // A budget that nobody drew on is not declared yet, and fixed shares are
+    // not booked.
+    const bool used =
+        policy_ != Policy::kSplit && truth_.budgets()[n].spent > 0;
+    const std::string violated =
+        CheckBudget(n, it == books.end() || !used ? nullptr : &it->second);
+    if (!violated.empty())
+      return violated;
+  }
+  return "";
+}
+
+RunFigures BudgetRun::Go() {
+  for (std::size_t n = 0; n < size_.hosts; ++n)
+    StartHost(n);
+  ScheduleFaults();
+  ScheduleRequest();
+  RunFor(plan_.warm_seconds);
+  const PlatformLoad before = platform_.load();
+  const std::vector<std::uint64_t> bytes_before = platform_.host_bytes();
+  truth_.SetCounting(true);
+  for (int n = 0; n < kBoundChecks; ++n) {
+    RunFor(plan_.counted_seconds / kBoundChecks);
+    CheckBound();
+  }
+  figures_.counted_seconds = plan_.counted_seconds;
+  figures_.load = platform_.load() - before;
+  for (std::size_t n = 0; n < size_.hosts; ++n) {
+    const double bytes_s =
+        static_cast<double>(platform_.host_bytes()[n] - bytes_before[n]) /
+        plan_.counted_seconds;
+    figures_.mean_bytes_s += bytes_s / static_cast<double>(size_.hosts);
+    figures_.most_bytes_s = std::max(figures_.most_bytes_s, bytes_s);
+  }
+  figures_.unusable_percent = truth_.UnusablePercent();
+  truth_.SetCounting(false);
+  figures_.all = truth_.all();
+  figures_.at_end = truth_.at_end();
+  Quiesce();
+  CheckBound();
+  if (figures_.violated.empty())
+    figures_.violated = CheckBooks();
+  return figures_;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/apps/measure_budget/budget_run.h
@@ -0,0 +1,83 @@
+// Runs one policy through one scenario.
+
+#ifndef SRC_APPS_MEASURE_BUDGET_BUDGET_RUN_H_
+#define SRC_APPS_MEASURE_BUDGET_BUDGET_RUN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "apps/measure_budget/event_queue.h"
+#include "apps/measure_budget/host_model.h"
+#include "apps/measure_budget/platform_model.h"
+#include "apps/measure_budget/policy.h"
+#include "apps/measure_budget/run_figures.h"
+#include "apps/measure_budget/scenario.h"
+#include "apps/measure_budget/trace.h"
+#include "apps/measure_budget/truth_ledger.h"
+
+namespace turmericwinch {
+
+struct BookedBudget;
+
+// The trace and the faults depend on the size and the plan alone, so every
+// policy gets the same.
+class BudgetRun {
+ public:
+  BudgetRun(Policy policy, const ScenarioPlan& plan, const FleetSize& size);
+
+  RunFigures Go();
+
+ private:
+  struct Slot {
+    std::shared_ptr<HostModel> host;
+    std::string holder;
+    int incarnation = 0;
+    std::unordered_map<std::uint64_t, TraceRequest> open;
+  };
+
+  void StartHost(std::size_t n);
+  void FlushLater(std::size_t n, double seconds);
+  void ScheduleRequest();
+  void Arrive(const TraceRequest& request);
+  void Accepted(const TraceRequest& request);
+  void Finish(const TraceRequest& request, int incarnation);
+  void ScheduleFaults();
+  void SchedulePartition();
+  void Kill(std::size_t n);
+  void TopUpAll();
+  void CheckBound();
+  void CheckHeld(const TokensOf& held);
+  void Quiesce();
+  std::optional<BudgetSetting> SettingOf(std::size_t host,
+                                         const std::string& name) const;
+  std::string CheckBooks() const;
+  std::string CheckBudget(std::size_t n, const BookedBudget* booked) const;
+  void RunFor(double seconds);
+
+  Policy policy_;
+  ScenarioPlan plan_;
+  FleetSize size_;
+  EventQueue queue_;
+  Trace trace_;
+  TruthLedger truth_;
+  PlatformModel platform_;
+  std::mt19937_64 random_;
+  std::vector<Slot> slots_;
+  std::map<std::string, std::size_t> index_;
+  // Sizes at the start, and as last seen by a domain that is cut off.
+  std::vector<std::int64_t> declared_;
+  std::vector<std::int64_t> seen_by_cut_;
+  // Tokens settled of which the bill may have died with its host.
+  TokensOf doubtful_;
+  int top_ups_ = 0;
+  bool over_ = false;
+  RunFigures figures_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_APPS_MEASURE_BUDGET_BUDGET_RUN_H_
--- /dev/null
+++ b/src/apps/measure_budget/grant_host.h
@@ -0,0 +1,46 @@
+// A host that draws for itself, as BudgetKeeper does.
+
+#ifndef SRC_APPS_MEASURE_BUDGET_GRANT_HOST_H_
+#define SRC_APPS_MEASURE_BUDGET_GRANT_HOST_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "apps/measure_budget/ledger_host.h"
+
+namespace turmericwinch {
+
+class GrantHost : public LedgerHost {
+ public:
+  using LedgerHost::LedgerHost;
+
+ protected:
+  void Draw() override;
+  void FlushCounters(std::function<void()> done) override;
+
+  // Adds to the wishes of the next turn of a budget's bucket.
+  void AddToTurn(const GrantWish& wish);
+  // Turns of a bucket until no wish is left for it.
+  void SyncBucket(std::uint64_t bucket, std::function<void()> done);
+  // A turn is over.
+  virtual void Publish(const GrantWishes& wanted, const SyncResult& result);
+
+ private:
+  BucketSync& SyncOf(std::uint64_t bucket);
+  void Turn(std::uint64_t bucket, std::function<void()> done);
+  void Step(std::uint64_t bucket,
+            const std::shared_ptr<GrantWishes>& wanted,
+            std::function<void()> done);
+  void SyncAll(std::shared_ptr<std::vector<std::uint64_t>> buckets,
+               std::function<void()> done);
+
+  std::map<std::uint64_t, std::unique_ptr<BucketSync>> syncs_;
+  std::map<std::uint64_t, GrantWishes> wishes_;
+  std::set<std::uint64_t> busy_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_APPS_MEASURE_BUDGET_GRANT_HOST_H_
--- /dev/null
+++ b/src/apps/measure_budget/ledger_host.h
@@ -0,0 +1,85 @@
+// A host with a ledger: requests wait for tokens as they do in the daemon.
+
+#ifndef SRC_APPS_MEASURE_BUDGET_LEDGER_HOST_H_
+#define SRC_APPS_MEASURE_BUDGET_LEDGER_HOST_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "apps/measure_budget/host_model.h"
+#include "apps/measure_budget/host_parts.h"
+#include "libs/budget/bill_flush.h"
+
+namespace turmericwinch {
+
+class LedgerHost : public HostModel,
+                   public std::enable_shared_from_this<LedgerHost> {
+ public:
+  explicit LedgerHost(HostParts parts);
+
+  void Request(const TraceRequest& request,
+               std::function<void(bool)> decided) override;
+  void Settle(const TraceRequest& request) override;
+  void Flush(bool all, std::function<void()> done) override;
+  void Die() override { dead_ = true; }
+  TokensOf Held() const override;
+  TokensOf Unbilled() const override;
+  std::size_t MemoryBytes() const override;
+
+ protected:
+  // The ledger has wishes.
+  virtual void Draw() = 0;
+  // Gives back what lies idle, or all that is not in use.
+  virtual void GiveBack(bool all);
+  // Bills are written; writes what else waits.
+  virtual void FlushCounters(std::function<void()> done) = 0;
+
+  // Takes over a grant, or a refusal of requests `missing` tokens short.
+  void Grant(const std::string& budget, std::int64_t granted_total);
+  void Deny(const std::string& budget, std::int64_t missing);
+  // Tries the requests that wait for a budget again.
+  void Wake(const std::string& budget);
+  // Makes a call; `done` is not called once the host is dead.
+  void Call(PlatformCall call, PlatformModel::Done done);
+  // Answers `action` so that it does nothing once the host is dead.
+  std::function<void()> Alive(std::function<void()> action);
+  const std::string& NameOf(const TraceRequest& request) const;
+  // Tokens of a budget that can be reserved now.
+  virtual std::int64_t Available(const std::string& budget) const;
+
+  HostParts parts_;
+  HostLedger ledger_;
+
+ private:
+  struct Waiter {
+    TraceRequest request;
+    MonotonicTime deadline;
+    std::function<void(bool)> decided;
+    bool over = false;
+  };
+  struct Denial {
+    std::int64_t least = 0;
+    MonotonicTime until;
+  };
+
+  void Try(const std::shared_ptr<Waiter>& waiter);
+  void Refuse(const std::shared_ptr<Waiter>& waiter);
+  void Wait(const std::shared_ptr<Waiter>& waiter);
+  void FlushBills(std::shared_ptr<BillFlush> flush, std::function<void()> done);
+
+  bool dead_ = false;
+  bool draw_requested_ = false;
+  std::unordered_map<std::uint64_t, std::uint64_t> reservations_;
+  std::map<std::string, std::vector<std::shared_ptr<Waiter>>> waiters_;
+  std::map<std::string, Denial> denials_;
+  // Size of each bucket object that the host keeps a copy of.
+  std::map<std::string, std::size_t> copies_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_APPS_MEASURE_BUDGET_LEDGER_HOST_H_
--- /dev/null
+++ b/src/apps/measure_budget/platform_model.cc
@@ -0,0 +1,93 @@
+#include "apps/measure_budget/platform_model.h"
+
+#include <utility>
+
+#include "apps/measure_budget/model_constants.h"
+#include "libs/budget/bill.h"
+#include "libs/budget/budget_constants.h"
+
+namespace turmericwinch {
+
+PlatformModel::PlatformModel(EventQueue& queue, const FleetSize& size)
+    : queue_(queue),
+      size_(size),
+      random_(size.seed + 1),
+      loss_share_(kLossShare),
+      host_bytes_(size.hosts) {
+  store_.fault_of = [this](const PlatformCall&) { return NextFault(); };
+}
+
+PlatformFault PlatformModel::NextFault() {
+  const double draw = std::uniform_real_distribution<>(0, 1)(random_);
+  if (draw < loss_share_)
+    return PlatformFault::kAnswerLost;
+  return draw < 2 * loss_share_ ? PlatformFault::kCallLost
+                                : PlatformFault::kNone;
+}
+
+void PlatformModel::EndFaults() {
+  loss_share_ = 0;
+  store_.down = false;
+  cut_.clear();
+}
+
+void PlatformModel::SetCut(std::size_t domain, bool cut) {
+  if (cut)
+    cut_.insert(domain);
+  else
+    cut_.erase(domain);
+}
+
+void PlatformModel::CountCall(const PlatformCall& call) {
+  if (call.verb == PlatformVerb::kGet)
+    ++load_.reads;
+  else if (call.name.starts_with(kBillPrefix))
+    ++load_.bill_writes;
+  else if (call.name.starts_with(kShardPrefix))
+    ++load_.shard_writes;
+  else
+    ++load_.account_writes;
+}
+
+// A segment that exists already is refused, so each counts once.
+void PlatformModel::CountBills(const PlatformCall& call) {
+  Reason reason;
+  const std::optional<std::vector<Bill>> bills = BillsOf(call.value, &reason);
+  for (const Bill& it : bills.value())
+    billed_[it.budget] += it.tokens;
+}
+
+void PlatformModel::Call(std::size_t host, PlatformCall call, Done done) {
+  const SimDuration there = call.pause + Seconds(kCallSeconds / 2);
+  queue_.After(there, [this, host, call = std::move(call),
+                       done = std::move(done)] { Arrive(host, call, done); });
+}
+
+void PlatformModel::Arrive(std::size_t host,
+                           const PlatformCall& call,
+                           const Done& done) {
+  PlatformAnswer answer;
+  if (IsCut(size_.DomainOf(host))) {
+    answer.reason = {ResultCode::kPlatformUnavailable, "cut off"};
+  } else {
+    if (!store_.down) {
+      CountCall(call);
+      host_bytes_[host] += kCallBytes + call.value.size();
+    }
+    const std::size_t objects = store_.objects.size();
+    answer = store_.Call(call);
+    if (store_.objects.size() > objects && call.name.starts_with(kBillPrefix))
+      CountBills(call);
+    host_bytes_[host] += answer.value.size();
+    // Confirmed bills are never read again here; only their name is kept.
+    if (answer.reason.code == ResultCode::kOk &&
+        call.verb == PlatformVerb::kCreate &&
+        call.name.starts_with(kBillPrefix))
+      store_.objects[call.name].value.clear();
+  }
+  const bool lost = answer.reason.code == ResultCode::kPlatformUnknown;
+  queue_.After(Seconds(lost ? kLostSeconds : kCallSeconds / 2),
+               [answer = std::move(answer), done] { done(answer); });
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/tests/measure_budget/budget_run_test.cc
@@ -0,0 +1,85 @@
+#include "apps/measure_budget/budget_run.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr double kWarmSeconds = 40;
+constexpr double kCountedSeconds = 100;
+
+FleetSize TinySize(std::uint64_t seed) {
+  FleetSize size;
+  size.hosts = 5;
+  size.domains = 2;
+  size.budgets = 6;
+  size.rate = 10;
+  size.flush_seconds = 2;
+  size.seed = seed;
+  return size;
+}
+
+}  // namespace
+
+TEST_GROUP(BudgetRun){
+    static void Check(Scenario scenario){for (int n = 0; n < kPolicies; ++n){
+        const auto policy = static_cast<Policy>(n);
+for (std::uint64_t seed : {1, 2, 3}) {
+  const RunFigures it =
+      BudgetRun(policy, PlanOf(scenario, kWarmSeconds, kCountedSeconds),
+                TinySize(seed))
+          .Go();
+  const std::string text = std::string(NameOf(policy)) + ", seed " +
+                           std::to_string(seed) + ": overspent " +
+                           std::to_string(it.overspent) + " " + it.violated;
+  CHECK_TEXT(it.overspent == 0 && it.violated.empty(), text.c_str());
+  CHECK_TEXT(it.all.acceptable > 0, text.c_str());
+}
+}  // namespace turmericwinch
+}
+}
+;
+
+TEST(BudgetRun, NothingIsOverspentInCalm) {
+  Check(Scenario::kCalm);
+}
+
+TEST(BudgetRun, NothingIsOverspentInAnOutage) {
+  Check(Scenario::kOutage);
+}
+
+TEST(BudgetRun, NothingIsOverspentInAPartitionWithTopUps) {
+  Check(Scenario::kPartition);
+}
+
+TEST(BudgetRun, NothingIsOverspentWhenHostsDie) {
+  Check(Scenario::kDeaths);
+}
+
+TEST(BudgetRun, NothingIsOverspentAtTheEndOfABudget) {
+  Check(Scenario::kEnd);
+}
+
+TEST(BudgetRun, PerfectPolicyRefusesNothingFalsely) {
+  const RunFigures it =
+      BudgetRun(Policy::kPerfect,
+                PlanOf(Scenario::kEnd, kWarmSeconds, kCountedSeconds),
+                TinySize(1))
+          .Go();
+  LONGS_EQUAL(0, it.all.refused);
+}
+
+TEST(BudgetRun, SameSeedGivesTheSameFigures) {
+  const ScenarioPlan plan =
+      PlanOf(Scenario::kDeaths, kWarmSeconds, kCountedSeconds);
+  const RunFigures first = BudgetRun(Policy::kGrants, plan, TinySize(4)).Go();
+  const RunFigures second = BudgetRun(Policy::kGrants, plan, TinySize(4)).Go();
+  LONGS_EQUAL(first.all.acceptable, second.all.acceptable);
+  LONGS_EQUAL(first.load.Writes(), second.load.Writes());
+  LONGS_EQUAL(first.stranded, second.stranded);
+}
+
+}  // namespace turmericwinch
