Compare lending with the other ways, and count refusals against a perfect ledger

Now a perfect ledger gets the same requests, and a refusal is false if that one accepts the request.

Tokens that a live host lent to a dead one are outstanding at the live one; the check of sums takes them off, as they cannot come back without an end.

--- a/src/apps/measure_budget/budget_run.cc
+++ b/src/apps/measure_budget/budget_run.cc
@@ -32,13 +32,20 @@
       size_(size),
       trace_(size),
       truth_(PaidSizes(trace_, plan)),
+      perfect_(PaidSizes(trace_, plan)),
       platform_(queue_, size),
+      peers_(queue_, size),
       random_(size.seed + 2),
       slots_(size.hosts),
       declared_(PaidSizes(trace_, plan)),
       seen_by_cut_(declared_) {
   for (std::size_t n = 0; n < trace_.names().size(); ++n)
     index_[trace_.names()[n]] = n;
+  peers_.on_message = [this](std::size_t host, const PeerMessage& message) {
+    // The host outlives the call.
+    const std::shared_ptr<HostModel> it = slots_[host].host;
+    it->TakeMessage(message);
+  };
 }
 
 // Grants learn of top-ups from the account object, the others from the
@@ -62,6 +69,7 @@
   HostParts parts;
   parts.queue = &queue_;
   parts.platform = &platform_;
+  parts.peers = &peers_;
   parts.size = size_;
   parts.host = n;
   parts.holder = slot.holder;
@@ -95,14 +103,43 @@
   });
 }
 
+bool BudgetRun::DecidePerfectly(const TraceRequest& request, bool* at_end) {
+  const std::size_t budget = request.budget;
+  if (!perfect_.HasRoom(budget, request.bound))
+    return false;
+  *at_end = perfect_.budgets()[budget].IsAtEnd();
+  perfect_.Accept(budget, request.bound);
+  queue_.After(Seconds(static_cast<double>(request.used) * kTokenSeconds),
+               [this, request] {
+                 perfect_.Settle(request.budget, request.bound, request.used);
+               });
+  if (counting_) {
+    ++figures_.all.acceptable;
+    figures_.at_end.acceptable += *at_end ? 1 : 0;
+  }
+  return true;
+}
+
+void BudgetRun::Refused(const TraceRequest& request,
+                        bool acceptable,
+                        bool at_end) {
+  truth_.Refuse(request.budget);
+  if (!acceptable)
+    return;
+  ++figures_.all.refused;
+  figures_.at_end.refused += at_end ? 1 : 0;
+}
+
 void BudgetRun::Arrive(const TraceRequest& request) {
+  bool at_end = false;
+  const bool acceptable = DecidePerfectly(request, &at_end) && counting_;
   // The host outlives the call although it may die in it.
   const std::shared_ptr<HostModel> host = slots_[request.host].host;
-  host->Request(request, [this, request](bool reserved) {
+  host->Request(request, [this, request, acceptable, at_end](bool reserved) {
     if (reserved)
       Accepted(request);
     else
-      truth_.Refuse(request.budget, request.bound);
+      Refused(request, acceptable, at_end);
   });
 }
 
@@ -158,6 +195,7 @@
       const auto tokens = static_cast<std::int64_t>(
           kTopUpShare * static_cast<double>(declared_[n]));
       truth_.TopUp(n, tokens);
+      perfect_.TopUp(n, tokens);
       TopUp(bucket.budgets[trace_.names()[n]], tokens, id);
     }
     const PlatformCall call{
@@ -196,6 +234,10 @@
   }
 }
 
+std::uint64_t BudgetRun::BytesOf(std::size_t host) const {
+  return platform_.host_bytes()[host] + peers_.host_bytes()[host];
+}
+
 void BudgetRun::CheckBound() {
   TokensOf held;
   for (const Slot& slot : slots_) {
@@ -289,8 +331,12 @@
   std::set<std::string> live;
   for (const Slot& it : slots_)
     live.insert(it.holder);
-  const std::map<std::string, BookedBudget> books =
-      BooksOf(platform_.store(), live);
+  std::map<std::string, BookedBudget> books = BooksOf(platform_.store(), live);
+  // What a live host lent to one that died stays with the dead one.
+  for (const Slot& it : slots_) {
+    for (const auto& [name, tokens] : it.host->LentBeside(live))
+      books[name].outstanding_live -= tokens;
+  }
   for (std::size_t n = 0; n < declared_.size(); ++n) {
     const auto it = books.find(trace_.names()[n]);
     // A budget that nobody drew on is not declared yet, and fixed shares are
@@ -312,8 +358,10 @@
   ScheduleRequest();
   RunFor(plan_.warm_seconds);
   const PlatformLoad before = platform_.load();
-  const std::vector<std::uint64_t> bytes_before = platform_.host_bytes();
-  truth_.SetCounting(true);
+  std::vector<std::uint64_t> bytes_before;
+  for (std::size_t n = 0; n < size_.hosts; ++n)
+    bytes_before.push_back(BytesOf(n));
+  counting_ = true;
   for (int n = 0; n < kBoundChecks; ++n) {
     RunFor(plan_.counted_seconds / kBoundChecks);
     CheckBound();
@@ -321,16 +369,13 @@
   figures_.counted_seconds = plan_.counted_seconds;
   figures_.load = platform_.load() - before;
   for (std::size_t n = 0; n < size_.hosts; ++n) {
-    const double bytes_s =
-        static_cast<double>(platform_.host_bytes()[n] - bytes_before[n]) /
-        plan_.counted_seconds;
+    const double bytes_s = static_cast<double>(BytesOf(n) - bytes_before[n]) /
+                           plan_.counted_seconds;
     figures_.mean_bytes_s += bytes_s / static_cast<double>(size_.hosts);
     figures_.most_bytes_s = std::max(figures_.most_bytes_s, bytes_s);
   }
   figures_.unusable_percent = truth_.UnusablePercent();
-  truth_.SetCounting(false);
-  figures_.all = truth_.all();
-  figures_.at_end = truth_.at_end();
+  counting_ = false;
   Quiesce();
   CheckBound();
   if (figures_.violated.empty())
--- a/src/apps/measure_budget/budget_run.h
+++ b/src/apps/measure_budget/budget_run.h
@@ -12,6 +12,7 @@
 
 #include "apps/measure_budget/event_queue.h"
 #include "apps/measure_budget/host_model.h"
+#include "apps/measure_budget/peer_model.h"
 #include "apps/measure_budget/platform_model.h"
 #include "apps/measure_budget/policy.h"
 #include "apps/measure_budget/run_figures.h"
@@ -43,12 +44,17 @@
   void FlushLater(std::size_t n, double seconds);
   void ScheduleRequest();
   void Arrive(const TraceRequest& request);
+  // What a perfect ledger decides on a request.
+  bool DecidePerfectly(const TraceRequest& request, bool* at_end);
+  void Refused(const TraceRequest& request, bool acceptable, bool at_end);
   void Accepted(const TraceRequest& request);
   void Finish(const TraceRequest& request, int incarnation);
   void ScheduleFaults();
   void SchedulePartition();
   void Kill(std::size_t n);
   void TopUpAll();
+  // Bytes of calls and messages of a host so far.
+  std::uint64_t BytesOf(std::size_t host) const;
   void CheckBound();
   void CheckHeld(const TokensOf& held);
   void Quiesce();
@@ -64,7 +70,10 @@
   EventQueue queue_;
   Trace trace_;
   TruthLedger truth_;
+  TruthLedger perfect_;
+  bool counting_ = false;
   PlatformModel platform_;
+  PeerModel peers_;
   std::mt19937_64 random_;
   std::vector<Slot> slots_;
   std::map<std::string, std::size_t> index_;
--- a/src/apps/measure_budget/grant_host.cc
+++ b/src/apps/measure_budget/grant_host.cc
@@ -20,6 +20,7 @@
   parts.hosts_in_domain = [hosts = parts_.size.HostsIn(domain)] {
     return static_cast<int>(hosts);
   };
+  parts.lender = lender();
   sync = std::make_unique<BucketSync>(std::move(parts));
   return *sync;
 }
@@ -32,6 +33,7 @@
   it->second.needed = AddSaturated(it->second.needed, wish.needed);
   it->second.smallest = std::min(it->second.smallest, wish.smallest);
   it->second.rate = wish.rate;
+  it->second.lent_rate = wish.lent_rate;
 }
 
 void GrantHost::Draw() {
--- a/src/apps/measure_budget/grant_host.h
+++ b/src/apps/measure_budget/grant_host.h
@@ -24,6 +24,8 @@
   void AddToTurn(const GrantWish& wish);
   // Turns of a bucket until no wish is left for it.
   void SyncBucket(std::uint64_t bucket, std::function<void()> done);
+  // Set if this host lends.
+  virtual Lender* lender() { return nullptr; }
   // A turn is over.
   virtual void Publish(const GrantWishes& wanted, const SyncResult& result);
 
--- a/src/apps/measure_budget/ledger_host.cc
+++ b/src/apps/measure_budget/ledger_host.cc
@@ -150,6 +150,9 @@
 
 void LedgerHost::FlushBills(std::shared_ptr<BillFlush> flush,
                             std::function<void()> done) {
+  // A write of bills that must fail would only cost time here.
+  if (parts_.platform->store().down)
+    return FlushCounters(std::move(done));
   std::optional<PlatformCall> call = flush->Next(ledger_);
   if (!call)
     return FlushCounters(std::move(done));
--- /dev/null
+++ b/src/apps/measure_budget/lending_host.cc
@@ -0,0 +1,152 @@
+#include "apps/measure_budget/lending_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libs/budget/budget_account.h"
+#include "libs/budget/budget_constants.h"
+
+namespace turmericwinch {
+
+LendingHost::LendingHost(HostParts parts)
+    : GrantHost(std::move(parts)),
+      lender_(MakeLenderParts()),
+      borrower_(parts_.holder,
+                [host = parts_.host] { return PeerModel::AddressOf(host); }) {}
+
+LenderParts LendingHost::MakeLenderParts() const {
+  LenderParts lender;
+  lender.holder = parts_.holder;
+  lender.address = [host = parts_.host] { return PeerModel::AddressOf(host); };
+  const std::size_t domain = parts_.size.DomainOf(parts_.host);
+  lender.hosts_in_domain = [hosts = parts_.size.HostsIn(domain)] {
+    return static_cast<int>(hosts);
+  };
+  lender.reserve_percent_of = [](const std::string&) {
+    return BudgetSetting().reserve_percent;
+  };
+  return lender;
+}
+
+bool LendingHost::Answers(std::uint64_t bucket) const {
+  return parts_.peers->AnsweringHost(parts_.size.DomainOf(parts_.host),
+                                     bucket) == parts_.host;
+}
+
+// The most that one source has: a request takes from one.
+std::int64_t LendingHost::Available(const std::string& budget) const {
+  std::int64_t most = ledger_.Available(budget);
+  for (const std::string& it : ledger_.Lenders())
+    most = std::max(most, ledger_.AvailableFrom(it, budget));
+  return most;
+}
+
+void LendingHost::Draw() {
+  const MonotonicTime now = parts_.queue->now();
+  const std::size_t domain = parts_.size.DomainOf(parts_.host);
+  GrantWishes direct;
+  for (const GrantWish& it : ledger_.TakeWishes()) {
+    const std::uint64_t bucket = BucketOf(it.budget);
+    const std::string address =
+        PeerModel::AddressOf(parts_.peers->AnsweringHost(domain, bucket));
+    if (Answers(bucket) || borrower_.IsSilent(address, now))
+      direct[it.budget] = it;
+    else
+      borrower_.Want(address, it, now);
+  }
+  DrawDirectly(direct);
+  for (std::uint64_t it : lender_.BucketsToList())
+    SyncBucket(it, [] {});
+  Ask();
+}
+
+void LendingHost::DrawDirectly(const GrantWishes& wishes) {
+  std::set<std::uint64_t> touched;
+  for (const auto& [name, it] : wishes) {
+    AddToTurn(it);
+    touched.insert(BucketOf(name));
+  }
+  for (std::uint64_t it : touched)
+    SyncBucket(it, [] {});
+}
+
+void LendingHost::Ask() {
+  const MonotonicTime now = parts_.queue->now();
+  DrawDirectly(borrower_.TakeExpired(now));
+  const std::vector<OutgoingAsk> due = borrower_.Due(ledger_, now);
+  for (const OutgoingAsk& it : due)
+    parts_.peers->Send(parts_.host, it.address, it.ask);
+  if (due.empty())
+    return;
+  parts_.queue->After(kAskPause, Alive([this] { Ask(); }));
+}
+
+void LendingHost::Send(const std::vector<OutgoingAnswer>& answers) {
+  for (const OutgoingAnswer& it : answers)
+    parts_.peers->Send(parts_.host, it.address, it.answer);
+}
+
+void LendingHost::TakeMessage(const PeerMessage& message) {
+  if (const auto* ask = std::get_if<LoanAsk>(&message))
+    TakeAsk(*ask);
+  else
+    TakeAnswer(std::get<LoanAnswer>(message));
+}
+
+void LendingHost::TakeAsk(const LoanAsk& ask) {
+  Send({lender_.Take(ask, ledger_, parts_.queue->now())});
+  Draw();
+}
+
+void LendingHost::TakeAnswer(const LoanAnswer& answer) {
+  const LoanResult result = borrower_.Take(answer, ledger_);
+  for (const std::string& it : result.lent)
+    Wake(it);
+  for (const auto& [name, wish] : result.short_of_tokens)
+    Deny(name, wish.smallest);
+  DrawDirectly(result.direct);
+}
+
+void LendingHost::Publish(const GrantWishes& wanted, const SyncResult& result) {
+  Send(lender_.Retry(ledger_, parts_.queue->now()));
+  const bool failed = result.reason.code != ResultCode::kOk;
+  const GrantWishes& denied = failed ? wanted : result.short_of_tokens;
+  for (const auto& [name, wish] : denied) {
+    Send(lender_.Deny(name,
+                      failed ? LoanOutcome::kUnreachable : LoanOutcome::kShort,
+                      ledger_));
+  }
+  GrantHost::Publish(wanted, result);
+}
+
+void LendingHost::FlushCounters(std::function<void()> done) {
+  GrantHost::FlushCounters([this, done = std::move(done)] {
+    for (const OutgoingAsk& it : borrower_.Reports(ledger_))
+      parts_.peers->Send(parts_.host, it.address, it.ask);
+    done();
+  });
+}
+
+TokensOf LendingHost::Held() const {
+  TokensOf held;
+  for (const auto& [name, it] : ledger_.Figures()) {
+    held[name] = it.counters.Outstanding() - it.lent_billed - it.lent;
+    for (const auto& [lender, loan] : it.loans) {
+      held[name] += loan.totals.received - loan.settled - loan.totals.returned;
+    }
+  }
+  return held;
+}
+
+TokensOf LendingHost::LentBeside(const std::set<std::string>& live) const {
+  TokensOf tokens;
+  for (const auto& [name, borrowers] : lender_.Figures()) {
+    for (const auto& [borrower, lent] : borrowers) {
+      if (!live.contains(borrower))
+        tokens[name] += lent;
+    }
+  }
+  return tokens;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/apps/measure_budget/lending_host.h
@@ -0,0 +1,49 @@
+// A host that borrows from the hosts that answer for its budgets' buckets.
+
+#ifndef SRC_APPS_MEASURE_BUDGET_LENDING_HOST_H_
+#define SRC_APPS_MEASURE_BUDGET_LENDING_HOST_H_
+
+#include <string>
+#include <vector>
+
+#include "apps/measure_budget/grant_host.h"
+#include "apps/measure_budget/peer_model.h"
+#include "libs/budget/borrower.h"
+#include "libs/budget/lender.h"
+
+namespace turmericwinch {
+
+class LendingHost : public GrantHost {
+ public:
+  explicit LendingHost(HostParts parts);
+
+  void TakeMessage(const PeerMessage& message) override;
+  TokensOf Held() const override;
+  TokensOf LentBeside(const std::set<std::string>& live) const override;
+
+ protected:
+  void Draw() override;
+  void FlushCounters(std::function<void()> done) override;
+  void Publish(const GrantWishes& wanted, const SyncResult& result) override;
+  Lender* lender() override { return &lender_; }
+  std::int64_t Available(const std::string& budget) const override;
+
+ private:
+  LenderParts MakeLenderParts() const;
+  bool Answers(std::uint64_t bucket) const;
+  // Draws for itself.
+  void DrawDirectly(const GrantWishes& wishes);
+  // Sends the asks that are due, and again later while one is open.
+  void Ask();
+  void Send(const std::vector<OutgoingAnswer>& answers);
+  void TakeAsk(const LoanAsk& ask);
+  void TakeAnswer(const LoanAnswer& answer);
+
+  Lender lender_;
+  Borrower borrower_;
+  std::size_t open_asks_ = 0;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_APPS_MEASURE_BUDGET_LENDING_HOST_H_
--- /dev/null
+++ b/src/apps/measure_budget/peer_model.h
@@ -0,0 +1,44 @@
+// Messages between hosts of one failure domain.
+
+#ifndef SRC_APPS_MEASURE_BUDGET_PEER_MODEL_H_
+#define SRC_APPS_MEASURE_BUDGET_PEER_MODEL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "apps/measure_budget/event_queue.h"
+#include "apps/measure_budget/fleet_size.h"
+#include "libs/budget/loan_message.h"
+
+namespace turmericwinch {
+
+using PeerMessage = std::variant<LoanAsk, LoanAnswer>;
+
+// Delivers to whatever incarnation runs at the address when a message arrives.
+class PeerModel {
+ public:
+  PeerModel(EventQueue& queue, const FleetSize& size);
+
+  static std::string AddressOf(std::size_t host);
+  // Index of the host of `domain` that answers for a bucket.
+  std::size_t AnsweringHost(std::size_t domain, std::uint64_t bucket) const;
+  void Send(std::size_t from, const std::string& address, PeerMessage message);
+
+  // Takes a message at a host.
+  std::function<void(std::size_t host, const PeerMessage&)> on_message;
+  // Bytes that each host sent and received.
+  const std::vector<std::uint64_t>& host_bytes() const { return host_bytes_; }
+
+ private:
+  EventQueue& queue_;
+  FleetSize size_;
+  std::vector<std::uint64_t> host_bytes_;
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_APPS_MEASURE_BUDGET_PEER_MODEL_H_
--- a/src/apps/measure_budget/policy.cc
+++ b/src/apps/measure_budget/policy.cc
@@ -5,6 +5,7 @@
 
 #include "apps/measure_budget/checked_host.h"
 #include "apps/measure_budget/grant_host.h"
+#include "apps/measure_budget/lending_host.h"
 #include "apps/measure_budget/perfect_host.h"
 #include "apps/measure_budget/split_host.h"
 
@@ -13,7 +14,7 @@
 namespace {
 
 constexpr std::array<std::string_view, kPolicies> kNames = {
-    "perfect", "checked", "split", "grants"};
+    "perfect", "checked", "split", "grants", "lending"};
 
 }  // namespace
 
@@ -40,6 +41,8 @@
       return std::make_shared<SplitHost>(std::move(parts), replacement);
     case Policy::kGrants:
       return std::make_shared<GrantHost>(std::move(parts));
+    case Policy::kLending:
+      return std::make_shared<LendingHost>(std::move(parts));
     case Policy::kPerfect:
       break;
   }
--- a/src/apps/measure_budget/policy.h
+++ b/src/apps/measure_budget/policy.h
@@ -22,9 +22,11 @@
   kSplit,
   // Each host draws for itself.
   kGrants,
+  // One host for each bucket and domain draws, and lends to the others.
+  kLending,
 };
 
-inline constexpr int kPolicies = 4;
+inline constexpr int kPolicies = 5;
 
 std::string_view NameOf(Policy policy);
 std::optional<Policy> PolicyOf(std::string_view name);
--- a/src/apps/measure_budget/run_figures.h
+++ b/src/apps/measure_budget/run_figures.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "apps/measure_budget/platform_model.h"
-#include "apps/measure_budget/truth_ledger.h"
+#include "apps/measure_budget/refusal_count.h"
 
 namespace turmericwinch {
 
--- a/src/apps/measure_budget/truth_ledger.cc
+++ b/src/apps/measure_budget/truth_ledger.cc
@@ -10,13 +10,7 @@
   return static_cast<double>(Room()) <= kLastShare * static_cast<double>(paid);
 }
 
-double RefusalCount::Percent() const {
-  if (acceptable == 0)
-    return 0;
-  return 100.0 * static_cast<double>(refused) / static_cast<double>(acceptable);
-}
-
-TruthLedger::TruthLedger(std::vector<std::int64_t> paid) {
+TruthLedger::TruthLedger(const std::vector<std::int64_t>& paid) {
   for (std::int64_t it : paid)
     budgets_.push_back({it, 0, 0, false});
 }
@@ -25,25 +19,11 @@
   return budgets_[budget].Room() >= tokens;
 }
 
-void TruthLedger::Count(const TruthBudget& budget, bool refused) {
-  if (!counting_)
-    return;
-  ++all_.acceptable;
-  all_.refused += refused ? 1 : 0;
-  if (!budget.IsAtEnd())
-    return;
-  ++at_end_.acceptable;
-  at_end_.refused += refused ? 1 : 0;
-}
-
 void TruthLedger::Accept(std::size_t budget, std::int64_t bound) {
-  Count(budgets_[budget], false);
   budgets_[budget].reserved += bound;
 }
 
-void TruthLedger::Refuse(std::size_t budget, std::int64_t bound) {
-  if (HasRoom(budget, bound))
-    Count(budgets_[budget], true);
+void TruthLedger::Refuse(std::size_t budget) {
   budgets_[budget].refused = true;
 }
 
