Measure lending with stocks filled up, and an hour left of a month

Budgets are paid for a month; in an outage all but an hour's demand was spent before, in equal parts in each domain.

The first try stocked up while the hosts gave all back (outstanding 896685 at live hosts, caught by the check).

--- a/src/apps/measure_budget/budget_run.cc
+++ b/src/apps/measure_budget/budget_run.cc
@@ -14,14 +14,31 @@
 
 constexpr double kTopUpShare = 0.25;
 
-std::vector<std::int64_t> PaidSizes(const Trace& trace,
-                                    const ScenarioPlan& plan) {
-  std::vector<std::int64_t> paid;
+using Sizes = std::vector<std::int64_t>;
+
+Sizes PaidSizes(const Trace& trace, const ScenarioPlan& plan) {
+  Sizes paid;
   for (std::size_t n = 0; n < trace.names().size(); ++n)
     paid.push_back(plan.PaidFor(trace.DemandOf(n)));
   return paid;
 }
 
+Sizes PastSizes(const Trace& trace,
+                const ScenarioPlan& plan,
+                std::size_t domains) {
+  Sizes past;
+  for (std::size_t n = 0; n < trace.names().size(); ++n)
+    past.push_back(plan.PastFor(trace.DemandOf(n), domains));
+  return past;
+}
+
+Sizes LeftOf(const Sizes& paid, const Sizes& past) {
+  Sizes left;
+  for (std::size_t n = 0; n < paid.size(); ++n)
+    left.push_back(paid[n] - past[n]);
+  return left;
+}
+
 }  // namespace
 
 BudgetRun::BudgetRun(Policy policy,
@@ -31,14 +48,15 @@
       plan_(plan),
       size_(size),
       trace_(size),
-      truth_(PaidSizes(trace_, plan)),
-      perfect_(PaidSizes(trace_, plan)),
+      declared_(PaidSizes(trace_, plan)),
+      past_(PastSizes(trace_, plan, size.domains)),
+      seen_by_cut_(LeftOf(declared_, past_)),
+      truth_(seen_by_cut_),
+      perfect_(seen_by_cut_),
       platform_(queue_, size),
       peers_(queue_, size),
       random_(size.seed + 2),
-      slots_(size.hosts),
-      declared_(PaidSizes(trace_, plan)),
-      seen_by_cut_(declared_) {
+      slots_(size.hosts) {
   for (std::size_t n = 0; n < trace_.names().size(); ++n)
     index_[trace_.names()[n]] = n;
   peers_.on_message = [this](std::size_t host, const PeerMessage& message) {
@@ -209,6 +227,33 @@
   }
 }
 
+void BudgetRun::WritePast() {
+  std::map<std::uint64_t, AccountBucket> accounts;
+  std::map<std::uint64_t, DomainShard> shards;
+  for (std::size_t n = 0; n < past_.size(); ++n) {
+    const std::string& name = trace_.names()[n];
+    const std::int64_t part =
+        past_[n] / static_cast<std::int64_t>(size_.domains);
+    BudgetAccount& account = accounts[BucketOf(name)].budgets[name];
+    Declare(account, declared_[n], 1);
+    for (std::size_t domain = 0; domain < size_.domains; ++domain)
+      account.domains["d" + std::to_string(domain)].allocated = part;
+    shards[BucketOf(name)].budgets[name].settled_retired = part;
+  }
+  FakePlatform& store = platform_.store();
+  const auto create = [&store](const std::string& name, std::string value) {
+    store.write_faults.push_front(PlatformFault::kNone);
+    store.Call({PlatformVerb::kCreate, name, 0, std::move(value), {}});
+  };
+  for (const auto& [number, account] : accounts) {
+    create(AccountObjectName(number), ToJson(account));
+    for (std::size_t domain = 0; domain < size_.domains; ++domain) {
+      create(ShardObjectName("d" + std::to_string(domain), number),
+             ToJson(shards[number]));
+    }
+  }
+}
+
 void BudgetRun::SchedulePartition() {
   queue_.After(Seconds(plan_.warm_seconds),
                [this] { platform_.SetCut(0, true); });
@@ -307,19 +352,20 @@
            std::to_string(truth.spent) + " spent";
   if (!booked)
     return "";
-  const bool deaths = figures_.deaths > 0;
+  const std::int64_t past = policy_ == Policy::kChecked ? 0 : past_[n];
+  const std::int64_t spent = booked->spent - past;
   const bool counted =
-      deaths ? booked->spent <= truth.spent &&
-                   booked->spent + booked->outstanding >= truth.spent
-             : booked->spent == truth.spent && booked->outstanding == 0;
+      figures_.deaths > 0
+          ? spent <= truth.spent && spent + booked->outstanding >= truth.spent
+          : spent == truth.spent && booked->outstanding == 0;
   if (!counted || booked->outstanding_live != 0 || booked->free < 0) {
     return name + ": spent " + std::to_string(truth.spent) + ", recorded " +
-           std::to_string(booked->spent) + ", outstanding " +
+           std::to_string(spent) + ", outstanding " +
            std::to_string(booked->outstanding) + " (" +
            std::to_string(booked->outstanding_live) + " at live hosts), free " +
            std::to_string(booked->free);
   }
-  if (policy_ != Policy::kChecked && booked->paid != truth.paid)
+  if (policy_ != Policy::kChecked && booked->paid != truth.paid + past)
     return name + ": paid " + std::to_string(truth.paid) + ", recorded " +
            std::to_string(booked->paid);
   return "";
@@ -352,6 +398,9 @@
 }
 
 RunFigures BudgetRun::Go() {
+  if (plan_.scenario == Scenario::kOutage &&
+      (policy_ == Policy::kGrants || policy_ == Policy::kLending))
+    WritePast();
   for (std::size_t n = 0; n < size_.hosts; ++n)
     StartHost(n);
   ScheduleFaults();
--- a/src/apps/measure_budget/budget_run.h
+++ b/src/apps/measure_budget/budget_run.h
@@ -49,6 +49,8 @@
   void Refused(const TraceRequest& request, bool acceptable, bool at_end);
   void Accepted(const TraceRequest& request);
   void Finish(const TraceRequest& request, int incarnation);
+  // Books what was spent before the run, an equal part in each domain.
+  void WritePast();
   void ScheduleFaults();
   void SchedulePartition();
   void Kill(std::size_t n);
@@ -69,6 +71,11 @@
   FleetSize size_;
   EventQueue queue_;
   Trace trace_;
+  // What was paid for in all, what of it was spent before the run, and what was
+  // left then, as a domain sees it that is cut off.
+  std::vector<std::int64_t> declared_;
+  std::vector<std::int64_t> past_;
+  std::vector<std::int64_t> seen_by_cut_;
   TruthLedger truth_;
   TruthLedger perfect_;
   bool counting_ = false;
@@ -77,9 +84,6 @@
   std::mt19937_64 random_;
   std::vector<Slot> slots_;
   std::map<std::string, std::size_t> index_;
-  // Sizes at the start, and as last seen by a domain that is cut off.
-  std::vector<std::int64_t> declared_;
-  std::vector<std::int64_t> seen_by_cut_;
   // Tokens settled of which the bill may have died with its host.
   TokensOf doubtful_;
   int top_ups_ = 0;
--- a/src/apps/measure_budget/fleet_size.h
+++ b/src/apps/measure_budget/fleet_size.h
@@ -16,6 +16,9 @@
   std::size_t budgets = 10;
   double rate = 54;
   double flush_seconds = 1;
+  // Share of the requests of a budget that is not busy which come outside its
+  // home domain.
+  double stray_share = 0.01;
   std::uint64_t seed = 1;
 
   std::size_t DomainOf(std::size_t host) const { return host % domains; }
--- a/src/apps/measure_budget/lending_host.cc
+++ b/src/apps/measure_budget/lending_host.cc
@@ -119,7 +119,19 @@
   GrantHost::Publish(wanted, result);
 }
 
+void LendingHost::GiveBack(bool all) {
+  closing_ = all;
+  GrantHost::GiveBack(all);
+}
+
+// Stocks are filled up in writes that are due anyway.
 void LendingHost::FlushCounters(std::function<void()> done) {
+  for (std::uint64_t bucket : ledger_.DirtyBuckets()) {
+    if (closing_ || !Answers(bucket))
+      continue;
+    for (const GrantWish& it : ledger_.StockWishes(bucket, parts_.queue->now()))
+      AddToTurn(it);
+  }
   GrantHost::FlushCounters([this, done = std::move(done)] {
     for (const OutgoingAsk& it : borrower_.Reports(ledger_))
       parts_.peers->Send(parts_.host, it.address, it.ask);
--- a/src/apps/measure_budget/lending_host.h
+++ b/src/apps/measure_budget/lending_host.h
@@ -23,6 +23,7 @@
 
  protected:
   void Draw() override;
+  void GiveBack(bool all) override;
   void FlushCounters(std::function<void()> done) override;
   void Publish(const GrantWishes& wanted, const SyncResult& result) override;
   Lender* lender() override { return &lender_; }
@@ -41,7 +42,8 @@
 
   Lender lender_;
   Borrower borrower_;
-  std::size_t open_asks_ = 0;
+  // Gives all back, so that no stock is kept.
+  bool closing_ = false;
 };
 
 }  // namespace turmericwinch
--- a/src/apps/measure_budget/main.cc
+++ b/src/apps/measure_budget/main.cc
@@ -16,7 +16,7 @@
 constexpr std::int64_t kMostBudgets = 100'000;
 constexpr std::int64_t kMostSeconds = 24 * 3'600;
 constexpr std::int64_t kMostRate = 100'000;
-constexpr double kKilobyte = 1'000;
+constexpr std::int64_t kMostPercent = 100;
 constexpr double kMegabyte = 1e6;
 
 SettingSpec Number(std::string name,
@@ -53,6 +53,10 @@
                  kMostSeconds),
           Number("seconds", "counted seconds; 0 for the scenario's own", "0", 0,
                  kMostSeconds),
+          Number("stray",
+                 "requests of budgets that are not busy which come outside "
+                 "their home domain, in percent",
+                 "1", 0, kMostPercent),
           Number("seed", "seed of trace and faults", "1", 0, kMostSeed)};
 }
 
@@ -109,6 +113,7 @@
   if (size.rate <= 0)
     size.rate = kHostRate * static_cast<double>(size.hosts);
   size.flush_seconds = static_cast<double>(table.Integer("flush"));
+  size.stray_share = static_cast<double>(table.Integer("stray")) / kMostPercent;
   size.seed = static_cast<std::uint64_t>(table.Integer("seed"));
   return size;
 }
@@ -138,8 +143,9 @@
   const FleetSize size = SizeOf(*table);
   std::cout << size.hosts << " hosts, " << size.domains << " domains, "
             << size.budgets << " budgets, " << std::setprecision(4) << size.rate
-            << " requests/s, flush " << size.flush_seconds << " s, seed "
-            << size.seed << "\n";
+            << " requests/s, flush " << size.flush_seconds << " s, stray "
+            << size.stray_share * kMostPercent << "%, seed " << size.seed
+            << "\n";
   PrintHead();
   bool clean = true;
   for (Scenario scenario : scenarios) {
--- a/src/apps/measure_budget/model_constants.h
+++ b/src/apps/measure_budget/model_constants.h
@@ -12,8 +12,6 @@
 inline constexpr double kPopularityPower = 1.1;
 // Share of the budgets, the most popular, that every domain draws on alike.
 inline constexpr double kBusyShare = 0.1;
-// Share of the requests of other budgets that come in their home domain.
-inline constexpr double kHomeShare = 0.95;
 // Bounds of a request in tokens, and the share of its bound that it uses.
 inline constexpr double kLeastBound = 300;
 inline constexpr double kMostBound = 1'200;
--- a/src/apps/measure_budget/scenario.cc
+++ b/src/apps/measure_budget/scenario.cc
@@ -1,5 +1,6 @@
 #include "apps/measure_budget/scenario.h"
 
+#include <algorithm>
 #include <array>
 
 #include "apps/measure_budget/model_constants.h"
@@ -9,7 +10,7 @@
 namespace {
 
 constexpr double kHour = 3'600;
-constexpr double kDay = 24 * kHour;
+constexpr double kMonth = 30 * 24 * kHour;
 
 struct Row {
   std::string_view name;
@@ -37,15 +38,23 @@
 }
 
 std::int64_t ScenarioPlan::PaidFor(double demand) const {
-  double tokens = kDay * demand;
-  if (scenario == Scenario::kOutage)
-    tokens = (warm_seconds + counted_seconds) * demand;
-  else if (scenario == Scenario::kEnd)
+  double tokens = kMonth * demand;
+  if (scenario == Scenario::kEnd)
     tokens = (warm_seconds + counted_seconds / 2) * demand;
   // Room for a few requests, so that rare budgets can be used at all.
   return static_cast<std::int64_t>(tokens + 4 * kMostBound);
 }
 
+std::int64_t ScenarioPlan::PastFor(double demand, std::size_t domains) const {
+  if (scenario != Scenario::kOutage)
+    return 0;
+  const double left =
+      (warm_seconds + counted_seconds) * demand + 4 * kMostBound;
+  const std::int64_t past = std::max<std::int64_t>(
+      PaidFor(demand) - static_cast<std::int64_t>(left), 0);
+  return past - past % static_cast<std::int64_t>(domains);
+}
+
 ScenarioPlan PlanOf(Scenario scenario, double warm_seconds, double seconds) {
   const double counted =
       seconds > 0 ? seconds
--- a/src/apps/measure_budget/scenario.h
+++ b/src/apps/measure_budget/scenario.h
@@ -3,6 +3,7 @@
 #ifndef SRC_APPS_MEASURE_BUDGET_SCENARIO_H_
 #define SRC_APPS_MEASURE_BUDGET_SCENARIO_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -33,8 +34,11 @@
   double warm_seconds = 0;
   double counted_seconds = 0;
 
-  // What a budget has of paid tokens, by its demand in tokens a second.
+  // What was paid for a budget in all, and how much of it was spent before the
+  // run, by its demand in tokens a second. The latter is a multiple of
+  // `domains`.
   std::int64_t PaidFor(double demand) const;
+  std::int64_t PastFor(double demand, std::size_t domains) const;
 };
 
 // `seconds` replaces the counted time if it is above 0.
--- a/src/apps/measure_budget/trace.cc
+++ b/src/apps/measure_budget/trace.cc
@@ -27,7 +27,7 @@
 std::size_t Trace::DomainFor(std::size_t budget) {
   const bool busy = static_cast<double>(budget) <
                     kBusyShare * static_cast<double>(size_.budgets);
-  if (busy || Uniform() >= kHomeShare)
+  if (busy || Uniform() < size_.stray_share)
     return Below(size_.domains);
   return budget % size_.domains;
 }
