Bound one draw by the fair share, not the whole stock

A stock could never exceed reserve_percent / domains of what was free at the time, so that at 50% a third of what is left was handed out at most, whatever the demand.

Change: the share bounds what one draw takes ahead of need. A draw ahead of need does not make a budget scarce.

--- a/src/libs/budget/grant_planner.cc
+++ b/src/libs/budget/grant_planner.cc
@@ -9,13 +9,22 @@
 
 namespace {
 
+// What one draw may take ahead of need.
+std::int64_t FairShare(const GrantDemand& demand) {
+  return static_cast<std::int64_t>(static_cast<double>(demand.free) *
+                                   demand.reserve_percent / 100.0 /
+                                   std::max(demand.hosts, 1));
+}
+
+std::int64_t ScarceTokens(const BudgetAccount& account) {
+  return account.Paid() / 100 * kScarcePercent;
+}
+
 // Demand of `horizon`, but no more than a fair share of what is free.
 std::int64_t Ahead(const GrantDemand& demand, std::chrono::seconds horizon) {
   const double ahead = demand.host_rate * static_cast<double>(horizon.count());
-  const double fair_share = static_cast<double>(demand.free) *
-                            demand.reserve_percent / 100.0 /
-                            std::max(demand.hosts, 1);
-  return static_cast<std::int64_t>(std::max(0.0, std::min(ahead, fair_share)));
+  return std::clamp<std::int64_t>(static_cast<std::int64_t>(ahead), 0,
+                                  FairShare(demand));
 }
 
 std::int64_t Plan(const GrantDemand& demand, std::chrono::seconds horizon) {
@@ -34,22 +43,29 @@
   return Plan(demand, kAllocationHorizon);
 }
 
+// The share bounds one draw, not the stock: else a stock could never be more
+// than a part of what is left, however large the demand. A draw ahead of need
+// does not make the budget scarce.
 std::int64_t PlanStock(const GrantDemand& demand,
                        const BudgetAccount& account,
                        std::int64_t available) {
   if (demand.free <= 0)
     return 0;
-  std::int64_t stock = Ahead(demand, kStockHorizon);
+  auto stock = static_cast<std::int64_t>(
+      demand.host_rate * static_cast<double>(kStockHorizon.count()));
+  std::int64_t most = FairShare(demand);
   if (IsScarce(account))
     stock = std::min(stock, ScarceStock(account));
+  else
+    most = std::min(most, account.Free() - ScarceTokens(account));
   const std::int64_t missing = stock - std::max<std::int64_t>(available, 0);
-  return std::min(
-      demand.free,
-      AddSaturated(demand.needed, std::max<std::int64_t>(missing, 0)));
+  return std::min(demand.free,
+                  AddSaturated(demand.needed, std::max<std::int64_t>(
+                                                  std::min(missing, most), 0)));
 }
 
 bool IsScarce(const BudgetAccount& account) {
-  return account.Free() < account.Paid() / 100 * kScarcePercent;
+  return account.Free() < ScarceTokens(account);
 }
 
 std::int64_t ScarceStock(const BudgetAccount& account) {
