Take what is billed for a lender's demand

Cause: a lender counted only what waited at each ask. A borrower in heavy use asks once for 60 s of demand, so the demand of busy budgets was seen many times too small; and the lender's own requests counted by their bound over 30 s for the stock, but not at all for the mark at which it is filled up, so that the stock stopped at two thirds of it with three hosts in a domain.

Change: what borrowers and the host itself billed, over 600 s. The first ask stands in until there is a bill.

--- a/src/libs/budget/bucket_plan.cc
+++ b/src/libs/budget/bucket_plan.cc
@@ -110,7 +110,7 @@
   std::int64_t wanted = wish.needed;
   double rate = wish.rate * hosts;
   if (lends) {
-    rate = wish.rate + wish.lent_rate;
+    rate = wish.lent_rate;
     wanted = PlanStock({wish.needed, rate, domains, anywhere, reserve_percent},
                        account, ledger.Available(wish.budget));
   }
--- a/src/libs/budget/host_ledger.cc
+++ b/src/libs/budget/host_ledger.cc
@@ -78,6 +78,7 @@
   if (lender.empty()) {
     budget.reserved -= held;
     budget.counters.settled += bill.tokens;
+    budget.lent_rate.Add(bill.tokens, now);
     bill.settled_total = budget.counters.settled;
   } else {
     LedgerLoan& loan = budget.loans[lender];
--- a/src/libs/budget/lender.cc
+++ b/src/libs/budget/lender.cc
@@ -30,9 +30,10 @@
 
 class Lender::Private {
  public:
-  void Merge(const std::string& borrower,
-             const LoanWish& wish,
-             HostLedger& ledger);
+  // Answers how many tokens the borrower billed beyond those known.
+  std::int64_t Merge(const std::string& borrower,
+                     const LoanWish& wish,
+                     HostLedger& ledger);
   LoanOutcome Meet(const std::string& borrower,
                    const LoanWish& wish,
                    HostLedger& ledger,
@@ -69,9 +70,9 @@
 Lender::~Lender() = default;
 
 // Totals above what was lent cannot be true; they are held to it.
-void Lender::Private::Merge(const std::string& borrower,
-                            const LoanWish& wish,
-                            HostLedger& ledger) {
+std::int64_t Lender::Private::Merge(const std::string& borrower,
+                                    const LoanWish& wish,
+                                    HostLedger& ledger) {
   Loan& loan = loans[wish.budget][borrower];
   const LoanTotals was = loan.totals;
   loan.totals.received = std::clamp(wish.totals.received, was.received,
@@ -84,6 +85,7 @@
                  std::max(was.returned, loan.lent - loan.totals.billed));
   ledger.TakeBack(wish.budget, loan.totals.billed - was.billed,
                   loan.totals.returned - was.returned);
+  return loan.totals.billed - was.billed;
 }
 
 bool Lender::Private::IsListed(const std::string& budget,
@@ -129,7 +131,6 @@
   if (!added && it->second.wish.needed >= wish.needed)
     return;
   it->second = {address, wish, now};
-  ledger.AddLoanDemand(wish.budget, wish.needed, now);
   ledger.AddWishes(wish.budget, wish.needed, wish.smallest);
 }
 
@@ -166,14 +167,16 @@
   for (LoanWish wish : ask.wishes) {
     if (ask.lender != d_->parts.holder)
       wish.totals = {};
-    if (!d_->ended.contains(ask.borrower))
-      d_->Merge(ask.borrower, wish, ledger);
-    const std::int64_t was = d_->loans[wish.budget][ask.borrower].lent;
+    if (!d_->ended.contains(ask.borrower)) {
+      const std::int64_t billed = d_->Merge(ask.borrower, wish, ledger);
+      ledger.AddLoanDemand(wish.budget, billed, now);
+    }
+    // Demand is what is billed; the first ask stands in for it until then.
+    if (wish.needed > 0 && ledger.LentRate(wish.budget, now) <= 0)
+      ledger.AddLoanDemand(wish.budget, wish.needed, now);
     const LoanOutcome outcome = d_->Meet(ask.borrower, wish, ledger, now);
     if (outcome == LoanOutcome::kDrawing)
       d_->Keep(ask.borrower, ask.reply_to, wish, ledger, now);
-    else if (d_->loans[wish.budget][ask.borrower].lent > was)
-      ledger.AddLoanDemand(wish.budget, wish.needed, now);
     outgoing.answer.grants.push_back(
         d_->GrantOf(ask.borrower, wish.budget, outcome));
   }
