Keep three hours of demand in stock

Cause: an outage of an hour needs an hour's demand in stock at any moment; a stock is filled up below half of what it is meant to be, and that was 600 s.

Change: 10,800 s. It costs nothing in calm, as stocks are filled up in writes that are due anyway, and a lender gives it back above its part of 1% once the budget is scarce.

The test of a late answer took it that the second ask finds no tokens and is answered after a draw. With the larger stock it is answered at once, and the test threw that answer away. It now takes both, and also checks that the late answer lends; this is stricter.

--- a/src/libs/budget/budget_constants.h
+++ b/src/libs/budget/budget_constants.h
@@ -30,7 +30,7 @@
 inline constexpr std::chrono::seconds kLentRateWindow{600};
 // Time of demand that a lender's stock is meant to last, and the time without
 // a loan after which it gives the stock back.
-inline constexpr std::chrono::seconds kStockHorizon{600};
+inline constexpr std::chrono::seconds kStockHorizon{10'800};
 inline constexpr std::chrono::seconds kStockIdle{1'800};
 // Share of that stock below which a lender fills it up with its next write.
 inline constexpr double kStockLowShare = 0.5;
--- a/tests/budget/lending_test.cc
+++ b/tests/budget/lending_test.cc
@@ -191,10 +191,13 @@
   CHECK(e.Borrow(a, kBudget, 100));
   e.now += kAskPause;
   e.Want(a, kBudget, 300);
+  std::vector<OutgoingAnswer> late;
   for (const OutgoingAsk& it : e.Asks())
-    a.lender.Take(it.ask, a.ledger, a.now);
-  std::vector<OutgoingAnswer> late = a.DrawForBorrowers();
+    late.push_back(a.lender.Take(it.ask, a.ledger, a.now));
+  for (OutgoingAnswer& it : a.DrawForBorrowers())
+    late.push_back(std::move(it));
   CHECK(!late.empty());
+  CHECK(late.back().answer.grants.at(0).lent >= 300);
   Release(platform, "d1", "a_1");
   e.LookForEnds();
   e.LookForEnds();
