Measure bills and counters at intervals of their own

Cause: at the target size the writes of counters, one for each bucket and domain, are the largest part, and bills must not wait as long as they may: what a host settled and did not write is lost with it. It also skips writes of bills that must fail while a domain is cut off, which only cost the program time.

--- a/src/apps/measure_budget/fleet_size.h
+++ b/src/apps/measure_budget/fleet_size.h
@@ -15,7 +15,10 @@
   std::size_t domains = 3;
   std::size_t budgets = 10;
   double rate = 54;
+  // Seconds between flushes of bills, and of counters: those go with the first
+  // flush of bills after their time.
   double flush_seconds = 1;
+  double counters_seconds = 0;
   // Share of the requests of a budget that is not busy which come outside its
   // home domain.
   double stray_share = 0.01;
--- a/src/apps/measure_budget/ledger_host.cc
+++ b/src/apps/measure_budget/ledger_host.cc
@@ -144,18 +144,27 @@
 }
 
 void LedgerHost::Flush(bool all, std::function<void()> done) {
+  closing_ = all;
   GiveBack(all);
   FlushBills(std::make_shared<BillFlush>(parts_.DomainName()), std::move(done));
 }
 
+void LedgerHost::BillsFlushed(std::function<void()> done) {
+  const MonotonicTime now = parts_.queue->now();
+  if (!closing_ && now < counters_due_)
+    return done();
+  counters_due_ = now + Seconds(parts_.size.counters_seconds);
+  FlushCounters(std::move(done));
+}
+
 void LedgerHost::FlushBills(std::shared_ptr<BillFlush> flush,
                             std::function<void()> done) {
   // A write of bills that must fail would only cost time here.
-  if (parts_.platform->store().down)
-    return FlushCounters(std::move(done));
+  if (!parts_.platform->IsReachable(parts_.host))
+    return BillsFlushed(std::move(done));
   std::optional<PlatformCall> call = flush->Next(ledger_);
   if (!call)
-    return FlushCounters(std::move(done));
+    return BillsFlushed(std::move(done));
   Call(std::move(*call), [this, flush, done](const PlatformAnswer& answer) {
     flush->Take(answer, ledger_);
     FlushBills(flush, done);
--- a/src/apps/measure_budget/ledger_host.h
+++ b/src/apps/measure_budget/ledger_host.h
@@ -69,9 +69,13 @@
   void Try(const std::shared_ptr<Waiter>& waiter);
   void Refuse(const std::shared_ptr<Waiter>& waiter);
   void Wait(const std::shared_ptr<Waiter>& waiter);
+  void BillsFlushed(std::function<void()> done);
   void FlushBills(std::shared_ptr<BillFlush> flush, std::function<void()> done);
 
   bool dead_ = false;
+  // All is given back, and written at once.
+  bool closing_ = false;
+  MonotonicTime counters_due_;
   bool draw_requested_ = false;
   std::unordered_map<std::uint64_t, std::uint64_t> reservations_;
   std::map<std::string, std::vector<std::shared_ptr<Waiter>>> waiters_;
--- a/src/apps/measure_budget/main.cc
+++ b/src/apps/measure_budget/main.cc
@@ -49,6 +49,8 @@
           Number("rate", "requests a second; 0 for the target's share of hosts",
                  "0", 0, kMostRate),
           Number("flush", "seconds between flushes", "1", 1, kMostSeconds),
+          Number("counters", "seconds between writes of counters", "0", 0,
+                 kMostSeconds),
           Number("warm", "seconds before requests are counted", "300", 0,
                  kMostSeconds),
           Number("seconds", "counted seconds; 0 for the scenario's own", "0", 0,
@@ -113,6 +115,7 @@
   if (size.rate <= 0)
     size.rate = kHostRate * static_cast<double>(size.hosts);
   size.flush_seconds = static_cast<double>(table.Integer("flush"));
+  size.counters_seconds = static_cast<double>(table.Integer("counters"));
   size.stray_share = static_cast<double>(table.Integer("stray")) / kMostPercent;
   size.seed = static_cast<std::uint64_t>(table.Integer("seed"));
   return size;
@@ -143,7 +146,8 @@
   const FleetSize size = SizeOf(*table);
   std::cout << size.hosts << " hosts, " << size.domains << " domains, "
             << size.budgets << " budgets, " << std::setprecision(4) << size.rate
-            << " requests/s, flush " << size.flush_seconds << " s, stray "
+            << " requests/s, flush " << size.flush_seconds << " s, counters "
+            << size.counters_seconds << " s, stray "
             << size.stray_share * kMostPercent << "%, seed " << size.seed
             << "\n";
   PrintHead();
--- a/src/apps/measure_budget/platform_model.h
+++ b/src/apps/measure_budget/platform_model.h
@@ -46,6 +46,10 @@
   // Cuts a domain off, or joins it again.
   void SetCut(std::size_t domain, bool cut);
   bool IsCut(std::size_t domain) const { return cut_.contains(domain); }
+  // Whether a host's calls arrive now.
+  bool IsReachable(std::size_t host) const {
+    return !store_.down && !IsCut(size_.DomainOf(host));
+  }
   // Ends all faults for good.
   void EndFaults();
 
