--- a/src/apps/measure_budget/grant_host.cc
+++ b/src/apps/measure_budget/grant_host.cc
@@ -43,19 +43,24 @@
     touched.insert(BucketOf(it.budget));
   }
   for (std::uint64_t it : touched)
-    SyncBucket(it, [] {});
+    SyncBucket(it, false, [] {});
 }
 
-void GrantHost::SyncBucket(std::uint64_t bucket, std::function<void()> done) {
+void GrantHost::SyncBucket(std::uint64_t bucket,
+                           bool flush,
+                           std::function<void()> done) {
   if (!busy_.insert(bucket).second)
     return done();
-  Turn(bucket, std::move(done));
+  Turn(bucket, flush, std::move(done));
 }
 
-void GrantHost::Turn(std::uint64_t bucket, std::function<void()> done) {
+void GrantHost::Turn(std::uint64_t bucket,
+                     bool flush,
+                     std::function<void()> done) {
   auto wanted = std::make_shared<GrantWishes>(std::move(wishes_[bucket]));
   wishes_.erase(bucket);
-  SyncOf(bucket).Begin(*wanted, false);
+  AddLoanWishes(bucket, flush, *wanted);
+  SyncOf(bucket).Begin(*wanted, false, flush && lender());
   Step(bucket, wanted, std::move(done));
 }
 
@@ -74,8 +79,10 @@
     return;
   }
   Publish(*wanted, sync.result());
-  if (wishes_.contains(bucket))
-    return Turn(bucket, std::move(done));
+  TurnOver(bucket, sync.result());
+  GrantWishes left;
+  if (AddLoanWishes(bucket, false, left) || wishes_.contains(bucket))
+    return Turn(bucket, false, std::move(done));
   busy_.erase(bucket);
   done();
 }
@@ -111,7 +118,7 @@
     return done();
   const std::uint64_t bucket = buckets->back();
   buckets->pop_back();
-  SyncBucket(bucket, [this, buckets, done = std::move(done)] {
+  SyncBucket(bucket, true, [this, buckets, done = std::move(done)] {
     SyncAll(buckets, done);
   });
 }
--- a/src/apps/measure_budget/grant_host.h
+++ b/src/apps/measure_budget/grant_host.h
@@ -22,16 +22,23 @@
 
   // Adds to the wishes of the next turn of a budget's bucket.
   void AddToTurn(const GrantWish& wish);
-  // Turns of a bucket until no wish is left for it.
-  void SyncBucket(std::uint64_t bucket, std::function<void()> done);
+  // Turns of a bucket until no wish is left for it. The first of a flush may
+  // read the objects anew.
+  void SyncBucket(std::uint64_t bucket, bool flush, std::function<void()> done);
   // Set if this host lends.
   virtual Lender* lender() { return nullptr; }
+  // Adds what borrowers wish for and, in a flush, what stocks lack. True if a
+  // turn is needed for it.
+  virtual bool AddLoanWishes(std::uint64_t, bool, GrantWishes&) {
+    return false;
+  }
   // A turn is over.
-  virtual void Publish(const GrantWishes& wanted, const SyncResult& result);
+  virtual void TurnOver(std::uint64_t, const SyncResult&) {}
 
  private:
   BucketSync& SyncOf(std::uint64_t bucket);
-  void Turn(std::uint64_t bucket, std::function<void()> done);
+  void Publish(const GrantWishes& wanted, const SyncResult& result);
+  void Turn(std::uint64_t bucket, bool flush, std::function<void()> done);
   void Step(std::uint64_t bucket,
             const std::shared_ptr<GrantWishes>& wanted,
             std::function<void()> done);
--- a/src/apps/measure_budget/lending_host.cc
+++ b/src/apps/measure_budget/lending_host.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "apps/measure_budget/model_constants.h"
 #include "libs/budget/budget_account.h"
 #include "libs/budget/budget_constants.h"
 
@@ -55,8 +56,6 @@
       borrower_.Want(address, it, now);
   }
   DrawDirectly(direct);
-  for (std::uint64_t it : lender_.BucketsToList())
-    SyncBucket(it, [] {});
   Ask();
 }
 
@@ -67,23 +66,29 @@
     touched.insert(BucketOf(name));
   }
   for (std::uint64_t it : touched)
-    SyncBucket(it, [] {});
+    SyncBucket(it, false, [] {});
 }
 
 void LendingHost::Ask() {
-  const MonotonicTime now = parts_.queue->now();
-  DrawDirectly(borrower_.TakeExpired(now));
-  const std::vector<OutgoingAsk> due = borrower_.Due(ledger_, now);
-  for (const OutgoingAsk& it : due)
+  for (const OutgoingAsk& it : borrower_.Due(ledger_, parts_.queue->now()))
     parts_.peers->Send(parts_.host, it.address, it.ask);
-  if (due.empty())
+  if (asking_ || !borrower_.HasOpenWishes())
     return;
-  parts_.queue->After(kAskPause, Alive([this] { Ask(); }));
+  asking_ = true;
+  parts_.queue->After(Seconds(kAskTickSeconds), Alive([this] { AskAgain(); }));
+}
+
+void LendingHost::AskAgain() {
+  asking_ = false;
+  DrawDirectly(borrower_.TakeExpired(parts_.queue->now()));
+  Ask();
 }
 
 void LendingHost::Send(const std::vector<OutgoingAnswer>& answers) {
-  for (const OutgoingAnswer& it : answers)
-    parts_.peers->Send(parts_.host, it.address, it.answer);
+  for (const OutgoingAnswer& it : answers) {
+    if (!it.address.empty() && !it.answer.grants.empty())
+      parts_.peers->Send(parts_.host, it.address, it.answer);
+  }
 }
 
 void LendingHost::TakeMessage(const PeerMessage& message) {
@@ -94,8 +99,15 @@
 }
 
 void LendingHost::TakeAsk(const LoanAsk& ask) {
-  Send({lender_.Take(ask, ledger_, parts_.queue->now())});
-  Draw();
+  const OutgoingAnswer answer = lender_.Take(ask, ledger_, parts_.queue->now());
+  std::set<std::uint64_t> buckets;
+  for (const LoanGrant& it : answer.answer.grants) {
+    if (it.outcome == LoanOutcome::kDrawing)
+      buckets.insert(BucketOf(it.budget));
+  }
+  Send({answer});
+  for (std::uint64_t it : buckets)
+    SyncBucket(it, false, [] {});
 }
 
 void LendingHost::TakeAnswer(const LoanAnswer& answer) {
@@ -107,16 +119,38 @@
   DrawDirectly(result.direct);
 }
 
-void LendingHost::Publish(const GrantWishes& wanted, const SyncResult& result) {
+bool LendingHost::AddLoanWishes(std::uint64_t bucket,
+                                bool flush,
+                                GrantWishes& wishes) {
+  const MonotonicTime now = parts_.queue->now();
+  bool needed = lender_.BucketsToList().contains(bucket);
+  for (const GrantWish& it : lender_.Wishes(ledger_, now)) {
+    if (BucketOf(it.budget) != bucket)
+      continue;
+    needed = true;
+    auto [own, added] = wishes.emplace(it.budget, it);
+    if (added)
+      continue;
+    own->second.needed = AddSaturated(own->second.needed, it.needed);
+    own->second.smallest = std::min(own->second.smallest, it.smallest);
+    own->second.lent_rate = it.lent_rate;
+  }
+  if (!flush || closing_)
+    return needed;
+  for (const GrantWish& it : ledger_.StockWishes(bucket, now))
+    wishes.emplace(it.budget, it);
+  return needed;
+}
+
+void LendingHost::TurnOver(std::uint64_t bucket, const SyncResult& result) {
   Send(lender_.Retry(ledger_, parts_.queue->now()));
-  const bool failed = result.reason.code != ResultCode::kOk;
-  const GrantWishes& denied = failed ? wanted : result.short_of_tokens;
-  for (const auto& [name, wish] : denied) {
-    Send(lender_.Deny(name,
-                      failed ? LoanOutcome::kUnreachable : LoanOutcome::kShort,
-                      ledger_));
+  for (const auto& [name, wish] : result.short_of_tokens) {
+    if (result.complete)
+      Send(lender_.DenyShort(name, ledger_));
   }
-  GrantHost::Publish(wanted, result);
+  const bool failed = result.reason.code != ResultCode::kOk;
+  if (failed || (!result.complete && !result.short_of_tokens.empty()))
+    Send(lender_.DenyUnreachable(bucket));
 }
 
 void LendingHost::GiveBack(bool all) {
@@ -124,19 +158,11 @@
   GrantHost::GiveBack(all);
 }
 
-// Stocks are filled up in writes that are due anyway.
 void LendingHost::FlushCounters(std::function<void()> done) {
-  for (std::uint64_t bucket : ledger_.DirtyBuckets()) {
-    if (closing_ || !Answers(bucket))
-      continue;
-    for (const GrantWish& it : ledger_.StockWishes(bucket, parts_.queue->now()))
-      AddToTurn(it);
-  }
-  GrantHost::FlushCounters([this, done = std::move(done)] {
-    for (const OutgoingAsk& it : borrower_.Reports(ledger_))
-      parts_.peers->Send(parts_.host, it.address, it.ask);
-    done();
-  });
+  for (const OutgoingAsk& it : borrower_.Reports(ledger_))
+    parts_.peers->Send(parts_.host, it.address, it.ask);
+  Send(lender_.Unheard());
+  GrantHost::FlushCounters(std::move(done));
 }
 
 TokensOf LendingHost::Held() const {
--- a/src/apps/measure_budget/lending_host.h
+++ b/src/apps/measure_budget/lending_host.h
@@ -25,7 +25,10 @@
   void Draw() override;
   void GiveBack(bool all) override;
   void FlushCounters(std::function<void()> done) override;
-  void Publish(const GrantWishes& wanted, const SyncResult& result) override;
+  bool AddLoanWishes(std::uint64_t bucket,
+                     bool flush,
+                     GrantWishes& wishes) override;
+  void TurnOver(std::uint64_t bucket, const SyncResult& result) override;
   Lender* lender() override { return &lender_; }
   std::int64_t Available(const std::string& budget) const override;
 
@@ -34,8 +37,9 @@
   bool Answers(std::uint64_t bucket) const;
   // Draws for itself.
   void DrawDirectly(const GrantWishes& wishes);
-  // Sends the asks that are due, and again later while one is open.
+  // Sends the asks that are due, and looks again while one is open.
   void Ask();
+  void AskAgain();
   void Send(const std::vector<OutgoingAnswer>& answers);
   void TakeAsk(const LoanAsk& ask);
   void TakeAnswer(const LoanAnswer& answer);
@@ -44,6 +48,7 @@
   Borrower borrower_;
   // Gives all back, so that no stock is kept.
   bool closing_ = false;
+  bool asking_ = false;
 };
 
 }  // namespace turmericwinch
--- a/src/apps/measure_budget/model_constants.h
+++ b/src/apps/measure_budget/model_constants.h
@@ -28,6 +28,8 @@
 inline constexpr double kLostSeconds = 1;
 // Seconds that a message between hosts of a domain takes.
 inline constexpr double kPeerSeconds = 0.001;
+// Seconds between looks at asks that are open.
+inline constexpr double kAskTickSeconds = 0.025;
 // Share of the calls of which the answer, or the call itself, is lost.
 inline constexpr double kLossShare = 0.0005;
 // Seconds that a request waits for a grant, and that a refusal holds.
