--- a/tests/config/config_validator_test.cc
+++ b/tests/config/config_validator_test.cc
@@ -45,6 +45,22 @@
     {R"({"kind":"Budget","name":"b","team":"t","tokens":-1})", "outside 0.."},
     {R"({"kind":"Budget","name":"b","team":"t","token":1})",
      "did you mean 'tokens'?"},
+    {R"({"kind":"Budget","name":"b","team":"gone","tokens":1})",
+     "names a Team that does not exist: 'gone'"},
+    {R"({"kind":"Team","name":"a","key_hashes":["0a"]})",
+     "has an entry that is no SHA-256"},
+    {R"([{"kind":"Team","name":"a","key_hashes":["0a"]},
+         {"kind":"Team","name":"b","key_hashes":["0a"]}])",
+     "has a key that Team/a also has"},
+    {R"([{"kind":"Service","name":"s","protocol":"plain"},
+         {"kind":"Route","name":"r","service":"s","path":"/x"},
+         {"kind":"Route","name":"q","service":"s","path":"/x"}])",
+     "can never be reached: Route/q matches the same calls"},
+    {R"([{"kind":"Service","name":"s","protocol":"plain","call_tokens":5},
+         {"kind":"Route","name":"r","service":"s","path":"/"},
+         {"kind":"Limit","name":"l","team":"t","service":"s",
+          "most_tokens":4}])",
+     "is below the 5 tokens of every call of Service/s"},
 };
 
 }  // namespace
