Measure what a flood does to another team's first token

Two causes, not the one on record: with most_in_flight at what the engine runs, a calm request is next in the host's queue but waits for a slot to become free; above it, the flood's requests wait in the engine.

--- a/src/apps/standin_engine/main.cc
+++ b/src/apps/standin_engine/main.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::int64_t kMostMicroseconds = 60'000'000;
+constexpr std::int64_t kMostSlots = 10'000;
 
 std::vector<SettingSpec> EngineSpecs() {
   return {
@@ -28,6 +29,13 @@
        .default_value = "1000",
        .least = 0,
        .most = kMostMicroseconds},
+      {.name = "slots",
+       .type = SettingType::kInteger,
+       .label = "requests that run at once, 0 for no bound",
+       .unit = "requests",
+       .default_value = "0",
+       .least = 0,
+       .most = kMostSlots},
   };
 }
 
@@ -38,6 +46,7 @@
       std::chrono::microseconds(settings.Integer("first-token"));
   speed.between_tokens =
       std::chrono::microseconds(settings.Integer("between-tokens"));
+  speed.slots = settings.Integer("slots");
   return EngineStandIn(context, settings.Text("name"), speed).Handler();
 }
 
--- a/src/libs/standin/engine_stand_in.cc
+++ b/src/libs/standin/engine_stand_in.cc
@@ -9,6 +9,7 @@
 
 #include "libs/base/json_fields.h"
 #include "libs/standin/engine_faults.h"
+#include "libs/standin/engine_slots.h"
 #include "libs/standin/fault_switches.h"
 
 namespace turmericwinch {
@@ -114,7 +115,10 @@
 class EngineStandIn::Private {
  public:
   Private(asio::io_context& context, std::string name, EngineSpeed speed)
-      : context(context), name(std::move(name)), speed(speed) {}
+      : context(context),
+        name(std::move(name)),
+        speed(speed),
+        slots(speed.slots) {}
 
   asio::awaitable<void> Handle(const HttpRequest& request,
                                HttpExchange& exchange);
@@ -129,6 +133,7 @@
   asio::io_context& context;
   std::string name;
   EngineSpeed speed;
+  EngineSlots slots;
   FaultSwitches faults;
   EngineFaults engine_faults;
   // Requests known here, with how far each was generated.
@@ -240,6 +245,8 @@
 
 asio::awaitable<void> EngineStandIn::Private::Generate(const EngineJob& job,
                                                        HttpExchange& exchange) {
+  co_await slots.Enter();
+  const EngineSlots::Holder holder(slots);
   co_await Pause(speed.first_token);
   HttpHeaders headers;
   headers.Add("Content-Type", "text/event-stream");
--- a/src/libs/standin/engine_stand_in.h
+++ b/src/libs/standin/engine_stand_in.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -12,10 +13,12 @@
 
 namespace turmericwinch {
 
-// Speed of the engine. Times are those of an idle engine.
+// Speed of the engine. Times are those of an idle engine. Requests beyond
+// `slots` wait in it; 0 for no bound.
 struct EngineSpeed {
   std::chrono::microseconds first_token{1000};
   std::chrono::microseconds between_tokens{1000};
+  std::int64_t slots = 0;
 };
 
 // Serves POST /v1/chat/completions, which `X-Resume-From: N` starts at token
