Learn how much a target runs at once, and keep room for other teams

- ConcurrencyLimit learns a limit for each target: first tokens are compared with those at few in flight.
It starts low, rises by one for each in time until one is late by 10%, then falls by up to a fifth for each round.
- TeamShares counts what a team has in flight.
While several teams are active, a team above its share starts only if the limits of the followed targets, less an eighth, are not reached in sum.
A team within its share starts up to most_in_flight, past the ones that wait.
- TargetQueue (the queue's decisions, from SharedTargets) skips held teams.
- Calls of plain services wait in the same queue, bounded by team and service, with a refusal at once when the wait would pass the deadline.
They have no first token: only shares and the eighth hold for them.

--- a/src/apps/measure_routing/fleet_model.cc
+++ b/src/apps/measure_routing/fleet_model.cc
@@ -2,11 +2,8 @@
 
 #include <deque>
 #include <functional>
-#include <optional>
-#include <queue>
-#include <tuple>
 
-#include "apps/measure_routing/engine_model.h"
+#include "apps/measure_routing/engine_fleet.h"
 #include "apps/measure_routing/model_constants.h"
 
 namespace turmericwinch {
@@ -15,85 +12,6 @@
 
 constexpr double kEnd = kWarmUpSeconds + kMeasuredSeconds;
 
-// Actions in the order of simulated time; of equal times, as they were added.
-class EventQueue {
- public:
-  using Action = std::function<void(double now)>;
-
-  void Add(double time, Action action) {
-    queue_.push({time, next_++, std::move(action)});
-  }
-  void RunUntil(double end) {
-    while (!queue_.empty() && queue_.top().time < end) {
-      const Event event = queue_.top();
-      queue_.pop();
-      event.action(event.time);
-    }
-  }
-
- private:
-  struct Event {
-    double time;
-    std::uint64_t number;
-    Action action;
-    bool operator<(const Event& other) const {
-      return std::tie(other.time, other.number) < std::tie(time, number);
-    }
-  };
-
-  std::priority_queue<Event> queue_;
-  std::uint64_t next_ = 0;
-};
-
-// Engines in simulated time, with hooks for what happens to requests.
-class Fleet {
- public:
-  using JobHook = std::function<void(Job&, double now)>;
-
-  Fleet(JobHook on_first, JobHook on_done)
-      : on_first_(std::move(on_first)), on_done_(std::move(on_done)) {
-    for (double it : ModelSpeeds())
-      engines_.emplace_back(it);
-  }
-
-  void Send(Job& job, double now) {
-    engines_[job.target].Add(&job);
-    Step(job.target, now);
-  }
-
-  FleetReport Report(double now) const {
-    FleetReport report;
-    report.taken = now;
-    for (const EngineModel& it : engines_) {
-      report.in_flight.push_back(it.InFlight());
-      report.waiting_prompt.push_back(it.WaitingPrompt());
-    }
-    return report;
-  }
-
-  EventQueue& events() { return events_; }
-
- private:
-  void Step(std::size_t target, double now) {
-    std::optional<double> end = engines_[target].StartStep(now);
-    if (!end)
-      return;
-    events_.Add(*end, [this, target](double time) {
-      const EngineModel::StepResult result = engines_[target].FinishStep(time);
-      for (Job* it : result.first)
-        on_first_(*it, time);
-      for (Job* it : result.done)
-        on_done_(*it, time);
-      Step(target, time);
-    });
-  }
-
-  JobHook on_first_;
-  JobHook on_done_;
-  std::vector<EngineModel> engines_;
-  EventQueue events_;
-};
-
 void Sample(const Job& job, FleetSamples& samples) {
   if (job.arrival < kWarmUpSeconds)
     return;
@@ -122,9 +40,9 @@
 
 }  // namespace
 
-std::vector<double> ModelSpeeds() {
+std::vector<double> ModelSpeeds(std::size_t targets) {
   std::vector<double> speeds;
-  for (std::size_t n = 0; n < kModelTargets; ++n)
+  for (std::size_t n = 0; n < targets; ++n)
     speeds.push_back(1.0 / static_cast<double>(1U << (n % 3)));
   return speeds;
 }
@@ -132,13 +50,15 @@
 FleetSamples RunFleet(const FleetRun& run) {
   std::vector<Policy> hosts;
   for (std::size_t n = 0; n < run.hosts; ++n)
-    hosts.push_back(MakePolicy(run.kind, n, ModelSpeeds()));
+    hosts.push_back(MakePolicy(run.kind, n, ModelSpeeds(kModelTargets)));
   FleetSamples samples;
-  Fleet fleet([&](Job& job, double now) { hosts[job.host].first(job, now); },
-              [&](Job& job, double now) {
-                hosts[job.host].done(job, now);
-                Sample(job, samples);
-              });
+  EngineFleet fleet(
+      ModelSpeeds(kModelTargets),
+      [&](Job& job, double now) { hosts[job.host].first(job, now); },
+      [&](Job& job, double now) {
+        hosts[job.host].done(job, now);
+        Sample(job, samples);
+      });
   Workload workload(run.seed, run.hosts);
   std::deque<Job> jobs;
   std::function<void(double)> arrive = [&](double now) {
@@ -173,18 +93,19 @@
   Workload workload(seed, 1);
   std::deque<Job> jobs;
   std::size_t done = 0;
-  Fleet* running = nullptr;
+  EngineFleet* running = nullptr;
   auto send = [&](std::size_t target, double now) {
     jobs.push_back(workload.Next(now, 1));
     jobs.back().arrival = now;
     jobs.back().target = target;
     running->Send(jobs.back(), now);
   };
-  Fleet fleet([](Job&, double) {},
-              [&](Job& job, double now) {
-                done += now > kWarmUpSeconds ? 1 : 0;
-                send(job.target, now);
-              });
+  EngineFleet fleet(
+      ModelSpeeds(kModelTargets), [](Job&, double) {},
+      [&](Job& job, double now) {
+        done += now > kWarmUpSeconds ? 1 : 0;
+        send(job.target, now);
+      });
   running = &fleet;
   for (std::size_t target = 0; target < kModelTargets; ++target) {
     for (int n = 0; n < kSaturatingRequests; ++n)
--- a/src/apps/measure_routing/fleet_model.h
+++ b/src/apps/measure_routing/fleet_model.h
@@ -36,8 +36,8 @@
 // and requests are spread without regard to caches.
 double MeasureCapacity(std::uint64_t seed);
 
-// Speeds of the model's targets.
-std::vector<double> ModelSpeeds();
+// Speeds of that many targets.
+std::vector<double> ModelSpeeds(std::size_t targets);
 
 }  // namespace turmericwinch
 
--- a/src/apps/measure_routing/main.cc
+++ b/src/apps/measure_routing/main.cc
@@ -7,6 +7,8 @@
 #include <sstream>
 
 #include "apps/measure_routing/fleet_model.h"
+#include "apps/measure_routing/flood_model.h"
+#include "apps/measure_routing/model_constants.h"
 
 #include "libs/base/settings_table.h"
 
@@ -16,9 +18,13 @@
 
 constexpr std::int64_t kMostSeed = 1'000'000;
 constexpr std::int64_t kMostHosts = 1'000;
+constexpr std::int64_t kMostTargets = 2'000;
+constexpr std::int64_t kMostFlood = 10'000;
+constexpr double kPercent = 0.01;
 constexpr int kCostTargets = 300;
 constexpr int kCostChoices = 300'000;
 constexpr double kMicroseconds = 1e6;
+constexpr double kMilliseconds = 1e3;
 
 std::vector<SettingSpec> MeasureSpecs() {
   return {{.name = "seed",
@@ -32,7 +38,20 @@
            .label = "entry hosts of the failure domain",
            .default_value = "8",
            .least = 1,
-           .most = kMostHosts}};
+           .most = kMostHosts},
+          {.name = "targets",
+           .type = SettingType::kInteger,
+           .label = "targets of the failure domain beside a flood",
+           .default_value = "24",
+           .least = 1,
+           .most = kMostTargets},
+          {.name = "flood",
+           .type = SettingType::kInteger,
+           .label = "one team's flood, in place of the policies, 0 for none",
+           .unit = "% of the capacity",
+           .default_value = "0",
+           .least = 0,
+           .most = kMostFlood}};
 }
 
 double Percentile(std::vector<double> samples, double share) {
@@ -43,11 +62,11 @@
   return samples[static_cast<std::size_t>(share * last)];
 }
 
-std::string Percentiles(const std::vector<double>& samples) {
+std::string Percentiles(const std::vector<double>& samples, double unit = 1) {
   std::ostringstream text;
-  text << std::fixed << std::setprecision(2);
+  text << std::fixed << std::setprecision(unit == 1 ? 2 : 1);
   for (double it : {0.5, 0.95, 0.99})
-    text << std::setw(7) << Percentile(samples, it);
+    text << std::setw(8) << Percentile(samples, it) * unit;
   return text.str();
 }
 
@@ -84,6 +103,31 @@
   return elapsed.count() * kMicroseconds / kCostChoices;
 }
 
+void PrintFlood(const char* name, const FloodRun& settings) {
+  const FloodSamples run = RunFlood(settings);
+  std::cout << std::left << std::setw(16) << name << std::right << " |"
+            << Percentiles(run.calm_first, kMilliseconds) << " |"
+            << std::setw(7) << run.calm_done << std::setw(7) << run.calm_refused
+            << " |" << Percentiles(run.flood_first, kMilliseconds) << " |"
+            << std::setw(7) << run.flood_done << std::setw(7)
+            << run.flood_refused << "\n";
+}
+
+// Calm teams alone, and beside a flood without and with the learnt limits.
+// `load` is the flood's share of the capacity.
+void MeasureFlood(FloodRun run, double capacity, double load) {
+  const double fleet = capacity * static_cast<double>(run.targets) /
+                       static_cast<double>(kModelTargets);
+  run.calm_rate = kCalmLoad * fleet;
+  std::cout << "run | calm teams' first token p50 p95 p99 ms | answered, "
+            << "refused | the flood's | answered, refused\n";
+  PrintFlood("alone", run);
+  run.flood_rate = load * fleet;
+  PrintFlood("flood", run);
+  run.limited = true;
+  PrintFlood("flood, limited", run);
+}
+
 int RunMeasure(int argc, char** argv) {
   Reason reason;
   std::optional<SettingsTable> table = SettingsTable::Read(
@@ -95,6 +139,15 @@
   const auto seed = static_cast<std::uint64_t>(table->Integer("seed"));
   const auto hosts = static_cast<std::size_t>(table->Integer("hosts"));
   const double capacity = MeasureCapacity(seed);
+  const auto flood = static_cast<double>(table->Integer("flood")) * kPercent;
+  if (flood > 0) {
+    FloodRun run;
+    run.hosts = hosts;
+    run.targets = static_cast<std::size_t>(table->Integer("targets"));
+    run.seed = seed;
+    MeasureFlood(run, capacity, flood);
+    return 0;
+  }
   std::cout << "capacity " << capacity << " requests/s; choice, first token "
             << "and end among " << kCostTargets << " targets "
             << std::setprecision(3) << ChoiceCost() << " us\n"
--- a/src/apps/measure_routing/model_constants.h
+++ b/src/apps/measure_routing/model_constants.h
@@ -22,6 +22,10 @@
 inline constexpr std::size_t kCachedPrefixes = 8;
 // Time between load reports, in seconds.
 inline constexpr double kReportInterval = 0.1;
+// Bytes of one poll of a load report, headers of TCP and IP included, and bytes
+// a second that a host may spend on them.
+inline constexpr double kPollBytes = 300;
+inline constexpr double kPolledBytes = 2'000;
 
 // Share of lookups, their manifests and sizes in tokens.
 inline constexpr double kLookupShare = 0.3;
@@ -36,6 +40,13 @@
 // Simulated times, in seconds. Requests before the warm-up's end do not count.
 inline constexpr double kWarmUpSeconds = 20;
 inline constexpr double kMeasuredSeconds = 120;
+// Teams beside the one that floods, start of the flood and longest wait of a
+// request in a host.
+inline constexpr std::size_t kCalmTeams = 16;
+inline constexpr double kFloodStart = 10;
+inline constexpr double kFloodPatience = 10;
+// Share of the capacity that the calm teams ask for.
+inline constexpr double kCalmLoad = 0.5;
 // Requests kept at each target when the capacity is measured.
 inline constexpr int kSaturatingRequests = 32;
 
--- a/src/apps/measure_routing/policy.cc
+++ b/src/apps/measure_routing/policy.cc
@@ -13,14 +13,8 @@
 namespace {
 
 constexpr std::array<std::string_view, kPolicyKinds> kNames = {
-    "random",      "round_robin",   "least_in_flight",
-    "two_choices", "table_answers", "table_reports"};
-
-TargetTable::TimePoint At(double seconds) {
-  return TargetTable::TimePoint(
-      std::chrono::duration_cast<TargetTable::TimePoint::duration>(
-          std::chrono::duration<double>(seconds)));
-}
+    "random",        "round_robin",   "least_in_flight", "two_choices",
+    "table_answers", "table_reports", "table_polled"};
 
 // In flight by the last report and by what this host sent after it.
 struct Counts {
@@ -66,61 +60,43 @@
   return policy;
 }
 
-std::unique_ptr<TargetTable> MakeTable(std::size_t host,
-                                       const std::vector<double>& speeds) {
-  ConfigSet set;
-  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
-  set.Add({ConfigKind::kTargetClass, "any",
-           boost::json::parse(R"({"service":"llm","tokens_per_second":100,
-             "most_in_flight":64})")
-               .as_object(),
-           ""});
-  const ConfigSnapshot config(1, "digest", set);
-  HostList list;
-  for (std::size_t n = 0; n < speeds.size(); ++n) {
-    list.targets.push_back(
-        {std::to_string(n), "a", "127.0.0.1:1", "1", "any", false});
-  }
-  auto table =
-      std::make_unique<TargetTable>("a", "host-" + std::to_string(host));
-  table->Update(list, config, At(0));
-  return table;
-}
-
-Policy MakeOwn(bool reports,
+Policy MakeOwn(PolicyKind kind,
                std::size_t host,
                const std::vector<double>& speeds) {
-  std::shared_ptr<TargetTable> table = MakeTable(host, speeds);
+  std::shared_ptr<TargetTable> table = MakeModelTable(host, speeds.size(), 1);
   Policy policy;
   policy.choose = [table](Job& job, double now) {
-    TargetWish wish{"llm", static_cast<std::int64_t>(job.prompt)};
-    if (job.lookup) {
-      wish.prefix = Hash64("manifest", job.manifest + 1);
-      wish.prefix_tokens = static_cast<std::int64_t>(job.shared);
-    }
     Reason reason;
-    job.choice = table->Begin(wish, {}, At(now), &reason)
+    job.choice = table->Begin(WishOf(job), {}, ModelTime(now), &reason)
                      .value_or(TargetChoice{.name = "0"});
     return std::stoul(job.choice.name);
   };
   policy.first = [table](Job& job, double now) {
-    table->FirstToken(
-        job.choice, std::chrono::duration<double>(now - job.arrival), At(now));
+    table->FirstToken(job.choice,
+                      std::chrono::duration<double>(now - job.arrival),
+                      ModelTime(now));
   };
   policy.done = [table](Job& job, double now) {
     const double each =
         job.output > 1 ? (job.last - job.first) / (job.output - 1) : 0;
     table->End(job.choice, TargetAnswer::kGood,
-               std::chrono::duration<double>(each), At(now));
+               std::chrono::duration<double>(each), ModelTime(now));
   };
-  if (!reports)
+  if (kind == PolicyKind::kTableAnswersOnly)
     return policy;
-  policy.report = [table](const FleetReport& report, double) {
-    for (std::size_t n = 0; n < report.in_flight.size(); ++n) {
+  const bool polled = kind == PolicyKind::kTablePolled;
+  auto owed = std::make_shared<double>(0);
+  auto turn = std::make_shared<std::size_t>(host);
+  policy.report = [=](const FleetReport& report, double) {
+    const std::size_t targets = report.in_flight.size();
+    *owed += polled ? kPolledBytes * kReportInterval / kPollBytes
+                    : static_cast<double>(targets);
+    for (; *owed >= 1; *owed -= 1) {
+      const std::size_t n = (*turn)++ % targets;
       table->Report(std::to_string(n),
                     {static_cast<std::int64_t>(report.in_flight[n]),
                      static_cast<std::int64_t>(report.waiting_prompt[n]),
-                     At(report.taken)});
+                     ModelTime(report.taken)});
     }
   };
   return policy;
@@ -128,6 +104,45 @@
 
 }  // namespace
 
+TargetTable::TimePoint ModelTime(double seconds) {
+  return TargetTable::TimePoint(
+      std::chrono::duration_cast<TargetTable::TimePoint::duration>(
+          std::chrono::duration<double>(seconds)));
+}
+
+std::unique_ptr<TargetTable> MakeModelTable(std::size_t host,
+                                            std::size_t targets,
+                                            std::size_t hosts) {
+  ConfigSet set;
+  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
+  set.Add({ConfigKind::kTargetClass, "any",
+           boost::json::parse(R"({"service":"llm","tokens_per_second":100,
+             "most_in_flight":64})")
+               .as_object(),
+           ""});
+  const ConfigSnapshot config(1, "digest", set);
+  HostList list;
+  for (std::size_t n = 0; n < hosts; ++n)
+    list.hosts.push_back({"host-" + std::to_string(n), "a"});
+  for (std::size_t n = 0; n < targets; ++n) {
+    list.targets.push_back(
+        {std::to_string(n), "a", "127.0.0.1:1", "1", "any", false});
+  }
+  auto table =
+      std::make_unique<TargetTable>("a", "host-" + std::to_string(host));
+  table->Update(list, config, ModelTime(0));
+  return table;
+}
+
+TargetWish WishOf(const Job& job) {
+  TargetWish wish{"llm", static_cast<std::int64_t>(job.prompt)};
+  if (job.lookup) {
+    wish.prefix = Hash64("manifest", job.manifest + 1);
+    wish.prefix_tokens = static_cast<std::int64_t>(job.shared);
+  }
+  return wish;
+}
+
 std::string_view NameOf(PolicyKind kind) {
   return kNames.at(static_cast<std::size_t>(kind));
 }
@@ -135,10 +150,8 @@
 Policy MakePolicy(PolicyKind kind,
                   std::size_t host,
                   const std::vector<double>& speeds) {
-  if (kind == PolicyKind::kTableAnswersOnly)
-    return MakeOwn(false, host, speeds);
-  if (kind == PolicyKind::kTableWithReports)
-    return MakeOwn(true, host, speeds);
+  if (kind >= PolicyKind::kTableAnswersOnly)
+    return MakeOwn(kind, host, speeds);
   return MakePlain(kind, host, speeds.size());
 }
 
--- a/src/apps/measure_routing/policy.h
+++ b/src/apps/measure_routing/policy.h
@@ -20,9 +20,11 @@
   kTwoChoices,
   kTableAnswersOnly,
   kTableWithReports,
+  // Reports of one target after the other, as many as the bytes allow.
+  kTablePolled,
 };
 
-inline constexpr int kPolicyKinds = 6;
+inline constexpr int kPolicyKinds = 7;
 
 std::string_view NameOf(PolicyKind kind);
 
@@ -42,6 +44,14 @@
       [](const FleetReport&, double) {};
 };
 
+// The table of one of `hosts`, for targets that are all configured alike.
+std::unique_ptr<TargetTable> MakeModelTable(std::size_t host,
+                                            std::size_t targets,
+                                            std::size_t hosts);
+// What the choice knows of a job; of no team.
+TargetWish WishOf(const Job& job);
+TargetTable::TimePoint ModelTime(double seconds);
+
 // `speeds` are the targets' speeds, 1 for full.
 Policy MakePolicy(PolicyKind kind,
                   std::size_t host,
--- a/src/apps/measure_routing/workload.h
+++ b/src/apps/measure_routing/workload.h
@@ -19,7 +19,9 @@
   int output = 0;
   std::size_t host = 0;
   std::size_t target = 0;
+  std::size_t team = 0;
   double arrival = 0;
+  double sent = 0;
   double first = 0;
   double last = 0;
   double unread = 0;
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -43,7 +43,10 @@
           Sha256Hex(caller.team->name + "\n" + json::serialize(request_.body))
               .substr(0, kDigestDigits)),
       wish_(ChatWishOf(service.name, request_)),
-      progress_(caller.request_id, request_.max_tokens) {}
+      progress_(caller.request_id, request_.max_tokens) {
+  wish_.team = caller.team->name;
+  wish_.share = caller.team->share;
+}
 
 asio::awaitable<ResultCode> ChatCall::Run() {
   std::set<std::string> excluded;
@@ -105,9 +108,8 @@
 
 asio::awaitable<std::optional<TargetChoice>> ChatCall::ChooseFirst() {
   Reason reason;
-  const QueuePlace place{caller_.team->name, caller_.team->share, deadline_};
   std::optional<TargetChoice> choice =
-      co_await node_.targets->Wait(wish_, place, &reason);
+      co_await node_.targets->Wait(wish_, deadline_, &reason);
   if (!choice)
     refusal_ = MakeRefusal(reason);
   co_return choice;
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -63,6 +63,7 @@
 struct PlainCall {
   const RouteConfig* route = nullptr;
   HttpRequest request;
+  TargetWish wish;
   std::chrono::steady_clock::time_point deadline;
   // Set for a call that may not be repeated.
   std::optional<ClaimSession> claim;
@@ -102,8 +103,11 @@
   std::set<std::string> excluded;
   for (int n = 0; n < kTargetAttempts; ++n) {
     Reason reason;
-    std::optional<TargetChoice> choice =
-        node.targets->Begin(call.route->service, excluded, &reason);
+    std::optional<TargetChoice> choice;
+    if (n == 0)
+      choice = co_await node.targets->Wait(call.wish, call.deadline, &reason);
+    else
+      choice = node.targets->Begin(call.wish, excluded, &reason);
     if (!choice) {
       if (n == 0)
         outcome.refusal = MakeRefusal(reason);
@@ -257,6 +261,9 @@
   call.route = route;
   call.deadline = start + route->deadline;
   call.record = caller.record.get();
+  call.wish.service = service->name;
+  call.wish.team = caller.team->name;
+  call.wish.share = caller.team->share;
   call.request = TargetRequest(caller, request, target->path, key);
   if (wish) {
     ClaimAnswer answer = co_await OnControl(node, node.claims->Take(*wish));
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -16,12 +16,11 @@
 
 // One request that waits. `choice` is written under the lock.
 struct SharedTargets::Waiter {
-  Waiter(const asio::any_io_executor& executor, TargetWish wish)
-      : timer(executor), wish(std::move(wish)) {}
+  Waiter(const asio::any_io_executor& executor, QueueTicket ticket)
+      : timer(executor), ticket(std::move(ticket)) {}
 
   asio::steady_timer timer;
-  TargetWish wish;
-  std::uint64_t request = 0;
+  QueueTicket ticket;
   std::optional<TargetChoice> choice;
 };
 
@@ -35,13 +34,6 @@
   StartWaiting();
 }
 
-std::optional<TargetChoice> SharedTargets::Begin(
-    const std::string& service,
-    const std::set<std::string>& excluded,
-    Reason* reason) {
-  return Begin(TargetWish{service}, excluded, reason);
-}
-
 std::optional<TargetChoice> SharedTargets::Begin(
     const TargetWish& wish,
     const std::set<std::string>& excluded,
@@ -67,78 +59,60 @@
 // A waiter's timer is moved on its own executor rather than cancelled, so that
 // a wake-up that comes before the wait has begun is not lost.
 void SharedTargets::StartWaiting() {
-  const Clock::time_point now = Clock::now();
-  for (auto& [service, queue] : queues_) {
-    while (std::optional<std::uint64_t> request = queue.order.Front()) {
-      std::shared_ptr<Waiter> waiter = queue.waiters.at(*request);
-      Reason reason;
-      waiter->choice = table_.Begin(waiter->wish, {}, now, &reason);
-      if (!waiter->choice)
-        break;
-      queue.order.Start(*request, now);
-      queue.waiters.erase(*request);
-      asio::post(waiter->timer.get_executor(), [waiter] {
-        waiter->timer.expires_at(Clock::time_point::min());
-      });
-    }
+  for (QueueStart& it : queue_.StartWaiting(Clock::now())) {
+    auto found = waiters_.find(it.ticket);
+    std::shared_ptr<Waiter> waiter = std::move(found->second);
+    waiters_.erase(found);
+    waiter->choice = std::move(it.choice);
+    asio::post(waiter->timer.get_executor(), [waiter] {
+      waiter->timer.expires_at(Clock::time_point::min());
+    });
   }
 }
 
 std::shared_ptr<SharedTargets::Waiter> SharedTargets::BeginOrQueue(
     const TargetWish& wish,
-    const QueuePlace& place,
+    Clock::time_point deadline,
     const asio::any_io_executor& executor,
     std::optional<TargetChoice>& choice,
     Reason* reason) {
   const Clock::time_point now = Clock::now();
+  deadline = std::min(deadline, now + kMostTargetWait);
+  std::optional<QueueTicket> ticket;
   std::lock_guard lock(mutex_);
-  Queue& queue = queues_[wish.service];
-  if (queue.order.size() == 0) {
-    choice = table_.Begin(wish, {}, now, reason);
-    if (choice || reason->code != ResultCode::kOverloaded)
-      return nullptr;
-  }
-  const Clock::time_point deadline =
-      std::min(place.deadline, now + kMostTargetWait);
-  // A short prompt's answer takes its time too: it counts as a whole turn.
-  const std::int64_t tokens =
-      std::max(wish.prompt_tokens, static_cast<std::int64_t>(kTurnTokens));
-  std::optional<std::uint64_t> request =
-      queue.order.Add(place.team, place.share, tokens, deadline, now, reason);
-  if (!request)
+  choice = queue_.Begin(wish, deadline, now, &ticket, reason);
+  if (!ticket)
     return nullptr;
-  auto waiter = std::make_shared<Waiter>(executor, wish);
-  waiter->request = *request;
+  auto waiter = std::make_shared<Waiter>(executor, *ticket);
   waiter->timer.expires_at(deadline);
-  queue.waiters[*request] = waiter;
+  waiters_.emplace(*ticket, waiter);
   return waiter;
 }
 
-asio::awaitable<std::optional<TargetChoice>>
-SharedTargets::Wait(TargetWish wish, QueuePlace place, Reason* reason) {
+asio::awaitable<std::optional<TargetChoice>> SharedTargets::Wait(
+    TargetWish wish,
+    Clock::time_point deadline,
+    Reason* reason) {
+  wish.limited = true;
   auto executor = co_await asio::this_coro::executor;
   std::optional<TargetChoice> choice;
   std::shared_ptr<Waiter> waiter =
-      BeginOrQueue(wish, place, executor, choice, reason);
+      BeginOrQueue(wish, deadline, executor, choice, reason);
   if (!waiter)
     co_return choice;
   co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
   std::lock_guard lock(mutex_);
   if (waiter->choice)
     co_return std::move(waiter->choice);
-  Queue& queue = queues_[wish.service];
-  queue.order.Remove(waiter->request);
-  queue.waiters.erase(waiter->request);
+  queue_.Remove(waiter->ticket);
+  waiters_.erase(waiter->ticket);
   co_return Fail(reason, ResultCode::kOverloaded,
                  "no target of " + wish.service + " had room in time");
 }
 
 std::map<std::string, std::size_t> SharedTargets::QueueSizes() const {
   std::lock_guard lock(mutex_);
-  std::map<std::string, std::size_t> sizes;
-  for (const auto& [service, queue] : queues_)
-    sizes[service] = queue.order.size();
-  return sizes;
+  return queue_.Sizes();
 }
 
 std::vector<TargetFigures> SharedTargets::Figures() const {
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -15,36 +15,27 @@
 #include <string>
 #include <vector>
 
-#include "libs/routing/fair_queue.h"
+#include "libs/routing/target_queue.h"
 #include "libs/routing/target_table.h"
 
 namespace turmericwinch {
 
-// Whose turn a waiting request takes, and until when it may wait.
-struct QueuePlace {
-  std::string team;
-  int share = 1;
-  std::chrono::steady_clock::time_point deadline;
-};
-
 // Safe from any thread.
 class SharedTargets {
  public:
   SharedTargets(std::string failure_domain, const std::string& host);
 
   void Update(const HostList& list, const ConfigSnapshot& config);
-  std::optional<TargetChoice> Begin(const std::string& service,
-                                    const std::set<std::string>& excluded,
-                                    Reason* reason);
-  // The same with what is known of the request.
   std::optional<TargetChoice> Begin(const TargetWish& wish,
                                     const std::set<std::string>& excluded,
                                     Reason* reason);
-  // The same for a first attempt, which waits in fair order while every target
-  // is full. Reasons: kOverloaded, kNoTarget.
-  boost::asio::awaitable<std::optional<TargetChoice>> Wait(TargetWish wish,
-                                                           QueuePlace place,
-                                                           Reason* reason);
+  // The same for a first attempt, which waits until `deadline`, in fair order
+  // by team, while every target is full or its team has its share in flight
+  // and the targets have reached their limits. Reasons: kOverloaded, kNoTarget.
+  boost::asio::awaitable<std::optional<TargetChoice>> Wait(
+      TargetWish wish,
+      std::chrono::steady_clock::time_point deadline,
+      Reason* reason);
   // To be called when the first token of an attempt came.
   void FirstToken(TargetChoice& choice, std::chrono::duration<double> elapsed);
   // `answer` tells the table how the target did; `token_time` is the measured
@@ -58,24 +49,21 @@
 
  private:
   struct Waiter;
-  struct Queue {
-    FairQueue order;
-    std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
-  };
 
   // Lets waiting requests start as far as there is room. Needs the lock.
   void StartWaiting();
   // Starts or queues a request. Null if it started or was refused.
   std::shared_ptr<Waiter> BeginOrQueue(
       const TargetWish& wish,
-      const QueuePlace& place,
+      std::chrono::steady_clock::time_point deadline,
       const boost::asio::any_io_executor& executor,
       std::optional<TargetChoice>& choice,
       Reason* reason);
 
   mutable std::mutex mutex_;
   TargetTable table_;
-  std::map<std::string, Queue> queues_;
+  TargetQueue queue_{table_};
+  std::map<QueueTicket, std::shared_ptr<Waiter>> waiters_;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -51,6 +51,7 @@
                        {"service", it.service},
                        {"address", it.address},
                        {"in_flight", it.in_flight},
+                       {"limit", it.limit},
                        {"leaving", it.leaving},
                        {"state", NameOf(it.state)},
                        {"ejections", it.ejections},
--- a/src/libs/routing/fair_queue.cc
+++ b/src/libs/routing/fair_queue.cc
@@ -52,16 +52,27 @@
   return request;
 }
 
-std::optional<std::uint64_t> FairQueue::Front() {
-  if (teams_.empty())
+bool FairQueue::Waits(const std::string& team) const {
+  return std::any_of(teams_.begin(), teams_.end(),
+                     [&](const Team& it) { return it.name == team; });
+}
+
+std::optional<std::uint64_t> FairQueue::Front(
+    const std::set<std::string>& blocked) {
+  if (std::all_of(teams_.begin(), teams_.end(),
+                  [&](const Team& it) { return blocked.contains(it.name); }))
     return std::nullopt;
-  // Ends, since each pass adds to the deficit of every team that waits.
-  while (teams_.front().deficit < teams_.front().waiting.front().tokens) {
-    teams_.front().deficit += kTurnTokens * teams_.front().share;
-    if (teams_.front().deficit < teams_.front().waiting.front().tokens)
-      teams_.splice(teams_.end(), teams_, teams_.begin());
+  // Ends, since each pass adds to the deficit of every team that may start.
+  for (;;) {
+    Team& first = teams_.front();
+    if (!blocked.contains(first.name)) {
+      if (first.deficit < first.waiting.front().tokens)
+        first.deficit += kTurnTokens * first.share;
+      if (first.deficit >= first.waiting.front().tokens)
+        return first.waiting.front().request;
+    }
+    teams_.splice(teams_.end(), teams_, teams_.begin());
   }
-  return teams_.front().waiting.front().request;
 }
 
 void FairQueue::Start(std::uint64_t request, TimePoint now) {
--- a/src/libs/routing/fair_queue.h
+++ b/src/libs/routing/fair_queue.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "libs/base/reason.h"
@@ -31,9 +32,11 @@
                                    TimePoint deadline,
                                    TimePoint now,
                                    Reason* reason);
-  // The request whose turn it is; nothing if none waits. The same until it is
-  // removed or another is added or removed.
-  std::optional<std::uint64_t> Front();
+  // The request whose turn it is, of teams that are not in `blocked`; nothing
+  // if none waits. The same until it is removed or another is added or removed.
+  std::optional<std::uint64_t> Front(const std::set<std::string>& blocked = {});
+  // Whether a request of the team waits.
+  bool Waits(const std::string& team) const;
   // Takes out a request that started at `now`.
   void Start(std::uint64_t request, TimePoint now);
   // Takes out a request that gave up.
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -67,6 +67,33 @@
 // Prompt tokens that a team of share 1 may start in its turn.
 inline constexpr double kTurnTokens = 256;
 
+// A first token is late when it takes more than this many times what an idle
+// target takes.
+inline constexpr double kLateFactor = 1.1;
+// Most by which a target's limit falls at once, of itself.
+inline constexpr double kLimitFallMost = 0.2;
+// Rise for a first token in time while several teams are active, against 1 when
+// one is, each over the limit.
+inline constexpr double kLimitRiseShared = 0.02;
+// Share of the limit that is in use when a first token in time may raise it.
+inline constexpr double kLimitUsedShare = 0.5;
+// Share of the limit kept from teams above their share; at least one request.
+inline constexpr double kLimitKeptShare = 0.125;
+// Least limit of all hosts of a failure domain, of what is configured.
+inline constexpr double kLimitLeastShare = 0.125;
+// Share of the limit up to which a target counts as idle, the step of the
+// learnt time, and the share of it below which a busy target corrects it, and
+// by how much of the difference.
+inline constexpr double kIdleLimitShare = 0.25;
+inline constexpr double kIdleStep = 0.02;
+inline constexpr double kIdleWrong = 0.8;
+inline constexpr double kIdleCorrection = 0.5;
+// The same step while the limit is below this share of what is configured.
+inline constexpr double kIdleStepFallen = 0.0005;
+inline constexpr double kIdleFallenShare = 0.5;
+// Time for which a team counts as active after its last request.
+inline constexpr std::chrono::seconds kTeamActive{60};
+
 // Time whose allowance of a rate may be used at once.
 inline constexpr std::chrono::duration<double> kRateBurst{1.0};
 
--- a/src/libs/routing/target_group.cc
+++ b/src/libs/routing/target_group.cc
@@ -7,7 +7,20 @@
 
 namespace turmericwinch {
 
-void TargetGroup::Index(std::uint64_t host) {
+double Target::Room(TargetHealth::TimePoint now) const {
+  return std::max(static_cast<double>(most_in_flight) * health.Share(now), 1.0);
+}
+
+double TargetGroup::FollowedLimit(TargetHealth::TimePoint now) const {
+  double sum = 0;
+  for (const Target* it : followed) {
+    if (!it->member.leaving)
+      sum += it->limit.limit() * it->health.Share(now);
+  }
+  return sum;
+}
+
+void TargetGroup::Index(std::uint64_t host, double hosts) {
   std::vector<std::pair<std::uint64_t, Target*>> ranked;
   for (std::size_t n = 0; n < targets.size(); ++n) {
     Target* target = targets[n];
@@ -20,6 +33,14 @@
   ranked.resize(std::min(ranked.size(), kFollowedTargets));
   for (const auto& it : ranked)
     followed.push_back(it.second);
+  // Hosts that follow one target, on average.
+  const double followers = hosts * static_cast<double>(followed.size()) /
+                           static_cast<double>(targets.size());
+  for (Target* it : targets) {
+    const auto most = static_cast<double>(it->most_in_flight);
+    it->limit.SetBounds(most * kLimitLeastShare / std::max(followers, 1.0),
+                        most);
+  }
 }
 
 bool TargetGroup::MayEject(TargetHealth::TimePoint now) const {
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libs/routing/concurrency_limit.h"
 #include "libs/routing/host_list.h"
 #include "libs/routing/prefix_ring.h"
 #include "libs/routing/target_health.h"
@@ -23,7 +24,11 @@
   int tier = 0;
   std::uint64_t id = 0;
   TargetLoad load{1};
+  ConcurrencyLimit limit;
   TargetHealth health;
+
+  // Requests that may be in flight at once.
+  double Room(TargetHealth::TimePoint now) const;
 };
 
 // `followed` is the subset that this host compares: each host learns from few
@@ -34,8 +39,11 @@
   std::unordered_map<std::uint64_t, Target*> by_id;
   PrefixRing ring;
 
-  // Fills the indexes from `targets`; `host` seeds the subset.
-  void Index(std::uint64_t host);
+  // Fills the indexes from `targets`; `host` seeds the subset. The limits leave
+  // each of the `hosts` a part of every target it follows.
+  void Index(std::uint64_t host, double hosts);
+  // Sum of the limits of the followed targets that get work.
+  double FollowedLimit(TargetHealth::TimePoint now) const;
   // Whether one more target may be taken out.
   bool MayEject(TargetHealth::TimePoint now) const;
   // Ejects followed targets whose wait is far above the middle one.
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -8,6 +8,7 @@
 #include "libs/routing/prefix_record.h"
 #include "libs/routing/routing_constants.h"
 #include "libs/routing/target_group.h"
+#include "libs/routing/team_shares.h"
 
 namespace turmericwinch {
 
@@ -31,6 +32,13 @@
   return 1 + static_cast<int>(it - settings->overflow.begin());
 }
 
+// A wish and where it stands.
+struct Asking {
+  const TargetWish& wish;
+  const std::set<std::string>& excluded;
+  TargetTable::TimePoint now;
+};
+
 // The best target so far.
 struct Best {
   Target* target = nullptr;
@@ -47,22 +55,20 @@
         host_hash(Hash64(host)),
         random(host_hash) {}
 
-  void IndexGroups();
+  // `hosts` share the targets.
+  void IndexGroups(double hosts);
   Target* Find(const TargetChoice& choice);
-  Best Compare(TargetGroup& group,
-               const TargetWish& wish,
-               const std::set<std::string>& excluded,
-               TimePoint now);
+  Best Compare(TargetGroup& group, const Asking& asking);
   // Any target with room that the sample missed, nearest tier first; if none
   // is healthy, one that was ejected, so that no detector empties a service.
-  Target* LastResort(const TargetWish& wish,
-                     const std::set<std::string>& excluded,
-                     TimePoint now,
-                     bool* any_full);
-  TargetChoice Count(const TargetWish& wish,
-                     Target& target,
-                     double prompt,
-                     TimePoint now);
+  Target* LastResort(const Asking& asking, bool* any_full);
+  TargetChoice Count(const Asking& asking, Target& target, double prompt);
+  // Sum of the limits of the nearest tier that gets work.
+  double LimitOf(const std::string& service, TimePoint now) const;
+  LimitSample SampleOf(const TargetWish& wish, TimePoint now) const;
+  // Whether the wish's team has its share in flight and the limits are reached
+  // but for the part that is kept for other teams.
+  bool IsHeld(const TargetWish& wish, TimePoint now) const;
 
   std::string failure_domain;
   std::uint64_t host_hash;
@@ -71,16 +77,17 @@
   std::map<std::string, Target> targets;
   // Groups of a service, by tier.
   std::map<std::string, std::map<int, TargetGroup>> groups;
+  std::map<std::string, TeamShares> teams;
   PrefixRecord prefixes;
 };
 
-void TargetTable::Private::IndexGroups() {
+void TargetTable::Private::IndexGroups(double hosts) {
   groups.clear();
   for (auto& [name, target] : targets)
     groups[target.service][target.tier].targets.push_back(&target);
   for (auto& [service, tiers] : groups) {
     for (auto& [tier, group] : tiers)
-      group.Index(host_hash);
+      group.Index(host_hash, hosts);
   }
 }
 
@@ -90,22 +97,53 @@
                                                            : nullptr;
 }
 
-Best TargetTable::Private::Compare(TargetGroup& group,
-                                   const TargetWish& wish,
-                                   const std::set<std::string>& excluded,
-                                   TimePoint now) {
+double TargetTable::Private::LimitOf(const std::string& service,
+                                     TimePoint now) const {
+  auto found = groups.find(service);
+  if (found == groups.end())
+    return 0;
+  for (const auto& [tier, group] : found->second) {
+    const double limit = group.FollowedLimit(now);
+    if (limit > 0)
+      return limit;
+  }
+  return 0;
+}
+
+LimitSample TargetTable::Private::SampleOf(const TargetWish& wish,
+                                           TimePoint now) const {
+  auto shares = teams.find(wish.service);
+  if (wish.team.empty() || shares == teams.end() ||
+      !shares->second.HasOthers(wish.team))
+    return LimitSample::kOnlyTeam;
+  const bool over =
+      shares->second.IsOver(wish.team, LimitOf(wish.service, now));
+  return over ? LimitSample::kOverShare : LimitSample::kWithinShare;
+}
+
+// Targets are limited in sum, so that the choice among them stays free.
+bool TargetTable::Private::IsHeld(const TargetWish& wish, TimePoint now) const {
+  if (SampleOf(wish, now) != LimitSample::kOverShare)
+    return false;
+  const double limit = LimitOf(wish.service, now);
+  const double kept = std::max(limit * kLimitKeptShare, 1.0);
+  const std::int64_t in_flight = teams.at(wish.service).in_flight();
+  return static_cast<double>(in_flight) >= std::max(limit - kept, 1.0);
+}
+
+Best TargetTable::Private::Compare(TargetGroup& group, const Asking& asking) {
   Best best;
+  const TargetWish& wish = asking.wish;
   const auto prompt = static_cast<double>(wish.prompt_tokens);
   const auto shared = static_cast<double>(wish.prefix_tokens);
   auto consider = [&](Target* it, double cached) {
-    const double share = it->health.Share(now);
-    const double room = share * static_cast<double>(it->most_in_flight);
+    const double share = it->health.Share(asking.now);
     if (share == 0 || it->member.leaving ||
-        static_cast<double>(it->load.in_flight()) >= std::max(room, 1.0) ||
-        excluded.contains(it->member.name))
+        static_cast<double>(it->load.in_flight()) >= it->Room(asking.now) ||
+        asking.excluded.contains(it->member.name))
       return;
     const double uncached = std::max(prompt - cached, 1.0);
-    const double cost = it->load.Cost(uncached, now) / share;
+    const double cost = it->load.Cost(uncached, asking.now) / share;
     if (!best.target || cost < best.cost)
       best = {it, cost, uncached};
   };
@@ -115,35 +153,32 @@
     const std::size_t drawn = all ? n : random() % group.followed.size();
     consider(group.followed[drawn], 0);
   }
-  if (wish.prefix == 0)
-    return best;
-  for (std::size_t n : group.ring.Homes(wish.prefix))
-    consider(group.targets[n], shared * kHomeShare);
-  for (std::uint64_t id : prefixes.Holders(wish.prefix, now)) {
-    auto it = group.by_id.find(id);
-    if (it != group.by_id.end())
-      consider(it->second, shared);
+  if (wish.prefix != 0) {
+    for (std::size_t n : group.ring.Homes(wish.prefix))
+      consider(group.targets[n], shared * kHomeShare);
+    for (std::uint64_t id : prefixes.Holders(wish.prefix, asking.now)) {
+      auto it = group.by_id.find(id);
+      if (it != group.by_id.end())
+        consider(it->second, shared);
+    }
   }
   return best;
 }
 
-Target* TargetTable::Private::LastResort(const TargetWish& wish,
-                                         const std::set<std::string>& excluded,
-                                         TimePoint now,
-                                         bool* any_full) {
+Target* TargetTable::Private::LastResort(const Asking& asking, bool* any_full) {
   Target* ejected = nullptr;
-  auto service = groups.find(wish.service);
+  auto service = groups.find(asking.wish.service);
   if (service == groups.end())
     return nullptr;
   for (auto& [tier, group] : service->second) {
     for (Target* it : group.targets) {
-      const TargetState state = it->health.State(now);
+      const TargetState state = it->health.State(asking.now);
       if (it->member.leaving || state == TargetState::kLeaving ||
-          excluded.contains(it->member.name))
+          asking.excluded.contains(it->member.name))
         continue;
       if (it->load.in_flight() >= it->most_in_flight)
         *any_full = true;
-      else if (it->health.Share(now) > 0)
+      else if (it->health.Share(asking.now) > 0)
         return it;
       else if (!ejected)
         ejected = it;
@@ -152,19 +187,23 @@
   return *any_full ? nullptr : ejected;
 }
 
-TargetChoice TargetTable::Private::Count(const TargetWish& wish,
+TargetChoice TargetTable::Private::Count(const Asking& asking,
                                          Target& target,
-                                         double prompt,
-                                         TimePoint now) {
+                                         double prompt) {
+  const TargetWish& wish = asking.wish;
+  TargetChoice choice{target.member.name, target.member.address,
+                      target.member.incarnation, target.id, prompt};
+  choice.sample = SampleOf(wish, asking.now);
+  choice.service = wish.service;
+  choice.team = wish.team;
   target.load.Begin(prompt);
+  if (!wish.team.empty())
+    teams[wish.service].Begin(wish.team);
   if (wish.prefix != 0)
-    prefixes.Note(wish.prefix, target.id, now);
-  return {target.member.name,
-          target.member.address,
-          target.member.incarnation,
-          target.id,
-          prompt,
-          target.load.pending_prompt()};
+    prefixes.Note(wish.prefix, target.id, asking.now);
+  choice.ahead = target.load.pending_prompt();
+  choice.in_flight = target.load.in_flight();
+  return choice;
 }
 
 TargetTable::TargetTable(std::string failure_domain, const std::string& host)
@@ -197,7 +236,11 @@
     targets.emplace(it.name, std::move(target));
   }
   d_->targets = std::move(targets);
-  d_->IndexGroups();
+  const auto hosts = std::count_if(
+      list.hosts.begin(), list.hosts.end(), [this](const ListedMember& it) {
+        return it.failure_domain == d_->failure_domain && !it.leaving;
+      });
+  d_->IndexGroups(static_cast<double>(std::max<std::ptrdiff_t>(hosts, 1)));
   for (auto& [service, tiers] : d_->groups) {
     for (auto& [tier, group] : tiers)
       group.EjectSlow(now);
@@ -209,31 +252,45 @@
     const std::set<std::string>& excluded,
     TimePoint now,
     Reason* reason) {
+  if (!wish.team.empty())
+    d_->teams[wish.service].Seen(wish.team, wish.share, now);
+  if (wish.limited && d_->IsHeld(wish, now)) {
+    return Fail(
+        reason, ResultCode::kOverloaded,
+        "team " + wish.team + " has its share in flight at " + wish.service);
+  }
+  const Asking asking{wish, excluded, now};
   auto service = d_->groups.find(wish.service);
   if (service != d_->groups.end()) {
     for (auto& [tier, group] : service->second) {
-      const Best best = d_->Compare(group, wish, excluded, now);
+      const Best best = d_->Compare(group, asking);
       if (best.target)
-        return d_->Count(wish, *best.target, best.prompt, now);
+        return d_->Count(asking, *best.target, best.prompt);
     }
   }
   bool any_full = false;
-  Target* last = d_->LastResort(wish, excluded, now, &any_full);
-  if (last) {
-    return d_->Count(wish, *last, static_cast<double>(wish.prompt_tokens), now);
-  }
+  Target* last = d_->LastResort(asking, &any_full);
+  if (last)
+    return d_->Count(asking, *last, static_cast<double>(wish.prompt_tokens));
   return Fail(reason,
               any_full ? ResultCode::kOverloaded : ResultCode::kNoTarget,
               any_full ? "every target of " + wish.service + " is full"
                        : "no target of " + wish.service + " is known");
 }
 
+bool TargetTable::IsOverShare(const TargetWish& wish, TimePoint now) const {
+  return d_->SampleOf(wish, now) == LimitSample::kOverShare;
+}
+
 void TargetTable::FirstToken(TargetChoice& choice,
                              std::chrono::duration<double> elapsed,
                              TimePoint now) {
   Target* target = d_->Find(choice);
-  if (target && !choice.had_first)
+  if (target && !choice.had_first) {
     target->load.FirstToken(choice.prompt, choice.ahead, elapsed, now);
+    target->limit.FirstToken(choice.sample, elapsed, choice.prompt,
+                             choice.in_flight, now);
+  }
   choice.had_first = true;
 }
 
@@ -241,6 +298,8 @@
                       TargetAnswer answer,
                       std::chrono::duration<double> token_time,
                       TimePoint now) {
+  if (!choice.team.empty())
+    d_->teams[choice.service].End(choice.team);
   Target* target = d_->Find(choice);
   if (!target)
     return;
@@ -264,7 +323,7 @@
     figures.push_back(
         {name, it.member.failure_domain, it.service, it.member.address,
          it.load.in_flight(), it.member.leaving, it.health.State(now),
-         it.health.ejections(), it.load.WaitSeconds(now),
+         it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
          it.load.seconds_per_token(), it.load.seconds_per_prompt_token()});
   }
   return figures;
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -13,6 +13,7 @@
 
 #include "libs/base/reason.h"
 #include "libs/config/config_snapshot.h"
+#include "libs/routing/concurrency_limit.h"
 #include "libs/routing/host_list.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
@@ -21,12 +22,17 @@
 
 // What the choice has to know of a request. `prefix` is a hash of the part of
 // the prompt that other requests share, `prefix_tokens` long; 0 if there is
-// none.
+// none. A `limited` request finds no room while its team has its share in
+// flight and the targets have reached their learnt limits; one without a team
+// is never limited.
 struct TargetWish {
   std::string service;
   std::int64_t prompt_tokens = 0;
   std::uint64_t prefix = 0;
   std::int64_t prefix_tokens = 0;
+  std::string team;
+  int share = 1;
+  bool limited = false;
 };
 
 // A target chosen for one attempt, and what the table counted for it.
@@ -38,6 +44,11 @@
   double prompt = 0;
   double ahead = 0;
   bool had_first = false;
+  std::string service;
+  std::string team;
+  LimitSample sample = LimitSample::kOnlyTeam;
+  // Own requests at the target, this one included.
+  std::int64_t in_flight = 0;
 };
 
 // One row for dumps.
@@ -50,6 +61,7 @@
   bool leaving = false;
   TargetState state = TargetState::kServing;
   int ejections = 0;
+  double limit = 0;
   double wait_seconds = 0;
   double seconds_per_token = 0;
   double seconds_per_prompt_token = 0;
@@ -79,6 +91,8 @@
                                     const std::set<std::string>& excluded,
                                     TimePoint now,
                                     Reason* reason);
+  // Whether the wish's team has its share in flight while others are active.
+  bool IsOverShare(const TargetWish& wish, TimePoint now) const;
   // The first token of the attempt came `elapsed` after it was sent.
   void FirstToken(TargetChoice& choice,
                   std::chrono::duration<double> elapsed,
--- /dev/null
+++ b/tests/node/shared_targets_test.cc
@@ -0,0 +1,102 @@
+#include "libs/node/shared_targets.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio.hpp>
+#include <boost/json/parse.hpp>
+
+#include "support/run_coroutine.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+using Choice = std::optional<TargetChoice>;
+
+ConfigSnapshot Config() {
+  ConfigSet set;
+  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
+  set.Add({ConfigKind::kTargetClass, "any",
+           boost::json::parse(R"({"service":"plain","tokens_per_second":1,
+             "most_in_flight":2})")
+               .as_object(),
+           ""});
+  return {1, "digest", set};
+}
+
+}  // namespace
+
+TEST_GROUP(SharedTargets) {
+  asio::io_context context{1};
+  SharedTargets targets{"a", "host"};
+  Reason reason;
+
+  void setup() override {
+    targets.Update({{}, {{"one", "a", "127.0.0.1:1", "1", "any", false}}},
+                   Config());
+  }
+  asio::awaitable<Choice> Wait(const char* team, Clock::duration patience) {
+    TargetWish wish{"plain"};
+    wish.team = team;
+    co_return co_await targets.Wait(wish, Clock::now() + patience, &reason);
+  }
+  // A request that waits as long as it takes; its choice goes to `choice`.
+  void Spawn(const char* team, Choice& choice) {
+    asio::co_spawn(
+        context,
+        [this, team, &choice]() -> asio::awaitable<void> {
+          choice = co_await Wait(team, std::chrono::hours(1));
+        },
+        asio::detached);
+    context.restart();
+    context.poll();
+  }
+};
+
+TEST(SharedTargets, WaitsForAPlaceAndGetsIt) {
+  Choice first;
+  Choice second;
+  Choice third;
+  Spawn("one", first);
+  Spawn("one", second);
+  Spawn("one", third);
+  CHECK(first.has_value() && second.has_value());
+  CHECK_FALSE(third.has_value());
+  UNSIGNED_LONGS_EQUAL(1, targets.QueueSizes()["plain"]);
+  targets.End(*first);
+  context.restart();
+  while (!third && context.run_one() > 0) {
+  }
+  CHECK(third.has_value());
+  UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+}
+
+TEST(SharedTargets, RefusesWhatFoundNoPlaceInTime) {
+  Choice first;
+  Choice second;
+  Spawn("one", first);
+  Spawn("one", second);
+  const Choice late =
+      RunCoroutine(context, Wait("one", std::chrono::milliseconds(1)));
+  CHECK_FALSE(late.has_value());
+  CHECK(reason.code == ResultCode::kOverloaded);
+  UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+}
+
+TEST(SharedTargets, AFloodLeavesAPlaceForAnotherTeam) {
+  Choice calm;
+  Spawn("calm", calm);
+  targets.End(*calm);
+  std::array<Choice, 4> flood;
+  for (Choice& it : flood)
+    Spawn("flood", it);
+  CHECK(flood[0].has_value());
+  CHECK_FALSE(flood[1].has_value());
+  calm.reset();
+  Spawn("calm", calm);
+  CHECK(calm.has_value());
+}
+
+}  // namespace turmericwinch
