--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -42,6 +42,8 @@
                                          json::serialize(request_.body))),
       wish_(ChatWishOf(service.name, request_)),
       progress_(caller.record->run_id, caller.request_id, request_.max_tokens) {
+  wish_.team = caller.team->name;
+  wish_.share = caller.team->share;
 }
 
 void ChatCall::SetKeyed(ClaimSession* claim,
@@ -121,9 +123,8 @@
 
 asio::awaitable<std::optional<TargetChoice>> ChatCall::ChooseFirst() {
   Reason reason;
-  const QueuePlace place{caller_.team->name, caller_.team->share, deadline_};
   std::optional<TargetChoice> choice =
-      co_await node_.targets->Wait(wish_, place, &reason);
+      co_await node_.targets->Wait(wish_, deadline_, &reason);
   if (!choice)
     refusal_ = MakeRefusal(reason);
   co_return choice;
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -72,6 +72,7 @@
   // Whether it may be sent again though it may have run: a key forbids it.
   bool repeatable = false;
   HttpRequest request;
+  TargetWish wish;
   std::chrono::steady_clock::time_point deadline;
   // Set for a call with a key.
   std::optional<ClaimSession> claim;
@@ -217,8 +218,11 @@
     if (n > 0 && !MayTryAgain(node, call, outcome))
       co_return outcome;
     Reason reason;
-    std::optional<TargetChoice> choice =
-        node.targets->Begin(call.route->service, excluded, &reason);
+    std::optional<TargetChoice> choice;
+    if (n == 0)
+      choice = co_await node.targets->Wait(call.wish, call.deadline, &reason);
+    else
+      choice = node.targets->Begin(call.wish, excluded, &reason);
     if (!choice) {
       if (n == 0)
         outcome.refusal = MakeRefusal(reason);
@@ -325,6 +329,9 @@
   call.repeatable = route->repeatable && key.empty();
   call.deadline = start + route->deadline;
   call.record = caller.record.get();
+  call.wish.service = service->name;
+  call.wish.team = caller.team->name;
+  call.wish.share = caller.team->share;
   call.request = TargetRequest(caller, request, target->path, key);
   call.team = caller.team->name;
   std::optional<ReservedTokens> reserved =
