--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,6 +5,9 @@
 #   stream   first token and time between tokens, direct and through the host
 #   memory   the host's memory with 5,000 open streams; needs 10,100 open files
 #   start    time to start and memory when idle
+#   claims   latency of calls that run at most once beside reads, and the writes
+#            to the platform, by the platform's own delay and by rate
+#   verdicts readings of quarantine verdicts by 12 idle hosts in 2 domains
 #   idle     processor time, memory and platform calls of 64 idle hosts
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -104,6 +107,46 @@
       echo "started in $(((after - before) / 1000000)) ms, $(rss_kb "$TW_PID") kB"
     done
     ;;
+  claims)
+    # stat NAME: a counter of the platform.
+    stat() { curl -sf "http://$platform/stats" | grep -oE "\"$1\":[0-9]+" | cut -d: -f2; }
+    for row in 0:100 5:100 20:100 100:100 5:25 5:400; do
+      delay=${row%:*}
+      rate=${row#*:}
+      curl -sf -X PUT "http://$platform/faults" -d '{"delay_ms":'"$delay"'}' >/dev/null
+      echo "platform takes $delay ms, $rate calls/s"
+      for kind in reads:0,0,0,1 claimed:0,0,1,0; do
+        creates=$(stat create)
+        updates=$(stat update)
+        load "$HOST_ADDRESS" /services/drawer-app/checkouts /services/drawer-app/drawers/7 \
+          --mix="${kind#*:}" --rate="$rate" --duration="$ms" >"$TW_WORK/claims"
+        echo "${kind%:*}: $(grep -E 'ok:' "$TW_WORK/claims" | tr -s ' '), $(($(stat create) - creates)) creates, $(($(stat update) - updates)) updates"
+        grep -E 'p50|whole' "$TW_WORK/claims"
+      done
+    done
+    curl -sf -X PUT "http://$platform/faults" -d '{}' >/dev/null
+    ;;
+  verdicts)
+    for peers in with without; do
+      seed=()
+      pids=()
+      for n in $(seq 101 112); do
+        if [ $peers = with ]; then export TURMERICWINCH_FLEET_KEY=key; else unset TURMERICWINCH_FLEET_KEY; fi
+        start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
+          --failure-domain="dk-east-$([ $((n % 2)) = 0 ] && echo a || echo b)" --platform="$platform" \
+          --listen=127.0.0.1:0 --operator-listen=127.0.0.1:0 --peer-listen=127.0.0.1:0 "${seed[@]}"
+        pids+=("$TW_PID")
+        if [ $peers = with ]; then seed=(--peers="$(daemon_address host-101 peers)"); fi
+      done
+      sleep 10
+      lists=$(curl -sf "http://$platform/stats" | grep -oE '"list":[0-9]+' | cut -d: -f2)
+      sleep 30
+      now=$(curl -sf "http://$platform/stats" | grep -oE '"list":[0-9]+' | cut -d: -f2)
+      echo "12 hosts $peers peers: $((now - lists)) lists in 30 s, with one host without peers and each host's look for old claims once a minute"
+      for it in "${pids[@]}"; do kill -TERM "$it"; done
+      for it in "${pids[@]}"; do wait "$it" || true; done
+    done
+    ;;
   idle)
     pids=("$HOST_PID")
     for n in $(seq 2 64); do
--- a/scripts/quarantine_test.sh
+++ b/scripts/quarantine_test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Requests that crash their targets, over real processes: three hosts in two
-# failure domains that are peers. At most two targets are lost to one request
+# Requests that crash their targets, over real processes: five hosts in two
+# failure domains that are peers; of the second one two are told of a loss and
+# pass it on. At most two targets are lost to one request
 # although each attempt comes to another host; requests that were lost with it
 # are answered and cleared.
 # Usage: quarantine_test.sh BUILD_DIRECTORY
@@ -39,7 +40,9 @@
 curl -sf -X PUT "http://$platform/hosts" -d '{"hosts":[
   {"name":"host-1","failure_domain":"dk-east-a","state":"live"},
   {"name":"host-2","failure_domain":"dk-east-a","state":"live"},
-  {"name":"host-3","failure_domain":"dk-east-b","state":"live"}],"targets":['"$(join "${targets[@]}")"']}' >/dev/null
+  {"name":"host-3","failure_domain":"dk-east-b","state":"live"},
+  {"name":"host-4","failure_domain":"dk-east-b","state":"live"},
+  {"name":"host-5","failure_domain":"dk-east-b","state":"live"}],"targets":['"$(join "${targets[@]}")"']}' >/dev/null
 
 export TURMERICWINCH_PLATFORM=$platform TURMERICWINCH_OPERATOR_TOKEN=token
 export TURMERICWINCH_FLEET_KEY=key
@@ -47,9 +50,9 @@
 callers=()
 operators=()
 seed=()
-for n in 1 2 3; do
+for n in 1 2 3 4 5; do
   domain=dk-east-a
-  if [ "$n" = 3 ]; then domain=dk-east-b; fi
+  if [ "$n" -gt 2 ]; then domain=dk-east-b; fi
   start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
     --failure-domain=$domain --listen=127.0.0.1:0 --peer-listen=127.0.0.1:0 \
     --operator-listen=127.0.0.1:0 --flush-interval=50 "${seed[@]}"
@@ -59,8 +62,8 @@
   wait_for "host-$n to be ready" curl -sf "http://${operators[n - 1]}/readyz"
 done
 dump() { curl -sf -H "Authorization: Bearer token" "http://${operators[$1 - 1]}/dump"; }
-knows_all() { [ "$(dump "$1" | grep -oE '"state":"alive"' | wc -l)" = 3 ]; }
-for n in 1 2 3; do wait_for "host-$n to know all hosts" knows_all "$n"; done
+knows_all() { [ "$(dump "$1" | grep -oE '"state":"alive"' | wc -l)" = 5 ]; }
+for n in 1 2 3 4 5; do wait_for "host-$n to know all hosts" knows_all "$n"; done
 
 auth="Authorization: Bearer demo-archive-key"
 # checkout HOST KEY BODY
@@ -102,11 +105,11 @@
 for it in "${pids[@]}"; do wait "$it" || fail "a read was lost"; done
 for n in $(seq 8); do expect "read $n" "\"path\":\"/drawers/$n\"" "$(cat "$TW_WORK/read-$n")"; done
 # The loss is known everywhere, and the reads that it hit are cleared.
-for n in 1 2 3; do wait_for "one suspect at host-$n" suspects_are "$n" 1; done
+for n in 1 2 3 4 5; do wait_for "one suspect at host-$n" suspects_are "$n" 1; done
 expect "second, in another domain" '"ran":"unknown"' "$(checkout 3 poison-2 poison)"
 [ "$(alive "${services[@]}")" = 2 ] || fail "not two services were lost"
-for n in 1 2 3; do wait_for "the verdict at host-$n" knows_verdicts "$n" 1; done
-for n in 1 2 3; do
+for n in 1 2 3 4 5; do wait_for "the verdict at host-$n" knows_verdicts "$n" 1; done
+for n in 1 2 3 4 5; do
   expect "third at host-$n" '"name":"quarantined".*"ran":"not_run"' "$(checkout "$n" "poison-3-$n" poison)"
 done
 [ "$(alive "${services[@]}")" = 2 ] || fail "more than two services were lost"
@@ -116,8 +119,8 @@
 for it in "${engines[@]}"; do fault "$it" '{"crash_on":"poison"}'; done
 expect "first" '"name":"quarantined".*"ran":"unknown"' "$(chat 1 poison)"
 [ "$(alive "${engines[@]}")" = 2 ] || fail "not two engines were lost"
-for n in 1 2 3; do wait_for "the verdict at host-$n" knows_verdicts "$n" 2; done
-for n in 1 2 3; do
+for n in 1 2 3 4 5; do wait_for "the verdict at host-$n" knows_verdicts "$n" 2; done
+for n in 1 2 3 4 5; do
   expect "again at host-$n" '"name":"quarantined".*"ran":"not_run"' "$(chat "$n" poison)"
 done
 [ "$(alive "${engines[@]}")" = 2 ] || fail "more than two engines were lost"
