--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -109,7 +109,7 @@
     ;;
   claims)
     # stat NAME: a counter of the platform.
-    stat() { curl -sf "http://$platform/stats" | grep -oE "\"$1\":[0-9]+" | cut -d: -f2; }
+    stat() { curl -sf "http://$platform/stats" | { grep -oE "\"$1\":[0-9]+" || echo :0; } | cut -d: -f2; }
     for row in 0:100 5:100 20:100 100:100 5:25 5:400; do
       delay=${row%:*}
       rate=${row#*:}
@@ -139,9 +139,9 @@
         if [ $peers = with ]; then seed=(--peers="$(daemon_address host-101 peers)"); fi
       done
       sleep 10
-      lists=$(curl -sf "http://$platform/stats" | grep -oE '"list":[0-9]+' | cut -d: -f2)
+      lists=$(curl -sf "http://$platform/stats" | { grep -oE '"list":[0-9]+' || echo :0; } | cut -d: -f2)
       sleep 30
-      now=$(curl -sf "http://$platform/stats" | grep -oE '"list":[0-9]+' | cut -d: -f2)
+      now=$(curl -sf "http://$platform/stats" | { grep -oE '"list":[0-9]+' || echo :0; } | cut -d: -f2)
       echo "12 hosts $peers peers: $((now - lists)) lists in 30 s, with one host without peers and each host's look for old claims once a minute"
       for it in "${pids[@]}"; do kill -TERM "$it"; done
       for it in "${pids[@]}"; do wait "$it" || true; done
