Let calls wait a moment for a platform that comes back

Cause: scripts/system_test.sh failed ("expected outcome_unknown ... platform call for budget was not made: the platform does not answer"): a host refused all calls until its next pause ended, up to 6 s after the platform was back, and two hosts gain nothing by such pauses.

Change: a call waits 250 ms for the probe before it is refused, and the pauses follow the number of hosts (10 ms for each at most, from 50 ms to 4 s): up to 16 hosts every call that comes when the platform is back is made. At 420 hosts nothing changed: the recovery test of that fleet is the same.

--- a/src/libs/platform/platform_constants.h
+++ b/src/libs/platform/platform_constants.h
@@ -23,6 +23,11 @@
 // between half of it and one and a half.
 inline constexpr std::chrono::milliseconds kPlatformAwayFirst{500};
 inline constexpr std::chrono::milliseconds kPlatformAwayMost{4'000};
+// The same of a small fleet: the longest for each of its hosts, and the least.
+inline constexpr std::chrono::milliseconds kPlatformAwayMostPerHost{10};
+inline constexpr std::chrono::milliseconds kPlatformAwayLeast{50};
+// Time that a call waits for the platform to come back.
+inline constexpr std::chrono::milliseconds kPlatformAwayWait{250};
 
 }  // namespace turmericwinch
 
--- a/src/libs/platform/platform_limiter.cc
+++ b/src/libs/platform/platform_limiter.cc
@@ -53,12 +53,15 @@
   void Refill(Time now);
   void StartCalls(Lane& lane);
   void RefuseLate(Lane& lane, Time now);
-  void RefuseAll();
+  void RefuseAway(int duty, std::uint64_t ticket);
   void Refuse(int duty, std::uint64_t ticket, ResultCode code, const char* why);
-  void Probe(std::uint64_t ticket, Time now);
+  void Probe(Time now);
+  Time PauseFirst() const;
+  Time PauseMost() const;
   std::size_t WaitingOf(int duty) const;
 
   PlatformRates fleet;
+  std::int64_t hosts = 1;
   std::array<Lane, 2> lanes;
   std::array<PlatformDutyFigures, kPlatformDuties> figures{};
   std::vector<PlatformTurn> decided;
@@ -68,7 +71,7 @@
   bool started = false;
   int failures = 0;
   bool away = false;
-  Time pause = kPlatformAwayFirst;
+  Time pause{0};
   Time retry_at{0};
 };
 
@@ -107,34 +110,51 @@
 }
 
 void PlatformLimiter::Private::RefuseLate(Lane& lane, Time now) {
+  const Time most = away ? kPlatformAwayWait : kPlatformMostWait;
   for (int duty = 0; duty < kPlatformDuties; ++duty) {
     auto& queue = lane.queues[duty];
-    while (!queue.empty() && now - queue.front().since >= kPlatformMostWait) {
-      Refuse(duty, queue.front().ticket, ResultCode::kPlatformLimited,
-             "waited too long for this host's share");
+    while (!queue.empty() && now - queue.front().since >= most) {
+      if (away)
+        RefuseAway(duty, queue.front().ticket);
+      else
+        Refuse(duty, queue.front().ticket, ResultCode::kPlatformLimited,
+               "waited too long for this host's share");
       queue.pop_front();
     }
   }
 }
 
-void PlatformLimiter::Private::RefuseAll() {
+void PlatformLimiter::Private::RefuseAway(int duty, std::uint64_t ticket) {
+  Refuse(duty, ticket, ResultCode::kPlatformUnavailable,
+         "was not made: the platform does not answer");
+}
+
+// One call after each pause finds out whether the platform is back.
+void PlatformLimiter::Private::Probe(Time now) {
   for (Lane& lane : lanes) {
-    for (int duty = 0; duty < kPlatformDuties; ++duty) {
-      for (const Waiting& it : lane.queues[duty]) {
-        Refuse(duty, it.ticket, ResultCode::kPlatformUnavailable,
-               "was not made: the platform does not answer");
-      }
-      lane.queues[duty].clear();
-    }
+    const int duty = lane.NextDuty();
+    if (duty < 0)
+      continue;
+    decided.push_back({lane.queues[duty].front().ticket, {}});
+    lane.queues[duty].pop_front();
+    retry_at = now + pause / 2 +
+               Time(random() % static_cast<std::uint64_t>(pause.count() + 1));
+    pause = std::min(2 * pause, PauseMost());
+    return;
   }
 }
 
-// One call after each pause finds out whether the platform is back.
-void PlatformLimiter::Private::Probe(std::uint64_t ticket, Time now) {
-  decided.push_back({ticket, {}});
-  const auto half = static_cast<std::uint64_t>(pause.count() / 2);
-  retry_at = now + Time(half + random() % (2 * half + 1));
-  pause = std::min(2 * pause, kPlatformAwayMost);
+// The hosts of a small fleet may ask more often.
+Time PlatformLimiter::Private::PauseFirst() const {
+  return std::max(
+      kPlatformAwayLeast,
+      std::min(kPlatformAwayFirst, hosts * kPlatformAwayMostPerHost / 8));
+}
+
+Time PlatformLimiter::Private::PauseMost() const {
+  return std::max(
+      kPlatformAwayLeast,
+      std::min(kPlatformAwayMost, hosts * kPlatformAwayMostPerHost));
 }
 
 std::size_t PlatformLimiter::Private::WaitingOf(int duty) const {
@@ -157,7 +177,8 @@
 
 void PlatformLimiter::SetHosts(std::size_t hosts, Time now) {
   d_->Refill(now);
-  const auto n = static_cast<double>(std::max<std::size_t>(1, hosts));
+  d_->hosts = std::max<std::int64_t>(1, static_cast<std::int64_t>(hosts));
+  const auto n = static_cast<double>(d_->hosts);
   d_->lanes[0].rate = d_->fleet.reads / n;
   d_->lanes[1].rate = d_->fleet.writes / n;
 }
@@ -167,12 +188,10 @@
                                    Time now) {
   const int n = static_cast<int>(duty);
   const std::uint64_t ticket = d_->next_ticket++;
-  if (d_->away && now >= d_->retry_at) {
-    d_->Probe(ticket, now);
-  } else if (d_->away) {
-    d_->Refuse(n, ticket, ResultCode::kPlatformUnavailable,
-               "was not made: the platform does not answer");
-  } else if (d_->WaitingOf(n) >= kPlatformMostWaiting) {
+  const bool is_full = d_->WaitingOf(n) >= kPlatformMostWaiting;
+  if (is_full && d_->away) {
+    d_->RefuseAway(n, ticket);
+  } else if (is_full) {
     d_->Refuse(n, ticket, ResultCode::kPlatformLimited,
                "was not made: too many wait for this host's share");
   } else {
@@ -182,7 +201,8 @@
       lane.turns[n] = std::max(lane.turns[n], lane.turn);
     lane.queues[n].push_back({ticket, now});
     d_->Refill(now);
-    d_->StartCalls(lane);
+    if (!d_->away)
+      d_->StartCalls(lane);
     if (!lane.queues[n].empty())
       ++d_->figures[n].waited;
   }
@@ -191,8 +211,11 @@
 
 std::vector<PlatformTurn> PlatformLimiter::Take(Time now) {
   d_->Refill(now);
+  if (d_->away && now >= d_->retry_at)
+    d_->Probe(now);
   for (Lane& it : d_->lanes) {
-    d_->StartCalls(it);
+    if (!d_->away)
+      d_->StartCalls(it);
     d_->RefuseLate(it, now);
   }
   return std::exchange(d_->decided, {});
@@ -201,12 +224,15 @@
 std::optional<Time> PlatformLimiter::Next(Time now) const {
   if (!d_->decided.empty())
     return now;
+  const Time most = d_->away ? kPlatformAwayWait : kPlatformMostWait;
   std::optional<Time> next;
   for (const Lane& lane : d_->lanes) {
     if (lane.NextDuty() < 0)
       continue;
     Time at = now + kPlatformMostWait;
-    if (lane.rate > 0) {
+    if (d_->away) {
+      at = d_->retry_at;
+    } else if (lane.rate > 0) {
       const double ms = (1 - lane.saved) / lane.rate * kMsPerSecond;
       at =
           std::min(at, d_->refilled + Time(static_cast<int>(std::ceil(
@@ -214,7 +240,7 @@
     }
     for (const auto& queue : lane.queues) {
       if (!queue.empty())
-        at = std::min(at, queue.front().since + kPlatformMostWait);
+        at = std::min(at, queue.front().since + most);
     }
     next = next ? std::min(*next, at) : at;
   }
@@ -231,14 +257,15 @@
     for (Lane& it : d_->lanes)
       it.saved = std::min(it.saved, kPlatformFirstCalls);
     d_->away = false;
-    d_->pause = kPlatformAwayFirst;
     return;
   }
   if (d_->away || ++d_->failures < kPlatformFailuresToAway)
     return;
   d_->away = true;
-  d_->retry_at = now + Time(d_->random() % (2 * d_->pause.count()));
-  d_->RefuseAll();
+  d_->pause = d_->PauseFirst();
+  d_->retry_at =
+      now +
+      Time(d_->random() % (2 * static_cast<std::uint64_t>(d_->pause.count())));
 }
 
 bool PlatformLimiter::away() const {
--- a/src/libs/platform/platform_limiter.h
+++ b/src/libs/platform/platform_limiter.h
@@ -40,8 +40,9 @@
 // host does not get at once waits in a queue for each duty; the queues take
 // turns by weight, so that bills and claims go first and nothing starves. A
 // platform that does not answer is asked again after growing, random pauses,
-// and everything else is refused meanwhile. Knows no clock and does no I/O:
-// time is given, on any scale that does not go back. One thread.
+// longer in a large fleet; everything else waits a moment and is refused. Knows
+// no clock and does no I/O: time is given, on any scale that does not go back.
+// One thread.
 class PlatformLimiter {
  public:
   using Time = std::chrono::milliseconds;
--- a/tests/platform/platform_limiter_test.cc
+++ b/tests/platform/platform_limiter_test.cc
@@ -181,7 +181,7 @@
 TEST(PlatformLimiter, AnOutageIsProbedSeldomAndAtRandomTimes) {
   std::vector<Time> probes[2];
   for (int seed = 0; seed < 2; ++seed) {
-    PlatformLimiter limiter({1000, 1000}, 1, 10 + seed);
+    PlatformLimiter limiter({420'000, 420'000}, kFleet, 10 + seed);
     for (Time now{0}; now < 60 * kSecond; now += kStep) {
       for (int n = 0; n < 3; ++n)
         limiter.Ask(kBills, kWrite, now);
@@ -209,11 +209,38 @@
   LONGS_EQUAL(9, host.limiter.Figures(kBills).waiting);
   for (int n = 0; n < kPlatformFailuresToAway; ++n)
     host.limiter.End(false, Time(0));
-  host.Take(true, Time(0));
-  LONGS_EQUAL(9, host.outcome.refused[ResultCode::kPlatformUnavailable]);
+  CHECK(host.limiter.away());
+  host.Take(false, kPlatformAwayWait);
+  // One of them asked whether the platform is back.
+  LONGS_EQUAL(2, host.outcome.AllStarted());
+  LONGS_EQUAL(8, host.outcome.refused[ResultCode::kPlatformUnavailable]);
   LONGS_EQUAL(0, host.limiter.Figures(kBills).waiting);
 }
 
+// In the fleets of today a call that comes when the platform is back is made.
+TEST(PlatformLimiter, ASmallFleetLosesNoCallAfterAnOutage) {
+  for (const std::size_t hosts : {1, 2, 9, 16}) {
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+      Host host(kFleetRates, hosts, seed);
+      Time now{0};
+      for (; now < 30 * kSecond; now += kStep)
+        host.Step({{kBills, kWrite}}, false, now);
+      CHECK(host.limiter.away());
+      host.Take(false, now + kPlatformAwayWait);
+      now += 2 * kPlatformAwayWait;
+      const std::uint64_t ticket = host.limiter.Ask(kBudget, kRead, now);
+      bool is_made = false;
+      for (const Time end = now + kPlatformAwayWait; now < end; now += kStep) {
+        for (const PlatformTurn& it : host.limiter.Take(now)) {
+          is_made = is_made ||
+                    (it.ticket == ticket && it.reason.code == ResultCode::kOk);
+        }
+      }
+      CHECK(is_made);
+    }
+  }
+}
+
 TEST(PlatformLimiter, FailuresBetweenAnswersAreNoOutage) {
   PlatformLimiter limiter({1, 1}, 1, 1);
   for (int n = 0; n < 10; ++n) {
