Read accounts anew in a flush only while a budget is nearly scarce

Cause: with lending on, each flush of a bucket read account and shard anew, so that a lender sees how much others took.

budget_test 49 green, measure_budget_test 7 green, tw_node builds (release); the daemon was not run with it.

--- a/src/apps/measure_budget/grant_host.cc
+++ b/src/apps/measure_budget/grant_host.cc
@@ -60,7 +60,8 @@
   auto wanted = std::make_shared<GrantWishes>(std::move(wishes_[bucket]));
   wishes_.erase(bucket);
   AddLoanWishes(bucket, flush, *wanted);
-  SyncOf(bucket).Begin(*wanted, false, flush && lender());
+  SyncOf(bucket).Begin(*wanted, false,
+                       flush && lender() && SyncOf(bucket).IsNearlyScarce());
   Step(bucket, wanted, std::move(done));
 }
 
--- a/src/libs/budget/bucket_sync.cc
+++ b/src/libs/budget/bucket_sync.cc
@@ -104,6 +104,14 @@
   return d_->unsettled;
 }
 
+bool BucketSync::IsNearlyScarce() const {
+  const std::map<std::string, BudgetAccount>& budgets =
+      d_->state.account.budgets;
+  return std::any_of(budgets.begin(), budgets.end(), [](const auto& it) {
+    return turmericwinch::IsNearlyScarce(it.second);
+  });
+}
+
 PlatformCall BucketSync::Private::Call(PlatformVerb verb,
                                        std::string name) const {
   return {verb, std::move(name), 0, verb == PlatformVerb::kCreate ? "{}" : "",
--- a/src/libs/budget/budget_constants.h
+++ b/src/libs/budget/budget_constants.h
@@ -38,6 +38,8 @@
 // paid; all stocks together then keep at most the second share.
 inline constexpr int kScarcePercent = 10;
 inline constexpr int kScarceStockPercent = 1;
+// Below this share a lender reads the account anew at each flush.
+inline constexpr int kNearlyScarcePercent = 25;
 // Time for which a closed end is remembered at least.
 inline constexpr std::chrono::milliseconds kEndRemembered{24 * 3'600'000};
 // Object of a failure domain with the holders that ended; the domain follows.
--- a/src/libs/budget/grant_planner.cc
+++ b/src/libs/budget/grant_planner.cc
@@ -68,6 +68,10 @@
   return account.Free() < ScarceTokens(account);
 }
 
+bool IsNearlyScarce(const BudgetAccount& account) {
+  return account.Free() < account.Paid() / 100 * kNearlyScarcePercent;
+}
+
 std::int64_t ScarceStock(const BudgetAccount& account) {
   const auto domains = static_cast<std::int64_t>(account.domains.size());
   return account.Paid() / 100 * kScarceStockPercent /
--- a/src/libs/budget/grant_planner.h
+++ b/src/libs/budget/grant_planner.h
@@ -43,6 +43,8 @@
 
 // Whether little of a budget is left that no domain holds.
 bool IsScarce(const BudgetAccount& account);
+// Whether it may have become so since the account was last read.
+bool IsNearlyScarce(const BudgetAccount& account);
 // Tokens that the hosts of one domain may then have in stock.
 std::int64_t ScarceStock(const BudgetAccount& account);
 
--- a/src/libs/node/budget_keeper.cc
+++ b/src/libs/node/budget_keeper.cc
@@ -190,7 +190,8 @@
   bool more = true;
   while (more) {
     GrantWishes current = TakeWishes(bucket, kind);
-    const bool refresh = kind == TurnKind::kFlush && loans->enabled();
+    const bool refresh =
+        kind == TurnKind::kFlush && loans->enabled() && sync.IsNearlyScarce();
     sync.Begin(current, kind == TurnKind::kClose, refresh);
     co_await RunTurn(sync);
     Publish(current, sync.result());
