Show what is lent, ended and stranded, and stop lending at a shutdown

winch budget show now says of each holder how many hosts it may lend to, whether it has ended, and which borrowers its row waits for; stranded is what ended holders have outstanding. A host that shuts down refuses asks from the start, so that its borrowers draw for themselves, and a borrower forgets a lender that it has closed with, rather than report to it for ever.

--- a/src/libs/budget/holder_closing.cc
+++ b/src/libs/budget/holder_closing.cc
@@ -200,11 +200,18 @@
   if (ends.ended.contains(parts.holder))
     ledger.Fence();
   bool changed = false;
+  auto row = ends.acknowledged.find(parts.holder);
+  const std::set<std::string> known =
+      row == ends.acknowledged.end() ? std::set<std::string>() : row->second;
   for (const auto& [lender, end] : ends.ended) {
-    if (end.closed || lender == parts.holder)
+    if (lender == parts.holder)
       continue;
     ledger.CloseLender(lender);
-    if (ledger.IsClosedWith(lender))
+    if (!ledger.IsClosedWith(lender))
+      continue;
+    if (end.closed || known.contains(lender))
+      ledger.ForgetLoans(lender);
+    else
       changed |= written.acknowledged[parts.holder].insert(lender).second;
   }
   return changed;
--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -176,6 +176,10 @@
   // proved by confirmed bills.
   bool IsClosedWith(const std::string& lender) const;
 
+  // Forgets what a lender lent that IsClosedWith(), and still takes none of its
+  // tokens.
+  void ForgetLoans(const std::string& lender);
+
   // Tokens of the own row, or of a lender, that can be reserved now.
   std::int64_t Available(const std::string& budget) const;
   std::int64_t AvailableFrom(const std::string& lender,
--- a/src/libs/budget/host_ledger_loans.cc
+++ b/src/libs/budget/host_ledger_loans.cc
@@ -160,6 +160,17 @@
   return true;
 }
 
+void HostLedger::ForgetLoans(const std::string& lender) {
+  TW_SOFT_ASSERT(IsClosedWith(lender), return );
+  auto it = d_->loans.find(lender);
+  if (it == d_->loans.end())
+    return;
+  for (const std::string& name : it->second)
+    d_->budgets[name].loans.erase(lender);
+  d_->loans.erase(it);
+  d_->unreported.erase(lender);
+}
+
 std::int64_t HostLedger::AvailableFrom(const std::string& lender,
                                        const std::string& name) const {
   const LedgerLoan* loan = d_->LoanAt(lender, name);
--- a/src/libs/budget/lender.cc
+++ b/src/libs/budget/lender.cc
@@ -61,6 +61,7 @@
   // Where borrowers were last heard from.
   std::map<std::string, std::string> address_of;
   std::set<std::string> ended;
+  bool stopped = false;
 };
 
 Lender::Lender(LenderParts parts) : d_(std::make_unique<Private>()) {
@@ -105,6 +106,8 @@
   if (wish.needed <= 0 || loan.lent > loan.totals.received ||
       wish.totals.received < loan.totals.received)
     return LoanOutcome::kOk;
+  if (stopped)
+    return LoanOutcome::kRefused;
   if (!IsListed(wish.budget, borrower))
     return LoanOutcome::kDrawing;
   const std::int64_t available = ledger.Available(wish.budget);
@@ -180,6 +183,10 @@
   return outgoing;
 }
 
+void Lender::Stop() {
+  d_->stopped = true;
+}
+
 std::vector<OutgoingAnswer> Lender::Retry(HostLedger& ledger,
                                           MonotonicTime now) {
   std::vector<OutgoingAnswer> answers;
--- a/src/libs/budget/lender.h
+++ b/src/libs/budget/lender.h
@@ -44,6 +44,8 @@
   OutgoingAnswer Take(const LoanAsk& ask,
                       HostLedger& ledger,
                       MonotonicTime now);
+  // Refuses all asks from now on, for a shutdown; totals are still taken.
+  void Stop();
   // Answers kept asks that can be met now, and forgets those above kAskKept.
   std::vector<OutgoingAnswer> Retry(HostLedger& ledger, MonotonicTime now);
   // Tells borrowers again what they were lent and have not said to have
--- a/src/libs/node/budget_keeper.cc
+++ b/src/libs/node/budget_keeper.cc
@@ -336,6 +336,7 @@
 asio::awaitable<bool> BudgetKeeper::FlushAll() {
   auto d = d_;
   const Clock::time_point now = Clock::now();
+  d->loans->Stop();
   d->parts.ledger->With(
       [&](HostLedger& ledger) { ledger.GiveBackIdle(now, true); });
   if (!co_await d->FlushBills())
--- a/src/libs/node/loan_keeper.cc
+++ b/src/libs/node/loan_keeper.cc
@@ -231,6 +231,10 @@
   d_->Send(answers);
 }
 
+void LoanKeeper::Stop() {
+  d_->lender.Stop();
+}
+
 void LoanKeeper::Report() {
   if (!enabled())
     return;
--- a/src/libs/node/loan_keeper.h
+++ b/src/libs/node/loan_keeper.h
@@ -59,6 +59,8 @@
   bool AddWishes(std::uint64_t bucket, GrantWishes& wishes);
   // Answers borrowers after a turn of `bucket`.
   void TurnOver(std::uint64_t bucket, const SyncResult& result);
+  // Lends no more, for a shutdown.
+  void Stop();
   // Reports to lenders, and returns what is left of those that leave.
   void Report();
   // Whether lenders know all totals.
--- a/src/libs/operations/budget_store.cc
+++ b/src/libs/operations/budget_store.cc
@@ -32,6 +32,23 @@
   return outstanding;
 }
 
+bool BudgetState::HasEnded(const std::string& domain,
+                           const std::string& holder) const {
+  auto it = ends.find(domain);
+  return it != ends.end() && it->second.ended.contains(holder);
+}
+
+std::set<std::string> BudgetState::WaitsFor(const std::string& domain,
+                                            const std::string& holder) const {
+  auto it = ends.find(domain);
+  auto lists = borrowers.find(domain);
+  if (it == ends.end() || lists == borrowers.end())
+    return {};
+  auto list = lists->second.find(holder);
+  return list == lists->second.end() ? std::set<std::string>()
+                                     : it->second.Open(holder, list->second);
+}
+
 asio::awaitable<std::optional<BudgetState>>
 FetchBudget(PlatformClient& platform, std::string budget, Reason* reason) {
   BudgetState state;
@@ -59,6 +76,17 @@
     if (!shard)
       co_return std::nullopt;
     state.domains[domain] = shard->budgets[budget];
+    state.borrowers[domain] = std::move(shard->borrowers);
+    object = co_await platform.Get(PlatformDuty::kOperator,
+                                   EndsObjectName(domain), reason);
+    if (!object && reason->code == ResultCode::kPlatformNotFound)
+      continue;
+    if (!object)
+      co_return std::nullopt;
+    std::optional<HolderEnds> ends = HolderEndsOf(object->value, reason);
+    if (!ends)
+      co_return std::nullopt;
+    state.ends[domain] = std::move(*ends);
   }
   co_return state;
 }
--- a/src/libs/operations/budget_store.h
+++ b/src/libs/operations/budget_store.h
@@ -7,22 +7,32 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "libs/budget/budget_account.h"
 #include "libs/budget/domain_shard.h"
+#include "libs/budget/holder_ends.h"
 #include "libs/platform/platform_client.h"
 
 namespace turmericwinch {
 
-// One budget: its account and its part in each domain that drew on it.
+// One budget: its account and its part in each domain that drew on it; by
+// domain also who may have borrowed from whom in its bucket, and which holders
+// have ended.
 struct BudgetState {
   BudgetAccount account;
   std::map<std::string, ShardBudget> domains;
+  std::map<std::string, std::map<std::string, std::set<std::string>>> borrowers;
+  std::map<std::string, HolderEnds> ends;
 
   std::int64_t Spent() const;
   // Tokens held by hosts: granted, and neither spent nor given back.
   std::int64_t Outstanding() const;
+  // Whether the holder has ended, and the borrowers its row waits for.
+  bool HasEnded(const std::string& domain, const std::string& holder) const;
+  std::set<std::string> WaitsFor(const std::string& domain,
+                                 const std::string& holder) const;
 };
 
 // Reads `budget`; an empty state if nothing was drawn yet.
--- a/tests/budget/lending_test.cc
+++ b/tests/budget/lending_test.cc
@@ -202,6 +202,24 @@
     e.borrower.Take(it.answer, e.ledger);
   LONGS_EQUAL(0, SpendableAt(e));
   LONGS_EQUAL(kPaid, FiguresOf(platform, kBudget).free);
+  // Nor does e go on reporting to it.
+  CHECK(e.ledger.Lenders().empty());
+  CHECK(e.borrower.Reports(e.ledger).empty());
+}
+
+TEST(Lending, ALenderThatStopsTakesReportsAndLendsNoMore) {
+  CHECK(e.Borrow(a, kBudget, 100));
+  a.Draw(kBudget, 500);
+  CHECK(SpendLent(e, 60, "r1"));
+  CHECK(e.FlushBills());
+  a.lender.Stop();
+  e.now += kAskPause;
+  e.Want(a, kBudget, 200);
+  const OutgoingAsk ask = e.Asks().at(0);
+  const LoanAnswer answer = a.lender.Take(ask.ask, a.ledger, a.now).answer;
+  CHECK(answer.grants.at(0).outcome == LoanOutcome::kRefused);
+  LONGS_EQUAL(1, e.borrower.Take(answer, e.ledger).direct.size());
+  LONGS_EQUAL(60, a.ledger.Figures()[kBudget].lent_billed);
 }
 
 TEST(Lending, ADeadBorrowersBillsAreChargedAndTheRestComesBack) {
--- a/tests/operations/budget_store_test.cc
+++ b/tests/operations/budget_store_test.cc
@@ -2,8 +2,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/json.hpp>
 #include <limits>
+#include <string>
 
+#include "libs/operations/budget_report.h"
 #include "support/memory_platform.h"
 
 namespace turmericwinch {
@@ -57,4 +60,36 @@
               static_cast<int>(reason.code));
 }
 
+// A holder that ended with tokens lent out is shown with whom it waits for.
+TEST(BudgetStore, ReportsWhatIsStrandedAndWhy) {
+  Add(1'000, "one");
+  AccountBucket accounts;
+  accounts.budgets["b"].topped_up = 1'000;
+  accounts.budgets["b"].domains["d1"] = {300, 0};
+  auto object = RunToEnd(platform.Get(
+      PlatformDuty::kBudget, AccountObjectName(BucketOf("b")), &reason));
+  object->value = ToJson(accounts);
+  RunToEnd(platform.Update(PlatformDuty::kBudget, *object, &reason));
+  DomainShard shard;
+  shard.budgets["b"].holders["a_1"] = {200, 50, 0};
+  shard.budgets["b"].holders["f_1"] = {100, 0, 0};
+  shard.borrowers["a_1"] = {"e_1", "f_1"};
+  HolderEnds ends;
+  ends.ended["a_1"] = {};
+  ends.acknowledged["f_1"] = {"a_1"};
+  RunToEnd(platform.Create(PlatformDuty::kBudget,
+                           ShardObjectName("d1", BucketOf("b")), ToJson(shard),
+                           &reason));
+  RunToEnd(platform.Create(PlatformDuty::kBudget, EndsObjectName("d1"),
+                           ToJson(ends), &reason));
+  auto state = RunToEnd(FetchBudget(platform, "b", &reason));
+  CHECK(state.has_value());
+  const boost::json::object report = BudgetReportJson("b", 0, *state);
+  LONGS_EQUAL(250, report.at("granted").as_int64());
+  LONGS_EQUAL(150, report.at("stranded").as_int64());
+  const std::string text = BudgetReportText("b", 0, *state);
+  STRCMP_CONTAINS("ended, waits for e_1", text.c_str());
+  STRCMP_CONTAINS("not ended", text.c_str());
+}
+
 }  // namespace turmericwinch
--- a/tests/operations/budget_verbs_test.cc
+++ b/tests/operations/budget_verbs_test.cc
@@ -23,6 +23,7 @@
   MemoryPlatform platform;
   Reason reason;
   std::string out;
+  std::string holder = kHolder;
 
   void setup() override {
     DomainShard shard;
@@ -48,7 +49,7 @@
         SettingsTable::Read(WinchSettingSpecs(), static_cast<int>(words.size()),
                             words.data(), {}, &reason);
     CHECK(settings.has_value());
-    WinchContext context{nullptr, &platform, &*settings, {kHolder}, ""};
+    WinchContext context{nullptr, &platform, &*settings, {holder}, ""};
     const Reason result = RunToEnd(action(context));
     out = context.out;
     return result.code;
@@ -83,6 +84,25 @@
   LONGS_EQUAL(50, Shard().Outstanding());
 }
 
+// host-2 may have borrowed; its bills charged to the holder count as well.
+TEST(BudgetVerbs, ReleaseWaitsForBorrowersThatDidNotEnd) {
+  auto object = RunToEnd(platform.Get(PlatformDuty::kBudget, kShard, &reason));
+  DomainShard shard = *DomainShardOf(object->value, &reason);
+  shard.borrowers[kHolder] = {"host-2_1.cd"};
+  object->value = ToJson(shard);
+  RunToEnd(platform.Update(PlatformDuty::kBudget, *object, &reason));
+  const Bill lent{2, "r-3", "x", "survey", "llm", 7, 0, 7, kHolder};
+  Put(BillSegmentName("dk-east-a", "host-2_1.cd", 2), ToJson({lent}));
+  CHECK(Run(ReleaseVerb, {"--process-ended"}) == ResultCode::kOk);
+  STRCMP_CONTAINS("host-2_1.cd", out.c_str());
+  LONGS_EQUAL(140, Shard().Outstanding());
+  holder = "host-2_1.cd";
+  CHECK(Run(ReleaseVerb, {"--process-ended"}) == ResultCode::kOk);
+  LONGS_EQUAL(0, Shard().Outstanding());
+  // 30 + 7 on the first holder's tokens, 5 on the second's own.
+  LONGS_EQUAL(42, Shard().Spent());
+}
+
 TEST(BudgetVerbs, BillsAreFoundByRequestTeamAndTime) {
   const std::vector<std::vector<const char*>> filters = {
       {"--request=r-1"}, {"--team=archive"}, {"--until=2026-03-29T02:00:00Z"}};
