--- a/src/libs/operations/budget_report.cc
+++ b/src/libs/operations/budget_report.cc
@@ -110,10 +110,10 @@
           {"paid", figures.paid},
           {"spent", figures.spent},
           {"granted", figures.outstanding},
-          {"stranded", figures.stranded},
           {"allocated_free", figures.allocated_free},
           {"free", figures.free},
           {"pending", std::max<std::int64_t>(-figures.free, 0)},
+          {"stranded", figures.stranded},
           {"domains", domains}};
 }
 
