--- a/src/libs/budget/host_ledger.cc
+++ b/src/libs/budget/host_ledger.cc
@@ -248,7 +248,7 @@
     if (bill.charged_to.empty()) {
       budget.billed = bill.settled_total;
       d_->MarkDirty(bill.budget);
-    } else {
+    } else if (budget.loans.contains(bill.charged_to)) {
       budget.loans[bill.charged_to].billed = bill.settled_total;
       d_->unreported[bill.charged_to].insert(bill.budget);
     }
--- a/src/libs/budget/lender.cc
+++ b/src/libs/budget/lender.cc
@@ -190,8 +190,9 @@
 std::vector<OutgoingAnswer> Lender::Retry(HostLedger& ledger,
                                           MonotonicTime now) {
   std::vector<OutgoingAnswer> answers;
-  for (auto& [budget, asks] : d_->kept) {
-    std::erase_if(asks, [&](const auto& it) {
+  for (auto& row : d_->kept) {
+    const std::string& budget = row.first;
+    std::erase_if(row.second, [&](const auto& it) {
       const auto& [borrower, ask] = it;
       const LoanOutcome outcome = d_->Meet(borrower, ask.wish, ledger, now);
       if (outcome == LoanOutcome::kDrawing)
