Check with processes that a paused lender does not stop the others

lending_check.sh: a chat of another host while the lender is under SIGSTOP is answered from that host's own draw (two holders then), and all bills are found.

--- a/scripts/lending_check.sh
+++ b/scripts/lending_check.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Three hosts of one failure domain that lend tokens to each other, as separate
-# processes: who draws, a killed lender with a stream open on its tokens, its
-# release, a graceful end, and that every token is found again.
+# processes: who draws, a paused lender, a killed one with a stream open on its
+# tokens, its release, a graceful end, and that every token is found again.
 # Usage: lending_check.sh BUILD_DIRECTORY
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -79,9 +79,15 @@
 number=$(sed -E 's/^host-([0-9])_.*/\1/' <<<"$lender")
 others=()
 for n in 1 2 3; do [ "$n" = "$number" ] || others+=("$n"); done
-writes() {
-  dump "$1" | grep -oE '"budget":\{[^}]*"update":[0-9]+' | grep -oE '[0-9]+$' || echo 0
-}
+echo "- the lender is paused: another host draws for itself"
+kill -STOP "${pids[number - 1]}"
+chat "${others[1]}" paused 60 | grep -q 'data: \[DONE\]' ||
+  fail "no chat while the lender is paused"
+kill -CONT "${pids[number - 1]}"
+two_holders() { [ "$(holders | wc -l)" = 2 ]; }
+wait_for "a second holder" two_holders
+wait_for "its bill of 66 tokens" spent_is 96
+wait_for "the hosts to know each other again" knows_all
 
 echo "- the lender is killed while a host streams on its tokens"
 chat "${others[0]}" streaming 60 >"$TW_WORK/streaming.out" &
@@ -100,21 +106,21 @@
 gone() { ! "$bin/winch" budget show "$budget" | grep -qF "$lender"; }
 for n in $(seq 6); do wait_for "the row of $lender to be closed" gone && break; done
 gone || fail "the row of $lender was not closed"
-wait_for "the bill of the stream" spent_is 96
+wait_for "the bill of the stream" spent_is 162
 
 echo "- the others go on, and end without leaving a token behind"
 for n in "${others[@]}"; do
   chat "$n" "last-$n" 4 | grep -q 'data: \[DONE\]' || fail "chat on host-$n"
 done
-wait_for "two more bills" spent_is 116
+wait_for "two more bills" spent_is 182
 for n in "${others[@]}"; do kill -TERM "${pids[n - 1]}"; done
 for n in "${others[@]}"; do
   wait "${pids[n - 1]}" || fail "host-$n did not end cleanly"
 done
 left=$("$bin/winch" budget show "$budget" --output json)
-grep -q '"spent":116,"granted":0,' <<<"$left" || fail "tokens are left: $left"
+grep -q '"spent":182,"granted":0,' <<<"$left" || fail "tokens are left: $left"
 bills=$("$bin/winch" bills --output json | grep -o '"request"' | wc -l)
-[ "$bills" = 6 ] || fail "$bills bills in place of 6"
+[ "$bills" = 7 ] || fail "$bills bills in place of 7"
 stop_all
 check_sanitizers
 echo "lending check: passed"
