Count a replay of a killed host's answer with the bills that it lost

Cause: a host that is killed after it recorded an answer and before it flushed the bill leaves a kept answer, which another host replays. The load tool looked only at the host that answered last and would have reported a mismatch.

--- a/src/libs/load/call_record.h
+++ b/src/libs/load/call_record.h
@@ -22,12 +22,15 @@
 
 // Times count from the start of the run; `gaps` are the times between the
 // pieces of a streamed answer. `tokens` is the usage that the caller saw, for
-// chats. `host` is the entry host that answered last.
+// chats. `host` is the entry host that answered last, `hosts` are all that were
+// asked. `replayed`: the answer was said to be that of an earlier request.
 struct CallRecord {
   std::string id;
   CallKind kind = CallKind::kRead;
   CallEnd end = CallEnd::kUnknown;
   std::string host;
+  std::vector<std::string> hosts;
+  bool replayed = false;
   std::string result;
   std::int64_t tokens = 0;
   int attempts = 0;
--- a/src/libs/load/load_caller.cc
+++ b/src/libs/load/load_caller.cc
@@ -177,6 +177,7 @@
       attempt.ran = kNotRun;
     co_return attempt;
   }
+  record.replayed = stream->headers().Has("Idempotent-Replayed");
   AnswerReader reader(record, *stream, timeouts);
   std::optional<std::string> body = co_await reader.Body(started);
   attempt.result = "broken_answer";
@@ -201,6 +202,7 @@
     const asio::ip::tcp::endpoint host =
         settings.hosts[(call.first_host + n) % settings.hosts.size()];
     record.host = ToText(host);
+    record.hosts.push_back(record.host);
     ++record.attempts;
     const Attempt attempt =
         co_await Try(client, settings, host, request, record);
--- a/src/libs/load/reconciliation.cc
+++ b/src/libs/load/reconciliation.cc
@@ -101,7 +101,7 @@
     result_.answered_tokens += tokens;
     if (runs == 0)
       Fault(record.id, "was answered but no target ran it");
-    if (billed.bills == 0 && input_.lost_hosts.contains(record.host)) {
+    if (billed.bills == 0 && RanOnLostHost(record)) {
       ++result_.lost_bills;
       result_.lost_bill_tokens += tokens;
     } else if (billed.bills == 0) {
@@ -112,6 +112,16 @@
     }
   }
 
+  // A kept answer may be given by another host than the one that ran it.
+  bool RanOnLostHost(const CallRecord& record) const {
+    const auto is_lost = [this](const std::string& it) {
+      return input_.lost_hosts.contains(it);
+    };
+    return is_lost(record.host) ||
+           (record.replayed &&
+            std::any_of(record.hosts.begin(), record.hosts.end(), is_lost));
+  }
+
   bool IsLostHolder(const std::string& holder) const {
     return std::any_of(
         input_.lost_hosts.begin(), input_.lost_hosts.end(),
--- a/tests/load/reconciliation_test.cc
+++ b/tests/load/reconciliation_test.cc
@@ -114,4 +114,22 @@
   LONGS_EQUAL(1, Reconcile(input).mismatches.size());
 }
 
+// The killed host recorded the answer, and another one gave it.
+TEST(Reconciliation, AReplayMayStandForTheBillOfALostHost) {
+  ReconciliationInput input = SoundInput();
+  input.platform.bills.pop_back();
+  input.platform.budgets[kBudget].spent = 22;
+  input.lost_hosts["lost"] = "host-1";
+  CallRecord& record = input.records[1];
+  record.hosts = {"lost", kHost};
+  record.replayed = true;
+  LONGS_EQUAL(0, Reconcile(input).mismatches.size());
+  LONGS_EQUAL(1, Reconcile(input).lost_bills);
+  record.replayed = false;
+  LONGS_EQUAL(1, Reconcile(input).mismatches.size());
+  record.replayed = true;
+  record.hosts = {"other", kHost};
+  LONGS_EQUAL(1, Reconcile(input).mismatches.size());
+}
+
 }  // namespace turmericwinch
