End a drain that was cut short, and log the state that it left

system_test.sh now drains a host under 10 streams (unready, no connection accepted, every token once, bills of 1,060 tokens flushed, nothing left granted, exit 0) and sends a second signal with a stream open.

The second one failed: the process logged shutdown_cut_short and never ended. The stack stood in a mutex on the main thread: the streams that were cut hold on to the target table, which is destroyed before them. A drain that ends without success now logs the state dump (event=shutdown_state) and exits with 1 at once, without taking the parts down.

--- a/scripts/system_test.sh
+++ b/scripts/system_test.sh
@@ -223,7 +223,8 @@
 echo "  20 keys, $unknown unknown, none ran twice"
 [ "$unknown" -gt 0 ] || fail "no call was open when the host was killed"
 
-echo "- a drain cuts no stream"
+echo "- a drain cuts no stream, takes nothing new and leaves nothing behind"
+before=$(spent)
 for n in $(seq 10); do
   chat 2 "drain-$n" 100 >"$TW_WORK/drain-$n.out" &
   pids[n - 1]=$!
@@ -231,9 +232,39 @@
 streaming() { [ "$(grep -l '"t1 "' "$TW_WORK"/drain-*.out | wc -l)" = 10 ]; }
 wait_for "all streams to flow" streaming
 kill -TERM "${host_pids[1]}"
+unready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://${operators[1]}/readyz")" = 503 ]; }
+wait_for "host-2 to be unready" unready
+late=$(curl -s -o /dev/null -w '%{http_code}' "http://${callers[1]}/v1/chat/completions" || true)
+[ "$late" = 000 ] || fail "a draining host accepted a connection: $late"
 for n in $(seq 10); do
   wait "${pids[n - 1]}" || fail "drain-$n was cut"
   tokens_once 100 "$(cat "$TW_WORK/drain-$n.out")"
 done
 wait "${host_pids[1]}" || fail "host-2 did not end cleanly"
+[ "$(spent)" = $((before + 1060)) ] || fail "bills of the drain: $(spent) after $before"
+# A holder that gave everything back may be gone from the budget.
+left=$("$bin/winch" budget show national-archive-2026 --output json |
+  { grep -oE '"host-2_[^}]*"outstanding":[0-9]+' || true; } | { grep -oE '[0-9]+$' || true; })
+[ "${left:-0}" = 0 ] || fail "host-2 left $left tokens granted"
+
+echo "- a second signal ends a drain; what was left is logged and dumped"
+start host-3 "$bin/turmericwinchd" --host=host-3 --failure-domain=dk-east-a \
+  --listen=127.0.0.1:0 --operator-listen=127.0.0.1:0 --flush-interval=50
+last=$TW_PID
+callers+=("$(daemon_address host-3 callers)")
+operators+=("$(daemon_address host-3 operators)")
+wait_for "host-3 to be ready" curl -sf "http://${operators[2]}/readyz"
+chat 3 cut 2000 >"$TW_WORK/cut.out" &
+cut=$!
+flows() { grep -q '"t1 "' "$TW_WORK/cut.out"; }
+wait_for "the stream to flow" flows
+kill -TERM "$last"
+wait_for "the drain" grep -q 'event=shutdown_started' "$TW_WORK/host-3.err"
+kill -TERM "$last"
+code=0
+wait "$last" || code=$?
+[ "$code" = 1 ] || fail "a drain that was cut short ended with $code"
+wait "$cut" || true
+expect "the log" 'event=shutdown_cut_short active=1' "$(cat "$TW_WORK/host-3.err")"
+expect "the dump" 'event=shutdown_state .*open_reservations\\":1' "$(cat "$TW_WORK/host-3.err")"
 echo "system test: passed"
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 #include "libs/base/digest.h"
@@ -14,6 +15,7 @@
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
 #include "libs/node/operator_handler.h"
+#include "libs/node/state_dump.h"
 
 namespace turmericwinch {
 
@@ -50,6 +52,8 @@
   void StartShutdown();
   asio::awaitable<void> WaitForSignal();
   asio::awaitable<void> ShutDown();
+  // Logs the state dump of a shutdown that left something undone.
+  void LogLeftState();
   void Stop(int code);
 
   NodeContext context;
@@ -141,6 +145,7 @@
   co_await signals.async_wait(asio::use_awaitable);
   LogEvent(kLog, Severity::kWarning, "shutdown_cut_short",
            {{"active", caller_server->ActiveRequests()}});
+  LogLeftState();
   Stop(kExitNotClean);
 }
 
@@ -161,10 +166,21 @@
   }
   LogEvent(kLog, flushed ? Severity::kInfo : Severity::kError, "shutdown_done",
            {{"clean", flushed}, {"active", caller_server->ActiveRequests()}});
+  if (!flushed)
+    LogLeftState();
   Stop(flushed ? 0 : kExitNotClean);
 }
 
+void Node::Private::LogLeftState() {
+  LogEvent(kLog, Severity::kError, "shutdown_state",
+           {{"state", DumpState(context)}});
+}
+
+// Streams that are cut off hold on to the parts of the node. Taking both down
+// in order gains nothing when the process ends, and could hang it.
 void Node::Private::Stop(int code) {
+  if (code != 0)
+    std::_Exit(code);
   exit_code = code;
   for (auto& it : context.traffic)
     it->stop();
