Eject a silent target at once, and check leaving and restarted ones

New fault switch "leaving".

When the probe over a fresh connection times out too, the answer is now `silent` and ejects at once; the floor holds as before.

Table tests for slow start in the choice, flapping between good answers, refusals in a row and a leaving answer of a target that restarted.

--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -314,6 +314,8 @@
   }
   if (alive)
     co_return AttemptEnd::kConnectionFailed;
+  if (failure.timed_out && probe_failure.timed_out)
+    meter_->Judge(TargetAnswer::kSilent);
   // A process that ends breaks the connection and resets or refuses the next.
   const bool lost = !response && !probe_failure.timed_out && !failure.timed_out;
   co_return lost ? AttemptEnd::kTargetLost : AttemptEnd::kTargetFailed;
--- a/src/libs/routing/target_health.cc
+++ b/src/libs/routing/target_health.cc
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> kAnswerNames = {
-    "no_verdict", "good", "refused", "failed", "wrong", "slow", "leaving"};
+constexpr std::array<std::string_view, 8> kAnswerNames = {
+    "no_verdict", "good", "refused", "failed",
+    "wrong",      "slow", "leaving", "silent"};
 constexpr std::array<std::string_view, 5> kStateNames = {
     "serving", "returning", "paused", "ejected", "leaving"};
 constexpr int kMostDoublings = 8;
@@ -38,6 +39,8 @@
       out_ = TargetState::kLeaving;
       out_until_ = now + kLeavingHold;
       return false;
+    case TargetAnswer::kSilent:
+      return true;
     case TargetAnswer::kRefused:
       if (out_until_ < now + kRefusedPause) {
         out_ = TargetState::kPaused;
--- a/src/libs/routing/target_health.h
+++ b/src/libs/routing/target_health.h
@@ -9,7 +9,8 @@
 namespace turmericwinch {
 
 // How an attempt ended, as far as it says something about the target.
-// kNoVerdict: nothing, as when the caller went away.
+// kNoVerdict: nothing, as when the caller went away. kSilent: it accepted and
+// did not answer, nor a probe over a fresh connection.
 enum class TargetAnswer {
   kNoVerdict,
   kGood,
@@ -18,6 +19,7 @@
   kWrong,
   kSlow,
   kLeaving,
+  kSilent,
 };
 
 std::string_view NameOf(TargetAnswer answer);
@@ -27,8 +29,9 @@
 
 std::string_view NameOf(TargetState state);
 
-// Consecutive failures eject for a time that doubles; a refused connection
-// pauses at once; a target that says it leaves gets nothing.
+// Consecutive failures eject for a time that doubles; a silent target is
+// ejected and a refused connection pauses at once; a target that says it leaves
+// gets nothing.
 class TargetHealth {
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
--- a/src/libs/routing/target_queue.h
+++ b/src/libs/routing/target_queue.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "libs/routing/fair_queue.h"
@@ -21,7 +22,9 @@
   std::string service;
   std::uint64_t request = 0;
 
-  auto operator<=>(const QueueTicket&) const = default;
+  bool operator<(const QueueTicket& other) const {
+    return std::tie(service, request) < std::tie(other.service, other.request);
+  }
 };
 
 // A waiting request that may be sent now.
--- a/src/libs/standin/fault_switches.cc
+++ b/src/libs/standin/fault_switches.cc
@@ -35,6 +35,7 @@
     return std::nullopt;
   FaultSwitches faults;
   faults.down = BoolField(*object, "down").value_or(false);
+  faults.leaving = BoolField(*object, "leaving").value_or(false);
   faults.silent = BoolField(*object, "silent").value_or(false);
   faults.silent_open = BoolField(*object, "silent_open").value_or(false);
   if (const boost::json::array* domains = ArrayField(*object, "cut")) {
@@ -81,7 +82,12 @@
   }
   if (faults.delay_ms > 0)
     co_await Sleep(std::chrono::milliseconds(faults.delay_ms));
-  co_return true;
+  if (faults.leaving) {
+    HttpResponse response = JsonResponse(503, "{}");
+    response.headers.Add("X-Leaving", "true");
+    co_await exchange.Send(response);
+  }
+  co_return !faults.leaving;
 }
 
 asio::awaitable<bool> PassCut(const FaultSwitches& faults,
--- a/src/libs/standin/fault_switches.h
+++ b/src/libs/standin/fault_switches.h
@@ -19,6 +19,8 @@
 struct FaultSwitches {
   // Answers nothing and closes the connection.
   bool down = false;
+  // Answer 503 with "X-Leaving: true".
+  bool leaving = false;
   // Answers nothing and leaves the connection open.
   bool silent = false;
   // The same, but only on connections older than the one that set the switch.
--- a/tests/routing/target_health_test.cc
+++ b/tests/routing/target_health_test.cc
@@ -61,6 +61,16 @@
      TargetState::kLeaving,
      kRefusedPause,
      TargetState::kLeaving},
+    {"accepts and never answers",
+     {TargetAnswer::kSilent},
+     TargetState::kEjected,
+     kEjectionFirst,
+     TargetState::kReturning},
+    {"refuses again and again",
+     {TargetAnswer::kRefused, TargetAnswer::kRefused, TargetAnswer::kRefused},
+     TargetState::kEjected,
+     kRefusedPause,
+     TargetState::kEjected},
     {"caller went away",
      {TargetAnswer::kNoVerdict, TargetAnswer::kNoVerdict,
       TargetAnswer::kNoVerdict},
@@ -96,6 +106,24 @@
   CHECK(health.State(now + kEjectionMost) == TargetState::kReturning);
 }
 
+// Good answers in the slow start do not make up for the ejection yet.
+TEST(TargetHealth, FlappingBetweenGoodAnswersIsEjectedForLonger) {
+  TargetHealth health;
+  health.Eject(kStart);
+  auto now = kStart + kEjectionFirst + milliseconds(1);
+  health.Note(TargetAnswer::kGood, now);
+  bool eject = false;
+  for (int n = 0; n < kFailuresToEject; ++n)
+    eject = health.Note(TargetAnswer::kFailed, now);
+  CHECK(eject);
+  health.Eject(now);
+  CHECK(health.State(now + kEjectionFirst) == TargetState::kEjected);
+  now += 2 * kEjectionFirst + kSlowStart;
+  health.Note(TargetAnswer::kGood, now);
+  health.Eject(now);
+  CHECK(health.State(now + kEjectionFirst) == TargetState::kReturning);
+}
+
 TEST(TargetHealth, ReturnsSlowly) {
   TargetHealth health;
   health.Eject(kStart);
--- a/tests/routing/target_table_test.cc
+++ b/tests/routing/target_table_test.cc
@@ -141,6 +141,28 @@
   STRCMP_EQUAL("one", Choose().c_str());
 }
 
+TEST(TargetTable, ReturningTargetGetsAPartOfItsLoad) {
+  list.targets = {Member("one"), Member("two")};
+  Update();
+  auto choice = table.Begin(wish, {"two"}, kStart, &reason);
+  table.End(*choice, TargetAnswer::kRefused, {}, kStart);
+  const auto back = kStart + kRefusedPause + milliseconds(1);
+  int of_one = 0;
+  for (int n = 0; n < 5; ++n)
+    of_one += Choose(back) == "one" ? 1 : 0;
+  LONGS_EQUAL(1, of_one);
+}
+
+TEST(TargetTable, LeavingAnswerOfARestartedTargetIsForgotten) {
+  list.targets = {Member("one")};
+  Update();
+  Answer(TargetAnswer::kLeaving);
+  STRCMP_EQUAL("", Choose().c_str());
+  list.targets = {Member("one", "a", "fast", "2")};
+  Update();
+  STRCMP_EQUAL("one", Choose().c_str());
+}
+
 TEST(TargetTable, SlowTargetIsEjected) {
   for (int n = 0; n < 4; ++n)
     list.targets.push_back(Member("t" + std::to_string(n)));
