--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -342,6 +342,9 @@
   switch (result) {
     case ProbeResult::kAlive:
       co_return AttemptEnd::kConnectionFailed;
+    case ProbeResult::kSilent:
+      meter_->Judge(TargetAnswer::kSilent);
+      co_return AttemptEnd::kTargetFailed;
     case ProbeResult::kFailed:
       co_return AttemptEnd::kTargetFailed;
     case ProbeResult::kLost:
--- a/src/libs/node/target_probe.cc
+++ b/src/libs/node/target_probe.cc
@@ -27,6 +27,8 @@
       co_await client.Call(endpoint, request, timeouts, &probe_failure);
   if (response && (!needs_ok || response->status == kStatusOk))
     co_return ProbeResult::kAlive;
+  if (failure.timed_out && probe_failure.timed_out)
+    co_return ProbeResult::kSilent;
   const bool lost = !response && !probe_failure.timed_out && !failure.timed_out;
   co_return lost ? ProbeResult::kLost : ProbeResult::kFailed;
 }
--- a/src/libs/node/target_probe.h
+++ b/src/libs/node/target_probe.h
@@ -14,7 +14,9 @@
 enum class ProbeResult {
   // The target answers over a fresh connection.
   kAlive,
-  // It does not, for whatever reason.
+  // It answered neither the call nor the probe in time.
+  kSilent,
+  // It does not answer the probe, for another reason.
   kFailed,
   // It broke the connection and resets or refuses the next: its process ended.
   kLost,
