--- a/src/apps/measure_capacity/main.cc
+++ b/src/apps/measure_capacity/main.cc
@@ -8,6 +8,7 @@
   std::printf("%-44s %8s %14s\n", "what", "size", "value");
   turmericwinch::MeasureConfig();
   turmericwinch::MeasureBudget();
+  turmericwinch::MeasureHostList();
   turmericwinch::MeasureRouting();
   return 0;
 }
--- a/src/apps/measure_capacity/slopes.h
+++ b/src/apps/measure_capacity/slopes.h
@@ -11,6 +11,9 @@
 // Size and time of budget objects, bills and the host's ledger.
 void MeasureBudget();
 
+// Size and time of a change of the host list.
+void MeasureHostList();
+
 // Time of one choice among targets.
 void MeasureRouting();
 
