Read the list's changes without a reason to fill in

Cause: HostsSince() looked into a reason that its caller may leave out. Found by reading; the test crashes before (a null reason with an unknown version).

--- a/src/libs/platform/http_platform_client.cc
+++ b/src/libs/platform/http_platform_client.cc
@@ -279,13 +279,14 @@
   HttpRequest request =
       MakeRequest("GET", "/hosts?watch=1&after=" + std::to_string(after) +
                              "&wait_ms=" + std::to_string(wait.count()));
-  std::optional<HttpResponse> response =
-      co_await d_->Send(PlatformDuty::kHosts, kind, std::move(request),
-                        wait + kWatchSlack, reason);
-  if (!response && after > 0 && reason->code == ResultCode::kPlatformNotFound)
+  Reason why;
+  std::optional<HttpResponse> response = co_await d_->Send(
+      PlatformDuty::kHosts, kind, std::move(request), wait + kWatchSlack, &why);
+  // The platform no longer knows the version.
+  if (!response && after > 0 && why.code == ResultCode::kPlatformNotFound)
     co_return co_await HostsSince(0, wait, reason);
   if (!response)
-    co_return std::nullopt;
+    co_return Fail(reason, why.code, why.text);
   if (response->status == kStatusNoContent)
     co_return PlatformHosts{after, false, ""};
   PlatformHosts hosts;
--- a/tests/standin/platform_contract_test.cc
+++ b/tests/standin/platform_contract_test.cc
@@ -335,6 +335,11 @@
   CHECK_TRUE(changes.text.find("host-1") == std::string::npos);
   // A version that this platform never had, as after a restore.
   CHECK_TRUE(since(whole.version + 100, 10'000).is_whole);
+  // Without interest in the reason.
+  auto again = RunCoroutine(
+      platform.context, platform.client.HostsSince(whole.version + 100,
+                                                   milliseconds(0), nullptr));
+  CHECK_TRUE(again && again->is_whole);
 }
 
 TEST(PlatformContract, HostListLags) {
