--- a/tests/delivery/claim_settlement_test.cc
+++ b/tests/delivery/claim_settlement_test.cc
@@ -39,6 +39,19 @@
   CHECK(calls < 50);
 }
 
+// Nothing was sent, so there is nothing to read again.
+TEST(ClaimSettlement, AWriteThatWasNotSentIsWrittenAgain) {
+  for (const ResultCode it :
+       {ResultCode::kPlatformUnavailable, ResultCode::kPlatformLimited}) {
+    ClaimSettlement settlement =
+        ClaimSettlement::Record("n", 1, Done(), kStart);
+    const SettleStep write = settlement.step();
+    settlement.OnWritten(it, kStart);
+    CHECK(write == settlement.step());
+    CHECK(settlement.pause().count() > 0);
+  }
+}
+
 TEST(ClaimSettlement, NeverWritesOverAnothersClaim) {
   ClaimSettlement settlement = ClaimSettlement::Abandon("n", 0, Done(), kStart);
   ClaimRecord other = Done();
