--- a/src/libs/budget/holder_closing.cc
+++ b/src/libs/budget/holder_closing.cc
@@ -153,8 +153,10 @@
   phase = Phase::kOver;
 }
 
-// Reads the ends and shards again; bills that were read stay true.
+// Reads all again: more may be acknowledged by then, and bills that were read
+// before an acknowledgement do not stand for it.
 void HolderClosing::Private::Restart() {
+  totals.clear();
   pause = kSyncPause * attempts;
   shards_done = false;
   phase = Phase::kLoadEnds;
@@ -198,11 +200,18 @@
   if (ends.ended.contains(parts.holder))
     ledger.Fence();
   bool changed = false;
+  auto row = ends.acknowledged.find(parts.holder);
+  const std::set<std::string> known =
+      row == ends.acknowledged.end() ? std::set<std::string>() : row->second;
   for (const auto& [lender, end] : ends.ended) {
-    if (end.closed || lender == parts.holder)
+    if (lender == parts.holder)
       continue;
     ledger.CloseLender(lender);
-    if (ledger.IsClosedWith(lender))
+    if (!ledger.IsClosedWith(lender))
+      continue;
+    if (end.closed || known.contains(lender))
+      ledger.ForgetLoans(lender);
+    else
       changed |= written.acknowledged[parts.holder].insert(lender).second;
   }
   return changed;
@@ -300,6 +309,8 @@
 void HolderClosing::Private::AfterBills(HostLedger* ledger) {
   if (parts.lender && ledger) {
     for (const auto& [name, end] : ends.ended) {
+      if (name == parts.holder)
+        continue;
       const bool proved =
           totals.contains(name) || !parts.lender->HasLoans(name);
       if (proved && !parts.lender->HasEnded(name))
--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -149,6 +149,8 @@
   void TakeBack(const std::string& budget,
                 std::int64_t billed,
                 std::int64_t returned);
+  // Notes that a borrower which billed this much goes off the list.
+  void Unlist(const std::string& budget, std::int64_t billed_total);
 
   // Takes over what `lender` lent in all. False if that is nothing new or
   // CloseLender() was called.
@@ -174,6 +176,10 @@
   // proved by confirmed bills.
   bool IsClosedWith(const std::string& lender) const;
 
+  // Forgets what a lender lent that IsClosedWith(), and still takes none of its
+  // tokens.
+  void ForgetLoans(const std::string& lender);
+
   // Tokens of the own row, or of a lender, that can be reserved now.
   std::int64_t Available(const std::string& budget) const;
   std::int64_t AvailableFrom(const std::string& lender,
--- a/tests/budget/lending_test.cc
+++ b/tests/budget/lending_test.cc
@@ -205,6 +205,24 @@
     e.borrower.Take(it.answer, e.ledger);
   LONGS_EQUAL(0, SpendableAt(e));
   LONGS_EQUAL(kPaid, FiguresOf(platform, kBudget).free);
+  // Nor does e go on reporting to it.
+  CHECK(e.ledger.Lenders().empty());
+  CHECK(e.borrower.Reports(e.ledger).empty());
+}
+
+TEST(Lending, ALenderThatStopsTakesReportsAndLendsNoMore) {
+  CHECK(e.Borrow(a, kBudget, 100));
+  a.Draw(kBudget, 500);
+  CHECK(SpendLent(e, 60, "r1"));
+  CHECK(e.FlushBills());
+  a.lender.Stop();
+  e.now += kAskPause;
+  e.Want(a, kBudget, 200);
+  const OutgoingAsk ask = e.Asks().at(0);
+  const LoanAnswer answer = a.lender.Take(ask.ask, a.ledger, a.now).answer;
+  CHECK(answer.grants.at(0).outcome == LoanOutcome::kRefused);
+  LONGS_EQUAL(1, e.borrower.Take(answer, e.ledger).direct.size());
+  LONGS_EQUAL(60, a.ledger.Figures()[kBudget].lent_billed);
 }
 
 TEST(Lending, ADeadBorrowersBillsAreChargedAndTheRestComesBack) {
@@ -330,6 +348,39 @@
   }
 }
 
+// e ends and goes off a's list; then a ends too. What e spent stays charged,
+// beside what f spent that a never heard of.
+TEST(Lending, SpendOfABorrowerThatWentOffTheListStaysCharged) {
+  CHECK(e.Borrow(a, kBudget, 100));
+  CHECK(f.Borrow(a, kBudget, 100));
+  CHECK(SpendLent(e, 40, "r1"));
+  CHECK(SpendLent(f, 70, "r2"));
+  CHECK(e.FlushBills());
+  CHECK(f.FlushBills());
+  Release(platform, "d1", "e_1");
+  a.LookForEnds();
+  CHECK(a.Flush());
+  LONGS_EQUAL(40, FiguresOf(platform, kBudget).spent);
+  Release(platform, "d1", "f_1");
+  Release(platform, "d1", "a_1");
+  LONGS_EQUAL(110, FiguresOf(platform, kBudget).spent);
+  LONGS_EQUAL(kPaid - 110, FiguresOf(platform, kBudget).free);
+}
+
+// The same, but a is about to close when it writes that e is off its list.
+TEST(Lending, ACloseThatMustWaitKeepsListAndCountersInStep) {
+  CHECK(e.Borrow(a, kBudget, 100));
+  CHECK(f.Borrow(a, kBudget, 100));
+  CHECK(SpendLent(e, 40, "r1"));
+  CHECK(e.FlushBills());
+  Release(platform, "d1", "e_1");
+  a.LookForEnds();
+  CHECK(!a.Flush(true));
+  Release(platform, "d1", "f_1");
+  Release(platform, "d1", "a_1");
+  LONGS_EQUAL(40, FiguresOf(platform, kBudget).spent);
+}
+
 // Part of what e spent reached a's counters, part only the segments.
 TEST(Lending, BillsOfABorrowerAfterTheLendersEndAreCharged) {
   CHECK(e.Borrow(a, kBudget, 400));
