--- a/src/libs/budget/bucket_sync.h
+++ b/src/libs/budget/bucket_sync.h
@@ -73,7 +73,7 @@
   // Whether a turn is needed though the ledger has nothing to write: a write
   // may have taken effect, or a return is not in the account yet.
   bool NeedsTurn() const;
-  // Whether a budget of the bucket was scarce, or nearly, when it was last read,
+  // Whether a budget of the bucket was nearly scarce when it was last read,
   // so that a flush should see how much others took since.
   bool IsNearlyScarce() const;
 
