Flush bills more often than counters on hosts with peers

The daemon had one interval, a third of a second for each host of the domain.

A host without peers flushes as before. No measure of the daemon at that size was made.

--- a/src/libs/node/budget_keeper.cc
+++ b/src/libs/node/budget_keeper.cc
@@ -49,7 +49,8 @@
   BucketSync& SyncOf(std::uint64_t bucket);
   std::optional<BudgetSetting> SettingOf(const std::string& budget) const;
 
-  std::chrono::milliseconds FlushInterval() const;
+  // Time between flushes: `per_host` for each host that lends or borrows.
+  std::chrono::milliseconds Interval(std::chrono::milliseconds per_host) const;
 
   BudgetKeeperParts parts;
   std::unique_ptr<LoanKeeper> loans;
@@ -61,6 +62,7 @@
   // Since when a shutdown waits for loans, and its last report.
   std::optional<Clock::time_point> ending_since;
   Clock::time_point last_report;
+  Clock::time_point last_counters;
   bool ended = false;
 };
 
@@ -283,6 +285,11 @@
       dirty.insert(bucket);
   }
   loans->Report();
+  const Clock::time_point now = Clock::now();
+  if (loans->enabled() &&
+      now - last_counters < Interval(kCountersIntervalPerHost))
+    co_return done;
+  last_counters = now;
   for (std::uint64_t it : dirty)
     done = co_await SyncBucket(it, TurnKind::kFlush) && done;
   co_return done;
@@ -311,11 +318,11 @@
   co_return done;
 }
 
-std::chrono::milliseconds BudgetKeeper::Private::FlushInterval() const {
+std::chrono::milliseconds BudgetKeeper::Private::Interval(
+    std::chrono::milliseconds per_host) const {
   if (!loans->enabled())
     return parts.flush_interval;
-  return std::max(parts.flush_interval,
-                  parts.hosts_in_domain() * kFlushIntervalPerHost);
+  return std::max(parts.flush_interval, parts.hosts_in_domain() * per_host);
 }
 
 asio::awaitable<void> BudgetKeeper::Run() {
@@ -323,7 +330,7 @@
   asio::co_spawn(*d->parts.control, d->loans->Run(), asio::detached);
   asio::steady_timer timer(*d->parts.control);
   for (;;) {
-    timer.expires_after(d->FlushInterval());
+    timer.expires_after(d->Interval(kFlushIntervalPerHost));
     co_await timer.async_wait(asio::use_awaitable);
     d->parts.ledger->With(
         [](HostLedger& ledger) { ledger.GiveBackIdle(Clock::now(), false); });
--- a/src/libs/node/node_constants.h
+++ b/src/libs/node/node_constants.h
@@ -34,9 +34,11 @@
 inline constexpr std::chrono::milliseconds kFleetTick{100};
 // Time between flushes of bills and counters.
 inline constexpr std::chrono::milliseconds kFlushInterval{1'000};
-// Least time between flushes for each host of the domain: all hosts together
-// write as often as a small domain does.
-inline constexpr std::chrono::milliseconds kFlushIntervalPerHost{333};
+// Least time between flushes of bills, and of counters, for each host of the
+// domain: all hosts together write as often as a small domain does. Bills go
+// more often, as they are lost with their host.
+inline constexpr std::chrono::milliseconds kFlushIntervalPerHost{250};
+inline constexpr std::chrono::milliseconds kCountersIntervalPerHost{1'000};
 // Time between looks at asks that may have to be repeated.
 inline constexpr std::chrono::milliseconds kAskTick{25};
 // Mean time between looks for ended holders.
