--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -6,6 +6,7 @@
 #include "libs/base/log.h"
 #include "libs/delivery/delivery_constants.h"
 #include "libs/http/http_constants.h"
+#include "libs/node/chat_target.h"
 #include "libs/node/chat_wish.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
@@ -143,24 +144,6 @@
   return choice;
 }
 
-HttpRequest ChatCall::TargetRequest() const {
-  HttpRequest request;
-  request.method = "POST";
-  request.target = "/v1/chat/completions";
-  request.headers.Add("Content-Type", "application/json");
-  request.headers.Add("X-Request-Id", progress_.attempt_id());
-  request.headers.Add("X-Caller-Request-Id", caller_.request_id);
-  request.headers.Add("X-Priority", std::to_string(caller_.team->priority));
-  json::object body = request_.body;
-  if (progress_.tokens() > 0) {
-    request.headers.Add("X-Resume-Id", progress_.resumed_id());
-    request.headers.Add("X-Resume-From", std::to_string(progress_.tokens()));
-    body["resume_text"] = progress_.text();
-  }
-  request.body = json::serialize(body);
-  return request;
-}
-
 ProgressLimits ChatCall::Limits() const {
   const auto left =
       std::chrono::duration_cast<milliseconds>(deadline_ - steady_clock::now());
@@ -179,9 +162,11 @@
   const ProgressLimits limits = Limits();
   const HttpTimeouts timeouts{limits.connect, limits.first_byte,
                               limits.between_tokens};
+  const HttpRequest request =
+      ChatTargetRequest(caller_, request_.body, progress_);
   HttpFailure failure;
   std::unique_ptr<HttpStream> stream =
-      co_await client().Open(*endpoint, TargetRequest(), timeouts, &failure);
+      co_await client().Open(*endpoint, request, timeouts, &failure);
   if (!stream) {
     NoteFailure(choice, "failed: " + failure.text, failure.may_have_arrived);
     meter_->Judge(AnswerOfFailure(failure));
@@ -339,15 +324,10 @@
                                  ? DeliveryEvent::kSilentConnection
                                  : DeliveryEvent::kSilentTarget);
   }
-  switch (result) {
-    case ProbeResult::kAlive:
-      co_return AttemptEnd::kConnectionFailed;
-    case ProbeResult::kFailed:
-      co_return AttemptEnd::kTargetFailed;
-    case ProbeResult::kLost:
-      break;
-  }
-  co_return AttemptEnd::kTargetLost;
+  if (result == ProbeResult::kAlive)
+    co_return AttemptEnd::kConnectionFailed;
+  co_return result == ProbeResult::kLost ? AttemptEnd::kTargetLost
+                                         : AttemptEnd::kTargetFailed;
 }
 
 // Ends the generation that no one reads any more, and learns its usage.
@@ -356,13 +336,8 @@
       ParseEndpoint(choice.address);
   if (!endpoint)
     co_return;
-  HttpRequest request;
-  request.method = "DELETE";
-  request.target = "/v1/requests/" + progress_.attempt_id();
-  const HttpTimeouts timeouts{kConnectLimit, kProbeLimit, kProbeLimit};
-  HttpFailure failure;
   std::optional<HttpResponse> response =
-      co_await client().Call(*endpoint, request, timeouts, &failure);
+      co_await CancelChat(client(), *endpoint, progress_.attempt_id());
   if (!response || response->status != kStatusOk)
     co_return;
   if (progress_.OnCancelled(response->body))
--- a/src/libs/node/chat_call.h
+++ b/src/libs/node/chat_call.h
@@ -65,7 +65,6 @@
   // The target of the first attempt; waits for one.
   boost::asio::awaitable<std::optional<TargetChoice>> ChooseFirst();
   std::optional<TargetChoice> Choose(std::set<std::string>& excluded);
-  HttpRequest TargetRequest() const;
   ProgressLimits Limits() const;
   ResultCode EndForGoneCaller();
   boost::asio::awaitable<AttemptEnd> Attempt(const TargetChoice& choice);
