Start hosts of the checks by one function; cache no file with a stale header

Change: scripts/lib.sh has start_host, fail, expect and fault; the sloppiness is gone. The checks' conditions are as they were.

--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -8,7 +8,7 @@
 export CCACHE_DIR=${CCACHE_DIR:-$PWD/.cache/ccache}
 # Worktrees of the same sources share what was compiled.
 export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
-export CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
+export CCACHE_SLOPPINESS=pch_defines,time_macros
 case $kind in
   release) options=(-DCMAKE_BUILD_TYPE=RelWithDebInfo) ;;
   asan) options=(-DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" -DTW_SANITIZE=address,undefined) ;;
--- a/scripts/keyed_chat_test.sh
+++ b/scripts/keyed_chat_test.sh
@@ -10,15 +10,6 @@
 . scripts/lib.sh
 trap 'stop_all; [ -n "${TW_KEEP:-}" ] || rm -rf "$TW_WORK"' EXIT
 
-fail() {
-  echo "keyed chat test: $*" >&2
-  tail -n 5 "$TW_WORK"/host-*.err >&2
-  exit 1
-}
-# expect WHAT PATTERN TEXT
-expect() { grep -qE "$2" <<<"$3" || fail "$1: expected $2 in: $3"; }
-fault() { curl -sf -X PUT "http://$1/faults" -d "$2" >/dev/null; }
-
 start platform "$bin/standin_platform"
 platform=$(stand_in_address platform)
 start engine "$bin/standin_engine" --between-tokens=10000
@@ -41,13 +32,7 @@
 operators=()
 host_pids=()
 for n in 1 2; do
-  start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
-    --failure-domain=dk-east-a --listen=127.0.0.1:0 \
-    --operator-listen=127.0.0.1:0 --flush-interval=50
-  host_pids+=("$TW_PID")
-  callers+=("$(daemon_address "host-$n" callers)")
-  operators+=("$(daemon_address "host-$n" operators)")
-  wait_for "host-$n to be ready" curl -sf "http://${operators[n - 1]}/readyz"
+  start_host "$n" dk-east-a --flush-interval=50
 done
 
 auth="Authorization: Bearer demo-archive-key"
--- a/scripts/lending_check.sh
+++ b/scripts/lending_check.sh
@@ -10,12 +10,6 @@
 . scripts/lib.sh
 trap 'stop_all; [ -n "${TW_KEEP:-}" ] || rm -rf "$TW_WORK"' EXIT
 
-fail() {
-  echo "lending check: $*" >&2
-  tail -n 5 "$TW_WORK"/host-*.err >&2
-  exit 1
-}
-
 start platform "$bin/standin_platform"
 platform=$(stand_in_address platform)
 start engine "$bin/standin_engine" --between-tokens=100000
@@ -33,18 +27,12 @@
 budget=national-archive-2026
 callers=()
 operators=()
-pids=()
+host_pids=()
 peers=""
 for n in 1 2 3; do
-  start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
-    --failure-domain=dk-east-a --listen=127.0.0.1:0 \
-    --operator-listen=127.0.0.1:0 --peer-listen=127.0.0.1:0 \
-    --peers="$peers" --flush-interval=100
-  pids+=("$TW_PID")
-  callers+=("$(daemon_address "host-$n" callers)")
-  operators+=("$(daemon_address "host-$n" operators)")
+  start_host "$n" dk-east-a --peer-listen=127.0.0.1:0 --peers="$peers" \
+    --flush-interval=100
   peers+="${peers:+,}$(daemon_address "host-$n" peers)"
-  wait_for "host-$n to be ready" curl -sf "http://${operators[n - 1]}/readyz"
 done
 dump() {
   curl -sf -H "Authorization: Bearer token" "http://${operators[$1 - 1]}/dump"
@@ -80,10 +68,10 @@
 others=()
 for n in 1 2 3; do [ "$n" = "$number" ] || others+=("$n"); done
 echo "- the lender is paused: another host draws for itself"
-kill -STOP "${pids[number - 1]}"
+kill -STOP "${host_pids[number - 1]}"
 chat "${others[1]}" paused 60 | grep -q 'data: \[DONE\]' ||
   fail "no chat while the lender is paused"
-kill -CONT "${pids[number - 1]}"
+kill -CONT "${host_pids[number - 1]}"
 two_holders() { [ "$(holders | wc -l)" = 2 ]; }
 wait_for "a second holder" two_holders
 wait_for "its bill of 66 tokens" spent_is 96
@@ -93,8 +81,8 @@
 chat "${others[0]}" streaming 60 >"$TW_WORK/streaming.out" &
 chat_pid=$!
 wait_for "the stream to begin" grep -q '"content":"t1 "' "$TW_WORK/streaming.out"
-kill -KILL "${pids[number - 1]}"
-wait "${pids[number - 1]}" 2>/dev/null || true
+kill -KILL "${host_pids[number - 1]}"
+wait "${host_pids[number - 1]}" 2>/dev/null || true
 released=$("$bin/winch" budget release "$lender" --process-ended)
 grep -q "host-${others[0]}_" <<<"$released" ||
   fail "the release does not wait for the borrower: $released"
@@ -113,9 +101,9 @@
   chat "$n" "last-$n" 4 | grep -q 'data: \[DONE\]' || fail "chat on host-$n"
 done
 wait_for "two more bills" spent_is 182
-for n in "${others[@]}"; do kill -TERM "${pids[n - 1]}"; done
+for n in "${others[@]}"; do kill -TERM "${host_pids[n - 1]}"; done
 for n in "${others[@]}"; do
-  wait "${pids[n - 1]}" || fail "host-$n did not end cleanly"
+  wait "${host_pids[n - 1]}" || fail "host-$n did not end cleanly"
 done
 left=$("$bin/winch" budget show "$budget" --output json)
 grep -q '"spent":182,"granted":0,' <<<"$left" || fail "tokens are left: $left"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -47,6 +47,32 @@
   sed -n "s/.*event=started.* $2=\([0-9.:]*\).*/\1/p" "$TW_WORK/$1.err" | head -n 1
 }
 
+# start_host N DOMAIN FLAG...: starts host-N on ports of the kernel's choice and
+# waits until it is ready; adds it to host_pids, callers and operators.
+start_host() {
+  local name=host-$1 domain=$2
+  shift 2
+  start "$name" "$bin/turmericwinchd" --host="$name" --failure-domain="$domain" \
+    --listen=127.0.0.1:0 --operator-listen=127.0.0.1:0 "$@"
+  host_pids+=("$TW_PID")
+  callers+=("$(daemon_address "$name" callers)")
+  operators+=("$(daemon_address "$name" operators)")
+  wait_for "$name to be ready" curl -sf "http://${operators[-1]}/readyz"
+}
+
+# fail TEXT...: ends the script, with the hosts' last lines.
+fail() {
+  echo "$(basename "$0" .sh): $*" >&2
+  tail -q -n 5 "$TW_WORK"/host-*.err >&2 || true
+  exit 1
+}
+
+# expect WHAT PATTERN TEXT: fails unless TEXT has a line of PATTERN.
+expect() { grep -qE "$2" <<<"$3" || fail "$1: expected $2 in: $3"; }
+
+# fault ADDRESS JSON: sets the faults of a stand-in.
+fault() { curl -sf -X PUT "http://$1/faults" -d "$2" >/dev/null; }
+
 # check_sanitizers: fails if a process reported a fault of memory or threads.
 check_sanitizers() {
   if grep -lE 'Sanitizer|runtime error' "$TW_WORK"/*.err; then
--- a/scripts/quarantine_test.sh
+++ b/scripts/quarantine_test.sh
@@ -12,15 +12,6 @@
 . scripts/lib.sh
 trap 'stop_all; [ -n "${TW_KEEP:-}" ] || rm -rf "$TW_WORK"' EXIT
 
-fail() {
-  echo "quarantine test: $*" >&2
-  tail -n 5 "$TW_WORK"/host-*.err >&2
-  exit 1
-}
-# expect WHAT PATTERN TEXT
-expect() { grep -qE "$2" <<<"$3" || fail "$1: expected $2 in: $3"; }
-fault() { curl -sf -X PUT "http://$1/faults" -d "$2" >/dev/null; }
-
 start platform "$bin/standin_platform"
 platform=$(stand_in_address platform)
 targets=()
@@ -49,17 +40,13 @@
 "$bin/winch" apply samples/skuffekort | tail -n 1
 callers=()
 operators=()
+host_pids=()
 seed=()
 for n in 1 2 3 4 5; do
   domain=dk-east-a
   if [ "$n" -gt 2 ]; then domain=dk-east-b; fi
-  start "host-$n" "$bin/turmericwinchd" --host="host-$n" \
-    --failure-domain=$domain --listen=127.0.0.1:0 --peer-listen=127.0.0.1:0 \
-    --operator-listen=127.0.0.1:0 --flush-interval=50 "${seed[@]}"
-  callers+=("$(daemon_address "host-$n" callers)")
-  operators+=("$(daemon_address "host-$n" operators)")
+  start_host "$n" "$domain" --peer-listen=127.0.0.1:0 --flush-interval=50 "${seed[@]}"
   if [ "$n" = 1 ]; then seed=(--peers="$(daemon_address host-1 peers)"); fi
-  wait_for "host-$n to be ready" curl -sf "http://${operators[n - 1]}/readyz"
 done
 dump() { curl -sf -H "Authorization: Bearer token" "http://${operators[$1 - 1]}/dump"; }
 knows_all() { [ "$(dump "$1" | grep -oE '"state":"alive"' | wc -l)" = 5 ]; }
