--- a/src/libs/budget/bucket_sync.cc
+++ b/src/libs/budget/bucket_sync.cc
@@ -105,8 +105,7 @@
 }
 
 bool BucketSync::IsNearlyScarce() const {
-  const std::map<std::string, BudgetAccount>& budgets =
-      d_->state.account.budgets;
+  const auto& budgets = d_->state.account.budgets;
   return std::any_of(budgets.begin(), budgets.end(), [](const auto& it) {
     return turmericwinch::IsNearlyScarce(it.second);
   });
