--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -74,7 +74,7 @@
 inline constexpr double kLimitFallMost = 0.2;
 // Rise for a first token in time while several teams are active, against 1 when
 // one is, each over the limit.
-inline constexpr double kLimitRiseShared = 0.02;
+inline constexpr double kLimitRiseShared = 0.05;
 // Share of the limit that is in use when a first token in time may raise it.
 inline constexpr double kLimitUsedShare = 0.5;
 // Share of the limit kept from teams above their share; at least one request.
