Let the test of threads wait for targets as routing now does

Cause: routing made the team a part of the wish and fleet's test, written beside it, still gave a place in the queue: the merged tree did not build.

--- a/tests/node/shared_state_threads_test.cc
+++ b/tests/node/shared_state_threads_test.cc
@@ -72,10 +72,10 @@
 asio::awaitable<void> Choose(SharedTargets& targets, std::atomic<int>& chosen) {
   for (int n = 0; n < kRequests; ++n) {
     Reason reason;
-    QueuePlace place{"team", 1, std::chrono::steady_clock::now() + kMostWait};
     TargetWish wish{"llm", 100};
-    std::optional<TargetChoice> choice =
-        co_await targets.Wait(wish, place, &reason);
+    wish.team = "team";
+    std::optional<TargetChoice> choice = co_await targets.Wait(
+        wish, std::chrono::steady_clock::now() + kMostWait, &reason);
     if (!choice)
       continue;
     ++chosen;
