Return what a closed holder frees in an idle domain to the account

Change: a close returns what it freed of budgets of which no host of the domain holds any (ReturnFreed), and notes it in the accounts (AccountReturns), in that order; after a lost answer only totals that the shard is read to have are noted.

--- a/src/libs/budget/holder_closing.cc
+++ b/src/libs/budget/holder_closing.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "libs/budget/account_returns.h"
 #include "libs/budget/budget_account.h"
 #include "libs/budget/budget_constants.h"
 
@@ -17,6 +18,7 @@
   kListShards,
   kLoadBills,
   kWriteShard,
+  kNoteReturns,
   kOver,
 };
 
@@ -25,6 +27,8 @@
   std::string name;
   std::uint64_t version = 0;
   DomainShard shard;
+  // What the domain then returned in all, by budget.
+  std::map<std::string, std::int64_t> returned;
 };
 
 }  // namespace
@@ -41,6 +45,7 @@
   void TakeBills(const PlatformAnswer& answer);
   void AfterBills(HostLedger* ledger);
   void PlanShards();
+  void TakeShardWritten();
   void AfterShards();
   void TakeFailure(const Reason& reason);
   void Restart();
@@ -61,6 +66,9 @@
   bool shards_done = false;
   std::vector<ShardWrite> shards;
   std::vector<ShardWrite> writes;
+  std::optional<AccountReturns> returns;
+  // Shards of which a write may have taken effect, and the budgets it returned.
+  std::map<std::string, std::vector<std::string>> unsure;
   std::vector<std::string> writers;
   std::map<std::string, SettledTotals> totals;
   HolderClosingResult result;
@@ -69,6 +77,7 @@
 HolderClosing::HolderClosing(HolderClosingParts parts)
     : d_(std::make_unique<Private>()) {
   d_->parts = std::move(parts);
+  d_->returns.emplace(d_->parts.domain);
 }
 
 HolderClosing::~HolderClosing() = default;
@@ -84,6 +93,8 @@
   d_->totals.clear();
   d_->result = {};
   d_->shards_done = false;
+  d_->returns.emplace(d_->parts.domain);
+  d_->unsure.clear();
   d_->phase = Phase::kLoadEnds;
 }
 
@@ -94,6 +105,8 @@
 std::optional<PlatformCall> HolderClosing::Next(HostLedger* ledger) {
   if (d_->phase == Phase::kLoadBills && d_->writers.empty())
     d_->AfterBills(ledger);
+  if (d_->phase == Phase::kNoteReturns && d_->returns->empty())
+    d_->AfterShards();
   const std::string ends_name = EndsObjectName(d_->parts.domain);
   switch (d_->phase) {
     case Phase::kLoadEnds:
@@ -115,6 +128,8 @@
       return PlatformCall{PlatformVerb::kUpdate, d_->writes.back().name,
                           d_->writes.back().version,
                           ToJson(d_->writes.back().shard), d_->pause};
+    case Phase::kNoteReturns:
+      return d_->returns->Next();
     case Phase::kOver:
       break;
   }
@@ -127,6 +142,11 @@
   if (d.phase == Phase::kLoadEnds &&
       (code == ResultCode::kOk || code == ResultCode::kPlatformNotFound))
     return d.TakeEnds(answer, ledger);
+  if (d.phase == Phase::kNoteReturns) {
+    if (!d.returns->Take(answer))
+      d.End(answer.reason);
+    return;
+  }
   if (code != ResultCode::kOk)
     return d.TakeFailure(answer.reason);
   switch (d.phase) {
@@ -139,10 +159,7 @@
     case Phase::kLoadBills:
       return d.TakeBills(answer);
     case Phase::kWriteShard:
-      d.writes.pop_back();
-      if (d.writes.empty())
-        d.AfterShards();
-      return;
+      return d.TakeShardWritten();
     default:
       return;
   }
@@ -164,6 +181,10 @@
 
 void HolderClosing::Private::TakeFailure(const Reason& reason) {
   const bool write = phase == Phase::kWriteEnds || phase == Phase::kWriteShard;
+  if (phase == Phase::kWriteShard) {
+    for (const auto& [budget, total] : writes.back().returned)
+      unsure[writes.back().name].push_back(budget);
+  }
   if (write && IsSettledByReading(reason.code) && ++attempts < kSyncAttempts)
     return Restart();
   End(reason);
@@ -274,6 +295,8 @@
     std::optional<DomainShard> shard = DomainShardOf(it.value, &reason);
     if (!shard)
       return End(reason);
+    for (const std::string& budget : unsure[it.name])
+      returns->Add(budget, shard->budgets[budget].returned);
     bool needed = false;
     for (const std::string& holder : ended) {
       if (!shard->Names(holder))
@@ -324,6 +347,7 @@
   writes.clear();
   for (ShardWrite& it : shards) {
     bool changed = false;
+    std::map<std::string, std::int64_t> freed;
     for (const std::string& holder : EndedWithRows()) {
       if (!it.shard.Names(holder))
         continue;
@@ -331,19 +355,27 @@
       result.waits_for[holder].insert(release.waits_for.begin(),
                                       release.waits_for.end());
       changed |= release.waits_for.empty();
+      for (const auto& [name, tokens] : release.released)
+        freed[name] = AddSaturated(freed[name], tokens.freed);
       result.released[holder].insert(release.released.begin(),
                                      release.released.end());
     }
+    it.returned = ReturnFreed(it.shard, freed);
     if (changed)
       writes.push_back(std::move(it));
   }
   std::erase_if(result.waits_for,
                 [](const auto& it) { return it.second.empty(); });
   shards.clear();
+  phase = writes.empty() ? Phase::kNoteReturns : Phase::kWriteShard;
+}
+
+void HolderClosing::Private::TakeShardWritten() {
+  for (const auto& [budget, total] : writes.back().returned)
+    returns->Add(budget, total);
+  writes.pop_back();
   if (writes.empty())
-    AfterShards();
-  else
-    phase = Phase::kWriteShard;
+    phase = Phase::kNoteReturns;
 }
 
 // Marks the ends that no shard has a row of any more.
--- a/src/libs/budget/holder_release.cc
+++ b/src/libs/budget/holder_release.cc
@@ -58,4 +58,18 @@
   return release;
 }
 
+std::map<std::string, std::int64_t> ReturnFreed(
+    DomainShard& shard,
+    const std::map<std::string, std::int64_t>& freed) {
+  std::map<std::string, std::int64_t> totals;
+  for (const auto& [name, tokens] : freed) {
+    ShardBudget& budget = shard.budgets[name];
+    if (tokens <= 0 || budget.Outstanding() != 0)
+      continue;
+    budget.returned = AddSaturated(budget.returned, tokens);
+    totals[name] = budget.returned;
+  }
+  return totals;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/budget/holder_release.h
+++ b/src/libs/budget/holder_release.h
@@ -46,6 +46,12 @@
                             const HolderEnds& ends,
                             const std::map<std::string, SettledTotals>& totals);
 
+// Returns what was `freed`, by budget, of budgets of which no host of the
+// domain holds any. Answers the new totals of these.
+std::map<std::string, std::int64_t> ReturnFreed(
+    DomainShard& shard,
+    const std::map<std::string, std::int64_t>& freed);
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_BUDGET_HOLDER_RELEASE_H_
--- a/tests/budget/holder_death_test.cc
+++ b/tests/budget/holder_death_test.cc
@@ -21,6 +21,13 @@
   TestBudgets budgets{{kBudget, {1'000, 1, 50}}};
   TestHost a{platform, budgets, "d1", "a_1"};
   TestHost b{platform, budgets, "d1", "b_1"};
+
+  // Tokens that no domain has, as the account says.
+  std::int64_t AccountFree() {
+    const auto& object =
+        platform.objects.at(AccountObjectName(BucketOf(kBudget)));
+    return AccountBucketOf(object.value, nullptr)->budgets.at(kBudget).Free();
+  }
 };
 
 TEST(HolderDeath, BillsThatLandedCountThoughCountersDidNot) {
@@ -34,6 +41,36 @@
   CHECK(!b.Spend(kBudget, 1));
 }
 
+// A close writes ends, shard, account, and the end again.
+TEST(HolderDeath, AReleaseInAnIdleDomainFreesTokensForAllDomains) {
+  const PlatformFault faults[] = {PlatformFault::kNone,
+                                  PlatformFault::kAnswerLost,
+                                  PlatformFault::kCallLost};
+  for (std::size_t n = 0; n < 4; ++n) {
+    for (PlatformFault fault : faults) {
+      platform.objects.clear();
+      TestHost holder(platform, budgets, "d1", "c_1");
+      CHECK(holder.Spend(kBudget, 300));
+      holder.Draw(kBudget, 200);
+      CHECK(holder.FlushBills());
+      CHECK(AccountFree() < 700);
+      platform.write_faults.assign(n, PlatformFault::kNone);
+      platform.write_faults.push_back(fault);
+      Release(platform, "d1", "c_1");
+      LONGS_EQUAL(700, AccountFree());
+      LONGS_EQUAL(300, FiguresOf(platform, kBudget).spent);
+    }
+  }
+}
+
+TEST(HolderDeath, AReleaseKeepsTokensInADomainThatHoldsSome) {
+  a.Draw(kBudget, 200);
+  b.Draw(kBudget, 200);
+  const std::int64_t before = AccountFree();
+  Release(platform, "d1", "a_1");
+  LONGS_EQUAL(before, AccountFree());
+}
+
 TEST(HolderDeath, NothingIsFreedWithoutARelease) {
   CHECK(a.Spend(kBudget, 300));
   a.Draw(kBudget, 200);
