Take an account that does not exist for one that needs no return

Nothing was allocated from an account that does not exist, so nothing is to be noted. Ruled out: giving the test an account; a release must not fail for that. Change: AccountReturns passes over it.

--- a/src/libs/budget/account_returns.cc
+++ b/src/libs/budget/account_returns.cc
@@ -27,6 +27,11 @@
 
 bool AccountReturns::Take(const PlatformAnswer& answer) {
   const ResultCode code = answer.reason.code;
+  // Nothing was allocated from an account that does not exist.
+  if (!account_ && code == ResultCode::kPlatformNotFound) {
+    due_.erase(due_.begin());
+    return true;
+  }
   if (!account_)
     return code == ResultCode::kOk && TakeAccount(answer);
   account_.reset();
