Check the tokens of a stream by one function

Cause: the last reading of the change found tokens_once twice, in keyed_chat_test and system_test, the same lines but for the name in the message. Change: it stands in scripts/lib.sh; each condition is as it was.

--- a/scripts/keyed_chat_test.sh
+++ b/scripts/keyed_chat_test.sh
@@ -43,14 +43,6 @@
     -d '{"model":"turmericwinch-llm","stream":'"${4:-true}"',
     "max_tokens":'"$3"',"messages":[{"role":"user","content":"Which sheet is this?"}]}'
 }
-# tokens_once WHAT COUNT TEXT: each token of a stream once, in order, its end.
-tokens_once() {
-  local want got
-  want=$(for ((n = 0; n < $2; ++n)); do echo "t$n"; done)
-  got=$(grep -oE '"content":"t[0-9]+ "' <<<"$3" | grep -oE 't[0-9]+')
-  [ "$want" = "$got" ] || fail "$1: tokens were not seen once each: $got"
-  expect "$1" '^data: \[DONE\]' "$3"
-}
 # runs ID: how often the engine ran the caller's request.
 runs() {
   curl -sf "http://$engine/stats" | grep -oE '"runs":\{[^}]*\}' |
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -70,6 +70,15 @@
 # expect WHAT PATTERN TEXT: fails unless TEXT has a line of PATTERN.
 expect() { grep -qE "$2" <<<"$3" || fail "$1: expected $2 in: $3"; }
 
+# tokens_once WHAT COUNT TEXT: each token of a stream once, in order, and its end.
+tokens_once() {
+  local want got
+  want=$(for ((n = 0; n < $2; ++n)); do echo "t$n"; done)
+  got=$(grep -oE '"content":"t[0-9]+ "' <<<"$3" | grep -oE 't[0-9]+')
+  [ "$want" = "$got" ] || fail "$1: tokens were not seen once each: $got"
+  expect "$1" '^data: \[DONE\]' "$3"
+}
+
 # fault ADDRESS JSON: sets the faults of a stand-in.
 fault() { curl -sf -X PUT "http://$1/faults" -d "$2" >/dev/null; }
 
--- a/scripts/system_test.sh
+++ b/scripts/system_test.sh
@@ -56,14 +56,6 @@
     -H "X-Request-Id: $2" -d '{"model":"turmericwinch-llm","stream":'"${4:-true}"',
     "max_tokens":'"$3"',"messages":[{"role":"user","content":"Which sheet is this?"}]}'
 }
-# tokens_once COUNT TEXT: each token of a stream once, in order, and its end.
-tokens_once() {
-  local want got
-  want=$(for ((n = 0; n < $1; ++n)); do echo "t$n"; done)
-  got=$(grep -oE '"content":"t[0-9]+ "' <<<"$2" | grep -oE 't[0-9]+')
-  [ "$want" = "$got" ] || fail "tokens were not seen once each: $got"
-  expect "the end of the stream" '^data: \[DONE\]' "$2"
-}
 executions() {
   curl -sf "http://$service/stats" | { grep -oE "\"$1\":[0-9]+" || true; } | cut -d: -f2
 }
@@ -117,7 +109,7 @@
 before=$(spent)
 fault "${engines[0]}" '{"break_after":3}'
 fault "${engines[1]}" '{"break_after":3}'
-tokens_once 8 "$(chat 1 broken 8)"
+tokens_once "the stream" 8 "$(chat 1 broken 8)"
 wait_for "one bill of 14 tokens" spent_is $((before + 14))
 [ "$(metric 1 resumed_stream)" -ge 1 ] || fail "no stream was resumed"
 fault "${engines[0]}" '{}'
@@ -127,11 +119,11 @@
 list_targets engine-2 drawer-1
 wait_for "host-1 to see one engine" sees 1 engine-2 engine-1
 fault "${engines[1]}" '{"break_after":3}'
-tokens_once 8 "$(chat 1 alone 8)"
+tokens_once "the stream" 8 "$(chat 1 alone 8)"
 
 echo "- a silent connection is left while its target answers probes"
 fault "${engines[1]}" '{"silent_after":3}'
-tokens_once 8 "$(chat 1 silent 8)"
+tokens_once "the stream" 8 "$(chat 1 silent 8)"
 [ "$(metric 1 silent_connection)" = 1 ] || fail "no silent connection was counted"
 
 echo "- crossed, malformed and unbilled answers are never delivered"
@@ -163,7 +155,7 @@
     "messages":[{"role":"user","content":"Which sheet is this?"}]}' >"$TW_WORK/other-id.out" || true
 grep -q '"t2 "' "$TW_WORK/other-id.out" || fail "the second stream did not flow"
 wait "$shared" || fail "the first stream was cut"
-tokens_once 100 "$(cat "$TW_WORK/shared-id.out")"
+tokens_once "the stream" 100 "$(cat "$TW_WORK/shared-id.out")"
 expect "the caller's own id" '"id":"shared-id"' "$(tail -n 4 "$TW_WORK/shared-id.out")"
 [ "$(metric 1 resumed_stream)" = "$resumed" ] || fail "another team's stream was ended"
 
@@ -197,7 +189,7 @@
 sleep 6
 expect "poison elsewhere" '"name":"quarantined".*"ran":"not_run"' "$(poison 2)"
 [ "$(alive)" = 1 ] || fail "the last engine was lost"
-tokens_once 8 "$(chat 2 innocent 8)"
+tokens_once "the stream" 8 "$(chat 2 innocent 8)"
 list_targets engine-2 drawer-1
 wait_for "host-1 to see engine-2" sees 1 engine-2 engine-5
 wait_for "host-2 to see engine-2" sees 2 engine-2 engine-5
@@ -253,7 +245,7 @@
 [ "$late" = 000 ] || fail "a draining host accepted a connection: $late"
 for n in $(seq 10); do
   wait "${pids[n - 1]}" || fail "drain-$n was cut"
-  tokens_once 100 "$(cat "$TW_WORK/drain-$n.out")"
+  tokens_once "the stream" 100 "$(cat "$TW_WORK/drain-$n.out")"
 done
 wait "${host_pids[1]}" || fail "host-2 did not end cleanly"
 [ "$(spent)" = $((before + 1060)) ] || fail "bills of the drain: $(spent) after $before"
