--- a/src/libs/delivery/retry_budget.cc
+++ b/src/libs/delivery/retry_budget.cc
@@ -4,14 +4,28 @@
 
 namespace turmericwinch {
 
+namespace {
+
+// Sums of parts such as 0.2 miss whole retries by rounding.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
+
+void RetryBudget::SetMost(double most) {
+  most_ = most;
+  earned_ = used_ ? std::min(earned_, most_) : most_;
+}
+
 void RetryBudget::OnRequest() {
-  parts_ = std::min(parts_ + kPartsPerRequest, kMostParts);
+  used_ = true;
+  earned_ = std::min(earned_ + ratio_, most_);
 }
 
 bool RetryBudget::TakeRetry() {
-  if (parts_ < kPartsPerRetry)
+  used_ = true;
+  if (earned_ + kRounding < 1)
     return false;
-  parts_ -= kPartsPerRetry;
+  earned_ -= 1;
   return true;
 }
 
--- a/src/libs/delivery/retry_budget.h
+++ b/src/libs/delivery/retry_budget.h
@@ -7,21 +7,30 @@
 namespace turmericwinch {
 
 // Each request earns a part of a retry; what is earned is kept up to a bound.
+// In any span of time no more retries are made than the bound and what the
+// span's requests earn.
 class RetryBudget {
  public:
+  RetryBudget() = default;
+  // `ratio` is what a request earns, `most` how many retries are kept.
+  RetryBudget(double ratio, double most) : ratio_(ratio) { SetMost(most); }
+
+  // Changes the bound, as when other hosts join those that share it.
+  void SetMost(double most);
   // Counts a request's first attempt.
   void OnRequest();
   // Whether one more attempt may be made now; if so it is counted.
   bool TakeRetry();
 
  private:
-  // Earned retries, in parts of a retry; starts at the bound.
-  int parts_ = kMostParts;
+  static constexpr double kRatio = 0.2;
+  static constexpr double kMostRetries = 50;
 
-  static constexpr int kPartsPerRetry = 10;
-  static constexpr int kPartsPerRequest = 2;
-  static constexpr int kMostRetries = 50;
-  static constexpr int kMostParts = kMostRetries * kPartsPerRetry;
+  double ratio_ = kRatio;
+  double most_ = kMostRetries;
+  // Earned retries; starts at the bound.
+  double earned_ = kMostRetries;
+  bool used_ = false;
 };
 
 }  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/gateway/event_splitter.cc
@@ -0,0 +1,53 @@
+#include "libs/gateway/event_splitter.h"
+
+#include <charconv>
+
+namespace turmericwinch {
+
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// End of the first whole event of `text`; npos if none is whole.
+std::size_t EndOfEvent(std::string_view text) {
+  const std::size_t plain = text.find("\n\n");
+  const std::size_t crlf = text.find("\r\n\r\n");
+  if (plain == std::string_view::npos && crlf == std::string_view::npos)
+    return std::string_view::npos;
+  return plain < crlf ? plain + 2 : crlf + 4;
+}
+
+std::optional<std::uint64_t> IdOf(std::string_view event) {
+  for (std::size_t start = 0; start < event.size();) {
+    const std::size_t end = event.find('\n', start);
+    std::string_view line = event.substr(
+        start, end == std::string_view::npos ? end : end - start);
+    start = end == std::string_view::npos ? event.size() : end + 1;
+    if (!line.starts_with(kIdField))
+      continue;
+    line.remove_prefix(kIdField.size());
+    if (line.starts_with(' '))
+      line.remove_prefix(1);
+    std::uint64_t id = 0;
+    auto [last, ec] =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (ec == std::errc())
+      return id;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<RawEvent> EventSplitter::Next() {
+  const std::size_t end = EndOfEvent(buf_);
+  if (end == std::string::npos)
+    return std::nullopt;
+  RawEvent event;
+  event.bytes = buf_.substr(0, end);
+  buf_.erase(0, end);
+  event.id = IdOf(event.bytes);
+  return event;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -0,0 +1,476 @@
+#include "libs/gateway/gateway_call_runner.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <random>
+#include <set>
+
+#include "libs/base/digest.h"
+#include "libs/base/log.h"
+#include "libs/gateway/event_splitter.h"
+#include "libs/node/attempt_meter.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr LogCategory kLog{"gateway"};
+constexpr int kServerError = 500;
+constexpr int kStatusOk = 200;
+constexpr int kFirstFailure = 300;
+// Parts of a prompt that other requests may share: all but the request's own.
+constexpr std::size_t kOwnParts = 1;
+
+// How one attempt ended.
+enum class AttemptEnd {
+  // The caller has its answer, or its connection was given up.
+  kDone,
+  // No target ran the request.
+  kNotRun,
+  // A target may have run it, and the caller has no byte of an answer.
+  kLost,
+  // A stream broke after the caller got a part of it.
+  kBroken,
+};
+
+milliseconds Until(Clock::time_point time) {
+  return std::chrono::duration_cast<milliseconds>(time - Clock::now());
+}
+
+std::uint32_t Draw() {
+  static thread_local std::minstd_rand random{std::random_device{}()};
+  return static_cast<std::uint32_t>(random());
+}
+
+class CallRunner {
+ public:
+  CallRunner(GatewayContext& context,
+             const HttpRequest& request,
+             HttpExchange& exchange)
+      : context_(context), request_(request), exchange_(exchange) {}
+
+  asio::awaitable<void> Run();
+
+ private:
+  // Finds configuration, route and team. False if the request is refused.
+  bool Resolve();
+  asio::awaitable<bool> Reserve();
+  asio::awaitable<void> RunAttempts();
+  asio::awaitable<std::optional<TargetChoice>> Choose(bool is_first);
+  asio::awaitable<AttemptEnd> Attempt(const TargetChoice& choice);
+  asio::awaitable<AttemptEnd> RelayStream(HttpStream& stream,
+                                          AttemptMeter& meter);
+  asio::awaitable<AttemptEnd> RelayWhole(HttpStream& stream,
+                                         AttemptMeter& meter);
+  // Whether another target may be tried after `end`; if not, `reason_` says
+  // what the caller is told.
+  bool MayTryAgain(AttemptEnd end);
+  asio::awaitable<void> Refuse();
+  void Settle();
+  void LogEnd();
+
+  bool MayRepeat() const {
+    return route_->kind == RouteKind::kRepeatable ||
+           route_->kind == RouteKind::kStreamResumable;
+  }
+
+  GatewayContext& context_;
+  const HttpRequest& request_;
+  HttpExchange& exchange_;
+  const Clock::time_point start_ = Clock::now();
+  Clock::time_point deadline_;
+  std::shared_ptr<const GatewayConfig> config_;
+  std::optional<GatewayCall> call_;
+  const PathRoute* route_ = nullptr;
+  const TeamConfig* team_ = nullptr;
+  std::string service_;
+  TargetWish wish_;
+  HttpCancel cancel_;
+  std::optional<std::uint64_t> reservation_;
+  Reason reason_;
+  bool may_have_run_ = false;
+  bool head_sent_ = false;
+  int attempts_ = 0;
+  int unreached_ = 0;
+  std::set<std::string> tried_;
+  std::string last_target_;
+  std::uint64_t last_event_ = 0;
+  std::int64_t events_ = 0;
+  int status_ = 0;
+};
+
+bool CallRunner::Resolve() {
+  config_ = context_.config.Get();
+  if (!config_) {
+    reason_ = {ResultCode::kNoConfig, "this host has no configuration yet"};
+    return false;
+  }
+  call_ = context_.dialect.decode(request_, &reason_);
+  if (!call_)
+    return false;
+  route_ = config_->routes.Find(call_->host, call_->path);
+  if (!route_) {
+    reason_ = {ResultCode::kNotFound, "no route matches the host and path"};
+    return false;
+  }
+  team_ = call_->key.empty()
+              ? nullptr
+              : config_->objects->TeamOfKeyHash(Sha256Hex(call_->key));
+  if (!team_ && !route_->is_public && !config_->objects->teams().empty()) {
+    reason_ = {ResultCode::kUnauthorized, "the key is not known"};
+    return false;
+  }
+  deadline_ = start_ + route_->timeout;
+  if (call_->time_left)
+    deadline_ = std::min(deadline_, start_ + *call_->time_left);
+  service_ = ServiceOf(*route_, Draw());
+  wish_.service = service_;
+  if (team_) {
+    wish_.team = team_->name;
+    wish_.share = team_->share;
+  }
+  if (call_->tokens)
+    wish_.prompt_tokens = call_->tokens->prompt;
+  std::uint64_t prefix = 0;
+  for (std::size_t n = 0; n + kOwnParts < call_->parts.size(); ++n) {
+    prefix = Hash64(std::to_string(call_->parts[n].id), prefix);
+    wish_.prefix_tokens += call_->parts[n].tokens;
+  }
+  wish_.prefix = prefix;
+  return true;
+}
+
+asio::awaitable<bool> CallRunner::Reserve() {
+  if (!team_ || !call_->tokens)
+    co_return true;
+  const std::vector<const BudgetConfig*> budgets =
+      config_->objects->Budgets(team_->name, service_);
+  if (budgets.empty())
+    co_return true;
+  const std::int64_t tokens = call_->tokens->Sum();
+  reservation_ = co_await context_.ledger.Reserve(
+      budgets.front()->name, tokens, kFleetGrantWait, &reason_);
+  co_return reservation_.has_value();
+}
+
+// Prompt tokens count once; output as far as it was relayed. A request that no
+// target ran costs nothing.
+void CallRunner::Settle() {
+  if (!reservation_)
+    return;
+  const std::uint64_t id = *std::exchange(reservation_, std::nullopt);
+  if (!may_have_run_) {
+    context_.ledger.Release(id);
+    return;
+  }
+  auto per_event = config_->tokens_per_event.find(service_);
+  const std::int64_t each =
+      per_event == config_->tokens_per_event.end() ? 1 : per_event->second;
+  Bill bill;
+  bill.request_id = call_->id;
+  bill.team = team_->name;
+  bill.service = service_;
+  bill.tokens = call_->tokens->prompt +
+                std::min(call_->tokens->most_output, events_ * each);
+  context_.ledger.Settle(id, std::move(bill));
+}
+
+asio::awaitable<std::optional<TargetChoice>> CallRunner::Choose(bool is_first) {
+  if (is_first)
+    co_return co_await context_.targets.Wait(wish_, deadline_, &reason_);
+  co_return context_.targets.Begin(wish_, tried_, &reason_);
+}
+
+asio::awaitable<AttemptEnd> CallRunner::RelayWhole(HttpStream& stream,
+                                                   AttemptMeter& meter) {
+  HttpResponse response;
+  response.status = stream.status();
+  HttpFailure failure;
+  while (!stream.done()) {
+    std::optional<std::string> piece =
+        co_await stream.ReadSome(Until(deadline_), &failure);
+    if (!piece) {
+      meter.Judge(cancel_.cancelled() ? TargetAnswer::kNoVerdict
+                                      : TargetAnswer::kFailed);
+      reason_ = {ResultCode::kTargetFailed,
+                 "the answer of " + last_target_ + " broke: " + failure.text};
+      co_return AttemptEnd::kLost;
+    }
+    response.body += *piece;
+  }
+  meter.Judge(AnswerOfStatus(response.status, stream.headers()));
+  if (response.status >= kServerError && MayRepeat() &&
+      attempts_ < route_->most_attempts && !cancel_.cancelled() &&
+      context_.retries.TakeRetry(service_)) {
+    reason_ = {ResultCode::kTargetFailed,
+               last_target_ + " answered " + std::to_string(response.status)};
+    co_return AttemptEnd::kLost;
+  }
+  response.headers = context_.dialect.answer_headers(stream.headers());
+  status_ = response.status;
+  co_await exchange_.Send(response);
+  co_return AttemptEnd::kDone;
+}
+
+asio::awaitable<AttemptEnd> CallRunner::RelayStream(HttpStream& stream,
+                                                    AttemptMeter& meter) {
+  EventSplitter splitter;
+  HttpFailure failure;
+  for (;;) {
+    std::optional<std::string> piece =
+        co_await stream.ReadSome(Until(deadline_), &failure);
+    if (!piece || cancel_.cancelled())
+      break;
+    if (stream.done() && piece->empty() && splitter.pending_bytes() == 0) {
+      meter.Judge(TargetAnswer::kGood);
+      if (!head_sent_) {
+        exchange_.StartStream(stream.status(), context_.dialect.answer_headers(
+                                                   stream.headers()));
+        head_sent_ = true;
+      }
+      status_ = stream.status();
+      co_await exchange_.EndStream();
+      co_return AttemptEnd::kDone;
+    }
+    splitter.Feed(*piece);
+    std::string whole;
+    while (std::optional<RawEvent> event = splitter.Next()) {
+      if (event->id && last_event_ != 0 && *event->id <= last_event_)
+        continue;
+      if (event->id && last_event_ != 0 && *event->id != last_event_ + 1) {
+        failure.text = "events are missing before " + std::to_string(*event->id);
+        reason_ = {ResultCode::kTargetFailed, failure.text};
+        meter.Judge(TargetAnswer::kWrong);
+        co_return head_sent_ ? AttemptEnd::kBroken : AttemptEnd::kLost;
+      }
+      if (event->id)
+        last_event_ = *event->id;
+      ++events_;
+      whole += event->bytes;
+    }
+    if (!whole.empty()) {
+      meter.OnTokens(events_);
+      if (!head_sent_) {
+        exchange_.StartStream(stream.status(), context_.dialect.answer_headers(
+                                                   stream.headers()));
+        head_sent_ = true;
+      }
+      const bool sent = co_await exchange_.Write(whole);
+      if (!sent) {
+        cancel_.Cancel();
+        break;
+      }
+    }
+    if (stream.done()) {
+      failure.text = "it ended within an event";
+      break;
+    }
+  }
+  if (cancel_.cancelled()) {
+    reason_ = {ResultCode::kCallerGone, "the caller left"};
+    co_return AttemptEnd::kDone;
+  }
+  meter.Judge(TargetAnswer::kFailed);
+  reason_ = {ResultCode::kTargetFailed,
+             "the stream of " + last_target_ + " broke: " + failure.text};
+  co_return head_sent_ ? AttemptEnd::kBroken : AttemptEnd::kLost;
+}
+
+asio::awaitable<AttemptEnd> CallRunner::Attempt(const TargetChoice& choice) {
+  AttemptMeter meter(context_.targets, choice);
+  last_target_ = choice.name;
+  tried_.insert(choice.name);
+  const std::optional<asio::ip::tcp::endpoint> endpoint =
+      ParseEndpoint(choice.address);
+  if (!endpoint) {
+    reason_ = {ResultCode::kNoTarget, choice.name + " has no usable address"};
+    co_return AttemptEnd::kNotRun;
+  }
+  TargetOrder order;
+  order.target = choice.name;
+  order.team = wish_.team;
+  order.time_left = Until(deadline_);
+  order.rank = std::min(route_->rank, team_ ? team_->priority : route_->rank);
+  order.after_event = call_->after_event;
+  if (last_event_ != 0)
+    order.after_event = last_event_;
+  if (order.time_left < kLeastTimeLeft) {
+    reason_ = {ResultCode::kTargetTimeout, "no time was left to send it"};
+    co_return AttemptEnd::kNotRun;
+  }
+  const HttpRequest request = context_.dialect.encode(request_, order);
+  HttpCallOptions options;
+  options.timeouts.connect = kTargetConnectTimeout;
+  options.timeouts.first_byte = order.time_left;
+  options.cancel = &cancel_;
+  options.is_mine = [this](const HttpHeaders& headers) {
+    return context_.dialect.is_mine(headers, call_->id);
+  };
+  HttpFailure failure;
+  std::unique_ptr<HttpStream> stream =
+      co_await context_.client.Open(*endpoint, request, options, &failure);
+  if (!stream) {
+    if (!cancel_.cancelled()) {
+      meter.Judge(failure.timed_out && failure.may_have_arrived &&
+                          Until(deadline_) < kLeastTimeLeft
+                      ? TargetAnswer::kNoVerdict
+                      : AnswerOfFailure(failure));
+      context_.client.DropIdle(*endpoint);
+    }
+    reason_ = {ResultCode::kTargetFailed, choice.name + ": " + failure.text};
+    if (!failure.may_have_arrived) {
+      ++unreached_;
+      co_return AttemptEnd::kNotRun;
+    }
+    ++attempts_;
+    may_have_run_ = true;
+    co_return AttemptEnd::kLost;
+  }
+  ++attempts_;
+  const HeadVerdict verdict =
+      context_.dialect.judge(stream->status(), stream->headers());
+  if (verdict == HeadVerdict::kNotRun || verdict == HeadVerdict::kOtherTarget) {
+    meter.Judge(verdict == HeadVerdict::kOtherTarget ? TargetAnswer::kLeaving
+                                                     : TargetAnswer::kFailed);
+    while (!stream->done()) {
+      std::optional<std::string> piece =
+          co_await stream->ReadSome(kTargetConnectTimeout, &failure);
+      if (!piece)
+        break;
+    }
+    reason_ = {ResultCode::kOverloaded, choice.name + " did not run it"};
+    co_return AttemptEnd::kNotRun;
+  }
+  may_have_run_ = true;
+  if (verdict == HeadVerdict::kForeign) {
+    meter.Judge(TargetAnswer::kWrong);
+    context_.client.DropIdle(*endpoint);
+    reason_ = {ResultCode::kTargetFailed,
+               choice.name + " answered something else"};
+    co_return AttemptEnd::kLost;
+  }
+  if (IsStream(route_->kind) && stream->status() >= kStatusOk &&
+      stream->status() < kFirstFailure)
+    co_return co_await RelayStream(*stream, meter);
+  co_return co_await RelayWhole(*stream, meter);
+}
+
+bool CallRunner::MayTryAgain(AttemptEnd end) {
+  if (cancel_.cancelled() || Until(deadline_) < kLeastTimeLeft)
+    return false;
+  if (end != AttemptEnd::kNotRun && !MayRepeat())
+    return false;
+  if (end == AttemptEnd::kBroken && route_->kind != RouteKind::kStreamResumable)
+    return false;
+  if (attempts_ >= route_->most_attempts || unreached_ >= kMostUnreached)
+    return false;
+  return context_.retries.TakeRetry(service_);
+}
+
+asio::awaitable<void> CallRunner::RunAttempts() {
+  context_.retries.OnRequest(service_);
+  for (bool is_first = true;; is_first = false) {
+    Reason reason;
+    std::optional<TargetChoice> choice = co_await Choose(is_first);
+    if (!choice) {
+      if (head_sent_)
+        exchange_.Abort();
+      else
+        co_await Refuse();
+      co_return;
+    }
+    const AttemptEnd end = co_await Attempt(*choice);
+    if (end == AttemptEnd::kDone)
+      co_return;
+    if (MayTryAgain(end)) {
+      LogEvent(kLog, Severity::kInfo, "retried",
+               {{"request", call_->id},
+                {"target", last_target_},
+                {"attempts", attempts_},
+                {"after_event", last_event_},
+                {"reason", reason_.text}});
+      continue;
+    }
+    if (head_sent_)
+      exchange_.Abort();
+    else
+      co_await Refuse();
+    co_return;
+  }
+}
+
+asio::awaitable<void> CallRunner::Refuse() {
+  if (cancel_.cancelled()) {
+    reason_ = {ResultCode::kCallerGone, "the caller left"};
+    exchange_.Abort();
+    co_return;
+  }
+  if (route_ && may_have_run_ && Until(deadline_) <= kLeastTimeLeft)
+    reason_.code = ResultCode::kTargetTimeout;
+  milliseconds retry_after{0};
+  if (!may_have_run_) {
+    const bool unreachable = reason_.code == ResultCode::kNoConfig ||
+                             reason_.code == ResultCode::kBudgetUnreachable;
+    retry_after = unreachable ? kRetryAfterUnreachable : kRetryAfterBusy;
+  }
+  const HttpResponse response = context_.dialect.refuse(
+      call_ ? &*call_ : nullptr, reason_, may_have_run_, retry_after);
+  status_ = response.status;
+  co_await exchange_.Send(response);
+}
+
+void CallRunner::LogEnd() {
+  context_.metrics.CountResult(reason_.code);
+  const auto elapsed = Clock::now() - start_;
+  context_.metrics.AddWhole(elapsed);
+  if (exchange_.first_byte_at())
+    context_.metrics.AddFirstByte(*exchange_.first_byte_at() - start_);
+  LogEvent(
+      kLog, reason_.code == ResultCode::kOk ? Severity::kDebug : Severity::kInfo,
+      "request_done",
+      {{"request", call_ ? call_->id : std::string()},
+       {"team", wish_.team},
+       {"route", route_ ? route_->name : std::string()},
+       {"target", last_target_},
+       {"attempts", attempts_},
+       {"status", status_},
+       {"code", static_cast<int>(reason_.code)},
+       {"reason", reason_.text},
+       {"events", events_},
+       {"config", config_ ? config_->version : 0},
+       {"ms",
+        std::chrono::duration_cast<milliseconds>(elapsed).count()}});
+}
+
+asio::awaitable<void> CallRunner::Run() {
+  if (!Resolve()) {
+    co_await Refuse();
+    LogEnd();
+    co_return;
+  }
+  exchange_.WatchCaller([this] { cancel_.Cancel(); });
+  const bool reserved = co_await Reserve();
+  if (!reserved)
+    co_await Refuse();
+  else
+    co_await RunAttempts();
+  if (status_ != 0 && status_ < kFirstFailure)
+    reason_ = {};
+  Settle();
+  LogEnd();
+}
+
+}  // namespace
+
+asio::awaitable<void> RunGatewayCall(GatewayContext& context,
+                                     const HttpRequest& request,
+                                     HttpExchange& exchange) {
+  CallRunner runner(context, request, exchange);
+  co_await runner.Run();
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/http/http_cancel.cc
@@ -0,0 +1,21 @@
+#include "libs/http/http_cancel.h"
+
+#include <chrono>
+
+#include "libs/http/socket_deadline.h"
+
+namespace turmericwinch {
+
+void HttpCancel::Cancel() {
+  cancelled_ = true;
+  if (deadline_)
+    deadline_->ExpiresAfter(std::chrono::milliseconds(0));
+}
+
+void HttpCancel::Attach(SocketDeadline* deadline) {
+  deadline_ = deadline;
+  if (deadline_ && cancelled_)
+    deadline_->ExpiresAfter(std::chrono::milliseconds(0));
+}
+
+}  // namespace turmericwinch
--- a/src/libs/http/http_client.cc
+++ b/src/libs/http/http_client.cc
@@ -1,9 +1,11 @@
 #include "libs/http/http_client.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <algorithm>
 #include <charconv>
 
 #include "libs/http/http_connection.h"
@@ -35,9 +37,12 @@
   std::string buf = request.method;
   buf += ' ';
   buf += request.target;
-  buf += " HTTP/1.1\r\nHost: ";
-  buf += ToText(endpoint);
-  buf += "\r\n";
+  buf += " HTTP/1.1\r\n";
+  if (!request.headers.Has("Host")) {
+    buf += "Host: ";
+    buf += ToText(endpoint);
+    buf += "\r\n";
+  }
   for (const auto& [name, value] : request.headers.fields()) {
     buf += name;
     buf += ": ";
@@ -54,6 +59,78 @@
   return buf;
 }
 
+// The idle time that the peer promises in "Keep-Alive: timeout=SECONDS", less
+// a second for requests that cross its close.
+std::chrono::milliseconds IdleMostOf(const HttpHeaders& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  constexpr std::chrono::milliseconds kCrossing{1'000};
+  const std::string_view text = headers.Get("Keep-Alive");
+  const std::size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos)
+    return kHttpPoolIdle;
+  int seconds = 0;
+  const std::string_view digits = text.substr(at + kTimeout.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  const std::chrono::milliseconds promised = std::chrono::seconds(seconds);
+  return std::clamp<std::chrono::milliseconds>(
+      promised - kCrossing, std::chrono::milliseconds(0), kHttpPoolIdle);
+}
+
+// Makes the kernel give a silent peer up after `time`.
+void WatchForSilence(tcp::socket& socket, std::chrono::milliseconds time) {
+  constexpr int kProbes = 2;
+  const int most = static_cast<int>(time.count());
+  const int pause = std::max(1, most / 1000 / (kProbes + 1));
+  const int on = 1;
+  const int fd = socket.native_handle();
+  ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &pause, sizeof(pause));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &pause, sizeof(pause));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &most, sizeof(most));
+}
+
+// Ties a cancel to a connection for the time of a call.
+class CancelScope {
+ public:
+  CancelScope(HttpCancel* cancel, SocketDeadline& deadline) : cancel_(cancel) {
+    if (cancel_)
+      cancel_->Attach(&deadline);
+  }
+  CancelScope(const CancelScope&) = delete;
+  CancelScope& operator=(const CancelScope&) = delete;
+  ~CancelScope() {
+    if (cancel_)
+      cancel_->Attach(nullptr);
+  }
+  bool cancelled() const { return cancel_ && cancel_->cancelled(); }
+  // Leaves the connection attached; its stream detaches it.
+  void Release() { cancel_ = nullptr; }
+
+ private:
+  HttpCancel* cancel_;
+};
+
+// Reads the rest of a response that nobody wants. False if it has no end but
+// that of its connection, or the connection failed.
+asio::awaitable<bool> SkipBody(HttpConnection& connection,
+                               http_internal::Parser& parser) {
+  if (parser.need_eof())
+    co_return false;
+  while (!parser.is_done()) {
+    char buf[kHttpReadBytes];
+    auto& body = parser.get().body();
+    body.data = buf;
+    body.size = sizeof(buf);
+    body.more = true;
+    auto [ec, n] = co_await http::async_read_some(
+        connection.socket, connection.buf, parser, kAwait);
+    if (ec && ec != http::error::need_buffer)
+      co_return false;
+  }
+  co_return true;
+}
+
 }  // namespace
 
 HttpClient::Private::Connection HttpClient::Private::TakeIdle(
@@ -65,7 +142,7 @@
   while (!it->second.empty()) {
     Connection connection = std::move(it->second.back());
     it->second.pop_back();
-    const bool fresh = now - connection->idle_since < kHttpPoolIdle &&
+    const bool fresh = now - connection->idle_since < connection->idle_most &&
                        now < connection->renew_at;
     if (fresh && !IsStale(connection->socket))
       return connection;
@@ -77,6 +154,9 @@
 void HttpClient::Private::GiveBack(const tcp::endpoint& endpoint,
                                    Connection connection) {
   connection->deadline.ExpiresNever();
+  // Bytes beyond the whole response belong to no request.
+  if (connection->buf.size() > 0)
+    return;
   connection->idle_since = std::chrono::steady_clock::now();
   if (connection->idle_since >= connection->renew_at)
     return;
@@ -96,18 +176,28 @@
 asio::awaitable<std::unique_ptr<HttpStream>> HttpClient::Open(
     tcp::endpoint endpoint,
     const HttpRequest& request,
-    HttpTimeouts timeouts,
+    const HttpCallOptions& options,
     HttpFailure* failure) {
   auto d = d_;
+  const HttpTimeouts timeouts = options.timeouts;
   Private::Connection connection = d->TakeIdle(endpoint);
-  if (!connection) {
+  const bool is_new = !connection;
+  if (is_new)
     connection = std::make_unique<HttpConnection>(d->context);
+  CancelScope scope(options.cancel, connection->deadline);
+  if (scope.cancelled()) {
+    *failure = {HttpPhase::kConnect, false, false, "the call was cancelled"};
+    co_return nullptr;
+  }
+  if (is_new) {
     connection->deadline.ExpiresAfter(timeouts.connect);
     auto [ec] = co_await connection->socket.async_connect(endpoint, kAwait);
-    if (ec) {
+    if (ec || scope.cancelled()) {
       *failure = FailureOf(HttpPhase::kConnect, false, *connection, ec);
       co_return nullptr;
     }
+    if (d->silence.count() > 0)
+      WatchForSilence(connection->socket, d->silence);
     connection->renew_at =
         std::chrono::steady_clock::now() +
         RenewalAge(d->most_age, static_cast<std::uint32_t>(d->random()));
@@ -134,32 +224,55 @@
     co_return nullptr;
   }
   auto stream = std::make_unique<HttpStream::Private>();
-  stream->parser.emplace();
-  stream->parser->header_limit(kHttpMostHeaderBytes);
-  stream->parser->body_limit(boost::none);
-  connection->deadline.ExpiresAfter(timeouts.first_byte);
-  auto [ec, n] = co_await http::async_read_header(
-      connection->socket, connection->buf, *stream->parser, kAwait);
-  if (ec) {
-    *failure = FailureOf(HttpPhase::kFirstByte, true, *connection, ec);
-    co_return nullptr;
-  }
-  for (const auto& it : stream->parser->get()) {
-    stream->headers.Add(std::string(it.name_string()), std::string(it.value()));
-  }
   stream->client = d;
   stream->endpoint = endpoint;
   stream->connection = std::move(connection);
+  stream->cancel = options.cancel;
+  const auto first_byte_by =
+      std::chrono::steady_clock::now() + timeouts.first_byte;
+  for (;;) {
+    HttpConnection& used = *stream->connection;
+    stream->parser.emplace();
+    stream->parser->header_limit(kHttpMostHeaderBytes);
+    stream->parser->body_limit(boost::none);
+    stream->headers = HttpHeaders();
+    if (!scope.cancelled()) {
+      used.deadline.ExpiresAfter(
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              first_byte_by - std::chrono::steady_clock::now()));
+    }
+    auto [ec, n] = co_await http::async_read_header(used.socket, used.buf,
+                                                    *stream->parser, kAwait);
+    if (ec || scope.cancelled()) {
+      *failure = FailureOf(HttpPhase::kFirstByte, true, used, ec);
+      co_return nullptr;
+    }
+    for (const auto& it : stream->parser->get()) {
+      stream->headers.Add(std::string(it.name_string()),
+                          std::string(it.value()));
+    }
+    if (!options.is_mine || options.is_mine(stream->headers))
+      break;
+    const bool skipped = co_await SkipBody(used, *stream->parser);
+    if (!skipped) {
+      *failure = {HttpPhase::kFirstByte, true, false,
+                  "it answered another request"};
+      co_return nullptr;
+    }
+  }
+  stream->connection->idle_most = IdleMostOf(stream->headers);
+  scope.Release();
   co_return std::make_unique<HttpStream>(std::move(stream));
 }
 
 asio::awaitable<std::optional<HttpResponse>> HttpClient::Call(
     tcp::endpoint endpoint,
     const HttpRequest& request,
-    HttpTimeouts timeouts,
+    const HttpCallOptions& options,
     HttpFailure* failure) {
+  const HttpTimeouts timeouts = options.timeouts;
   std::unique_ptr<HttpStream> stream =
-      co_await Open(endpoint, request, timeouts, failure);
+      co_await Open(endpoint, request, options, failure);
   if (!stream)
     co_return std::nullopt;
   HttpResponse response;
@@ -179,6 +292,10 @@
   co_return response;
 }
 
+void HttpClient::SetSilence(std::chrono::milliseconds time) {
+  d_->silence = time;
+}
+
 void HttpClient::DropIdle(const tcp::endpoint& endpoint) {
   d_->idle.erase(endpoint);
 }
--- a/src/libs/http/http_client.h
+++ b/src/libs/http/http_client.h
@@ -9,9 +9,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
+#include "libs/http/http_cancel.h"
 #include "libs/http/http_constants.h"
 #include "libs/http/http_failure.h"
 #include "libs/http/http_message.h"
@@ -26,6 +28,18 @@
   std::chrono::milliseconds between_bytes{5000};
 };
 
+// What a call may add to its request. `cancel` may be null and outlives the
+// call. A response that `is_mine` denies belongs to an earlier request on the
+// connection: it is dropped, and the next one is awaited.
+struct HttpCallOptions {
+  HttpCallOptions(HttpTimeouts timeouts = HttpTimeouts())  // NOLINT
+      : timeouts(timeouts) {}
+
+  HttpTimeouts timeouts;
+  HttpCancel* cancel = nullptr;
+  std::function<bool(const HttpHeaders&)> is_mine;
+};
+
 // Used only from its io_context's thread.
 class HttpClient {
  public:
@@ -39,16 +53,21 @@
   boost::asio::awaitable<std::unique_ptr<HttpStream>> Open(
       boost::asio::ip::tcp::endpoint endpoint,
       const HttpRequest& request,
-      HttpTimeouts timeouts,
+      const HttpCallOptions& options,
       HttpFailure* failure);
 
   // Sends `request` and reads the whole response.
   boost::asio::awaitable<std::optional<HttpResponse>> Call(
       boost::asio::ip::tcp::endpoint endpoint,
       const HttpRequest& request,
-      HttpTimeouts timeouts,
+      const HttpCallOptions& options,
       HttpFailure* failure);
 
+  // Sets how long a silent peer may go unnoticed on connections made from now
+  // on: TCP probes and unacknowledged data are given up after `time`. Not set
+  // by default.
+  void SetSilence(std::chrono::milliseconds time);
+
   // Closes all idle connections to `endpoint`, as after a silent one.
   void DropIdle(const boost::asio::ip::tcp::endpoint& endpoint);
 
--- a/src/libs/http/http_connection.h
+++ b/src/libs/http/http_connection.h
@@ -33,6 +33,8 @@
   boost::beast::flat_buffer buf;
   std::chrono::steady_clock::time_point idle_since;
   std::chrono::steady_clock::time_point renew_at;
+  // Time that the peer keeps an idle connection, as far as it said so.
+  std::chrono::milliseconds idle_most = kHttpPoolIdle;
 };
 
 // The failure `ec` of an operation on `connection`.
@@ -64,6 +66,8 @@
 
   boost::asio::io_context& context;
   std::chrono::milliseconds most_age;
+  // 0 if silent peers are not looked for.
+  std::chrono::milliseconds silence{0};
   std::minstd_rand random{std::random_device{}()};
   std::map<boost::asio::ip::tcp::endpoint, std::deque<Connection>> idle;
 };
@@ -75,6 +79,7 @@
   HttpClient::Private::Connection connection;
   std::optional<http_internal::Parser> parser;
   HttpHeaders headers;
+  HttpCancel* cancel = nullptr;
   bool done = false;
 };
 
--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -6,6 +6,8 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <boost/json.hpp>
+#include <mutex>
+#include <set>
 
 #include "libs/base/log.h"
 #include "libs/http/http_constants.h"
@@ -91,15 +93,39 @@
                                      tcp::socket socket,
                                      std::size_t thread_index);
 
+  HttpServerLimits Limits() const {
+    std::lock_guard lock(mutex);
+    return limits;
+  }
+
+  void SetIdle(tcp::socket* socket, bool is_idle) {
+    std::lock_guard lock(mutex);
+    if (is_idle)
+      idle.insert(socket);
+    else
+      idle.erase(socket);
+  }
+
   std::vector<asio::io_context*> contexts;
+  mutable std::mutex mutex;
   HttpServerLimits limits;
   HttpHandler handler;
   tcp::acceptor acceptor;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> closing{false};
+  // Connections that wait for a request; for CloseIdle().
+  std::set<tcp::socket*> idle;
   std::atomic<std::size_t> active{0};
   std::atomic<std::size_t> connections{0};
 };
 
+// A wait for the caller's close; shared with its completion, which may come
+// after the exchange has ended.
+struct CallerWatch {
+  std::function<void()> on_gone;
+  bool ended = false;
+};
+
 // State of one exchange on its connection.
 class HttpExchange::Private {
  public:
@@ -112,6 +138,37 @@
         keep_alive(keep_alive),
         thread_index(thread_index) {}
 
+  ~Private() { EndWatch(); }
+
+  // Waits for the socket to become readable: a close is, and so are bytes.
+  void Watch(std::function<void()> on_gone) {
+    watch = std::make_shared<CallerWatch>();
+    watch->on_gone = std::move(on_gone);
+    socket.async_wait(tcp::socket::wait_read,
+                      [this, watch = watch](boost::system::error_code ec) {
+                        if (ec || watch->ended || !IsClosed())
+                          return;
+                        keep_alive = false;
+                        watch->ended = true;
+                        watch->on_gone();
+                      });
+  }
+
+  void EndWatch() {
+    if (!watch || watch->ended)
+      return;
+    watch->ended = true;
+    boost::system::error_code ignored;
+    socket.cancel(ignored);
+  }
+
+  bool IsClosed() const {
+    char probe = 0;
+    const ssize_t n =
+        ::recv(socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
   // Writes as much as the socket takes at once, mostly all: that saves the
   // way through the scheduler. Answers the rest, nothing if the caller is gone.
   std::optional<asio::const_buffer> WriteNow(asio::const_buffer data) {
@@ -160,6 +217,7 @@
   std::string buf;
   bool head_waits = false;
   std::optional<std::chrono::steady_clock::time_point> first_byte;
+  std::shared_ptr<CallerWatch> watch;
 };
 
 namespace {
@@ -231,10 +289,11 @@
 }
 
 bool HttpExchange::CallerGone() const {
-  char probe = 0;
-  ssize_t n =
-      ::recv(d_->socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return d_->IsClosed();
+}
+
+void HttpExchange::WatchCaller(std::function<void()> on_gone) {
+  d_->Watch(std::move(on_gone));
 }
 
 bool HttpExchange::started() const {
@@ -286,6 +345,23 @@
   return acceptor.local_endpoint();
 }
 
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  std::lock_guard lock(d_->mutex);
+  d_->limits = limits;
+}
+
+void HttpServer::CloseAfterResponses() {
+  d_->closing = true;
+}
+
+void HttpServer::CloseIdle() {
+  std::lock_guard lock(d_->mutex);
+  for (tcp::socket* it : d_->idle) {
+    boost::system::error_code ignored;
+    it->cancel(ignored);
+  }
+}
+
 void HttpServer::StopAccepting() {
   if (d_->stopping.exchange(true))
     return;
@@ -336,19 +412,28 @@
   beast::flat_buffer buf;
   bool keep_alive = true;
   while (keep_alive && !d->stopping) {
+    const HttpServerLimits limits = d->Limits();
     http::request_parser<http::string_body> parser;
-    parser.header_limit(kHttpMostHeaderBytes);
-    parser.body_limit(d->limits.most_body_bytes);
+    parser.header_limit(limits.most_header_bytes);
+    parser.body_limit(limits.most_body_bytes);
     if (buf.size() == 0) {
-      deadline.ExpiresAfter(kHttpIdleTimeout);
+      deadline.ExpiresAfter(limits.idle_timeout);
+      d->SetIdle(&socket, true);
       auto [ec, n] =
           co_await socket.async_read_some(buf.prepare(kHttpReadBytes), kAwait);
+      d->SetIdle(&socket, false);
       if (ec)
         break;
       buf.commit(n);
     }
-    deadline.ExpiresAfter(d->limits.read_timeout);
-    auto [ec, n] = co_await http::async_read(socket, buf, parser, kAwait);
+    deadline.ExpiresAfter(std::min(limits.header_timeout, limits.read_timeout));
+    auto [ec, n] = co_await http::async_read_header(socket, buf, parser, kAwait);
+    if (!ec && !parser.is_done()) {
+      deadline.ExpiresAfter(limits.read_timeout);
+      auto [body_ec, body_n] =
+          co_await http::async_read(socket, buf, parser, kAwait);
+      ec = body_ec;
+    }
     HttpExchange::Private exchange_state(socket, deadline, !ec, thread_index);
     exchange_state.connection = connection;
     HttpExchange exchange(&exchange_state);
@@ -359,7 +444,7 @@
         co_await exchange.Send(*fault);
       break;
     }
-    exchange_state.keep_alive = parser.get().keep_alive();
+    exchange_state.keep_alive = parser.get().keep_alive() && !d->closing;
     HttpRequest request = ToRequest(parser.get());
     deadline.ExpiresNever();
     ++d->active;
@@ -376,6 +461,9 @@
       co_await exchange.Send(
           FaultResponse(ResultCode::kInternal, "the request was not handled"));
     --d->active;
+    exchange_state.EndWatch();
+    if (d->closing)
+      exchange_state.keep_alive = false;
     keep_alive = exchange_state.keep_alive && exchange_state.ended;
   }
   boost::system::error_code ignored;
--- a/src/libs/http/http_server.h
+++ b/src/libs/http/http_server.h
@@ -42,6 +42,10 @@
   // Whether the caller has closed its connection, as far as can be told
   // without reading.
   bool CallerGone() const;
+  // Calls `on_gone`, once and on the connection's thread, when the caller
+  // closes its connection before the handler has returned. Not noticed once the
+  // caller has sent bytes of a next request.
+  void WatchCaller(std::function<void()> on_gone);
   // Whether a response was started.
   bool started() const;
   // When the first byte of the response was sent, if any was.
@@ -66,6 +70,9 @@
   std::size_t most_body_bytes;
   std::size_t most_connections;
   std::chrono::milliseconds read_timeout = kHttpReadTimeout;
+  std::chrono::milliseconds header_timeout = kHttpReadTimeout;
+  std::chrono::milliseconds idle_timeout = kHttpIdleTimeout;
+  std::size_t most_header_bytes = kHttpMostHeaderBytes;
 };
 
 // Accepts on one address and hands connections to the threads in turn.
@@ -84,6 +91,17 @@
       const boost::asio::ip::tcp::endpoint& endpoint,
       Reason* reason);
 
+  // Takes over new limits for requests read from now on. Safe from any thread.
+  void SetLimits(const HttpServerLimits& limits);
+
+  // From now on each response is the last of its connection. Safe from any
+  // thread.
+  void CloseAfterResponses();
+
+  // Closes the connections that wait for a request. On the first context's
+  // thread, which must be the only one.
+  void CloseIdle();
+
   // Stops accepting; open connections end after their current response.
   // Safe from any thread.
   void StopAccepting();
--- a/src/libs/http/http_stream.cc
+++ b/src/libs/http/http_stream.cc
@@ -17,7 +17,10 @@
 
 HttpStream::HttpStream(std::unique_ptr<Private> d) : d_(std::move(d)) {}
 
-HttpStream::~HttpStream() = default;
+HttpStream::~HttpStream() {
+  if (d_->cancel)
+    d_->cancel->Attach(nullptr);
+}
 
 int HttpStream::status() const {
   return static_cast<int>(d_->parser->get().result_int());
@@ -43,6 +46,12 @@
     body.data = buf;
     body.size = sizeof(buf);
     body.more = true;
+    if (d_->cancel && d_->cancel->cancelled()) {
+      *failure = {HttpPhase::kBody, true, false, "the call was cancelled"};
+      d_->cancel->Attach(nullptr);
+      d_->connection.reset();
+      co_return std::nullopt;
+    }
     d_->connection->deadline.ExpiresAfter(timeout);
     auto [ec, n] = co_await http::async_read_some(
         d_->connection->socket, d_->connection->buf, *d_->parser,
@@ -51,6 +60,8 @@
     if (ec && ec != http::error::need_buffer) {
       *failure =
           http_internal::FailureOf(HttpPhase::kBody, true, *d_->connection, ec);
+      if (d_->cancel)
+        d_->cancel->Attach(nullptr);
       d_->connection.reset();
       co_return std::nullopt;
     }
@@ -58,6 +69,8 @@
       co_return piece;
   }
   d_->done = true;
+  if (d_->cancel)
+    d_->cancel->Attach(nullptr);
   auto client = d_->client.lock();
   if (client && d_->parser->get().keep_alive())
     client->GiveBack(d_->endpoint, std::move(d_->connection));
--- a/src/libs/platform/http_platform_client.cc
+++ b/src/libs/platform/http_platform_client.cc
@@ -4,7 +4,7 @@
 #include <boost/json.hpp>
 
 #include "libs/base/json_fields.h"
-#include "libs/http/http_client.h"
+#include "libs/platform/platform_transport.h"
 
 namespace turmericwinch {
 
@@ -13,16 +13,9 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-constexpr std::chrono::milliseconds kConnectTimeout{500};
 constexpr std::chrono::milliseconds kCallTimeout{2000};
 constexpr std::chrono::milliseconds kWatchSlack{2000};
-constexpr int kStatusOk = 200;
-constexpr int kStatusCreated = 201;
 constexpr int kStatusNoContent = 204;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusConflict = 409;
-constexpr int kStatusGone = 410;
-constexpr int kStatusTooMany = 429;
 
 HttpRequest MakeRequest(std::string method, std::string target) {
   HttpRequest request;
@@ -83,58 +76,9 @@
 class HttpPlatformClient::Private {
  public:
   Private(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
-      : context(context), client(context), endpoint(endpoint) {}
+      : transport(context, endpoint) {}
 
-  // Sends one call and sorts failures into results. `writes` tells whether a
-  // lost answer leaves the effect in doubt.
-  Answer<HttpResponse> Send(PlatformDuty duty,
-                            PlatformCallKind kind,
-                            HttpRequest request,
-                            std::chrono::milliseconds timeout,
-                            Reason* reason) {
-    if (gate && !co_await gate->Enter(duty, kind, reason))
-      co_return std::nullopt;
-    counter.Add(duty, kind);
-    HttpFailure failure;
-    const HttpTimeouts timeouts{kConnectTimeout, timeout, timeout};
-    std::optional<HttpResponse> response =
-        co_await client.Call(endpoint, request, timeouts, &failure);
-    if (gate) {
-      gate->Leave(response && response->status < 500 &&
-                  response->status != kStatusTooMany);
-    }
-    const bool writes = kind == PlatformCallKind::kWrite;
-    if (!response) {
-      const bool in_doubt = writes && failure.may_have_arrived;
-      co_return Fail(reason,
-                     in_doubt ? ResultCode::kPlatformUnknown
-                              : ResultCode::kPlatformUnavailable,
-                     "the platform gave no answer: " + failure.text);
-    }
-    if (response->status == kStatusOk || response->status == kStatusCreated ||
-        response->status == kStatusNoContent)
-      co_return response;
-    ResultCode code = ResultCode::kPlatformRejected;
-    if (response->status == kStatusNotFound || response->status == kStatusGone)
-      code = ResultCode::kPlatformNotFound;
-    else if (response->status == kStatusConflict)
-      code = request.method == "POST" ? ResultCode::kPlatformExists
-                                      : ResultCode::kPlatformConflict;
-    else if (response->status == kStatusTooMany)
-      code = ResultCode::kPlatformUnavailable;
-    else if (response->status >= 500)
-      code = writes ? ResultCode::kPlatformUnknown
-                    : ResultCode::kPlatformUnavailable;
-    co_return Fail(reason, code,
-                   "the platform answered " + std::to_string(response->status) +
-                       " to " + request.method + " " + request.target);
-  }
-
-  asio::io_context& context;
-  HttpClient client;
-  asio::ip::tcp::endpoint endpoint;
-  CallCounter counter;
-  std::unique_ptr<PlatformGate> gate;
+  PlatformTransport transport;
 };
 
 HttpPlatformClient::HttpPlatformClient(asio::io_context& context,
@@ -144,25 +88,24 @@
 HttpPlatformClient::~HttpPlatformClient() = default;
 
 void HttpPlatformClient::Limit(PlatformRates fleet, std::size_t hosts) {
-  d_->gate = std::make_unique<PlatformGate>(d_->context, fleet, hosts);
+  d_->transport.Limit(fleet, hosts);
 }
 
 void HttpPlatformClient::SetHosts(std::size_t hosts) {
-  if (d_->gate)
-    d_->gate->SetHosts(hosts);
+  d_->transport.SetHosts(hosts);
 }
 
 const PlatformLimiter* HttpPlatformClient::limiter() const {
-  return d_->gate ? &d_->gate->limiter() : nullptr;
+  return d_->transport.limiter();
 }
 
 const CallCounter& HttpPlatformClient::counter() const {
-  return d_->counter;
+  return d_->transport.counter();
 }
 
 PlatformClient::Answer<PlatformObject>
 HttpPlatformClient::Get(PlatformDuty duty, std::string name, Reason* reason) {
-  std::optional<HttpResponse> response = co_await d_->Send(
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kRead, MakeRequest("GET", "/objects/" + name),
       kCallTimeout, reason);
   if (!response)
@@ -178,7 +121,7 @@
     Reason* reason) {
   HttpRequest request = MakeRequest("POST", "/objects");
   request.body = WriteBody(name, 0, value);
-  std::optional<HttpResponse> response = co_await d_->Send(
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
   if (!response)
     co_return std::nullopt;
@@ -191,7 +134,7 @@
     Reason* reason) {
   HttpRequest request = MakeRequest("PUT", "/objects/" + object.name);
   request.body = WriteBody(object.name, object.version, object.value);
-  std::optional<HttpResponse> response = co_await d_->Send(
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
   if (!response)
     co_return std::nullopt;
@@ -206,7 +149,7 @@
   HttpRequest request =
       MakeRequest("DELETE", "/objects/" + name +
                                 "?resourceVersion=" + std::to_string(version));
-  std::optional<HttpResponse> response = co_await d_->Send(
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
   if (!response)
     co_return std::nullopt;
@@ -217,7 +160,7 @@
     PlatformDuty duty,
     std::string prefix,
     Reason* reason) {
-  std::optional<HttpResponse> response = co_await d_->Send(
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kRead,
       MakeRequest("GET", "/objects?prefix=" + prefix), kCallTimeout, reason);
   if (!response)
@@ -249,7 +192,7 @@
       "GET", "/objects/" + name + "?watch=1&after=" + std::to_string(after) +
                  "&wait_ms=" + std::to_string(wait.count()));
   std::optional<HttpResponse> response =
-      co_await d_->Send(duty, PlatformCallKind::kWatch, std::move(request),
+      co_await d_->transport.Send(duty, PlatformCallKind::kWatch, std::move(request),
                         wait + kWatchSlack, reason);
   if (!response)
     co_return std::nullopt;
@@ -263,7 +206,7 @@
 
 PlatformClient::Answer<std::string> HttpPlatformClient::Hosts(Reason* reason) {
   std::optional<HttpResponse> response =
-      co_await d_->Send(PlatformDuty::kHosts, PlatformCallKind::kRead,
+      co_await d_->transport.Send(PlatformDuty::kHosts, PlatformCallKind::kRead,
                         MakeRequest("GET", "/hosts"), kCallTimeout, reason);
   if (!response)
     co_return std::nullopt;
@@ -280,7 +223,7 @@
       MakeRequest("GET", "/hosts?watch=1&after=" + std::to_string(after) +
                              "&wait_ms=" + std::to_string(wait.count()));
   Reason why;
-  std::optional<HttpResponse> response = co_await d_->Send(
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
       PlatformDuty::kHosts, kind, std::move(request), wait + kWatchSlack, &why);
   // The platform no longer knows the version.
   if (!response && after > 0 && why.code == ResultCode::kPlatformNotFound)
--- /dev/null
+++ b/src/libs/platform/platform_transport.cc
@@ -0,0 +1,115 @@
+#include "libs/platform/platform_transport.h"
+
+#include <boost/asio.hpp>
+
+#include "libs/http/http_client.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr int kStatusOk = 200;
+constexpr int kStatusCreated = 201;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusGone = 410;
+constexpr int kStatusTooMany = 429;
+constexpr int kServerError = 500;
+
+ResultCode CodeOf(int status, bool writes, bool creates) {
+  if (status == kStatusNotFound || status == kStatusGone)
+    return ResultCode::kPlatformNotFound;
+  if (status == kStatusConflict)
+    return creates ? ResultCode::kPlatformExists
+                   : ResultCode::kPlatformConflict;
+  if (status == kStatusTooMany)
+    return ResultCode::kPlatformUnavailable;
+  if (status >= kServerError)
+    return writes ? ResultCode::kPlatformUnknown
+                  : ResultCode::kPlatformUnavailable;
+  return ResultCode::kPlatformRejected;
+}
+
+}  // namespace
+
+class PlatformTransport::Private {
+ public:
+  Private(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
+      : context(context), client(context), endpoint(endpoint) {}
+
+  asio::io_context& context;
+  HttpClient client;
+  asio::ip::tcp::endpoint endpoint;
+  CallCounter counter;
+  std::unique_ptr<PlatformGate> gate;
+};
+
+PlatformTransport::PlatformTransport(asio::io_context& context,
+                                     asio::ip::tcp::endpoint endpoint)
+    : d_(std::make_unique<Private>(context, endpoint)) {}
+
+PlatformTransport::~PlatformTransport() = default;
+
+void PlatformTransport::Limit(PlatformRates fleet, std::size_t hosts) {
+  d_->gate = std::make_unique<PlatformGate>(d_->context, fleet, hosts);
+}
+
+void PlatformTransport::SetHosts(std::size_t hosts) {
+  if (d_->gate)
+    d_->gate->SetHosts(hosts);
+}
+
+void PlatformTransport::SetSilence(std::chrono::milliseconds time) {
+  d_->client.SetSilence(time);
+}
+
+asio::awaitable<std::optional<HttpResponse>> PlatformTransport::Send(
+    PlatformDuty duty,
+    PlatformCallKind kind,
+    HttpRequest request,
+    std::chrono::milliseconds timeout,
+    Reason* reason) {
+  if (d_->gate) {
+    const bool entered = co_await d_->gate->Enter(duty, kind, reason);
+    if (!entered)
+      co_return std::nullopt;
+  }
+  d_->counter.Add(duty, kind);
+  HttpFailure failure;
+  const HttpTimeouts timeouts{kConnectTimeout, timeout, timeout};
+  std::optional<HttpResponse> response =
+      co_await d_->client.Call(d_->endpoint, request, timeouts, &failure);
+  if (d_->gate) {
+    d_->gate->Leave(response && response->status < kServerError &&
+                    response->status != kStatusTooMany);
+  }
+  const bool writes = kind == PlatformCallKind::kWrite;
+  if (!response) {
+    const bool in_doubt = writes && failure.may_have_arrived;
+    co_return Fail(reason,
+                   in_doubt ? ResultCode::kPlatformUnknown
+                            : ResultCode::kPlatformUnavailable,
+                   "the platform gave no answer: " + failure.text);
+  }
+  if (response->status == kStatusOk || response->status == kStatusCreated ||
+      response->status == kStatusNoContent)
+    co_return response;
+  co_return Fail(reason,
+                 CodeOf(response->status, writes, request.method == "POST"),
+                 "the platform answered " + std::to_string(response->status) +
+                     " to " + request.method + " " + request.target);
+}
+
+const CallCounter& PlatformTransport::counter() const {
+  return d_->counter;
+}
+
+const PlatformLimiter* PlatformTransport::limiter() const {
+  return d_->gate ? &d_->gate->limiter() : nullptr;
+}
+
+}  // namespace turmericwinch
