Keep stocks by each host's part of a team's demand; refuse at once without tokens

Ruled out: an equal share with a larger part of the budget (strands it at hosts without demand). Change: PlanFleetDraw plans by the host's part of what was settled, 15 s of demand, at most 0.7 of the unspent tokens; waits of 40 ms.

--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -22,22 +22,43 @@
     plan.is_due = demand.available > 0;
     return plan;
   }
-  const auto hosts = static_cast<double>(std::max(demand.hosts, 1));
-  const double within = static_cast<double>(demand.free + demand.available);
-  const double stock = std::min(
-      std::max(demand.rate * kFleetStockSeconds,
-               within * kFleetFirstShare / hosts),
-      within * kFleetMostShare / hosts);
+  const double unspent =
+      std::max(static_cast<double>(demand.unspent), 0.0);
+  const double wished = std::max(demand.rate * kFleetStockSeconds,
+                                 demand.request * kFleetStockRequests);
+  const double stock =
+      std::min(wished, unspent * kFleetStockShare * demand.part);
   const auto wanted = static_cast<std::int64_t>(stock) + demand.needed;
-  plan.keep = static_cast<std::int64_t>(stock * kFleetHighFactor);
-  plan.draw = std::clamp<std::int64_t>(wanted - demand.available, 0, demand.free);
+  plan.draw =
+      std::clamp<std::int64_t>(wanted - demand.available, 0, demand.free);
   const bool is_low =
       static_cast<double>(demand.available) < stock * kFleetLowShare;
+  const bool is_scarce =
+      static_cast<double>(demand.free) < unspent * kFleetScarceShare;
+  plan.keep = is_scarce ? static_cast<std::int64_t>(stock * kFleetHighFactor) +
+                              demand.needed
+                        : demand.available;
   plan.is_due = (plan.draw > 0 && (is_low || demand.needed > 0)) ||
-                demand.available > plan.keep + demand.needed;
+                demand.available > plan.keep;
   return plan;
 }
 
+double DemandPart(const ShardBudget& budget,
+                  const std::string& holder,
+                  std::int64_t paid,
+                  int hosts) {
+  const double prior = static_cast<double>(paid) * kFleetPriorShare;
+  double own = prior;
+  double all = prior * std::max(hosts, kFleetLeastHosts);
+  for (const auto& [name, row] : budget.holders) {
+    const auto settled = static_cast<double>(row.settled);
+    all += settled;
+    if (name == holder)
+      own += settled;
+  }
+  return all > 0 ? own / all : 0;
+}
+
 int HostsOf(const DomainShard& account) {
   std::set<std::string_view> hosts;
   for (const auto& [name, budget] : account.budgets) {
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -13,34 +13,45 @@
 
 // Name of the account's object.
 inline constexpr char kFleetAccountName[] = "fleet-account";
-// Time of demand that a host keeps in stock: it may be cut off from the store
-// for that long (the standard days cut hosts off for 7 to 9 s).
-inline constexpr double kFleetStockSeconds = 10;
-// Share of the free tokens that all hosts together keep in stock before their
-// demand is known.
-inline constexpr double kFleetFirstShare = 0.25;
-// Share of the free tokens that all hosts together have in stock at most, so
-// that a budget near its end is not stranded in stocks.
-inline constexpr double kFleetMostShare = 0.8;
+// Time of demand that a host keeps in stock: hosts are cut off from the store
+// for up to 9 s, and demand is uneven.
+inline constexpr double kFleetStockSeconds = 15;
+// Requests of the usual size that the stock covers at least.
+inline constexpr double kFleetStockRequests = 2;
+// Share of the unspent tokens that all hosts together keep in stock at most:
+// the rest is for hosts that run short, and is what is left if all hosts are
+// killed at once.
+inline constexpr double kFleetStockShare = 0.7;
+// Demand that each host is taken to have had before the first request, as a
+// share of what was paid.
+inline constexpr double kFleetPriorShare = 0.01;
 // A host draws again once its stock is below this share of what it should be.
 inline constexpr double kFleetLowShare = 0.5;
-// A host gives back what is above this many times its stock.
-inline constexpr double kFleetHighFactor = 3;
+// Once less than this share of the unspent tokens is free, a host gives back
+// what is above this many times its stock.
+inline constexpr double kFleetScarceShare = 0.15;
+inline constexpr double kFleetHighFactor = 1.5;
+// Hosts that are taken to share a budget at least, until their rows show how
+// many there are; today's fleets have 8 or 9.
+inline constexpr int kFleetLeastHosts = 8;
 
-// One budget as a host sees it. Tokens; `rate` is in tokens a second. `paid` is
-// what the team bought in all, by the newest configuration that the host knows.
+// One budget as a host sees it. Tokens; `rate` is in tokens a second.
 struct FleetDemand {
-  std::int64_t paid = 0;
-  // Not granted to any host, by the account as last read; may be negative after
-  // `paid` was lowered.
+  // Not spent by any host, as far as the hosts have reported it; negative after
+  // the bound was lowered below what was spent.
+  std::int64_t unspent = 0;
+  // Not granted to any host, by the account as last read; negative after the
+  // bound was lowered below what is granted.
   std::int64_t free = 0;
   // Granted to this host and neither spent nor reserved.
   std::int64_t available = 0;
   // For all requests that wait for a grant.
   std::int64_t needed = 0;
+  // Part of the team's demand that comes to this host, 0 to 1.
+  double part = 0;
   double rate = 0;
-  // Hosts that share the budget.
-  int hosts = 1;
+  // Usual cost of a request.
+  double request = 0;
 };
 
 // What a host does about one budget.
@@ -53,10 +64,18 @@
   bool is_due = false;
 };
 
-// Plans the draw for one budget. The stock is small while the budget is nearly
-// used up, and covers a cut while it is not.
+// Plans the draw for one budget. Answers the load of hosts that are cut off
+// together for seconds while teams go on sending: the stock covers such a cut
+// while the budget is full, and shrinks as it ends.
 FleetDraw PlanFleetDraw(const FleetDemand& demand);
 
+// Part of the budget's demand that came to `holder`, by what the rows have
+// settled. `paid` scales the prior.
+double DemandPart(const ShardBudget& budget,
+                  const std::string& holder,
+                  std::int64_t paid,
+                  int hosts);
+
 // Different hosts with a row in the account. Holders are named HOST_INCARNATION.
 int HostsOf(const DomainShard& account);
 
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -20,10 +20,15 @@
 
 constexpr LogCategory kLog{"account"};
 
+// Weight of one request in the average cost.
+constexpr double kRequestWeight = 0.1;
+
 // Demand of one budget at this host.
 struct Demand {
   DemandRate rate{kFleetRateWindow};
   std::int64_t used = 0;
+  // Usual cost of a request, 0 before the first.
+  double request = 0;
 };
 
 // What is wanted of one budget in one write.
@@ -50,6 +55,9 @@
   asio::awaitable<bool> Sync(bool close);
   // The rows to write now; empty if nothing is due.
   std::map<std::string, RowWish> Plan(bool close);
+  // Notes what requests cost. Nobody reads bills here: what must last of them
+  // is the counters.
+  void TakeBills(HostLedger& ledger);
   void NoteDemand(const std::string& budget, std::int64_t used);
   double RateOf(const std::string& budget);
   void Grant(const std::map<std::string, RowWish>& wishes,
@@ -71,6 +79,19 @@
   Reason reason;
 };
 
+void AccountKeeper::Private::TakeBills(HostLedger& ledger) {
+  const std::vector<Bill> bills =
+      ledger.UnconfirmedBills(std::numeric_limits<std::size_t>::max());
+  for (const Bill& it : bills) {
+    double& request = demands[it.budget].request;
+    const auto tokens = static_cast<double>(it.tokens);
+    request = request == 0 ? tokens
+                           : request + kRequestWeight * (tokens - request);
+  }
+  if (!bills.empty())
+    ledger.ConfirmBills(bills.back().sequence);
+}
+
 void AccountKeeper::Private::NoteDemand(const std::string& budget,
                                         std::int64_t used) {
   Demand& demand = demands[budget];
@@ -118,33 +139,33 @@
   if (!config)
     return rows;
   bool is_due = close;
+  const int hosts = HostsOf(account);
   const std::string holder = context.ledger_holder();
   context.ledger.With([&](HostLedger& ledger) {
-    // Nobody reads bills here; what must last of them is the counters.
-    ledger.ConfirmBills(std::numeric_limits<std::uint64_t>::max());
+    TakeBills(ledger);
     for (const GrantWish& it : ledger.TakeWishes())
       waiting[it.budget] = it;
     for (const auto& [name, budget] : config->objects->budgets()) {
       const HolderCounters counters = ledger.Counters(name);
       const std::int64_t available = ledger.Available(name);
       NoteDemand(name, counters.granted - counters.given_back - available);
+      const ShardBudget& shared = account.budgets[name];
+      auto wish = waiting.find(name);
       FleetDemand demand;
-      demand.paid = budget.tokens;
-      demand.free = account.budgets[name].Free(budget.tokens);
+      demand.unspent = budget.tokens - shared.Spent();
+      demand.free = shared.Free(budget.tokens);
       demand.available = available;
-      auto wish = waiting.find(name);
       demand.needed = wish == waiting.end() ? 0 : wish->second.needed;
+      demand.part = DemandPart(shared, holder, budget.tokens, hosts);
       demand.rate = RateOf(name);
-      demand.hosts = HostsOf(account);
+      demand.request = demands[name].request;
       const FleetDraw plan = PlanFleetDraw(demand);
-      const bool has_row = account.budgets[name].holders.contains(holder);
-      if (plan.is_due || close)
-        ledger.GiveBackAbove(name, close ? 0 : plan.keep + demand.needed);
+      ledger.GiveBackAbove(name, close ? 0 : plan.keep);
       is_due = is_due || plan.is_due;
       RowWish row{ledger.Counters(name), budget.tokens};
       if (!close)
         row.counters.granted += plan.draw;
-      if (has_row || row.counters.granted > 0)
+      if (shared.holders.contains(holder) || row.counters.granted > 0)
         rows.emplace(name, row);
     }
   });
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -46,6 +46,18 @@
   return static_cast<std::uint32_t>(random());
 }
 
+// When a caller whose request did not run should come back.
+milliseconds RetryAfterOf(ResultCode code) {
+  switch (code) {
+    case ResultCode::kBudgetUnreachable:
+      return kRetryAfterNoTokens;
+    case ResultCode::kNoConfig:
+      return kRetryAfterNoConfig;
+    default:
+      return kRetryAfterBusy;
+  }
+}
+
 class CallRunner {
  public:
   CallRunner(GatewayContext& context,
@@ -413,9 +425,7 @@
     reason_.code = ResultCode::kTargetTimeout;
   milliseconds retry_after{0};
   if (!may_have_run_) {
-    const bool unreachable = reason_.code == ResultCode::kNoConfig ||
-                             reason_.code == ResultCode::kBudgetUnreachable;
-    retry_after = unreachable ? kRetryAfterUnreachable : kRetryAfterBusy;
+    retry_after = RetryAfterOf(reason_.code);
   }
   const HttpResponse response = context_.dialect.refuse(
       call_ ? &*call_ : nullptr, reason_, may_have_run_, retry_after);
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -17,12 +17,15 @@
 // Age at which connections to targets are renewed at the latest.
 inline constexpr std::chrono::minutes kTargetConnectionAge{5};
 // Time that a request waits for tokens to be granted: a write to the store
-// takes 4 ms, a conflict twice that.
-inline constexpr std::chrono::milliseconds kFleetGrantWait{250};
+// takes 4 ms, and each conflict twice that.
+inline constexpr std::chrono::milliseconds kFleetGrantWait{40};
 // What a refused caller is told to wait when nothing better is known.
 inline constexpr std::chrono::milliseconds kRetryAfterBusy{300};
-// The same while the store, the configuration or the grants are out of reach.
-inline constexpr std::chrono::milliseconds kRetryAfterUnreachable{1'000};
+// The same when this host has no tokens of the budget: callers come back to
+// another host, which may have some.
+inline constexpr std::chrono::milliseconds kRetryAfterNoTokens{50};
+// The same of a host that has just started and knows no configuration.
+inline constexpr std::chrono::milliseconds kRetryAfterNoConfig{300};
 // Targets that may refuse one request, without running it, before the caller
 // is told to come back.
 inline constexpr int kMostUnreached = 3;
