Let a killed host's successor reclaim what it had not opened

Ruled out: silence as evidence (cut-off hosts spend on); the time of day (jumps); a write for each request. Change: a host may spend what it has opened, and the rest of what it holds only once no write of it can have taken effect for kUndeclaredAfter. Its successor on the same boot of the machine charges what was opened if the last mark is younger than that, else everything.

--- /dev/null
+++ b/src/libs/budget/fleet_holder.cc
@@ -0,0 +1,112 @@
+#include "libs/budget/fleet_holder.h"
+
+#include <algorithm>
+
+namespace turmericwinch {
+
+FleetHolder::FleetHolder(std::string holder, std::string boot_id)
+    : holder_(std::move(holder)), boot_id_(std::move(boot_id)) {}
+
+void FleetHolder::Read(FleetAccount account, BootTime now) {
+  CloseEarlierIncarnations(account, holder_, {boot_id_, now});
+  known_ = std::move(account);
+}
+
+std::int64_t FleetHolder::Unopened(const std::string& budget,
+                                   const HolderCounters& ledger) const {
+  auto found = known_.budgets.find(budget);
+  if (found == known_.budgets.end())
+    return 0;
+  auto row = found->second.rows.find(holder_);
+  if (row == found->second.rows.end())
+    return 0;
+  auto back = given_back_.find(budget);
+  const std::int64_t own_back = back == given_back_.end() ? 0 : back->second;
+  return std::max<std::int64_t>(
+      row->second.granted - own_back - ledger.granted, 0);
+}
+
+bool FleetHolder::Plan(const std::map<std::string, FleetWish>& wishes,
+                       HostLedger& ledger,
+                       BootTime now) {
+  next_ = known_;
+  granted_next_.clear();
+  bool is_due = false;
+  bool holds_unopened = false;
+  const int hosts = known_.Hosts();
+  for (const auto& [name, wish] : wishes) {
+    FleetBudget& budget = next_.budgets[name];
+    FleetDemand demand;
+    demand.unspent = wish.paid - budget.Spent();
+    demand.free = budget.Free(wish.paid);
+    demand.available = ledger.Available(name);
+    demand.unopened = Unopened(name, ledger.Counters(name));
+    demand.needed = wish.needed;
+    demand.part = DemandPart(budget, holder_, wish.paid, hosts);
+    demand.rate = wish.rate;
+    demand.request = wish.request;
+    const FleetDraw plan = PlanFleetDraw(demand);
+    is_due = is_due || plan.is_due;
+    holds_unopened = holds_unopened || demand.unopened > 0;
+    ledger.GiveBackAbove(name, plan.keep_open);
+    std::int64_t& own_back = given_back_[name];
+    own_back += plan.give_back;
+    const HolderCounters counters = ledger.Counters(name);
+    FleetRow row;
+    auto known = budget.rows.find(holder_);
+    if (known != budget.rows.end())
+      row = known->second;
+    row.granted += plan.draw;
+    row.given_back = own_back + counters.given_back;
+    const std::int64_t granted = counters.granted + plan.open;
+    row.opened = granted - counters.given_back;
+    if (row == FleetRow())
+      continue;
+    budget.rows[holder_] = row;
+    granted_next_[name] = granted;
+  }
+  next_.marks[holder_] = {boot_id_, now};
+  const bool is_first = !known_.marks.contains(holder_);
+  return is_due || is_first ||
+         (holds_unopened && now - issued_ >= kFleetMarkInterval);
+}
+
+bool FleetHolder::PlanClose(const HostLedger& ledger) {
+  next_ = known_;
+  granted_next_.clear();
+  std::map<std::string, std::int64_t> spent;
+  for (const auto& [name, it] : ledger.Figures())
+    spent[name] =
+        it.counters.granted - it.counters.given_back - ledger.Available(name);
+  CloseHolder(next_, holder_, spent);
+  return known_.marks.contains(holder_);
+}
+
+void FleetHolder::Issue(BootTime now) {
+  issued_ = now;
+  auto mark = next_.marks.find(holder_);
+  if (mark != next_.marks.end())
+    mark->second.time = now;
+}
+
+std::map<std::string, std::int64_t> FleetHolder::Confirm() {
+  known_ = next_;
+  return std::exchange(granted_next_, {});
+}
+
+std::map<std::string, std::int64_t> FleetHolder::OpenAll(
+    const HostLedger& ledger,
+    BootTime now) const {
+  std::map<std::string, std::int64_t> granted;
+  if (now - issued_ <= kUndeclaredAfter)
+    return granted;
+  for (const auto& [name, budget] : known_.budgets) {
+    const HolderCounters counters = ledger.Counters(name);
+    const std::int64_t unopened = Unopened(name, counters);
+    if (unopened > 0)
+      granted[name] = counters.granted + unopened;
+  }
+  return granted;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/budget/fleet_plan.cc
@@ -0,0 +1,74 @@
+#include "libs/budget/fleet_plan.h"
+
+#include <algorithm>
+
+namespace turmericwinch {
+
+namespace {
+
+bool IsLow(std::int64_t has, double should_have) {
+  return static_cast<double>(has) < should_have * kFleetLowShare;
+}
+
+}  // namespace
+
+FleetDraw PlanFleetDraw(const FleetDemand& demand) {
+  FleetDraw plan;
+  // The bound was lowered below what is held: everything unused goes back.
+  if (demand.free < 0) {
+    plan.give_back = demand.unopened;
+    plan.is_due = demand.unopened > 0 || demand.available > 0;
+    return plan;
+  }
+  const double unspent = std::max(static_cast<double>(demand.unspent), 0.0);
+  const double stock =
+      std::min(std::max(demand.rate * kFleetStockSeconds,
+                        demand.request * kFleetStockRequests),
+               unspent * kFleetStockShare * demand.part);
+  const double open =
+      std::min(std::max(demand.rate * kFleetOpenSeconds,
+                        demand.request * kFleetOpenRequests),
+               stock);
+  const std::int64_t held = demand.available + demand.unopened;
+  plan.draw = std::clamp<std::int64_t>(
+      static_cast<std::int64_t>(stock) + demand.needed - held, 0, demand.free);
+  plan.open = std::clamp<std::int64_t>(
+      static_cast<std::int64_t>(open) + demand.needed - demand.available, 0,
+      demand.unopened + plan.draw);
+  plan.keep_open = std::max(
+      static_cast<std::int64_t>(open * kFleetOpenHighFactor) + demand.needed,
+      std::min<std::int64_t>(demand.available,
+                             static_cast<std::int64_t>(demand.request)));
+  const bool is_scarce =
+      static_cast<double>(demand.free) < unspent * kFleetScarceShare;
+  const std::int64_t most =
+      static_cast<std::int64_t>(stock * kFleetHighFactor) + demand.needed;
+  if (is_scarce && plan.draw == 0)
+    plan.give_back =
+        std::clamp<std::int64_t>(held - most, 0, demand.unopened - plan.open);
+  const bool draws =
+      plan.draw > 0 && (IsLow(held, stock) || held < demand.needed);
+  const bool opens = plan.open > 0 && (IsLow(demand.available, open) ||
+                                       demand.available < demand.needed);
+  plan.is_due = draws || opens || plan.give_back > 0 ||
+                demand.available > plan.keep_open;
+  return plan;
+}
+
+double DemandPart(const FleetBudget& budget,
+                  const std::string& holder,
+                  std::int64_t paid,
+                  int hosts) {
+  const double prior = static_cast<double>(paid) * kFleetPriorShare;
+  double own = prior;
+  double all = prior * std::max(hosts, kFleetLeastHosts);
+  for (const auto& [name, row] : budget.rows) {
+    const auto opened = static_cast<double>(row.opened);
+    all += opened;
+    if (name == holder)
+      own += opened;
+  }
+  return all > 0 ? own / all : 0;
+}
+
+}  // namespace turmericwinch
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -8,7 +8,7 @@
 
 #include "libs/base/log.h"
 #include "libs/budget/demand_rate.h"
-#include "libs/budget/fleet_account.h"
+#include "libs/budget/fleet_holder.h"
 
 namespace turmericwinch {
 
@@ -31,12 +31,6 @@
   double request = 0;
 };
 
-// What is wanted of one budget in one write.
-struct RowWish {
-  HolderCounters counters;
-  std::int64_t paid = 0;
-};
-
 // How a write ended.
 enum class WriteEnd { kDone, kConflict, kFailed };
 
@@ -45,23 +39,25 @@
 class AccountKeeper::Private {
  public:
   Private(GatewayContext& context, PlatformClient& platform)
-      : context(context), platform(platform), timer(context.control) {}
+      : context(context),
+        platform(platform),
+        timer(context.control),
+        holder(context.ledger_holder(), context.boot.id) {}
 
   // Reads the account if it is not known. False if the store gave no answer.
   asio::awaitable<bool> Read();
-  asio::awaitable<WriteEnd> Write(std::map<std::string, RowWish> wishes,
-                                  bool close);
+  asio::awaitable<WriteEnd> Write();
   // Draws and gives back until every budget is as planned or the store fails.
-  asio::awaitable<bool> Sync(bool close);
-  // The rows to write now; empty if nothing is due.
-  std::map<std::string, RowWish> Plan(bool close);
+  asio::awaitable<bool> Sync();
+  // Whether the account should be written now. Prepares the write.
+  bool Plan();
+  // Opens all that the host holds once it has been out of touch for long.
+  void OpenAll();
   // Notes what requests cost. Nobody reads bills here: what must last of them
   // is the counters.
   void TakeBills(HostLedger& ledger);
   void NoteDemand(const std::string& budget, std::int64_t used);
   double RateOf(const std::string& budget);
-  void Grant(const std::map<std::string, RowWish>& wishes,
-             const DomainShard& written);
   // Tells the requests that still wait why there is nothing for them.
   void DenyWaiting(const Reason& reason);
 
@@ -70,10 +66,11 @@
   asio::steady_timer timer;
   const Clock::time_point start = Clock::now();
   std::minstd_rand random{std::random_device{}()};
+  // Whether the account is as last read or written.
   bool known = false;
   // 0 until the object exists.
   std::uint64_t version = 0;
-  DomainShard account;
+  FleetHolder holder;
   std::map<std::string, Demand> demands;
   std::map<std::string, GrantWish> waiting;
   Reason reason;
@@ -110,16 +107,14 @@
 }
 
 asio::awaitable<bool> AccountKeeper::Private::Read() {
-  if (known)
-    co_return true;
   std::optional<PlatformObject> object = co_await platform.Get(
       PlatformDuty::kBudget, kFleetAccountName, &reason);
   if (!object && reason.code != ResultCode::kPlatformNotFound)
     co_return false;
-  account = {};
+  FleetAccount account;
   version = 0;
   if (object) {
-    std::optional<DomainShard> read = DomainShardOf(object->value, &reason);
+    std::optional<FleetAccount> read = FleetAccountOf(object->value, &reason);
     if (!read) {
       LogEvent(kLog, Severity::kError, "account_unreadable",
                {{"version", object->version}, {"reason", reason.text}});
@@ -128,64 +123,39 @@
     account = std::move(*read);
     version = object->version;
   }
+  holder.Read(std::move(account), context.boot.now());
   known = true;
-  context.retries.SetHosts(HostsOf(account));
+  context.retries.SetHosts(holder.known().Hosts());
   co_return true;
 }
 
-std::map<std::string, RowWish> AccountKeeper::Private::Plan(bool close) {
-  std::map<std::string, RowWish> rows;
+bool AccountKeeper::Private::Plan() {
   const std::shared_ptr<const GatewayConfig> config = context.config.Get();
   if (!config)
-    return rows;
-  bool is_due = close;
-  const int hosts = HostsOf(account);
-  const std::string holder = context.ledger_holder();
+    return false;
+  bool is_due = false;
   context.ledger.With([&](HostLedger& ledger) {
     TakeBills(ledger);
     for (const GrantWish& it : ledger.TakeWishes())
       waiting[it.budget] = it;
+    std::map<std::string, FleetWish> wishes;
     for (const auto& [name, budget] : config->objects->budgets()) {
       const HolderCounters counters = ledger.Counters(name);
-      const std::int64_t available = ledger.Available(name);
-      NoteDemand(name, counters.granted - counters.given_back - available);
-      const ShardBudget& shared = account.budgets[name];
+      NoteDemand(name, counters.granted - counters.given_back -
+                           ledger.Available(name));
       auto wish = waiting.find(name);
-      FleetDemand demand;
-      demand.unspent = budget.tokens - shared.Spent();
-      demand.free = shared.Free(budget.tokens);
-      demand.available = available;
-      demand.needed = wish == waiting.end() ? 0 : wish->second.needed;
-      demand.part = DemandPart(shared, holder, budget.tokens, hosts);
-      demand.rate = RateOf(name);
-      demand.request = demands[name].request;
-      const FleetDraw plan = PlanFleetDraw(demand);
-      ledger.GiveBackAbove(name, close ? 0 : plan.keep);
-      is_due = is_due || plan.is_due;
-      RowWish row{ledger.Counters(name), budget.tokens};
-      if (!close)
-        row.counters.granted += plan.draw;
-      if (shared.holders.contains(holder) || row.counters.granted > 0)
-        rows.emplace(name, row);
+      wishes[name] = {budget.tokens,
+                      wish == waiting.end() ? 0 : wish->second.needed,
+                      RateOf(name), demands[name].request};
     }
+    is_due = holder.Plan(wishes, ledger, context.boot.now());
   });
-  if (!is_due)
-    rows.clear();
-  return rows;
+  return is_due;
 }
 
-asio::awaitable<WriteEnd> AccountKeeper::Private::Write(
-    std::map<std::string, RowWish> wishes,
-    bool close) {
-  DomainShard written = account;
-  const std::string holder = context.ledger_holder();
-  ChargeEarlierIncarnations(written, holder);
-  for (const auto& [name, row] : wishes)
-    MergeHolder(written.budgets[name], holder, row.counters, row.paid);
-  DomainShard stored = written;
-  if (close)
-    CloseHolder(stored, holder);
-  std::string value = ToJson(stored);
+asio::awaitable<WriteEnd> AccountKeeper::Private::Write() {
+  holder.Issue(context.boot.now());
+  std::string value = ToJson(holder.account());
   std::optional<std::uint64_t> answer;
   if (version == 0) {
     answer = co_await platform.Create(PlatformDuty::kBudget, kFleetAccountName,
@@ -202,56 +172,70 @@
     co_return conflict ? WriteEnd::kConflict : WriteEnd::kFailed;
   }
   version = *answer;
-  account = std::move(stored);
-  Grant(wishes, written);
+  const std::map<std::string, std::int64_t> granted = holder.Confirm();
+  for (const auto& [name, total] : granted)
+    context.ledger.Grant(name, total);
+  LogEvent(kLog, Severity::kDebug, "account_written", {{"version", version}});
   co_return WriteEnd::kDone;
 }
 
-void AccountKeeper::Private::Grant(const std::map<std::string, RowWish>& wishes,
-                                   const DomainShard& written) {
-  const std::string holder = context.ledger_holder();
-  for (const auto& [name, row] : wishes) {
-    const HolderCounters& now = written.budgets.at(name).holders.at(holder);
-    context.ledger.With([&](HostLedger& ledger) {
-      ledger.ConfirmCounters(name, now);
-    });
-    context.ledger.Grant(name, now.granted);
-    LogEvent(kLog, Severity::kInfo, "granted",
+void AccountKeeper::Private::OpenAll() {
+  std::map<std::string, std::int64_t> granted;
+  context.ledger.With([&](HostLedger& ledger) {
+    granted = holder.OpenAll(ledger, context.boot.now());
+  });
+  for (const auto& [name, total] : granted) {
+    context.ledger.Grant(name, total);
+    LogEvent(kLog, Severity::kWarning, "stock_opened",
              {{"budget", name},
-              {"granted", now.granted},
-              {"settled", now.settled},
-              {"given_back", now.given_back},
-              {"paid", row.paid},
-              {"free", written.budgets.at(name).Free(row.paid)},
-              {"version", version}});
+              {"granted", total},
+              {"version", version},
+              {"since_ms", (context.boot.now() - holder.issued()).count()}});
   }
 }
 
+// A budget is used up only if no host has tokens left that cover the request:
+// callers do not come back after that answer.
 void AccountKeeper::Private::DenyWaiting(const Reason& why) {
+  const std::shared_ptr<const GatewayConfig> config = context.config.Get();
   for (const auto& [name, wish] : std::exchange(waiting, {})) {
     std::int64_t available = 0;
     context.ledger.With([&, &budget = name](HostLedger& ledger) {
       available = ledger.Available(budget);
     });
-    if (available < wish.needed) {
-      context.ledger.Deny(
-          name, std::max<std::int64_t>(wish.smallest - available, 0), why);
+    if (available >= wish.needed)
+      continue;
+    Reason told = why;
+    auto budget = holder.known().budgets.find(name);
+    auto paid = config->objects->budgets().find(name);
+    if (why.code == ResultCode::kBudgetExhausted &&
+        budget != holder.known().budgets.end() &&
+        paid != config->objects->budgets().end() &&
+        paid->second.tokens - budget->second.Spent() >= wish.smallest) {
+      told = {ResultCode::kBudgetUnreachable,
+              "other hosts hold the rest of the budget"};
     }
+    context.ledger.Deny(
+        name, std::max<std::int64_t>(wish.smallest - available, 0), told);
   }
 }
 
-asio::awaitable<bool> AccountKeeper::Private::Sync(bool close) {
+asio::awaitable<bool> AccountKeeper::Private::Sync() {
+  // Other hosts have most likely written since: a write by the known version
+  // would be one more call, refused.
+  const bool planned = Plan();
+  if (planned || !known)
+    known = false;
   for (int n = 0; n < kMostAccountConflicts; ++n) {
-    const bool is_read = co_await Read();
-    if (!is_read)
-      break;
-    std::map<std::string, RowWish> rows = Plan(close);
-    if (rows.empty()) {
-      DenyWaiting({ResultCode::kBudgetExhausted,
-                   "the rest of the budget does not cover the request"});
-      co_return true;
+    if (!known) {
+      const bool is_read = co_await Read();
+      if (!is_read)
+        break;
     }
-    const WriteEnd end = co_await Write(std::move(rows), close);
+    const bool is_due = Plan();
+    WriteEnd end = WriteEnd::kDone;
+    if (is_due)
+      end = co_await Write();
     if (end == WriteEnd::kDone) {
       DenyWaiting({ResultCode::kBudgetExhausted,
                    "the rest of the budget does not cover the request"});
@@ -265,6 +249,7 @@
   }
   LogEvent(kLog, Severity::kWarning, "account_out_of_reach",
            {{"code", static_cast<int>(reason.code)}, {"reason", reason.text}});
+  OpenAll();
   DenyWaiting({ResultCode::kBudgetUnreachable,
                "no tokens are granted to this host, and the account is out of "
                "reach: " +
@@ -281,7 +266,7 @@
   for (;;) {
     milliseconds pause = kAccountTick;
     if (!d_->context.draining && d_->context.config.Get()) {
-      const bool ok = co_await d_->Sync(false);
+      const bool ok = co_await d_->Sync();
       if (!ok)
         pause = kStorePause;
     }
@@ -295,11 +280,22 @@
 }
 
 asio::awaitable<bool> AccountKeeper::Close() {
-  co_return co_await d_->Sync(true);
-}
-
-int AccountKeeper::hosts() const {
-  return HostsOf(d_->account);
+  d_->context.ledger.With([](HostLedger& ledger) { ledger.Fence(); });
+  for (int n = 0; n < kMostAccountConflicts; ++n) {
+    const bool is_read = co_await d_->Read();
+    if (!is_read)
+      co_return false;
+    bool is_due = false;
+    d_->context.ledger.With([&](HostLedger& ledger) {
+      is_due = d_->holder.PlanClose(ledger);
+    });
+    if (!is_due)
+      co_return true;
+    const WriteEnd end = co_await d_->Write();
+    if (end != WriteEnd::kConflict)
+      co_return end == WriteEnd::kDone;
+  }
+  co_return false;
 }
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/account_keeper.h
+++ b/src/libs/gateway/account_keeper.h
@@ -27,8 +27,6 @@
   // Gives everything back that is not in use and closes the row. False if the
   // store could not be written.
   boost::asio::awaitable<bool> Close();
-  // Hosts that have a row, 0 until the account was read.
-  int hosts() const;
 
  private:
   class Private;
--- a/src/libs/gateway/gateway_context.cc
+++ b/src/libs/gateway/gateway_context.cc
@@ -1,5 +1,8 @@
 #include "libs/gateway/gateway_context.h"
 
+#include <ctime>
+#include <fstream>
+
 #include "libs/base/digest.h"
 
 namespace turmericwinch {
@@ -7,9 +10,26 @@
 namespace {
 
 constexpr std::size_t kIncarnationBytes = 6;
+constexpr char kBootIdFile[] = "/proc/sys/kernel/random/boot_id";
+constexpr std::int64_t kMsPerSecond = 1'000;
+constexpr std::int64_t kNsPerMs = 1'000'000;
+
+BootTime TimeSinceBoot() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return BootTime(time.tv_sec * kMsPerSecond + time.tv_nsec / kNsPerMs);
+}
 
 }  // namespace
 
+BootClock MachineBootClock() {
+  BootClock clock;
+  std::ifstream file(kBootIdFile);
+  file >> clock.id;
+  clock.now = TimeSinceBoot;
+  return clock;
+}
+
 GatewayContext::GatewayContext(GatewaySettings given, GatewayDialect dialect)
     : settings(std::move(given)),
       dialect(std::move(dialect)),
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -5,9 +5,11 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <mutex>
 
+#include "libs/budget/fleet_account.h"
 #include "libs/gateway/gateway_config.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/gateway_dialect.h"
@@ -37,6 +39,15 @@
   std::shared_ptr<const GatewayConfig> config_;
 };
 
+// The machine's boot: its id, empty if the system tells none, and the time since
+// it, which goes on while the machine is suspended.
+struct BootClock {
+  std::string id;
+  std::function<BootTime()> now;
+};
+
+BootClock MachineBootClock();
+
 // Owned by the gateway and outlives all requests. `control` and `traffic` have
 // one thread each.
 struct GatewayContext {
@@ -48,6 +59,7 @@
   GatewaySettings settings;
   GatewayDialect dialect;
   std::string incarnation;
+  BootClock boot = MachineBootClock();
   boost::asio::io_context control{1};
   boost::asio::io_context traffic{1};
   // On the traffic thread.
