Hold lapsed targets for two seconds and no longer

Ruled out: the hold's length alone (dropped never, by the host's log). Change: ListedTargets decides it without I/O; the hold ends by time, by the entry's return or by another owner of the address; 2 s, as targets register again within that.

--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -36,7 +36,7 @@
 // silent may have forgotten the watch.
 inline constexpr std::chrono::milliseconds kWatchWait{5'000};
 // Pause after a call to the store that failed.
-inline constexpr std::chrono::milliseconds kStorePause{500};
+inline constexpr std::chrono::milliseconds kStorePause{300};
 // How often a host compares its grants with its demand.
 inline constexpr std::chrono::milliseconds kAccountTick{250};
 // Time over which a host averages its demand for tokens.
@@ -48,7 +48,7 @@
 
 // Time for which a target stays usable after the store lost its entry in an
 // outage: live targets register again within two seconds of its return.
-inline constexpr std::chrono::milliseconds kLapsedHold{2'500};
+inline constexpr std::chrono::milliseconds kLapsedHold{2'000};
 
 // Time after SIGTERM in which new connections are still taken: the balancer
 // asks each second and needs two misses.
--- /dev/null
+++ b/src/libs/gateway/listed_targets.cc
@@ -0,0 +1,74 @@
+#include "libs/gateway/listed_targets.h"
+
+#include <algorithm>
+
+#include "libs/gateway/gateway_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+bool HasName(const HostList& list, const std::string& name) {
+  return std::any_of(
+      list.targets.begin(), list.targets.end(),
+      [&name](const ListedMember& it) { return it.name == name; });
+}
+
+}  // namespace
+
+bool ListedTargets::IsReplaced(const ListedMember& lapsed) const {
+  return std::any_of(list_.targets.begin(), list_.targets.end(),
+                     [&](const ListedMember& it) {
+                       return !lapsed_.contains(it.name) &&
+                              it.address == lapsed.address;
+                     });
+}
+
+std::vector<HostListChange> ListedTargets::TakeWhole(HostList list,
+                                                     bool after_outage,
+                                                     TimePoint now) {
+  Sort(&list);
+  std::erase_if(lapsed_,
+                [&](const auto& it) { return HasName(list, it.first); });
+  HostList next = list;
+  for (const ListedMember& it : list_.targets) {
+    if (HasName(list, it.name))
+      continue;
+    if (after_outage)
+      lapsed_.emplace(it.name, now + kLapsedHold);
+    if (lapsed_.contains(it.name))
+      next.targets.push_back(it);
+  }
+  Sort(&next);
+  std::vector<HostListChange> changes = DiffOf(list_, next);
+  list_ = std::move(next);
+  return changes;
+}
+
+std::vector<HostListChange> ListedTargets::TakeChanges(
+    const std::vector<HostListChange>& changes) {
+  const HostList before = list_;
+  for (const HostListChange& it : changes)
+    lapsed_.erase(it.member.name);
+  Apply(changes, &list_);
+  // An address that another target took over is not its old owner's any more.
+  std::erase_if(list_.targets, [this](const ListedMember& it) {
+    return lapsed_.contains(it.name) && IsReplaced(it);
+  });
+  std::erase_if(lapsed_, [this](const auto& it) {
+    return !HasName(list_, it.first);
+  });
+  return DiffOf(before, list_);
+}
+
+std::vector<HostListChange> ListedTargets::DropLapsed(TimePoint now) {
+  const HostList before = list_;
+  std::erase_if(list_.targets, [&](const ListedMember& it) {
+    auto hold = lapsed_.find(it.name);
+    return hold != lapsed_.end() && now >= hold->second;
+  });
+  std::erase_if(lapsed_, [&](const auto& it) { return now >= it.second; });
+  return DiffOf(before, list_);
+}
+
+}  // namespace turmericwinch
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -1,6 +1,5 @@
 #include "libs/gateway/target_source.h"
 
-#include <algorithm>
 #include <boost/asio.hpp>
 
 #include "libs/base/log.h"
@@ -23,33 +22,26 @@
 void TargetSource::Take(const PlatformHosts& hosts, bool after_outage) {
   Reason reason;
   version_ = hosts.version;
-  if (hosts.text.empty())
-    return;
-  HostList next = list_;
   if (hosts.is_whole) {
     std::optional<HostList> whole = HostListOf(hosts.text, &reason);
-    if (!whole) {
-      LogEvent(kLog, Severity::kError, "list_unreadable",
-               {{"reason", reason.text}});
-      return;
+    if (whole) {
+      Publish(targets_.TakeWhole(std::move(*whole), after_outage,
+                                 std::chrono::steady_clock::now()));
     }
-    next = std::move(*whole);
-    Sort(&next);
-  } else {
+  } else if (!hosts.text.empty()) {
     std::optional<std::vector<HostListChange>> changes =
         HostListChangesOf(hosts.text, &reason);
-    if (!changes) {
-      LogEvent(kLog, Severity::kError, "changes_unreadable",
-               {{"reason", reason.text}});
-      return;
-    }
-    Apply(*changes, &next);
+    if (changes)
+      Publish(targets_.TakeChanges(*changes));
   }
-  for (const HostListChange& it : DiffOf(list_, next)) {
-    if (it.gone && after_outage) {
-      lapsed_.emplace(it.member.name, Clock::now() + kLapsedHold);
-      continue;
-    }
+  if (reason.code != ResultCode::kOk) {
+    LogEvent(kLog, Severity::kError, "list_unreadable",
+             {{"version", version_}, {"reason", reason.text}});
+  }
+}
+
+void TargetSource::Publish(const std::vector<HostListChange>& changes) {
+  for (const HostListChange& it : changes) {
     LogEvent(kLog, Severity::kInfo, it.gone ? "target_gone" : "target_listed",
              {{"target", it.member.name},
               {"address", it.member.address},
@@ -57,37 +49,7 @@
               {"leaving", it.member.leaving},
               {"version", version_}});
   }
-  for (const ListedMember& it : list_.targets) {
-    if (lapsed_.contains(it.name) &&
-        std::none_of(next.targets.begin(), next.targets.end(),
-                     [&](const ListedMember& other) {
-                       return other.name == it.name ||
-                              other.address == it.address;
-                     }))
-      next.targets.push_back(it);
-    else
-      lapsed_.erase(it.name);
-  }
-  Sort(&next);
-  list_ = std::move(next);
-  Publish();
-}
-
-void TargetSource::DropLapsed() {
-  const Clock::time_point now = Clock::now();
-  const auto n = std::erase_if(list_.targets, [&](const ListedMember& it) {
-    auto hold = lapsed_.find(it.name);
-    return hold != lapsed_.end() && now >= hold->second;
-  });
-  std::erase_if(lapsed_, [&](const auto& it) { return now >= it.second; });
-  if (n == 0)
-    return;
-  LogEvent(kLog, Severity::kInfo, "lapsed_dropped", {{"targets", n}});
-  Publish();
-}
-
-void TargetSource::Publish() {
-  on_list_(list_);
+  on_list_(targets_.list());
 }
 
 asio::awaitable<void> TargetSource::Run() {
@@ -96,21 +58,27 @@
   for (;;) {
     Reason reason;
     const std::chrono::milliseconds wait =
-        lapsed_.empty() ? kWatchWait : kStorePause;
+        targets_.has_lapsed() ? kStorePause : kWatchWait;
     std::optional<PlatformHosts> hosts =
         co_await platform_.HostsSince(version_, wait, &reason);
-    DropLapsed();
     if (hosts) {
       Take(*hosts, outage);
-      if (outage)
+      const std::vector<HostListChange> dropped =
+          targets_.DropLapsed(std::chrono::steady_clock::now());
+      if (!dropped.empty())
+        Publish(dropped);
+      if (outage) {
         LogEvent(kLog, Severity::kInfo, "store_regained",
-                 {{"targets", list_.targets.size()}, {"version", version_}});
+                 {{"targets", targets_.list().targets.size()},
+                  {"lapsed", targets_.has_lapsed()},
+                  {"version", version_}});
+      }
       outage = false;
       continue;
     }
     if (!outage) {
       LogEvent(kLog, Severity::kWarning, "store_lost",
-               {{"targets", list_.targets.size()},
+               {{"targets", targets_.list().targets.size()},
                 {"version", version_},
                 {"code", static_cast<int>(reason.code)},
                 {"reason", reason.text}});
--- a/src/libs/gateway/target_source.h
+++ b/src/libs/gateway/target_source.h
@@ -4,18 +4,15 @@
 #define SRC_LIBS_GATEWAY_TARGET_SOURCE_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <chrono>
 #include <functional>
-#include <map>
-#include <string>
+#include <vector>
 
+#include "libs/gateway/listed_targets.h"
 #include "libs/platform/platform_client.h"
-#include "libs/routing/host_list.h"
 
 namespace turmericwinch {
 
-// On the control thread. A target whose entry went missing while the store was
-// out of reach stays listed for kLapsedHold after the store's return.
+// On the control thread.
 class TargetSource {
  public:
   using Sink = std::function<void(const HostList&)>;
@@ -26,19 +23,14 @@
   boost::asio::awaitable<void> Run();
 
  private:
-  using Clock = std::chrono::steady_clock;
-
   // Takes an answer in. `after_outage`: the store was out of reach before it.
   void Take(const PlatformHosts& hosts, bool after_outage);
-  // Drops the entries whose hold is over.
-  void DropLapsed();
-  void Publish();
+  // Logs and passes on what changed.
+  void Publish(const std::vector<HostListChange>& changes);
 
   PlatformClient& platform_;
   Sink on_list_;
-  HostList list_;
-  // Entries missing since an outage, with the end of their hold.
-  std::map<std::string, Clock::time_point> lapsed_;
+  ListedTargets targets_;
   std::uint64_t version_ = 0;
 };
 
--- /dev/null
+++ b/tests/budget/fleet_plan_test.cc
@@ -0,0 +1,80 @@
+#include "libs/budget/fleet_plan.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace turmericwinch {
+
+TEST_GROUP(FleetPlan) {
+  FleetDemand demand;
+
+  void setup() override {
+    demand.unspent = 1'000'000;
+    demand.free = 1'000'000;
+    demand.part = 0.125;
+    demand.rate = 1'000;
+    demand.request = 5'000;
+  }
+};
+
+TEST(FleetPlan, AHostHoldsWhatACutTakesAndOpensAPart) {
+  const FleetDraw plan = PlanFleetDraw(demand);
+  LONGS_EQUAL(15'000, plan.draw);
+  LONGS_EQUAL(10'000, plan.open);
+  CHECK(plan.is_due);
+}
+
+TEST(FleetPlan, AllHostsTogetherLeaveAPartFree) {
+  demand.rate = 1e9;
+  const FleetDraw plan = PlanFleetDraw(demand);
+  CHECK(8 * static_cast<double>(plan.draw) <=
+        kFleetStockShare * static_cast<double>(demand.unspent) + 8);
+}
+
+TEST(FleetPlan, NothingIsDueWhileTheStockIsGood) {
+  demand.available = 10'000;
+  demand.unopened = 5'000;
+  demand.free -= 15'000;
+  CHECK(!PlanFleetDraw(demand).is_due);
+}
+
+TEST(FleetPlan, WaitingRequestsAreMetFromWhatIsFree) {
+  demand.available = 10'000;
+  demand.unopened = 5'000;
+  demand.needed = 40'000;
+  demand.free = 20'000;
+  const FleetDraw plan = PlanFleetDraw(demand);
+  LONGS_EQUAL(20'000, plan.draw);
+  LONGS_EQUAL(25'000, plan.open);
+  CHECK(plan.is_due);
+}
+
+TEST(FleetPlan, ABudgetNearItsEndIsNotHoarded) {
+  demand.unspent = 50'000;
+  demand.free = 1'000;
+  demand.available = 10'000;
+  demand.unopened = 20'000;
+  const FleetDraw plan = PlanFleetDraw(demand);
+  CHECK(plan.give_back > 0);
+  CHECK(plan.is_due);
+}
+
+TEST(FleetPlan, ALoweredBoundTakesEverythingBack) {
+  demand.free = -1;
+  demand.available = 10;
+  demand.unopened = 20;
+  const FleetDraw plan = PlanFleetDraw(demand);
+  LONGS_EQUAL(0, plan.draw);
+  LONGS_EQUAL(20, plan.give_back);
+  LONGS_EQUAL(0, plan.keep_open);
+  CHECK(plan.is_due);
+}
+
+TEST(FleetPlan, ATeamThatComesToOneHostHasItsStockThere) {
+  FleetBudget budget;
+  budget.rows["one_a"].opened = 90'000;
+  budget.rows["two_a"].opened = 0;
+  CHECK(DemandPart(budget, "one_a", 1'000'000, 8) > 0.5);
+  CHECK(DemandPart(budget, "two_a", 1'000'000, 8) < 0.1);
+}
+
+}  // namespace turmericwinch
