Wait for grants only in touch, and read the account before each write

Cause: in calm seconds 28 of 200 requests were refused for want of a grant: a wish that came during a write waited for the next tick of 250 ms; and a write sent into a cut put off the use of the stock by up to 3 s.

--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -72,7 +72,7 @@
 // Time without a write that may have taken effect, after which a holder may
 // spend what it has not opened. Cuts that last longer than this are survived by
 // the whole stock, shorter ones by what is open.
-inline constexpr BootTime kUndeclaredAfter{3'000};
+inline constexpr BootTime kUndeclaredAfter{2'500};
 
 // Removes the rows of earlier incarnations of `holder`'s host, which have ended,
 // as the start of `holder` shows: a host runs one process. `now` is the time
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -44,7 +44,9 @@
     demand.needed = wish.needed;
     demand.part = DemandPart(budget, holder_, wish.paid, hosts);
     demand.rate = wish.rate;
-    demand.request = wish.request;
+    demand.request = wish.request > 0
+                         ? wish.request
+                         : static_cast<double>(wish.paid) * kFleetFirstRequest;
     const FleetDraw plan = PlanFleetDraw(demand);
     is_due = is_due || plan.is_due;
     holds_unopened = holds_unopened || demand.unopened > 0;
--- a/src/libs/budget/fleet_plan.h
+++ b/src/libs/budget/fleet_plan.h
@@ -23,7 +23,10 @@
 inline constexpr double kFleetOpenRequests = 2;
 // Share of the unspent tokens that all hosts together hold at most: the rest is
 // for hosts that run short, and is what is left if all lose power at once.
-inline constexpr double kFleetStockShare = 0.65;
+inline constexpr double kFleetStockShare = 0.6;
+// Cost that a request is taken to have before the first, as a share of what was
+// paid.
+inline constexpr double kFleetFirstRequest = 0.002;
 // Demand that each host is taken to have had before the first request, as a
 // share of what was paid.
 inline constexpr double kFleetPriorShare = 0.01;
@@ -38,7 +41,7 @@
 inline constexpr double kFleetOpenHighFactor = 3;
 // Time after which a host that holds unopened tokens renews its mark: a process
 // that was killed is back within seconds and reclaims them if the mark is fresh.
-inline constexpr std::chrono::milliseconds kFleetMarkInterval{1'000};
+inline constexpr std::chrono::milliseconds kFleetMarkInterval{800};
 // Hosts that are taken to share a budget at least, until their rows show how
 // many there are; today's fleets have 8 or 9.
 inline constexpr int kFleetLeastHosts = 8;
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -51,6 +51,7 @@
   asio::awaitable<bool> Sync();
   // Whether the account should be written now. Prepares the write.
   bool Plan();
+  void SetReachable(bool now);
   // Opens all that the host holds once it has been out of touch for long.
   void OpenAll();
   // Notes what requests cost. Nobody reads bills here: what must last of them
@@ -66,6 +67,10 @@
   asio::steady_timer timer;
   const Clock::time_point start = Clock::now();
   std::minstd_rand random{std::random_device{}()};
+  // Whether the last sync ended well.
+  bool reachable = true;
+  // Whether a request began to wait since the last sync started.
+  bool woken = false;
   // Whether the account is as last read or written.
   bool known = false;
   // 0 until the object exists.
@@ -179,7 +184,14 @@
   co_return WriteEnd::kDone;
 }
 
+void AccountKeeper::Private::SetReachable(bool now) {
+  reachable = now;
+  context.ledger.SetReachable(now);
+}
+
 void AccountKeeper::Private::OpenAll() {
+  if (reachable)
+    return;
   std::map<std::string, std::int64_t> granted;
   context.ledger.With([&](HostLedger& ledger) {
     granted = holder.OpenAll(ledger, context.boot.now());
@@ -221,10 +233,10 @@
 }
 
 asio::awaitable<bool> AccountKeeper::Private::Sync() {
-  // Other hosts have most likely written since: a write by the known version
-  // would be one more call, refused.
-  const bool planned = Plan();
-  if (planned || !known)
+  OpenAll();
+  // A read first: others have most likely written since, and a write that is
+  // sent into a cut would put off the use of the stock.
+  if (Plan())
     known = false;
   for (int n = 0; n < kMostAccountConflicts; ++n) {
     if (!known) {
@@ -237,6 +249,7 @@
     if (is_due)
       end = co_await Write();
     if (end == WriteEnd::kDone) {
+      SetReachable(true);
       DenyWaiting({ResultCode::kBudgetExhausted,
                    "the rest of the budget does not cover the request"});
       co_return true;
@@ -249,6 +262,7 @@
   }
   LogEvent(kLog, Severity::kWarning, "account_out_of_reach",
            {{"code", static_cast<int>(reason.code)}, {"reason", reason.text}});
+  SetReachable(false);
   OpenAll();
   DenyWaiting({ResultCode::kBudgetUnreachable,
                "no tokens are granted to this host, and the account is out of "
@@ -266,17 +280,25 @@
   for (;;) {
     milliseconds pause = kAccountTick;
     if (!d_->context.draining && d_->context.config.Get()) {
+      d_->woken = false;
       const bool ok = co_await d_->Sync();
       if (!ok)
         pause = kStorePause;
     }
+    // A request may have begun to wait while the account was being written.
+    if (std::exchange(d_->woken, false) && pause == kAccountTick)
+      continue;
     d_->timer.expires_after(pause);
     co_await d_->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    d_->woken = false;
   }
 }
 
 void AccountKeeper::Wake() {
-  asio::post(d_->context.control, [this] { d_->timer.cancel(); });
+  asio::post(d_->context.control, [this] {
+    d_->woken = true;
+    d_->timer.cancel();
+  });
 }
 
 asio::awaitable<bool> AccountKeeper::Close() {
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -112,6 +112,7 @@
   std::string last_target_;
   std::uint64_t last_event_ = 0;
   std::int64_t events_ = 0;
+  std::int64_t charged_ = 0;
   int status_ = 0;
 };
 
@@ -188,6 +189,7 @@
   bill.service = service_;
   bill.tokens = call_->tokens->prompt +
                 std::min(call_->tokens->most_output, events_ * each);
+  charged_ = bill.tokens;
   context_.ledger.Settle(id, std::move(bill));
 }
 
@@ -451,6 +453,8 @@
        {"code", static_cast<int>(reason_.code)},
        {"reason", reason_.text},
        {"events", events_},
+       {"bound", call_ && call_->tokens ? call_->tokens->Sum() : 0},
+       {"charged", charged_},
        {"config", config_ ? config_->version : 0},
        {"ms",
         std::chrono::duration_cast<milliseconds>(elapsed).count()}});
--- a/src/libs/node/shared_ledger.cc
+++ b/src/libs/node/shared_ledger.cc
@@ -58,6 +58,7 @@
 
   std::mutex mutex;
   HostLedger ledger;
+  bool reachable = true;
   std::function<void()> on_wish;
   std::map<std::string, std::vector<std::shared_ptr<Waiter>>> waiters;
   std::map<std::string, Denial> denials;
@@ -103,6 +104,12 @@
         *reason = denial->second.reason;
         co_return std::nullopt;
       }
+      if (!d_->reachable) {
+        d_->ledger.AddWish(budget, tokens);
+        co_return Fail(reason, ResultCode::kBudgetUnreachable,
+                       "too few tokens of budget " + budget +
+                           " are here, and no more can be had now");
+      }
       if (now >= deadline) {
         // Others need not wait in vain too.
         d_->denials[budget] = {
@@ -149,6 +156,11 @@
     Wake(it);
 }
 
+void SharedLedger::SetReachable(bool reachable) {
+  std::lock_guard lock(d_->mutex);
+  d_->reachable = reachable;
+}
+
 void SharedLedger::Lent(const std::string& budget) {
   std::lock_guard lock(d_->mutex);
   d_->denials.erase(budget);
--- a/src/libs/node/shared_ledger.h
+++ b/src/libs/node/shared_ledger.h
@@ -42,6 +42,9 @@
   void Grant(const std::string& budget, std::int64_t granted_total);
   // For the control thread: wakes who waits, as tokens were lent.
   void Lent(const std::string& budget);
+  // For the control thread: while no grants can be had, requests that find too
+  // few tokens are refused at once. Reachable at the start.
+  void SetReachable(bool reachable);
   // For the control thread: tells who waits that there is no grant of
   // `missing` tokens or more beyond what is granted already.
   void Deny(const std::string& budget,
--- a/src/libs/platform/platform_transport.cc
+++ b/src/libs/platform/platform_transport.cc
@@ -72,7 +72,8 @@
     PlatformCallKind kind,
     HttpRequest request,
     std::chrono::milliseconds timeout,
-    Reason* reason) {
+    Reason* reason,
+    std::string* refused) {
   if (d_->gate) {
     const bool entered = co_await d_->gate->Enter(duty, kind, reason);
     if (!entered)
@@ -98,6 +99,8 @@
   if (response->status == kStatusOk || response->status == kStatusCreated ||
       response->status == kStatusNoContent)
     co_return response;
+  if (refused)
+    *refused = std::move(response->body);
   co_return Fail(reason,
                  CodeOf(response->status, writes, request.method == "POST"),
                  "the platform answered " + std::to_string(response->status) +
--- a/src/libs/platform/platform_transport.h
+++ b/src/libs/platform/platform_transport.h
@@ -32,13 +32,15 @@
   void SetSilence(std::chrono::milliseconds time);
 
   // The response if it has a status of success. Reasons as PlatformClient says:
-  // a write whose answer is missing leaves its effect in doubt.
+  // a write whose answer is missing leaves its effect in doubt. The body of a
+  // response with another status goes to `refused`, which may be null.
   boost::asio::awaitable<std::optional<HttpResponse>> Send(
       PlatformDuty duty,
       PlatformCallKind kind,
       HttpRequest request,
       std::chrono::milliseconds timeout,
-      Reason* reason);
+      Reason* reason,
+      std::string* refused = nullptr);
 
   const CallCounter& counter() const;
   // Null without Limit().
