Take a wish for what is missing; draw the end of a budget request by request

Change: wishes are made absolute when they are taken; the last part of a budget, too small for a request on each host, is not held in stock.

--- a/src/libs/budget/fleet_plan.cc
+++ b/src/libs/budget/fleet_plan.cc
@@ -21,29 +21,34 @@
     return plan;
   }
   const double unspent = std::max(static_cast<double>(demand.unspent), 0.0);
+  // A part of the rest that covers no request is of use to nobody.
+  const double part = unspent * kFleetStockShare * demand.part;
+  const bool ends = part < demand.request;
   const double stock =
-      std::min(std::max(demand.rate * kFleetStockSeconds,
-                        demand.request * kFleetStockRequests),
-               unspent * kFleetStockShare * demand.part);
+      ends ? 0
+           : std::min(std::max(demand.rate * kFleetStockSeconds,
+                               demand.request * kFleetStockRequests),
+                      part);
   const double open =
       std::min(std::max(demand.rate * kFleetOpenSeconds,
                         demand.request * kFleetOpenRequests),
                stock);
+  const std::int64_t slack =
+      demand.needed +
+      static_cast<std::int64_t>(demand.request * kFleetLeastReturn);
   const std::int64_t held = demand.available + demand.unopened;
   plan.draw = std::clamp<std::int64_t>(
       static_cast<std::int64_t>(stock) + demand.needed - held, 0, demand.free);
   plan.open = std::clamp<std::int64_t>(
       static_cast<std::int64_t>(open) + demand.needed - demand.available, 0,
       demand.unopened + plan.draw);
-  plan.keep_open = std::max(
-      static_cast<std::int64_t>(open * kFleetOpenHighFactor) + demand.needed,
-      std::min<std::int64_t>(demand.available,
-                             static_cast<std::int64_t>(demand.request)));
+  plan.keep_open =
+      static_cast<std::int64_t>(open * kFleetOpenHighFactor) + slack;
   const bool is_scarce =
       static_cast<double>(demand.free) < unspent * kFleetScarceShare;
   const std::int64_t most =
-      static_cast<std::int64_t>(stock * kFleetHighFactor) + demand.needed;
-  if (is_scarce && plan.draw == 0)
+      static_cast<std::int64_t>(stock * kFleetHighFactor) + slack;
+  if ((ends || is_scarce) && plan.draw == 0)
     plan.give_back =
         std::clamp<std::int64_t>(held - most, 0, demand.unopened - plan.open);
   const bool draws =
--- a/src/libs/budget/fleet_plan.h
+++ b/src/libs/budget/fleet_plan.h
@@ -24,6 +24,8 @@
 // Share of the unspent tokens that all hosts together hold at most: the rest is
 // for hosts that run short, and is what is left if all lose power at once.
 inline constexpr double kFleetStockShare = 0.6;
+// Part of a usual request's cost that is not worth a write to give back.
+inline constexpr double kFleetLeastReturn = 0.1;
 // Cost that a request is taken to have before the first, as a share of what was
 // paid.
 inline constexpr double kFleetFirstRequest = 0.002;
@@ -83,7 +85,9 @@
 
 // Plans for one budget. Answers the load of hosts that are cut off together for
 // seconds, or killed, while teams go on sending: the stock covers a cut while
-// the budget is full, and shrinks as it ends.
+// the budget is full, and shrinks as it ends. The last tokens of a budget are
+// not scattered over the hosts in parts that cover no request; they are drawn
+// for each request.
 FleetDraw PlanFleetDraw(const FleetDemand& demand);
 
 // Part of the budget's demand that came to `holder`, by what the rows have
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -51,6 +51,7 @@
   asio::awaitable<bool> Sync();
   // Whether the account should be written now. Prepares the write.
   bool Plan();
+  void LogRows();
   void SetReachable(bool now);
   // Opens all that the host holds once it has been out of touch for long.
   void OpenAll();
@@ -76,6 +77,7 @@
   // 0 until the object exists.
   std::uint64_t version = 0;
   FleetHolder holder;
+  std::map<std::string, FleetRow> logged;
   std::map<std::string, Demand> demands;
   std::map<std::string, GrantWish> waiting;
   Reason reason;
@@ -141,8 +143,14 @@
   bool is_due = false;
   context.ledger.With([&](HostLedger& ledger) {
     TakeBills(ledger);
-    for (const GrantWish& it : ledger.TakeWishes())
+    // Wishes name what is missing; here they hold what is needed in all.
+    for (GrantWish it : ledger.TakeWishes()) {
+      const std::int64_t available =
+          std::max<std::int64_t>(ledger.Available(it.budget), 0);
+      it.needed += available;
+      it.smallest += available;
       waiting[it.budget] = it;
+    }
     std::map<std::string, FleetWish> wishes;
     for (const auto& [name, budget] : config->objects->budgets()) {
       const HolderCounters counters = ledger.Counters(name);
@@ -180,10 +188,28 @@
   const std::map<std::string, std::int64_t> granted = holder.Confirm();
   for (const auto& [name, total] : granted)
     context.ledger.Grant(name, total);
-  LogEvent(kLog, Severity::kDebug, "account_written", {{"version", version}});
+  LogRows();
   co_return WriteEnd::kDone;
 }
 
+// One line for each budget whose row changed by this write.
+void AccountKeeper::Private::LogRows() {
+  for (const auto& [name, budget] : holder.known().budgets) {
+    auto row = budget.rows.find(context.ledger_holder());
+    if (row == budget.rows.end() || logged[name] == row->second)
+      continue;
+    logged[name] = row->second;
+    LogEvent(kLog, Severity::kInfo, "account_row",
+             {{"budget", name},
+              {"granted", row->second.granted},
+              {"given_back", row->second.given_back},
+              {"opened", row->second.opened},
+              {"closed", budget.closed},
+              {"spent", budget.Spent()},
+              {"version", version}});
+  }
+}
+
 void AccountKeeper::Private::SetReachable(bool now) {
   reachable = now;
   context.ledger.SetReachable(now);
