Hold newcomers to two requests until they answer; count overdue requests as wait

Nothing is heard of such a target before its first answers, and each host knows only its own requests there. Ruled out: the load of the service as a whole (the others answered in 0.3 s). Change: a target that comes while others are at work takes two requests of a host until one is answered; a request without a first token counts as wait from the time on at which it is overdue. Tests: target_table_test plays both loads; the existing ones stand unchanged.

--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -42,6 +42,9 @@
 // Share of a prefix that the home of its hash is taken to hold.
 inline constexpr double kHomeShare = 0.5;
 
+// Requests from one host at a newcomer that has not answered any yet.
+inline constexpr double kNewcomerInFlight = 2;
+
 // Failures in a row after which a target is ejected.
 inline constexpr int kFailuresToEject = 3;
 // First and longest ejection.
--- a/src/libs/routing/target_group.cc
+++ b/src/libs/routing/target_group.cc
@@ -8,6 +8,8 @@
 namespace turmericwinch {
 
 double Target::Room(TargetHealth::TimePoint now) const {
+  if (is_newcomer && !load.is_proven())
+    return kNewcomerInFlight;
   return std::max(static_cast<double>(most_in_flight) * health.Share(now), 1.0);
 }
 
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -23,11 +23,14 @@
   std::int64_t most_in_flight = 1;
   int tier = 0;
   std::uint64_t id = 0;
+  // It came while other targets of its service were at work.
+  bool is_newcomer = false;
   TargetLoad load{1};
   ConcurrencyLimit limit;
   TargetHealth health;
 
-  // Requests that may be in flight at once.
+  // Requests that may be in flight at once. Few at a newcomer that has not
+  // answered yet: its speed is not known, and all hosts see it at the same time.
   double Room(TargetHealth::TimePoint now) const;
 };
 
--- a/src/libs/routing/target_load.cc
+++ b/src/libs/routing/target_load.cc
@@ -23,16 +23,26 @@
       seconds_per_prompt_token_(seconds_per_token_ /
                                 kPromptTokensPerOutputToken) {}
 
-void TargetLoad::Begin(double prompt) {
+void TargetLoad::Begin(double prompt, TimePoint now) {
   ++in_flight_;
   pending_prompt_ += prompt;
+  waiting_since_.insert(now);
+}
+
+void TargetLoad::StopWaiting(TimePoint sent) {
+  auto it = waiting_since_.find(sent);
+  if (it != waiting_since_.end())
+    waiting_since_.erase(it);
 }
 
 void TargetLoad::FirstToken(double prompt,
                             double ahead,
                             std::chrono::duration<double> elapsed,
+                            TimePoint sent,
                             TimePoint now) {
   pending_prompt_ = std::max(pending_prompt_ - prompt, 0.0);
+  StopWaiting(sent);
+  is_proven_ = true;
   const double seconds = elapsed.count();
   if (ahead >= kLeastPromptForSpeed) {
     const double each = seconds / ahead;
@@ -42,15 +52,17 @@
   }
   const double wait =
       std::max(seconds - ahead * seconds_per_prompt_token_, 0.0);
-  const double aged = WaitSeconds(now);
+  const double aged = LearntWait(now);
   wait_seconds_ = aged + kSpeedWeight * (wait - aged);
   wait_time_ = now;
 }
 
-void TargetLoad::End(double prompt, bool had_first) {
+void TargetLoad::End(double prompt, bool had_first, TimePoint sent) {
   in_flight_ = std::max<std::int64_t>(in_flight_ - 1, 0);
-  if (!had_first)
-    pending_prompt_ = std::max(pending_prompt_ - prompt, 0.0);
+  if (had_first)
+    return;
+  StopWaiting(sent);
+  pending_prompt_ = std::max(pending_prompt_ - prompt, 0.0);
 }
 
 void TargetLoad::NoteTokenTime(std::chrono::duration<double> each) {
@@ -62,10 +74,19 @@
     report_ = report;
 }
 
-double TargetLoad::WaitSeconds(TimePoint now) const {
+double TargetLoad::LearntWait(TimePoint now) const {
   return wait_seconds_ * AgedShare(now - wait_time_, kWaitHalfLife);
 }
 
+double TargetLoad::WaitSeconds(TimePoint now) const {
+  const double learnt = LearntWait(now);
+  if (waiting_since_.empty())
+    return learnt;
+  const std::chrono::duration<double> oldest = now - *waiting_since_.begin();
+  return std::max(learnt,
+                  oldest.count() - pending_prompt_ * seconds_per_prompt_token_);
+}
+
 double TargetLoad::FirstTokenSeconds(double prompt, TimePoint now) const {
   double wait = WaitSeconds(now);
   double ahead = pending_prompt_;
--- a/src/libs/routing/target_load.h
+++ b/src/libs/routing/target_load.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 
 namespace turmericwinch {
 
@@ -25,16 +26,18 @@
   // `tokens_per_second` is what the configuration says of one stream.
   explicit TargetLoad(std::int64_t tokens_per_second);
 
-  // A request of `prompt` uncached tokens was sent.
-  void Begin(double prompt);
-  // Its first token came after `elapsed`; `ahead` is the pending prompt, its
+  // A request of `prompt` uncached tokens was sent at `now`.
+  void Begin(double prompt, TimePoint now);
+  // The first token of the request sent at `sent` came after `elapsed`; `ahead` is the pending prompt, its
   // own included, at the time when it was sent.
   void FirstToken(double prompt,
                   double ahead,
                   std::chrono::duration<double> elapsed,
+                  TimePoint sent,
                   TimePoint now);
-  // It ended. `had_first` is whether FirstToken() was called for it.
-  void End(double prompt, bool had_first);
+  // The request that was sent at `sent` ended. `had_first` is whether
+  // FirstToken() was called for it.
+  void End(double prompt, bool had_first, TimePoint sent);
   // Measured time of one output token.
   void NoteTokenTime(std::chrono::duration<double> each);
   void NoteReport(const LoadReport& report);
@@ -44,8 +47,13 @@
   double FirstTokenSeconds(double prompt, TimePoint now) const;
   // The same and the weighed output.
   double Cost(double prompt, TimePoint now) const;
-  // Learnt wait that is not explained by own requests, aged.
+  // Wait that is not explained by own requests: as learnt, aged, or as long as
+  // the oldest of them is overdue.
   double WaitSeconds(TimePoint now) const;
+  // A request was answered well.
+  void NoteGood() { is_proven_ = true; }
+  // Whether a request has had its first token or a good answer.
+  bool is_proven() const { return is_proven_; }
 
   std::int64_t in_flight() const { return in_flight_; }
   double pending_prompt() const { return pending_prompt_; }
@@ -60,6 +68,12 @@
   double wait_seconds_ = 0;
   TimePoint wait_time_;
   std::optional<LoadReport> report_;
+  bool is_proven_ = false;
+  // When the requests without a first token were sent.
+  std::multiset<TimePoint> waiting_since_;
+
+  double LearntWait(TimePoint now) const;
+  void StopWaiting(TimePoint sent);
 };
 
 }  // namespace turmericwinch
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -58,6 +58,8 @@
         host_hash(Hash64(host)),
         random(host_hash) {}
 
+  // Whether a known target of the service has answered.
+  bool IsAtWork(const std::string& service) const;
   // `hosts` share the targets.
   void IndexGroups(double hosts);
   Target* Find(const TargetChoice& choice);
@@ -84,6 +86,12 @@
   PrefixRecord prefixes;
 };
 
+bool TargetTable::Private::IsAtWork(const std::string& service) const {
+  return std::any_of(targets.begin(), targets.end(), [&](const auto& it) {
+    return it.second.service == service && it.second.load.is_proven();
+  });
+}
+
 void TargetTable::Private::IndexGroups(double hosts) {
   groups.clear();
   for (auto& [name, target] : targets)
@@ -202,7 +210,8 @@
   choice.sample = SampleOf(wish, asking.now);
   choice.service = wish.service;
   choice.team = wish.team;
-  target.load.Begin(prompt);
+  choice.sent = asking.now;
+  target.load.Begin(prompt, asking.now);
   if (!wish.team.empty())
     teams[wish.service].Begin(wish.team);
   if (wish.prefix != 0)
@@ -233,8 +242,10 @@
         known->second.member.incarnation == it.incarnation &&
         known->second.member.address == it.address)
       target = std::move(known->second);
-    else
+    else {
       target.id = d_->next_id++;
+      target.is_newcomer = d_->IsAtWork(target_class->service);
+    }
     target.member = it;
     target.service = target_class->service;
     target.most_in_flight = target_class->most_in_flight;
@@ -293,7 +304,8 @@
                              TimePoint now) {
   Target* target = d_->Find(choice);
   if (target && !choice.had_first) {
-    target->load.FirstToken(choice.prompt, choice.ahead, elapsed, now);
+    target->load.FirstToken(choice.prompt, choice.ahead, elapsed, choice.sent,
+                            now);
     target->limit.FirstToken(choice.sample, elapsed, choice.prompt,
                              choice.in_flight, now);
   }
@@ -309,7 +321,9 @@
   Target* target = d_->Find(choice);
   if (!target)
     return;
-  target->load.End(choice.prompt, choice.had_first);
+  target->load.End(choice.prompt, choice.had_first, choice.sent);
+  if (answer == TargetAnswer::kGood)
+    target->load.NoteGood();
   if (token_time.count() > 0)
     target->load.NoteTokenTime(token_time);
   if (target->health.Note(answer, now) &&
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -44,6 +44,7 @@
   double prompt = 0;
   double ahead = 0;
   bool had_first = false;
+  std::chrono::steady_clock::time_point sent = {};
   std::string service;
   std::string team;
   LimitSample sample = LimitSample::kOnlyTeam;
--- a/tests/routing/target_table_test.cc
+++ b/tests/routing/target_table_test.cc
@@ -2,7 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
+#include <set>
 
 #include "libs/base/digest.h"
 #include "libs/routing/routing_constants.h"
@@ -78,6 +80,62 @@
     CHECK(long_one->name != Choose());
 }
 
+// Load: a target restarts, and every host sends it all that it has, as it shows
+// no work; first tokens took 2.4 s there and 0.3 s elsewhere.
+TEST(TargetTable, ANewcomerIsNotFloodedBeforeItsFirstAnswer) {
+  list.targets = {Member("one"), Member("two")};
+  Update();
+  for (int n = 0; n < 4; ++n)
+    Answer(TargetAnswer::kGood);
+  list.targets.push_back(Member("new"));
+  Update();
+  std::vector<TargetChoice> sent;
+  for (int n = 0; n < 8; ++n)
+    sent.push_back(*table.Begin(wish, {}, kStart, &reason));
+  const auto at_new =
+      std::count_if(sent.begin(), sent.end(),
+                    [](const TargetChoice& it) { return it.name == "new"; });
+  LONGS_EQUAL(kNewcomerInFlight, at_new);
+  auto first =
+      std::find_if(sent.begin(), sent.end(),
+                   [](const TargetChoice& it) { return it.name == "new"; });
+  table.FirstToken(*first, milliseconds(20), kStart + milliseconds(20));
+  STRCMP_EQUAL("new", Choose(kStart + milliseconds(20)).c_str());
+}
+
+// Load: a target goes dark or slow with requests at it; nothing is heard of it.
+TEST(TargetTable, ATargetWithAnOverdueRequestIsAvoided) {
+  list.targets = {Member("one"), Member("two")};
+  Update();
+  const TargetWish long_wish{"llm", 4'000};
+  auto overdue = table.Begin(long_wish, {}, kStart, &reason);
+  const auto later = kStart + milliseconds(3'000);
+  for (int n = 0; n < 4; ++n) {
+    auto choice = table.Begin(wish, {}, later, &reason);
+    CHECK(choice->name != overdue->name);
+  }
+  table.End(*overdue, TargetAnswer::kGood, {}, later);
+  STRCMP_EQUAL(overdue->name.c_str(), Choose(later).c_str());
+}
+
+TEST(TargetTable, TargetsOfNearDomainsAreWeighedWithTheOwn) {
+  ConfigSet set;
+  auto add = [&](ConfigKind kind, const char* name, const char* fields) {
+    set.Add({kind, name, boost::json::parse(fields).as_object(), ""});
+  };
+  add(ConfigKind::kFailureDomain, "a", R"({"near":["b"]})");
+  add(ConfigKind::kTargetClass, "fast",
+      R"({"service":"llm","tokens_per_second":80,"most_in_flight":64})");
+  config = ConfigSnapshot(1, "digest", set);
+  list.targets = {Member("own", "a"), Member("near", "b")};
+  Update();
+  STRCMP_EQUAL("own", Choose().c_str());
+  std::set<std::string> names;
+  for (int n = 0; n < 8; ++n)
+    names.insert(Choose());
+  LONGS_EQUAL(2, names.size());
+}
+
 TEST(TargetTable, PrefixGoesWhereItWasSent) {
   for (int n = 0; n < 20; ++n)
     list.targets.push_back(Member("t" + std::to_string(n)));
