--- /dev/null
+++ b/tests/adapter/config_decoder_test.cc
@@ -0,0 +1,86 @@
+#include "platform/config_decoder.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libs/base/digest.h"
+
+namespace turmericwinch::platform {
+
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,"new_field":{},
+ "routes":[
+  {"name":"r1","host":"A.example","path_prefix":"/x/","type":"streaming",
+   "timeout_ms":12000,"slo_ms":300,"priority":2,"service":"llm",
+   "max_attempts":2,"public":false,"resumable":true},
+  {"name":"r2","host":"a.example","path_prefix":"/y/","type":"streaming",
+   "timeout_ms":4000.5,"split":[{"service":"llm","weight":90},
+   {"service":"app","weight":10}],"resumable":false},
+  {"name":"r3","host":"a.example","path_prefix":"/z/","type":"idempotent",
+   "service":"app","public":true},
+  {"name":"r4","host":"a.example","path_prefix":"/w/","type":"unheard-of",
+   "service":"app"}],
+ "services":[
+  {"name":"llm","max_conns":370,"engine":{"slots":24,"stride":6}},
+  {"name":"app","max_conns":110}],
+ "limits":{"max_header_bytes":1000,"max_body_bytes":2000,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"prepaid":500},
+  {"name":"t2","api_keys":["k3"]}]})";
+
+}  // namespace
+
+TEST_GROUP(ConfigDecoder) {
+  Reason reason;
+
+  std::optional<GatewayConfig> Decode(std::string_view text) {
+    return DecodeConfig(text, {"a", "b"}, &reason);
+  }
+};
+
+TEST(ConfigDecoder, AllNamesBecomeTypedValues) {
+  const auto config = Decode(kConfig);
+  CHECK(config.has_value());
+  LONGS_EQUAL(7, config->version);
+  const PathRoute* route = config->routes.Find("a.example", "/x/1");
+  CHECK(route != nullptr);
+  CHECK(route->kind == RouteKind::kStreamResumable);
+  LONGS_EQUAL(12'000, route->timeout.count());
+  LONGS_EQUAL(300, route->first_goal.count());
+  LONGS_EQUAL(2, route->rank);
+  LONGS_EQUAL(2, route->most_attempts);
+  CHECK(!route->is_public);
+  const PathRoute* split = config->routes.Find("a.example", "/y/1");
+  CHECK(split->kind == RouteKind::kStreamOnce);
+  LONGS_EQUAL(4'000, split->timeout.count());
+  LONGS_EQUAL(2, split->shares.size());
+  LONGS_EQUAL(1, split->most_attempts);
+  CHECK(config->routes.Find("a.example", "/z/")->is_public);
+  LONGS_EQUAL(6, config->tokens_per_event.at("llm"));
+  LONGS_EQUAL(15'000, config->limits.idle_timeout.count());
+  LONGS_EQUAL(1'000, config->limits.most_header_bytes);
+  const ConfigSnapshot& objects = *config->objects;
+  STRCMP_EQUAL("t1", objects.TeamOfKeyHash(Sha256Hex("k2"))->name.c_str());
+  CHECK(objects.TeamOfKeyHash(Sha256Hex("k9")) == nullptr);
+  LONGS_EQUAL(500, objects.budgets().at("t1").tokens);
+  LONGS_EQUAL(0, objects.budgets().count("t2"));
+  LONGS_EQUAL(24, objects.TargetClass("llm")->most_in_flight);
+  LONGS_EQUAL(1, objects.FailureDomain("a")->near.size());
+}
+
+// A route of a type that is not known here must not run twice.
+TEST(ConfigDecoder, AnUnknownTypeIsNotRepeated) {
+  CHECK(Decode(kConfig)->routes.Find("a.example", "/w/")->kind ==
+        RouteKind::kOnce);
+}
+
+TEST(ConfigDecoder, WhatIsNoConfigurationIsRefused) {
+  const char* texts[] = {"", "[]", "null", "{}", R"({"version":"7"})",
+                         R"({"version":0})", R"({"version":-1})"};
+  for (const char* it : texts) {
+    CHECK(!Decode(it).has_value());
+    CHECK(reason.code == ResultCode::kConfigInvalid);
+  }
+}
+
+}  // namespace turmericwinch::platform
--- /dev/null
+++ b/tests/adapter/edge_dialect_test.cc
@@ -0,0 +1,202 @@
+#include "platform/edge_dialect.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace turmericwinch::platform {
+
+namespace {
+
+HttpRequest Request(
+    std::initializer_list<std::pair<std::string, std::string>> fields) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/app/1?q=2";
+  request.body = "body";
+  for (const auto& [name, value] : fields)
+    request.headers.Add(name, value);
+  return request;
+}
+
+HttpHeaders Headers(
+    std::initializer_list<std::pair<std::string, std::string>> fields) {
+  HttpHeaders headers;
+  for (const auto& [name, value] : fields)
+    headers.Add(name, value);
+  return headers;
+}
+
+}  // namespace
+
+TEST_GROUP(EdgeDialect) {
+  GatewayDialect dialect = MakeEdgeDialect();
+  Reason reason;
+};
+
+TEST(EdgeDialect, ARequestIsDecodedOnce) {
+  const auto call = dialect.decode(
+      Request({{"Host", "a.example"},
+               {"turmericwinch-attempt-id", "id1"},
+               {"Turmericwinch-Token-Count", "1460, 80"},
+               {"Turmericwinch-Prefix-Hash", "5c1e07a2:800,ff:410"},
+               {"Turmericwinch-Deadline-Ms", "5000"},
+               {"Last-Event-Id", "7"},
+               {"Authorization", "Token secret"}}),
+      &reason);
+  CHECK(call.has_value());
+  STRCMP_EQUAL("id1", call->id.c_str());
+  STRCMP_EQUAL("a.example", call->host.c_str());
+  STRCMP_EQUAL("/app/1", call->path.c_str());
+  STRCMP_EQUAL("secret", call->key.c_str());
+  LONGS_EQUAL(1540, call->tokens->Sum());
+  LONGS_EQUAL(2, call->parts.size());
+  LONGS_EQUAL(0xff, call->parts[1].id);
+  LONGS_EQUAL(410, call->parts[1].tokens);
+  LONGS_EQUAL(5000, call->time_left->count());
+  LONGS_EQUAL(7, *call->after_event);
+}
+
+TEST(EdgeDialect, FaultyFieldsAreTakenForAbsent) {
+  const char* counts[] = {"", "12", "a,b", "-1,5", "1,", "1,2,3"};
+  for (const char* it : counts) {
+    const auto call = dialect.decode(
+        Request({{"Turmericwinch-Attempt-Id", "x"},
+                 {"Turmericwinch-Token-Count", it},
+                 {"Turmericwinch-Deadline-Ms", "soon"}}),
+        &reason);
+    CHECK(!call->tokens.has_value());
+    CHECK(!call->time_left.has_value());
+  }
+}
+
+TEST(EdgeDialect, ARequestWithoutAnIdIsRefused) {
+  CHECK(!dialect.decode(Request({{"Host", "a"}}), &reason).has_value());
+  CHECK(reason.code == ResultCode::kBadRequest);
+}
+
+TEST(EdgeDialect, TargetsGetTheTeamAndNeitherTheKeyNorTheCallersOwnOrders) {
+  const char* dropped[] = {
+      "Authorization",
+      "Connection",
+      "X-Hop",
+      "Keep-Alive",
+      "Transfer-Encoding",
+      "Turmericwinch-Cache-Retain",
+      "Turmericwinch-Pin-Ttl-Ms",
+      "Turmericwinch-Kv-Backup",
+      "Turmericwinch-Not-Executed",
+      "Kv-From",
+      "Kv-Fetch",
+  };
+  HttpRequest request = Request({{"Host", "a.example"},
+                                 {"Turmericwinch-Attempt-Id", "id1"},
+                                 {"Turmericwinch-Model", "m"},
+                                 {"Turmericwinch-Length-Hint", "30"},
+                                 {"Turmericwinch-Tenant", "forged"},
+                                 {"Turmericwinch-Target-Instance", "forged"},
+                                 {"Turmericwinch-Request-Priority", "0"},
+                                 {"Turmericwinch-Deadline-Ms", "5000"}});
+  for (const char* it : dropped)
+    request.headers.Add(it, std::string(it) == "Connection" ? "X-Hop" : "v");
+  TargetOrder order;
+  order.target = "i-1";
+  order.team = "team";
+  order.time_left = std::chrono::milliseconds(900);
+  order.rank = 12;
+  const HttpRequest out = dialect.encode(request, order);
+  for (const char* it : dropped)
+    CHECK(!out.headers.Has(it));
+  STRCMP_EQUAL("/app/1?q=2", out.target.c_str());
+  STRCMP_EQUAL("body", out.body.c_str());
+  struct Case {
+    const char* name;
+    const char* value;
+  };
+  const Case kept[] = {
+      {"Host", "a.example"},
+      {"Turmericwinch-Attempt-Id", "id1"},
+      {"Turmericwinch-Model", "m"},
+      {"Turmericwinch-Length-Hint", "30"},
+      {"Turmericwinch-Tenant", "team"},
+      {"Turmericwinch-Target-Instance", "i-1"},
+      {"Turmericwinch-Request-Priority", "9"},
+      {"Turmericwinch-Deadline-Ms", "900"},
+  };
+  for (const Case& it : kept)
+    STRCMP_EQUAL(it.value, std::string(out.headers.Get(it.name)).c_str());
+  LONGS_EQUAL(std::size(kept), out.headers.fields().size());
+}
+
+TEST(EdgeDialect, OnlyWhatATargetSignedIsItsSuccess) {
+  struct Case {
+    int status;
+    HttpHeaders headers;
+    HeadVerdict verdict;
+  };
+  const std::pair<std::string, std::string> id{"Turmericwinch-Attempt-Id", "x"};
+  const std::pair<std::string, std::string> mac{
+      "Turmericwinch-Response-Signature", "s"};
+  const Case cases[] = {
+      {200, Headers({id, mac}), HeadVerdict::kAnswer},
+      {200, Headers({id}), HeadVerdict::kForeign},
+      {200, Headers({mac}), HeadVerdict::kForeign},
+      {200, Headers({id, mac, {"Content-Encoding", "gzip"}}),
+       HeadVerdict::kForeign},
+      {500, Headers({id, mac}), HeadVerdict::kAnswer},
+      {500, Headers({}), HeadVerdict::kAnswer},
+      {503, Headers({id}), HeadVerdict::kAnswer},
+      {503, Headers({{"Turmericwinch-Not-Executed", "1"}}),
+       HeadVerdict::kNotRun},
+      {400, Headers({{"Turmericwinch-Not-Executed", "1"}}),
+       HeadVerdict::kNotRun},
+      {421, Headers({}), HeadVerdict::kOtherTarget},
+  };
+  for (const Case& it : cases)
+    CHECK(it.verdict == dialect.judge(it.status, it.headers));
+}
+
+TEST(EdgeDialect, ARefusalPromisesNotRunOnlyIfThatIsTrue) {
+  struct Case {
+    ResultCode code;
+    bool may_have_run;
+    int status;
+  };
+  const Case cases[] = {
+      {ResultCode::kOverloaded, false, 503},
+      {ResultCode::kNoTarget, false, 503},
+      {ResultCode::kNoConfig, false, 503},
+      {ResultCode::kTargetFailed, false, 503},
+      {ResultCode::kTargetTimeout, false, 503},
+      {ResultCode::kBudgetUnreachable, false, 503},
+      {ResultCode::kBudgetExhausted, false, 402},
+      {ResultCode::kUnauthorized, false, 401},
+      {ResultCode::kNotFound, false, 404},
+      {ResultCode::kBadRequest, false, 400},
+      {ResultCode::kOverloaded, true, 502},
+      {ResultCode::kTargetFailed, true, 502},
+      {ResultCode::kTargetTimeout, true, 504},
+  };
+  GatewayCall call;
+  call.id = "id1";
+  for (const Case& it : cases) {
+    const HttpResponse response =
+        dialect.refuse(&call, {it.code, ""}, it.may_have_run,
+                       std::chrono::milliseconds(50));
+    LONGS_EQUAL(it.status, response.status);
+    CHECK((response.status == 503) == response.headers.Has("Retry-After"));
+  }
+}
+
+TEST(EdgeDialect, ToldLoadIsReadOnlyIfItIsWhole) {
+  const auto load =
+      dialect.load(Headers({{"Turmericwinch-Server-Load", "3,1,8"}}));
+  LONGS_EQUAL(3, load->running);
+  LONGS_EQUAL(1, load->waiting);
+  LONGS_EQUAL(8, load->slots);
+  const char* faulty[] = {"", "3", "3,1", "3,1,8,9", "a,b,c", "-1,0,8"};
+  for (const char* it : faulty) {
+    CHECK(!dialect.load(Headers({{"Turmericwinch-Server-Load", it}}))
+               .has_value());
+  }
+}
+
+}  // namespace turmericwinch::platform
--- /dev/null
+++ b/tests/adapter/gateway_call_test.cc
@@ -0,0 +1,334 @@
+#include "libs/gateway/gateway_call_runner.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include "libs/http/http_client.h"
+#include "libs/http/http_server.h"
+#include "platform/config_decoder.h"
+#include "platform/edge_dialect.h"
+#include "support/run_coroutine.h"
+
+namespace turmericwinch::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr char kConfig[] = R"({"version":1,"routes":[
+ {"name":"once","host":"h","path_prefix":"/once/","type":"non_idempotent",
+  "service":"app","max_attempts":2,"timeout_ms":2000},
+ {"name":"again","host":"h","path_prefix":"/again/","type":"idempotent",
+  "service":"app","max_attempts":2,"timeout_ms":2000},
+ {"name":"stream","host":"h","path_prefix":"/stream/","type":"streaming",
+  "service":"app","max_attempts":2,"resumable":true,"timeout_ms":2000},
+ {"name":"fixed","host":"h","path_prefix":"/fixed/","type":"streaming",
+  "service":"app","max_attempts":2,"resumable":false,"timeout_ms":2000}],
+ "services":[{"name":"app"}],
+ "tenants":[{"name":"team","api_keys":["key"],"prepaid":1000}]})";
+
+// How a target treats a request.
+enum class Deed {
+  kAnswer,
+  kFail,
+  kClose,
+  kNotRun,
+  kOtherTarget,
+  kUnsigned,
+  kForeignId,
+  kStream,
+  // Two events, half of a third, and the connection closes.
+  kCutStream,
+};
+
+std::string EventText(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+// A target that does the next deed with each request, then answers.
+class ScriptedTarget {
+ public:
+  ScriptedTarget(asio::io_context& context, std::vector<Deed>& script)
+      : script_(script),
+        server_({&context},
+                {kHttpMostBodyBytes, 16},
+                [this](const HttpRequest& request, HttpExchange& exchange) {
+                  return Handle(request, exchange);
+                }),
+        endpoint(*server_.Listen({asio::ip::make_address("127.0.0.1"), 0},
+                                 nullptr)) {}
+
+  std::vector<HttpRequest> requests;
+
+ private:
+  asio::awaitable<void> Handle(const HttpRequest& request,
+                               HttpExchange& exchange) {
+    requests.push_back(request);
+    Deed deed = Deed::kAnswer;
+    if (!script_.empty()) {
+      deed = script_.front();
+      script_.erase(script_.begin());
+    }
+    HttpResponse response;
+    response.headers.Add("Turmericwinch-Attempt-Id",
+                         deed == Deed::kForeignId
+                             ? "another"
+                             : std::string(request.headers.Get(
+                                   "Turmericwinch-Attempt-Id")));
+    if (deed != Deed::kUnsigned)
+      response.headers.Add("Turmericwinch-Response-Signature", "mac");
+    response.body = "whole";
+    switch (deed) {
+      case Deed::kClose:
+        exchange.Abort();
+        co_return;
+      case Deed::kFail:
+        response.status = 500;
+        break;
+      case Deed::kNotRun:
+        response.status = 503;
+        response.headers.Add("Turmericwinch-Not-Executed", "1");
+        break;
+      case Deed::kOtherTarget:
+        response.status = 421;
+        break;
+      case Deed::kStream:
+      case Deed::kCutStream: {
+        const std::string after(request.headers.Get("Last-Event-Id"));
+        const int first = after.empty() ? 1 : std::stoi(after) + 1;
+        const int last = deed == Deed::kCutStream ? first + 1 : 5;
+        exchange.StartStream(200, response.headers);
+        for (int n = first; n <= last; ++n)
+          co_await exchange.Write(EventText(n));
+        if (deed == Deed::kStream) {
+          co_await exchange.EndStream();
+        } else {
+          co_await exchange.Write("id: 9\nda");
+          exchange.Abort();
+        }
+        co_return;
+      }
+      default:
+        break;
+    }
+    co_await exchange.Send(response);
+  }
+
+  std::vector<Deed>& script_;
+  HttpServer server_;
+
+ public:
+  asio::ip::tcp::endpoint endpoint;
+};
+
+GatewaySettings Settings() {
+  GatewaySettings settings;
+  settings.host = "host";
+  settings.failure_domain = "a";
+  settings.retry_ratio = 0.2;
+  settings.retry_slack = 500;
+  return settings;
+}
+
+}  // namespace
+
+TEST_GROUP(GatewayCall) {
+  GatewayContext context{Settings(), MakeEdgeDialect()};
+  std::vector<Deed> script;
+  ScriptedTarget one{context.traffic, script};
+  ScriptedTarget two{context.traffic, script};
+  HttpServer gateway{{&context.traffic},
+                     {kHttpMostBodyBytes, 16},
+                     [this](const HttpRequest& request,
+                            HttpExchange& exchange) {
+                       return RunGatewayCall(context, request, exchange);
+                     }};
+  asio::ip::tcp::endpoint address =
+      *gateway.Listen({asio::ip::make_address("127.0.0.1"), 0}, nullptr);
+  HttpClient caller{context.traffic};
+  HttpFailure failure;
+
+  void setup() override {
+    Reason reason;
+    auto config = DecodeConfig(kConfig, {"a"}, &reason);
+    HostList list;
+    list.targets = {
+        {"i-1", "a", ToText(one.endpoint), "1", "app", false},
+        {"i-2", "a", ToText(two.endpoint), "1", "app", false},
+    };
+    context.targets.Update(list, *config->objects);
+    context.ledger.Grant("team", 500);
+    context.config.Set(
+        std::make_shared<const GatewayConfig>(std::move(*config)));
+  }
+
+  HttpRequest Request(const std::string& path) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = path;
+    request.body = "question";
+    request.headers.Add("Host", "h");
+    request.headers.Add("Turmericwinch-Attempt-Id", "id1");
+    request.headers.Add("Authorization", "Token key");
+    return request;
+  }
+
+  std::optional<HttpResponse> Call(const HttpRequest& request) {
+    return RunCoroutine(context.traffic,
+                        caller.Call(address, request, HttpTimeouts(), &failure));
+  }
+
+  int StatusOf(const std::string& path) {
+    const auto response = Call(Request(path));
+    return response ? response->status : 0;
+  }
+
+  std::size_t Runs() const {
+    return one.requests.size() + two.requests.size();
+  }
+
+  std::int64_t Available() {
+    std::int64_t available = 0;
+    context.ledger.With([&](HostLedger& ledger) {
+      available = ledger.Available("team");
+    });
+    return available;
+  }
+};
+
+// What is answered, and how many targets got the request, by what the first
+// ones do with it.
+TEST(GatewayCall, WhatMayNotRunTwiceDoesNot) {
+  struct Case {
+    const char* path;
+    std::vector<Deed> script;
+    int status;
+    std::size_t runs;
+  };
+  const Case cases[] = {
+      {"/once/1", {}, 200, 1},
+      {"/once/1", {Deed::kFail}, 500, 1},
+      {"/once/1", {Deed::kClose}, 502, 1},
+      {"/once/1", {Deed::kUnsigned}, 502, 1},
+      {"/once/1", {Deed::kNotRun}, 200, 2},
+      {"/once/1", {Deed::kOtherTarget}, 200, 2},
+      {"/once/1", {Deed::kNotRun, Deed::kNotRun}, 503, 2},
+      {"/once/1", {Deed::kNotRun, Deed::kClose}, 502, 2},
+      {"/again/1", {Deed::kClose}, 200, 2},
+      {"/again/1", {Deed::kFail}, 200, 2},
+      {"/again/1", {Deed::kFail, Deed::kFail}, 500, 2},
+      {"/again/1", {Deed::kClose, Deed::kClose}, 502, 2},
+      {"/again/1", {Deed::kClose, Deed::kNotRun}, 502, 2},
+      {"/fixed/1", {Deed::kClose}, 502, 1},
+      {"/stream/1", {Deed::kClose, Deed::kStream}, 200, 2},
+      {"/none/1", {}, 404, 0},
+  };
+  for (const Case& it : cases) {
+    script = it.script;
+    const std::size_t before = Runs();
+    LONGS_EQUAL(it.status, StatusOf(it.path));
+    LONGS_EQUAL(it.runs, Runs() - before);
+  }
+}
+
+TEST(GatewayCall, AStreamGoesOnAtAnotherTargetWithoutAGap) {
+  script = {Deed::kCutStream, Deed::kStream};
+  const auto response = Call(Request("/stream/1"));
+  CHECK(response.has_value());
+  std::string expected;
+  for (int n = 1; n <= 5; ++n)
+    expected += EventText(n);
+  STRCMP_EQUAL(expected.c_str(), response->body.c_str());
+  LONGS_EQUAL(1, one.requests.size());
+  LONGS_EQUAL(1, two.requests.size());
+}
+
+TEST(GatewayCall, AStreamThatMayNotBeResumedDoesNotLookComplete) {
+  script = {Deed::kCutStream, Deed::kStream};
+  CHECK(!Call(Request("/fixed/1")).has_value());
+  LONGS_EQUAL(1, Runs());
+}
+
+TEST(GatewayCall, AnAnswerToAnotherRequestIsSkipped) {
+  script = {Deed::kForeignId};
+  HttpRequest request = Request("/again/1");
+  request.headers.Add("Turmericwinch-Deadline-Ms", "300");
+  const auto response = Call(request);
+  CHECK(response->status != 200);
+}
+
+TEST(GatewayCall, KeysRoutesAndConfigurationAreCheckedBeforeAnythingRuns) {
+  HttpRequest request = Request("/once/1");
+  request.headers = HttpHeaders();
+  request.headers.Add("Host", "h");
+  request.headers.Add("Turmericwinch-Attempt-Id", "id1");
+  LONGS_EQUAL(401, Call(request)->status);
+  context.config.Set(nullptr);
+  const auto response = Call(Request("/once/1"));
+  LONGS_EQUAL(503, response->status);
+  CHECK(response->headers.Has("Retry-After"));
+  LONGS_EQUAL(0, Runs());
+}
+
+TEST(GatewayCall, TokensAreChargedForWhatRanAndFreedForWhatDidNot) {
+  HttpRequest request = Request("/stream/1");
+  request.headers.Add("Turmericwinch-Token-Count", "100,50");
+  script = {Deed::kNotRun, Deed::kNotRun};
+  LONGS_EQUAL(503, Call(request)->status);
+  LONGS_EQUAL(500, Available());
+  script = {Deed::kStream};
+  LONGS_EQUAL(200, Call(request)->status);
+  LONGS_EQUAL(500 - 100 - 5, Available());
+  script = {Deed::kClose, Deed::kClose};
+  LONGS_EQUAL(502, Call(request)->status);
+  LONGS_EQUAL(395 - 100, Available());
+}
+
+TEST(GatewayCall, WithoutTokensARequestIsRefusedAndToldToComeBack) {
+  context.ledger.SetReachable(false);
+  HttpRequest request = Request("/stream/1");
+  request.headers.Add("Turmericwinch-Token-Count", "490,50");
+  const auto response = Call(request);
+  LONGS_EQUAL(503, response->status);
+  CHECK(response->headers.Has("Retry-After"));
+  LONGS_EQUAL(0, Runs());
+}
+
+TEST(GatewayCall, ACallerThatLeavesEndsTheRunAtItsTarget) {
+  asio::ip::tcp::acceptor silent(
+      context.traffic, {asio::ip::make_address("127.0.0.1"), 0});
+  Reason reason;
+  auto config = DecodeConfig(kConfig, {"a"}, &reason);
+  HostList list;
+  list.targets = {
+      {"i-3", "a", ToText(silent.local_endpoint()), "1", "app", false}};
+  context.targets.Update(list, *config->objects);
+  const bool ended = RunCoroutine(
+      context.traffic, [&]() -> asio::awaitable<bool> {
+        asio::ip::tcp::socket socket(context.traffic);
+        co_await socket.async_connect(address, asio::use_awaitable);
+        const std::string text =
+            "GET /once/1 HTTP/1.1\r\nHost: h\r\nTurmericwinch-Attempt-Id: x\r\n"
+            "Authorization: Token key\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(text),
+                                   asio::use_awaitable);
+        asio::ip::tcp::socket target =
+            co_await silent.async_accept(asio::use_awaitable);
+        char buf[4096];
+        co_await target.async_read_some(asio::buffer(buf), asio::use_awaitable);
+        socket.close();
+        // Ends only when the gateway closes its connection.
+        for (;;) {
+          auto [ec, n] = co_await target.async_read_some(
+              asio::buffer(buf), asio::as_tuple(asio::use_awaitable));
+          if (ec)
+            co_return true;
+        }
+      }());
+  CHECK(ended);
+}
+
+}  // namespace turmericwinch::platform
--- /dev/null
+++ b/tests/adapter/store_client_test.cc
@@ -0,0 +1,208 @@
+#include "platform/store_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio.hpp>
+
+#include "libs/http/http_server.h"
+#include "libs/routing/host_list_change.h"
+#include "support/run_coroutine.h"
+
+namespace turmericwinch::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr PlatformRates kRates{100'000, 100'000};
+
+// Answers each call with the next scripted response, and keeps the calls. A
+// status of 0 closes the connection without an answer.
+class ScriptedStore {
+ public:
+  explicit ScriptedStore(asio::io_context& context)
+      : server_({&context},
+                {kHttpMostBodyBytes, 16},
+                [this](const HttpRequest& request, HttpExchange& exchange) {
+                  return Handle(request, exchange);
+                }),
+        endpoint(*server_.Listen({asio::ip::make_address("127.0.0.1"), 0},
+                                 nullptr)) {}
+
+  void Add(int status, std::string body) {
+    script_.emplace_back(status, std::move(body));
+  }
+
+  std::vector<std::string> calls;
+  std::vector<std::string> bodies;
+
+ private:
+  asio::awaitable<void> Handle(const HttpRequest& request,
+                               HttpExchange& exchange) {
+    calls.push_back(request.method + " " + request.target);
+    bodies.push_back(request.body);
+    std::pair<int, std::string> next{500, ""};
+    if (!script_.empty()) {
+      next = script_.front();
+      script_.erase(script_.begin());
+    }
+    if (next.first == 0) {
+      exchange.Abort();
+      co_return;
+    }
+    const HttpResponse response = JsonResponse(next.first, next.second);
+    co_await exchange.Send(response);
+  }
+
+  std::vector<std::pair<int, std::string>> script_;
+  HttpServer server_;
+
+ public:
+  asio::ip::tcp::endpoint endpoint;
+};
+
+std::string Object(const std::string& name, int revision,
+                   const std::string& spec) {
+  return R"({"metadata":{"name":")" + name + R"(","revision":)" +
+         std::to_string(revision) + R"(},"spec":)" + spec + R"(,"status":null})";
+}
+
+std::string Target(const std::string& zone) {
+  return R"({"service":"llm","address":"10.0.0.1:1","zone":")" + zone +
+         R"(","state":"ready","born":5})";
+}
+
+}  // namespace
+
+TEST_GROUP(StoreClient) {
+  asio::io_context context{1};
+  ScriptedStore store{context};
+  StoreClient client{context, store.endpoint, kRates, 1};
+  Reason reason;
+
+  template <typename T>
+  T Run(asio::awaitable<T> coroutine) {
+    return RunCoroutine(context, std::move(coroutine));
+  }
+};
+
+TEST(StoreClient, TheProductsObjectsHaveAKindOfTheirOwn) {
+  store.Add(200, Object("account", 12, R"({"a":1})"));
+  const auto object =
+      Run(client.Get(PlatformDuty::kBudget, "account", &reason));
+  LONGS_EQUAL(12, object->version);
+  STRCMP_EQUAL(R"({"a":1})", object->value.c_str());
+  STRCMP_EQUAL("GET /api/objects/turmericwinch/account",
+               store.calls[0].c_str());
+}
+
+TEST(StoreClient, WritesAreConditionalOnTheRevision) {
+  store.Add(200, Object("account", 13, "1"));
+  const auto version = Run(
+      client.Update(PlatformDuty::kBudget, {"account", 12, "1"}, &reason));
+  LONGS_EQUAL(13, *version);
+  STRCMP_EQUAL("PUT /api/objects/turmericwinch/account",
+               store.calls[0].c_str());
+  CHECK(store.bodies[0].find(R"("revision":12)") != std::string::npos);
+}
+
+TEST(StoreClient, AConflictShowsTheObjectWithoutAnotherCall) {
+  store.Add(409, Object("account", 20, R"("theirs")"));
+  CHECK(!Run(client.Update(PlatformDuty::kBudget, {"account", 12, "1"},
+                           &reason)));
+  CHECK(reason.code == ResultCode::kPlatformConflict);
+  const auto object =
+      Run(client.Get(PlatformDuty::kBudget, "account", &reason));
+  LONGS_EQUAL(20, object->version);
+  STRCMP_EQUAL(R"("theirs")", object->value.c_str());
+  LONGS_EQUAL(1, store.calls.size());
+}
+
+TEST(StoreClient, FailuresOfAWriteSayWhetherItMayHaveTakenEffect) {
+  struct Case {
+    int status;
+    ResultCode code;
+  };
+  const Case cases[] = {
+      {0, ResultCode::kPlatformUnknown},
+      {200, ResultCode::kPlatformUnknown},  // a body that is no object
+      {404, ResultCode::kPlatformNotFound},
+      {409, ResultCode::kPlatformConflict},
+      {429, ResultCode::kPlatformUnavailable},
+      {500, ResultCode::kPlatformUnknown},
+      {400, ResultCode::kPlatformRejected},
+  };
+  for (const Case& it : cases) {
+    asio::io_context own{1};
+    ScriptedStore fresh(own);
+    StoreClient one(own, fresh.endpoint, kRates, 1);
+    fresh.Add(it.status, "garbage");
+    CHECK(!RunCoroutine(own, one.Update(PlatformDuty::kBudget,
+                                        {"account", 12, "1"}, &reason)));
+    CHECK(it.code == reason.code);
+  }
+}
+
+TEST(StoreClient, AWatchListsFirstAndGoesOnFromTheRevision) {
+  store.Add(200, R"({"items":[)" + Object("main", 5, "1") +
+                     R"(],"has_more":false,"at":9})");
+  store.Add(200, R"({"events":[{"deleted":false,"object":)" +
+                     Object("main", 12, "2") + R"(}],"at":12})");
+  store.Add(200, R"({"events":[],"at":15})");
+  const milliseconds wait(10);
+  const auto first = Run(
+      client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
+  LONGS_EQUAL(5, first->version);
+  const auto second = Run(
+      client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
+  STRCMP_EQUAL("2", second->value.c_str());
+  STRCMP_EQUAL("GET /api/objects/config?watch=9&wait_ms=10",
+               store.calls[1].c_str());
+  CHECK(!Run(
+      client.Watch(PlatformDuty::kConfig, "config/main", 12, wait, &reason)));
+  CHECK(reason.code == ResultCode::kPlatformNotFound);
+}
+
+TEST(StoreClient, AForgottenHistoryIsReadAnew) {
+  store.Add(200, R"({"items":[)" + Object("main", 5, "1") +
+                     R"(],"has_more":false,"at":9})");
+  store.Add(410, "{}");
+  store.Add(200, R"({"items":[)" + Object("main", 30, "3") +
+                     R"(],"has_more":false,"at":31})");
+  const milliseconds wait(10);
+  Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
+  const auto object = Run(
+      client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
+  LONGS_EQUAL(30, object->version);
+  LONGS_EQUAL(3, store.calls.size());
+}
+
+TEST(StoreClient, TargetsAreListedOverAllPagesAndThenWatched) {
+  store.Add(200, R"({"items":[)" + Object("i-1", 5, Target("a")) + "," +
+                     Object("odd", 6, R"("other")") + "," +
+                     Object("i-2", 7, Target("b")) +
+                     R"(],"has_more":true,"at":9})");
+  store.Add(200, R"({"items":[)" + Object("i-3", 8, Target("a")) +
+                     R"(],"has_more":false,"at":11})");
+  store.Add(200, R"({"events":[{"deleted":true,"object":)" +
+                     Object("i-1", 12, "null") +
+                     R"(},{"deleted":false,"object":)" +
+                     Object("i-2", 13, R"({"state":"odd"})") +
+                     R"(}],"at":13})");
+  const auto whole = Run(client.HostsSince(0, milliseconds(0), &reason));
+  CHECK(whole->is_whole);
+  LONGS_EQUAL(9, whole->version);
+  STRCMP_EQUAL("GET /api/objects/servers?since_revision=i-2",
+               store.calls[1].c_str());
+  LONGS_EQUAL(3, HostListOf(whole->text, &reason)->targets.size());
+  const auto next = Run(client.HostsSince(9, milliseconds(10), &reason));
+  CHECK(!next->is_whole);
+  const auto changes = HostListChangesOf(next->text, &reason);
+  LONGS_EQUAL(2, changes->size());
+  CHECK((*changes)[0].gone);
+  // An entry that names no target any more is gone too.
+  CHECK((*changes)[1].gone);
+}
+
+}  // namespace turmericwinch::platform
--- /dev/null
+++ b/tests/adapter/target_decoder_test.cc
@@ -0,0 +1,41 @@
+#include "platform/target_decoder.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/json/parse.hpp>
+
+namespace turmericwinch::platform {
+
+TEST_GROUP(TargetDecoder) {
+  std::optional<ListedMember> Decode(const char* text) {
+    return DecodeTarget("i-1", boost::json::parse(text).as_object());
+  }
+};
+
+TEST(TargetDecoder, AnEntryBecomesATarget) {
+  const auto target = Decode(
+      R"({"service":"llm","address":"10.1.0.9:80","zone":"a","version":"v1",
+          "slots":64,"state":"draining","born":1700000000123,"sequence":4})");
+  CHECK(target.has_value());
+  STRCMP_EQUAL("i-1", target->name.c_str());
+  STRCMP_EQUAL("llm", target->target_class.c_str());
+  STRCMP_EQUAL("a", target->failure_domain.c_str());
+  STRCMP_EQUAL("1700000000123", target->incarnation.c_str());
+  CHECK(target->leaving);
+}
+
+TEST(TargetDecoder, EntriesOfOtherWritersNameNoTarget) {
+  const char* entries[] = {
+      "{}",
+      R"({"service":1,"address":"10.1.0.9:80","zone":"a","state":"ready"})",
+      R"({"service":"llm","address":7,"zone":"a","state":"ready"})",
+      R"({"service":"llm","address":"nowhere","zone":"a","state":"ready"})",
+      R"({"service":"llm","address":"10.1.0.9:80","zone":"a","state":"odd"})",
+      R"({"service":"llm","address":"10.1.0.9:80","zone":"a"})",
+      R"({"service":"llm","address":"10.1.0.9:80","state":"ready"})",
+  };
+  for (const char* it : entries)
+    CHECK(!Decode(it).has_value());
+}
+
+}  // namespace turmericwinch::platform
