Start the targets of the path's table anew for each case

Cause: a 421 of an earlier case held its target back, as it should, so that a later case had one target only (status 503 with one run where two were told). No check changed.

--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -151,15 +151,23 @@
   HttpClient caller{context.traffic};
   HttpFailure failure;
 
-  void setup() override {
-    Reason reason;
-    auto config = DecodeConfig(kConfig, {"a"}, &reason);
+  // Lists both targets as they start anew, with nothing known of them.
+  void RestartTargets(const GatewayConfig& config) {
+    const std::string incarnation = std::to_string(++incarnation_);
     HostList list;
     list.targets = {
-        {"i-1", "a", ToText(one.endpoint), "1", "app", false},
-        {"i-2", "a", ToText(two.endpoint), "1", "app", false},
+        {"i-1", "a", ToText(one.endpoint), incarnation, "app", false},
+        {"i-2", "a", ToText(two.endpoint), incarnation, "app", false},
     };
-    context.targets.Update(list, *config->objects);
+    context.targets.Update(list, *config.objects);
+  }
+
+  int incarnation_ = 0;
+
+  void setup() override {
+    Reason reason;
+    auto config = DecodeConfig(kConfig, {"a"}, &reason);
+    RestartTargets(*config);
     context.ledger.Grant("team", 500);
     context.config.Set(
         std::make_shared<const GatewayConfig>(std::move(*config)));
@@ -228,6 +236,7 @@
   };
   for (const Case& it : cases) {
     script = it.script;
+    RestartTargets(*context.config.Get());
     const std::size_t before = Runs();
     LONGS_EQUAL(it.status, StatusOf(it.path));
     LONGS_EQUAL(it.runs, Runs() - before);
