Let the share of a newcomer grow over four seconds

The bound of two requests a host did not hold it: eight hosts have sixteen; and a target that came in the middle of the list was not taken for a newcomer, as the known targets had been moved from by then. Change: one request a host until the first answer, a share that grows from a tenth; the services at work are noted before the targets are moved.

--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -43,7 +43,10 @@
 inline constexpr double kHomeShare = 0.5;
 
 // Requests from one host at a newcomer that has not answered any yet.
-inline constexpr double kNewcomerInFlight = 2;
+inline constexpr double kNewcomerInFlight = 1;
+// Time in which a newcomer comes to its full share: some first tokens of long
+// prompts, which take up to 0.4 s at the slowest targets.
+inline constexpr std::chrono::milliseconds kNewcomerStart{4'000};
 
 // Failures in a row after which a target is ejected.
 inline constexpr int kFailuresToEject = 3;
--- a/src/libs/routing/target_group.cc
+++ b/src/libs/routing/target_group.cc
@@ -8,11 +8,20 @@
 namespace turmericwinch {
 
 double Target::Room(TargetHealth::TimePoint now) const {
-  if (is_newcomer && !load.is_proven())
+  if (came && !load.is_proven())
     return kNewcomerInFlight;
   return std::max(static_cast<double>(most_in_flight) * health.Share(now), 1.0);
 }
 
+double Target::Share(TargetHealth::TimePoint now) const {
+  const double share = health.Share(now);
+  if (!came)
+    return share;
+  const std::chrono::duration<double> age = now - *came;
+  const std::chrono::duration<double> start = kNewcomerStart;
+  return share * std::clamp(age / start, kSlowStartLeast, 1.0);
+}
+
 double TargetGroup::FollowedLimit(TargetHealth::TimePoint now) const {
   double sum = 0;
   for (const Target* it : followed) {
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -4,6 +4,7 @@
 #define SRC_LIBS_ROUTING_TARGET_GROUP_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,8 +24,8 @@
   std::int64_t most_in_flight = 1;
   int tier = 0;
   std::uint64_t id = 0;
-  // It came while other targets of its service were at work.
-  bool is_newcomer = false;
+  // When it came while other targets of its service were at work.
+  std::optional<TargetHealth::TimePoint> came;
   TargetLoad load{1};
   ConcurrencyLimit limit;
   TargetHealth health;
@@ -32,6 +33,10 @@
   // Requests that may be in flight at once. Few at a newcomer that has not
   // answered yet: its speed is not known, and all hosts see it at the same time.
   double Room(TargetHealth::TimePoint now) const;
+  // Share of its load that it may get: 0 to 1. That of a newcomer grows, as all
+  // hosts see it without work at the same time and know nothing of each other's
+  // requests.
+  double Share(TargetHealth::TimePoint now) const;
 };
 
 // `followed` is the subset that this host compares: each host learns from few
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -58,8 +58,8 @@
         host_hash(Hash64(host)),
         random(host_hash) {}
 
-  // Whether a known target of the service has answered.
-  bool IsAtWork(const std::string& service) const;
+  // Services of which a known target has answered.
+  std::set<std::string> ServicesAtWork() const;
   // `hosts` share the targets.
   void IndexGroups(double hosts);
   Target* Find(const TargetChoice& choice);
@@ -86,10 +86,13 @@
   PrefixRecord prefixes;
 };
 
-bool TargetTable::Private::IsAtWork(const std::string& service) const {
-  return std::any_of(targets.begin(), targets.end(), [&](const auto& it) {
-    return it.second.service == service && it.second.load.is_proven();
-  });
+std::set<std::string> TargetTable::Private::ServicesAtWork() const {
+  std::set<std::string> services;
+  for (const auto& [name, it] : targets) {
+    if (it.load.is_proven())
+      services.insert(it.service);
+  }
+  return services;
 }
 
 void TargetTable::Private::IndexGroups(double hosts) {
@@ -148,7 +151,7 @@
   const auto prompt = static_cast<double>(wish.prompt_tokens);
   const auto shared = static_cast<double>(wish.prefix_tokens);
   auto consider = [&](Target* it, double cached) {
-    const double share = it->health.Share(asking.now);
+    const double share = it->Share(asking.now);
     if (share == 0 || it->member.leaving ||
         static_cast<double>(it->load.in_flight()) >= it->Room(asking.now) ||
         asking.excluded.contains(it->member.name))
@@ -229,6 +232,7 @@
 void TargetTable::Update(const HostList& list,
                          const ConfigSnapshot& config,
                          TimePoint now) {
+  const std::set<std::string> at_work = d_->ServicesAtWork();
   std::map<std::string, Target> targets;
   for (const ListedMember& it : list.targets) {
     const TargetClassConfig* target_class = config.TargetClass(it.target_class);
@@ -244,7 +248,8 @@
       target = std::move(known->second);
     else {
       target.id = d_->next_id++;
-      target.is_newcomer = d_->IsAtWork(target_class->service);
+      if (at_work.contains(target_class->service))
+        target.came = now;
     }
     target.member = it;
     target.service = target_class->service;
--- a/tests/routing/target_table_test.cc
+++ b/tests/routing/target_table_test.cc
@@ -89,9 +89,10 @@
     Answer(TargetAnswer::kGood);
   list.targets.push_back(Member("new"));
   Update();
+  const auto late = kStart + kNewcomerStart;
   std::vector<TargetChoice> sent;
   for (int n = 0; n < 8; ++n)
-    sent.push_back(*table.Begin(wish, {}, kStart, &reason));
+    sent.push_back(*table.Begin(wish, {}, late, &reason));
   const auto at_new =
       std::count_if(sent.begin(), sent.end(),
                     [](const TargetChoice& it) { return it.name == "new"; });
@@ -99,8 +100,18 @@
   auto first =
       std::find_if(sent.begin(), sent.end(),
                    [](const TargetChoice& it) { return it.name == "new"; });
-  table.FirstToken(*first, milliseconds(20), kStart + milliseconds(20));
-  STRCMP_EQUAL("new", Choose(kStart + milliseconds(20)).c_str());
+  table.FirstToken(*first, milliseconds(20), late + milliseconds(20));
+  STRCMP_EQUAL("new", Choose(late + milliseconds(20)).c_str());
+}
+
+TEST(TargetTable, TheShareOfANewcomerGrows) {
+  list.targets = {Member("one"), Member("two")};
+  Update();
+  Answer(TargetAnswer::kGood);
+  list.targets.push_back(Member("new"));
+  Update();
+  for (int n = 0; n < 6; ++n)
+    CHECK(Choose() != "new");
 }
 
 // Load: a target goes dark or slow with requests at it; nothing is heard of it.
