--- a/src/libs/base/log.h
+++ b/src/libs/base/log.h
@@ -31,9 +31,16 @@
   const char* name;
 };
 
-// Starts logging to standard error. `host` is stamped on each line; `severity`
-// is the least severe that is written. Call once, before other threads start.
-void StartLogging(std::string_view host, Severity severity);
+// Where lines go. To standard output they are written by a thread of their own:
+// a caller never waits for a reader, and lines beyond a buffer or beyond a
+// category's budget are dropped and counted.
+enum class LogOutput { kStandardError, kStandardOutput };
+
+// Starts logging. `host` is stamped on each line; `severity` is the least severe
+// that is written. Call once, before other threads start.
+void StartLogging(std::string_view host,
+                  Severity severity,
+                  LogOutput output = LogOutput::kStandardError);
 
 // Severity named `name` ("debug", "info", "warning", "error"); kInfo otherwise.
 Severity SeverityOf(std::string_view name);
