Serve metrics and the state of a gateway; format and lint platform/

Counters and histograms of requests, gauges for ages of beliefs, on the metrics address of the deploy file; the state as JSON beside it. The number of series does not grow with teams, budgets or hosts.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 # configuration changes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t all < <(git ls-files --cached --others --exclude-standard 'src/*.cc' 'src/*.h' 'tests/*.cc' 'tests/*.h' | grep -v /gen/)
+mapfile -t all < <(git ls-files --cached --others --exclude-standard 'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h' 'tests/*.cc' 'tests/*.h' | grep -v /gen/)
 clang-format --dry-run -Werror "${all[@]}"
 mkdir -p .cache/lint
 # clang-tidy reads neither GCC's precompiled headers nor all of its flags.
--- a/src/libs/base/log.cc
+++ b/src/libs/base/log.cc
@@ -58,8 +58,8 @@
   line += '"';
 }
 
-// Whether a line of `category` may be written; `dropped` are those that were not
-// since the last one that was.
+// Whether a line of `category` may be written; `dropped` are those that were
+// not since the last one that was.
 bool TakeLine(std::string_view category, std::uint64_t* dropped) {
   LogBudgets& all = Budgets();
   std::lock_guard lock(all.mutex);
@@ -95,9 +95,7 @@
 LogField::LogField(std::string_view key, bool value)
     : key(key), value(value ? "true" : "false") {}
 
-void StartLogging(std::string_view host,
-                  Severity severity,
-                  LogOutput output) {
+void StartLogging(std::string_view host, Severity severity, LogOutput output) {
   std::string pattern = "time=%d{ISO8601} level=%p host=";
   pattern += host;
   pattern += " %m%n";
--- a/src/libs/base/log.h
+++ b/src/libs/base/log.h
@@ -36,8 +36,8 @@
 // category's budget are dropped and counted.
 enum class LogOutput { kStandardError, kStandardOutput };
 
-// Starts logging. `host` is stamped on each line; `severity` is the least severe
-// that is written. Call once, before other threads start.
+// Starts logging. `host` is stamped on each line; `severity` is the least
+// severe that is written. Call once, before other threads start.
 void StartLogging(std::string_view host,
                   Severity severity,
                   LogOutput output = LogOutput::kStandardError);
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -74,11 +74,11 @@
 // the whole stock, shorter ones by what is open.
 inline constexpr BootTime kUndeclaredAfter{2'500};
 
-// Removes the rows of earlier incarnations of `holder`'s host, which have ended,
-// as the start of `holder` shows: a host runs one process. `now` is the time
-// after that start. Each is charged with what it opened if its last mark is at
-// most kUndeclaredAfter old on the same boot, so that it cannot have spent more;
-// else with all that it held.
+// Removes the rows of earlier incarnations of `holder`'s host, which have
+// ended, as the start of `holder` shows: a host runs one process. `now` is the
+// time after that start. Each is charged with what it opened if its last mark
+// is at most kUndeclaredAfter old on the same boot, so that it cannot have
+// spent more; else with all that it held.
 void CloseEarlierIncarnations(FleetAccount& account,
                               const std::string& holder,
                               const BootMark& now);
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -22,8 +22,8 @@
     return 0;
   auto back = given_back_.find(budget);
   const std::int64_t own_back = back == given_back_.end() ? 0 : back->second;
-  return std::max<std::int64_t>(
-      row->second.granted - own_back - ledger.granted, 0);
+  return std::max<std::int64_t>(row->second.granted - own_back - ledger.granted,
+                                0);
 }
 
 bool FleetHolder::Plan(const std::map<std::string, FleetWish>& wishes,
--- a/src/libs/budget/fleet_plan.cc
+++ b/src/libs/budget/fleet_plan.cc
@@ -29,10 +29,9 @@
            : std::min(std::max(demand.rate * kFleetStockSeconds,
                                demand.request * kFleetStockRequests),
                       part);
-  const double open =
-      std::min(std::max(demand.rate * kFleetOpenSeconds,
-                        demand.request * kFleetOpenRequests),
-               stock);
+  const double open = std::min(std::max(demand.rate * kFleetOpenSeconds,
+                                        demand.request * kFleetOpenRequests),
+                               stock);
   const std::int64_t slack =
       demand.needed +
       static_cast<std::int64_t>(demand.request * kFleetLeastReturn);
@@ -55,8 +54,8 @@
       plan.draw > 0 && (IsLow(held, stock) || held < demand.needed);
   const bool opens = plan.open > 0 && (IsLow(demand.available, open) ||
                                        demand.available < demand.needed);
-  plan.is_due = draws || opens || plan.give_back > 0 ||
-                demand.available > plan.keep_open;
+  plan.is_due =
+      draws || opens || plan.give_back > 0 || demand.available > plan.keep_open;
   return plan;
 }
 
--- a/src/libs/budget/fleet_plan.h
+++ b/src/libs/budget/fleet_plan.h
@@ -42,7 +42,8 @@
 // after a cut.
 inline constexpr double kFleetOpenHighFactor = 3;
 // Time after which a host that holds unopened tokens renews its mark: a process
-// that was killed is back within seconds and reclaims them if the mark is fresh.
+// that was killed is back within seconds and reclaims them if the mark is
+// fresh.
 inline constexpr std::chrono::milliseconds kFleetMarkInterval{800};
 // Hosts that are taken to share a budget at least, until their rows show how
 // many there are; today's fleets have 8 or 9.
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -67,6 +67,7 @@
   PlatformClient& platform;
   asio::steady_timer timer;
   const Clock::time_point start = Clock::now();
+  Clock::time_point synced_at = start;
   std::minstd_rand random{std::random_device{}()};
   // Whether the last sync ended well.
   bool reachable = true;
@@ -89,8 +90,8 @@
   for (const Bill& it : bills) {
     double& request = demands[it.budget].request;
     const auto tokens = static_cast<double>(it.tokens);
-    request = request == 0 ? tokens
-                           : request + kRequestWeight * (tokens - request);
+    request =
+        request == 0 ? tokens : request + kRequestWeight * (tokens - request);
   }
   if (!bills.empty())
     ledger.ConfirmBills(bills.back().sequence);
@@ -114,8 +115,8 @@
 }
 
 asio::awaitable<bool> AccountKeeper::Private::Read() {
-  std::optional<PlatformObject> object = co_await platform.Get(
-      PlatformDuty::kBudget, kFleetAccountName, &reason);
+  std::optional<PlatformObject> object =
+      co_await platform.Get(PlatformDuty::kBudget, kFleetAccountName, &reason);
   if (!object && reason.code != ResultCode::kPlatformNotFound)
     co_return false;
   FleetAccount account;
@@ -212,6 +213,8 @@
 
 void AccountKeeper::Private::SetReachable(bool now) {
   reachable = now;
+  if (now)
+    synced_at = Clock::now();
   context.ledger.SetReachable(now);
 }
 
@@ -334,9 +337,8 @@
     if (!is_read)
       co_return false;
     bool is_due = false;
-    d_->context.ledger.With([&](HostLedger& ledger) {
-      is_due = d_->holder.PlanClose(ledger);
-    });
+    d_->context.ledger.With(
+        [&](HostLedger& ledger) { is_due = d_->holder.PlanClose(ledger); });
     if (!is_due)
       co_return true;
     const WriteEnd end = co_await d_->Write();
@@ -346,4 +348,8 @@
   co_return false;
 }
 
+Clock::time_point AccountKeeper::synced_at() const {
+  return d_->synced_at;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/gateway/account_keeper.h
+++ b/src/libs/gateway/account_keeper.h
@@ -4,7 +4,7 @@
 #define SRC_LIBS_GATEWAY_ACCOUNT_KEEPER_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <functional>
+#include <chrono>
 #include <memory>
 
 #include "libs/gateway/gateway_context.h"
@@ -27,6 +27,9 @@
   // Gives everything back that is not in use and closes the row. False if the
   // store could not be written.
   boost::asio::awaitable<bool> Close();
+  // When the account was last as planned, by the store's answer or without need
+  // of one; the start before that.
+  std::chrono::steady_clock::time_point synced_at() const;
 
  private:
   class Private;
--- a/src/libs/gateway/config_source.h
+++ b/src/libs/gateway/config_source.h
@@ -18,8 +18,8 @@
 class ConfigSource {
  public:
   // Reads a configuration from the text of its object.
-  using Decoder = std::function<std::optional<GatewayConfig>(std::string_view,
-                                                             Reason*)>;
+  using Decoder =
+      std::function<std::optional<GatewayConfig>(std::string_view, Reason*)>;
   using Sink = std::function<void(std::shared_ptr<const GatewayConfig>)>;
 
   // Follows the object `name`; `on_config` gets each newer version.
--- a/src/libs/gateway/event_splitter.cc
+++ b/src/libs/gateway/event_splitter.cc
@@ -20,8 +20,8 @@
 std::optional<std::uint64_t> IdOf(std::string_view event) {
   for (std::size_t start = 0; start < event.size();) {
     const std::size_t end = event.find('\n', start);
-    std::string_view line = event.substr(
-        start, end == std::string_view::npos ? end : end - start);
+    std::string_view line =
+        event.substr(start, end == std::string_view::npos ? end : end - start);
     start = end == std::string_view::npos ? event.size() : end + 1;
     if (!line.starts_with(kIdField))
       continue;
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include "libs/gateway/account_keeper.h"
 #include "libs/gateway/gateway_call_runner.h"
 #include "libs/gateway/gateway_context.h"
+#include "libs/gateway/gateway_state.h"
 #include "libs/gateway/target_source.h"
 
 namespace turmericwinch {
@@ -22,6 +23,7 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 constexpr std::string_view kMetricsPath = "/metrics";
+constexpr std::string_view kStatePath = "/state";
 
 }  // namespace
 
@@ -35,6 +37,8 @@
   void TakeConfig(std::shared_ptr<const GatewayConfig> config);
   void TakeTargets(const HostList& list);
   void UpdateTargets();
+  // On the control thread.
+  GatewayFigures Figures() const;
   asio::awaitable<void> AnswerProbe(HttpExchange& exchange);
   asio::awaitable<void> AnswerOperator(const HttpRequest& request,
                                        HttpExchange& exchange);
@@ -110,6 +114,21 @@
     context.targets.Update(list, *config->objects);
 }
 
+GatewayFigures Gateway::Private::Figures() const {
+  const Clock::time_point now = Clock::now();
+  const auto age = [now](Clock::time_point then) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
+  };
+  GatewayFigures figures;
+  figures.is_ready = IsReady();
+  figures.callers = callers.Connections();
+  figures.active_requests = callers.ActiveRequests();
+  figures.listed_targets = list.targets.size();
+  figures.account_age = age(account->synced_at());
+  figures.targets_age = age(target_source->heard_at());
+  return figures;
+}
+
 asio::awaitable<void> Gateway::Private::AnswerProbe(HttpExchange& exchange) {
   HttpResponse response;
   response.status = IsReady() ? kStatusOk : kStatusUnavailable;
@@ -121,7 +140,9 @@
     HttpExchange& exchange) {
   HttpResponse response;
   if (PathOf(request.target) == kMetricsPath)
-    response.body = context.metrics.Exposition();
+    response.body = MetricsText(context, Figures());
+  else if (PathOf(request.target) == kStatePath)
+    response = JsonResponse(kStatusOk, StateText(context, Figures()));
   else
     response.status = InfoOf(ResultCode::kNotFound).http_status;
   co_await exchange.Send(response);
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -165,8 +165,8 @@
   if (budgets.empty())
     co_return true;
   const std::int64_t tokens = call_->tokens->Sum();
-  reservation_ = co_await context_.ledger.Reserve(
-      budgets.front()->name, tokens, kFleetGrantWait, &reason_);
+  reservation_ = co_await context_.ledger.Reserve(budgets.front()->name, tokens,
+                                                  kFleetGrantWait, &reason_);
   co_return reservation_.has_value();
 }
 
@@ -242,8 +242,8 @@
     if (stream.done() && piece->empty() && splitter.pending_bytes() == 0) {
       meter.Judge(TargetAnswer::kGood);
       if (!head_sent_) {
-        exchange_.StartStream(stream.status(), context_.dialect.answer_headers(
-                                                   stream.headers()));
+        exchange_.StartStream(
+            stream.status(), context_.dialect.answer_headers(stream.headers()));
         head_sent_ = true;
       }
       status_ = stream.status();
@@ -256,7 +256,8 @@
       if (event->id && last_event_ != 0 && *event->id <= last_event_)
         continue;
       if (event->id && last_event_ != 0 && *event->id != last_event_ + 1) {
-        failure.text = "events are missing before " + std::to_string(*event->id);
+        failure.text =
+            "events are missing before " + std::to_string(*event->id);
         reason_ = {ResultCode::kTargetFailed, failure.text};
         meter.Judge(TargetAnswer::kWrong);
         co_return head_sent_ ? AttemptEnd::kBroken : AttemptEnd::kLost;
@@ -269,8 +270,8 @@
     if (!whole.empty()) {
       meter.OnTokens(events_);
       if (!head_sent_) {
-        exchange_.StartStream(stream.status(), context_.dialect.answer_headers(
-                                                   stream.headers()));
+        exchange_.StartStream(
+            stream.status(), context_.dialect.answer_headers(stream.headers()));
         head_sent_ = true;
       }
       const bool sent = co_await exchange_.Write(whole);
@@ -441,23 +442,20 @@
   context_.metrics.AddWhole(elapsed);
   if (exchange_.first_byte_at())
     context_.metrics.AddFirstByte(*exchange_.first_byte_at() - start_);
-  LogEvent(
-      kLog, Severity::kInfo,
-      "request_done",
-      {{"request", call_ ? call_->id : std::string()},
-       {"team", wish_.team},
-       {"route", route_ ? route_->name : std::string()},
-       {"target", last_target_},
-       {"attempts", attempts_},
-       {"status", status_},
-       {"code", static_cast<int>(reason_.code)},
-       {"reason", reason_.text},
-       {"events", events_},
-       {"bound", call_ && call_->tokens ? call_->tokens->Sum() : 0},
-       {"charged", charged_},
-       {"config", config_ ? config_->version : 0},
-       {"ms",
-        std::chrono::duration_cast<milliseconds>(elapsed).count()}});
+  LogEvent(kLog, Severity::kInfo, "request_done",
+           {{"request", call_ ? call_->id : std::string()},
+            {"team", wish_.team},
+            {"route", route_ ? route_->name : std::string()},
+            {"target", last_target_},
+            {"attempts", attempts_},
+            {"status", status_},
+            {"code", static_cast<int>(reason_.code)},
+            {"reason", reason_.text},
+            {"events", events_},
+            {"bound", call_ && call_->tokens ? call_->tokens->Sum() : 0},
+            {"charged", charged_},
+            {"config", config_ ? config_->version : 0},
+            {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
 }
 
 asio::awaitable<void> CallRunner::Run() {
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -58,8 +58,8 @@
 inline constexpr std::chrono::milliseconds kDrainMost{7'600};
 // How often a draining host looks whether it is idle.
 inline constexpr std::chrono::milliseconds kDrainPollPause{50};
-// Connections of callers, and of health probes, at once: the smallest hosts have
-// 2,875 descriptors for sockets.
+// Connections of callers, and of health probes, at once: the smallest hosts
+// have 2,875 descriptors for sockets.
 inline constexpr std::size_t kMostCallers = 2'000;
 inline constexpr std::size_t kMostProbes = 64;
 
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -39,8 +39,8 @@
   std::shared_ptr<const GatewayConfig> config_;
 };
 
-// The machine's boot: its id, empty if the system tells none, and the time since
-// it, which goes on while the machine is suspended.
+// The machine's boot: its id, empty if the system tells none, and the time
+// since it, which goes on while the machine is suspended.
 struct BootClock {
   std::string id;
   std::function<BootTime()> now;
@@ -54,7 +54,9 @@
   GatewayContext(GatewaySettings settings, GatewayDialect dialect);
 
   // Name of this incarnation of the host in the account.
-  std::string ledger_holder() const { return settings.host + "_" + incarnation; }
+  std::string ledger_holder() const {
+    return settings.host + "_" + incarnation;
+  }
 
   GatewaySettings settings;
   GatewayDialect dialect;
--- a/src/libs/gateway/gateway_settings.cc
+++ b/src/libs/gateway/gateway_settings.cc
@@ -99,7 +99,8 @@
   settings.store = Endpoint(table, "store");
   settings.store_rates = {static_cast<double>(table.Integer("store-reads")),
                           static_cast<double>(table.Integer("store-writes"))};
-  settings.retry_ratio = std::strtod(table.Text("retry-ratio").c_str(), nullptr);
+  settings.retry_ratio =
+      std::strtod(table.Text("retry-ratio").c_str(), nullptr);
   settings.retry_slack = static_cast<double>(table.Integer("retry-slack"));
   settings.log_level = table.Text("log-level");
   return settings;
--- a/src/libs/gateway/listed_targets.cc
+++ b/src/libs/gateway/listed_targets.cc
@@ -17,11 +17,10 @@
 }  // namespace
 
 bool ListedTargets::IsReplaced(const ListedMember& lapsed) const {
-  return std::any_of(list_.targets.begin(), list_.targets.end(),
-                     [&](const ListedMember& it) {
-                       return !lapsed_.contains(it.name) &&
-                              it.address == lapsed.address;
-                     });
+  return std::any_of(
+      list_.targets.begin(), list_.targets.end(), [&](const ListedMember& it) {
+        return !lapsed_.contains(it.name) && it.address == lapsed.address;
+      });
 }
 
 std::vector<HostListChange> ListedTargets::TakeWhole(HostList list,
@@ -55,9 +54,8 @@
   std::erase_if(list_.targets, [this](const ListedMember& it) {
     return lapsed_.contains(it.name) && IsReplaced(it);
   });
-  std::erase_if(lapsed_, [this](const auto& it) {
-    return !HasName(list_, it.first);
-  });
+  std::erase_if(lapsed_,
+                [this](const auto& it) { return !HasName(list_, it.first); });
   return DiffOf(before, list_);
 }
 
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -62,6 +62,7 @@
     std::optional<PlatformHosts> hosts =
         co_await platform_.HostsSince(version_, wait, &reason);
     if (hosts) {
+      heard_at_ = std::chrono::steady_clock::now();
       Take(*hosts, outage);
       const std::vector<HostListChange> dropped =
           targets_.DropLapsed(std::chrono::steady_clock::now());
--- a/src/libs/gateway/target_source.h
+++ b/src/libs/gateway/target_source.h
@@ -4,6 +4,7 @@
 #define SRC_LIBS_GATEWAY_TARGET_SOURCE_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
 #include <functional>
 #include <vector>
 
@@ -22,6 +23,9 @@
   // Runs until the process ends.
   boost::asio::awaitable<void> Run();
 
+  // When the store last answered; the start before that.
+  std::chrono::steady_clock::time_point heard_at() const { return heard_at_; }
+
  private:
   // Takes an answer in. `after_outage`: the store was out of reach before it.
   void Take(const PlatformHosts& hosts, bool after_outage);
@@ -32,6 +36,8 @@
   Sink on_list_;
   ListedTargets targets_;
   std::uint64_t version_ = 0;
+  std::chrono::steady_clock::time_point heard_at_ =
+      std::chrono::steady_clock::now();
 };
 
 }  // namespace turmericwinch
--- a/src/libs/http/http_client.cc
+++ b/src/libs/http/http_client.cc
@@ -3,9 +3,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
-#include <algorithm>
 #include <charconv>
 
 #include "libs/http/http_connection.h"
--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -427,7 +427,8 @@
       buf.commit(n);
     }
     deadline.ExpiresAfter(std::min(limits.header_timeout, limits.read_timeout));
-    auto [ec, n] = co_await http::async_read_header(socket, buf, parser, kAwait);
+    auto [ec, n] =
+        co_await http::async_read_header(socket, buf, parser, kAwait);
     if (!ec && !parser.is_done()) {
       deadline.ExpiresAfter(limits.read_timeout);
       auto [body_ec, body_n] =
--- a/src/libs/node/shared_ledger.cc
+++ b/src/libs/node/shared_ledger.cc
@@ -112,11 +112,10 @@
       }
       if (now >= deadline) {
         // Others need not wait in vain too.
-        d_->denials[budget] = {
-            {ResultCode::kBudgetUnreachable,
-             "budget " + budget + " is out of reach"},
-            tokens,
-            now + kDenialHold};
+        d_->denials[budget] = {{ResultCode::kBudgetUnreachable,
+                                "budget " + budget + " is out of reach"},
+                               tokens,
+                               now + kDenialHold};
         co_return Fail(reason, ResultCode::kBudgetUnreachable,
                        "no grant of budget " + budget + " arrived in time");
       }
--- a/src/libs/platform/http_platform_client.cc
+++ b/src/libs/platform/http_platform_client.cc
@@ -191,9 +191,9 @@
   HttpRequest request = MakeRequest(
       "GET", "/objects/" + name + "?watch=1&after=" + std::to_string(after) +
                  "&wait_ms=" + std::to_string(wait.count()));
-  std::optional<HttpResponse> response =
-      co_await d_->transport.Send(duty, PlatformCallKind::kWatch, std::move(request),
-                        wait + kWatchSlack, reason);
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
+      duty, PlatformCallKind::kWatch, std::move(request), wait + kWatchSlack,
+      reason);
   if (!response)
     co_return std::nullopt;
   if (response->status == kStatusNoContent) {
@@ -205,9 +205,9 @@
 }
 
 PlatformClient::Answer<std::string> HttpPlatformClient::Hosts(Reason* reason) {
-  std::optional<HttpResponse> response =
-      co_await d_->transport.Send(PlatformDuty::kHosts, PlatformCallKind::kRead,
-                        MakeRequest("GET", "/hosts"), kCallTimeout, reason);
+  std::optional<HttpResponse> response = co_await d_->transport.Send(
+      PlatformDuty::kHosts, PlatformCallKind::kRead,
+      MakeRequest("GET", "/hosts"), kCallTimeout, reason);
   if (!response)
     co_return std::nullopt;
   co_return std::move(response->body);
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -31,7 +31,8 @@
   TargetHealth health;
 
   // Requests that may be in flight at once. Few at a newcomer that has not
-  // answered yet: its speed is not known, and all hosts see it at the same time.
+  // answered yet: its speed is not known, and all hosts see it at the same
+  // time.
   double Room(TargetHealth::TimePoint now) const;
   // Share of its load that it may get: 0 to 1. That of a newcomer grows, as all
   // hosts see it without work at the same time and know nothing of each other's
--- a/src/libs/routing/target_load.h
+++ b/src/libs/routing/target_load.h
@@ -28,8 +28,8 @@
 
   // A request of `prompt` uncached tokens was sent at `now`.
   void Begin(double prompt, TimePoint now);
-  // The first token of the request sent at `sent` came after `elapsed`; `ahead` is the pending prompt, its
-  // own included, at the time when it was sent.
+  // The first token of the request sent at `sent` came after `elapsed`; `ahead`
+  // is the pending prompt, its own included, at the time when it was sent.
   void FirstToken(double prompt,
                   double ahead,
                   std::chrono::duration<double> elapsed,
--- a/tests/adapter/config_decoder_test.cc
+++ b/tests/adapter/config_decoder_test.cc
@@ -75,8 +75,13 @@
 }
 
 TEST(ConfigDecoder, WhatIsNoConfigurationIsRefused) {
-  const char* texts[] = {"", "[]", "null", "{}", R"({"version":"7"})",
-                         R"({"version":0})", R"({"version":-1})"};
+  const char* texts[] = {"",
+                         "[]",
+                         "null",
+                         "{}",
+                         R"({"version":"7"})",
+                         R"({"version":0})",
+                         R"({"version":-1})"};
   for (const char* it : texts) {
     CHECK(!Decode(it).has_value());
     CHECK(reason.code == ResultCode::kConfigInvalid);
--- a/tests/adapter/edge_dialect_test.cc
+++ b/tests/adapter/edge_dialect_test.cc
@@ -58,11 +58,11 @@
 TEST(EdgeDialect, FaultyFieldsAreTakenForAbsent) {
   const char* counts[] = {"", "12", "a,b", "-1,5", "1,", "1,2,3"};
   for (const char* it : counts) {
-    const auto call = dialect.decode(
-        Request({{"Turmericwinch-Attempt-Id", "x"},
-                 {"Turmericwinch-Token-Count", it},
-                 {"Turmericwinch-Deadline-Ms", "soon"}}),
-        &reason);
+    const auto call =
+        dialect.decode(Request({{"Turmericwinch-Attempt-Id", "x"},
+                                {"Turmericwinch-Token-Count", it},
+                                {"Turmericwinch-Deadline-Ms", "soon"}}),
+                       &reason);
     CHECK(!call->tokens.has_value());
     CHECK(!call->time_left.has_value());
   }
@@ -178,9 +178,8 @@
   GatewayCall call;
   call.id = "id1";
   for (const Case& it : cases) {
-    const HttpResponse response =
-        dialect.refuse(&call, {it.code, ""}, it.may_have_run,
-                       std::chrono::milliseconds(50));
+    const HttpResponse response = dialect.refuse(
+        &call, {it.code, ""}, it.may_have_run, std::chrono::milliseconds(50));
     LONGS_EQUAL(it.status, response.status);
     CHECK((response.status == 503) == response.headers.Has("Retry-After"));
   }
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -73,11 +73,11 @@
       script_.erase(script_.begin());
     }
     HttpResponse response;
-    response.headers.Add("Turmericwinch-Attempt-Id",
-                         deed == Deed::kForeignId
-                             ? "another"
-                             : std::string(request.headers.Get(
-                                   "Turmericwinch-Attempt-Id")));
+    response.headers.Add(
+        "Turmericwinch-Attempt-Id",
+        deed == Deed::kForeignId
+            ? "another"
+            : std::string(request.headers.Get("Turmericwinch-Attempt-Id")));
     if (deed != Deed::kUnsigned)
       response.headers.Add("Turmericwinch-Response-Signature", "mac");
     response.body = "whole";
@@ -140,12 +140,12 @@
   std::vector<Deed> script;
   ScriptedTarget one{context.traffic, script};
   ScriptedTarget two{context.traffic, script};
-  HttpServer gateway{{&context.traffic},
-                     {kHttpMostBodyBytes, 16},
-                     [this](const HttpRequest& request,
-                            HttpExchange& exchange) {
-                       return RunGatewayCall(context, request, exchange);
-                     }};
+  HttpServer gateway{
+      {&context.traffic},
+      {kHttpMostBodyBytes, 16},
+      [this](const HttpRequest& request, HttpExchange& exchange) {
+        return RunGatewayCall(context, request, exchange);
+      }};
   asio::ip::tcp::endpoint address =
       *gateway.Listen({asio::ip::make_address("127.0.0.1"), 0}, nullptr);
   HttpClient caller{context.traffic};
@@ -185,8 +185,8 @@
   }
 
   std::optional<HttpResponse> Call(const HttpRequest& request) {
-    return RunCoroutine(context.traffic,
-                        caller.Call(address, request, HttpTimeouts(), &failure));
+    return RunCoroutine(context.traffic, caller.Call(address, request,
+                                                     HttpTimeouts(), &failure));
   }
 
   int StatusOf(const std::string& path) {
@@ -200,9 +200,8 @@
 
   std::int64_t Available() {
     std::int64_t available = 0;
-    context.ledger.With([&](HostLedger& ledger) {
-      available = ledger.Available("team");
-    });
+    context.ledger.With(
+        [&](HostLedger& ledger) { available = ledger.Available("team"); });
     return available;
   }
 };
@@ -307,16 +306,16 @@
 }
 
 TEST(GatewayCall, ACallerThatLeavesEndsTheRunAtItsTarget) {
-  asio::ip::tcp::acceptor silent(
-      context.traffic, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::ip::tcp::acceptor silent(context.traffic,
+                                 {asio::ip::make_address("127.0.0.1"), 0});
   Reason reason;
   auto config = DecodeConfig(kConfig, {"a"}, &reason);
   HostList list;
   list.targets = {
       {"i-3", "a", ToText(silent.local_endpoint()), "1", "app", false}};
   context.targets.Update(list, *config->objects);
-  const bool ended = RunCoroutine(
-      context.traffic, [&]() -> asio::awaitable<bool> {
+  const bool ended =
+      RunCoroutine(context.traffic, [&]() -> asio::awaitable<bool> {
         asio::ip::tcp::socket socket(context.traffic);
         co_await socket.async_connect(address, asio::use_awaitable);
         const std::string text =
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -62,10 +62,12 @@
   asio::ip::tcp::endpoint endpoint;
 };
 
-std::string Object(const std::string& name, int revision,
+std::string Object(const std::string& name,
+                   int revision,
                    const std::string& spec) {
   return R"({"metadata":{"name":")" + name + R"(","revision":)" +
-         std::to_string(revision) + R"(},"spec":)" + spec + R"(,"status":null})";
+         std::to_string(revision) + R"(},"spec":)" + spec +
+         R"(,"status":null})";
 }
 
 std::string Target(const std::string& zone) {
@@ -99,8 +101,8 @@
 
 TEST(StoreClient, WritesAreConditionalOnTheRevision) {
   store.Add(200, Object("account", 13, "1"));
-  const auto version = Run(
-      client.Update(PlatformDuty::kBudget, {"account", 12, "1"}, &reason));
+  const auto version =
+      Run(client.Update(PlatformDuty::kBudget, {"account", 12, "1"}, &reason));
   LONGS_EQUAL(13, *version);
   STRCMP_EQUAL("PUT /api/objects/turmericwinch/account",
                store.calls[0].c_str());
@@ -109,8 +111,8 @@
 
 TEST(StoreClient, AConflictShowsTheObjectWithoutAnotherCall) {
   store.Add(409, Object("account", 20, R"("theirs")"));
-  CHECK(!Run(client.Update(PlatformDuty::kBudget, {"account", 12, "1"},
-                           &reason)));
+  CHECK(!Run(
+      client.Update(PlatformDuty::kBudget, {"account", 12, "1"}, &reason)));
   CHECK(reason.code == ResultCode::kPlatformConflict);
   const auto object =
       Run(client.Get(PlatformDuty::kBudget, "account", &reason));
@@ -138,8 +140,8 @@
     ScriptedStore fresh(own);
     StoreClient one(own, fresh.endpoint, kRates, 1);
     fresh.Add(it.status, "garbage");
-    CHECK(!RunCoroutine(own, one.Update(PlatformDuty::kBudget,
-                                        {"account", 12, "1"}, &reason)));
+    CHECK(!RunCoroutine(
+        own, one.Update(PlatformDuty::kBudget, {"account", 12, "1"}, &reason)));
     CHECK(it.code == reason.code);
   }
 }
@@ -151,11 +153,11 @@
                      Object("main", 12, "2") + R"(}],"at":12})");
   store.Add(200, R"({"events":[],"at":15})");
   const milliseconds wait(10);
-  const auto first = Run(
-      client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
+  const auto first =
+      Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
   LONGS_EQUAL(5, first->version);
-  const auto second = Run(
-      client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
+  const auto second =
+      Run(client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
   STRCMP_EQUAL("2", second->value.c_str());
   STRCMP_EQUAL("GET /api/objects/config?watch=9&wait_ms=10",
                store.calls[1].c_str());
@@ -172,8 +174,8 @@
                      R"(],"has_more":false,"at":31})");
   const milliseconds wait(10);
   Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
-  const auto object = Run(
-      client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
+  const auto object =
+      Run(client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
   LONGS_EQUAL(30, object->version);
   LONGS_EQUAL(3, store.calls.size());
 }
@@ -185,11 +187,10 @@
                      R"(],"has_more":true,"at":9})");
   store.Add(200, R"({"items":[)" + Object("i-3", 8, Target("a")) +
                      R"(],"has_more":false,"at":11})");
-  store.Add(200, R"({"events":[{"deleted":true,"object":)" +
-                     Object("i-1", 12, "null") +
-                     R"(},{"deleted":false,"object":)" +
-                     Object("i-2", 13, R"({"state":"odd"})") +
-                     R"(}],"at":13})");
+  store.Add(200,
+            R"({"events":[{"deleted":true,"object":)" +
+                Object("i-1", 12, "null") + R"(},{"deleted":false,"object":)" +
+                Object("i-2", 13, R"({"state":"odd"})") + R"(}],"at":13})");
   const auto whole = Run(client.HostsSince(0, milliseconds(0), &reason));
   CHECK(whole->is_whole);
   LONGS_EQUAL(9, whole->version);
--- a/tests/adapter/target_decoder_test.cc
+++ b/tests/adapter/target_decoder_test.cc
@@ -6,11 +6,11 @@
 
 namespace turmericwinch::platform {
 
-TEST_GROUP(TargetDecoder) {
-  std::optional<ListedMember> Decode(const char* text) {
+TEST_GROUP(TargetDecoder){std::optional<ListedMember> Decode(const char* text){
     return DecodeTarget("i-1", boost::json::parse(text).as_object());
-  }
-};
+}
+}
+;
 
 TEST(TargetDecoder, AnEntryBecomesATarget) {
   const auto target = Decode(
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -132,8 +132,8 @@
   // A request counts as used from its start on: a process that dies may have
   // been about to be charged for all of it.
   void Serve(Machine& machine) {
-    const std::int64_t cost = 1 + static_cast<std::int64_t>(
-                                      random_() % kMostCost);
+    const std::int64_t cost =
+        1 + static_cast<std::int64_t>(random_() % kMostCost);
     const Reservation taken = machine.ledger->Reserve(kTeam, cost, {});
     if (taken.outcome == ReserveOutcome::kReserved) {
       used_ += cost;
@@ -254,8 +254,7 @@
 TEST_GROUP(FleetHolder) {
   FleetHolder holder{"host_a", "boot"};
   HostLedger ledger{"host_a"};
-  std::map<std::string, FleetWish> wishes{
-      {kTeam, {10 * kPaid, 0, 1'000, 200}}};
+  std::map<std::string, FleetWish> wishes{{kTeam, {10 * kPaid, 0, 1'000, 200}}};
 
   void Grant(BootTime now) {
     CHECK(holder.Plan(wishes, ledger, now));
@@ -291,8 +290,7 @@
 TEST(FleetHolder, OutOfTouchForLongTheWholeStockMayBeSpent) {
   Grant(BootTime(1'000));
   CHECK(holder.OpenAll(ledger, BootTime(1'000) + kUndeclaredAfter).empty());
-  const auto all = holder.OpenAll(
-      ledger, BootTime(1'001) + kUndeclaredAfter);
+  const auto all = holder.OpenAll(ledger, BootTime(1'001) + kUndeclaredAfter);
   const FleetRow row = holder.known().budgets.at(kTeam).rows.at("host_a");
   LONGS_EQUAL(row.Held(), all.at(kTeam));
 }
--- a/tests/gateway/path_routes_test.cc
+++ b/tests/gateway/path_routes_test.cc
@@ -39,13 +39,20 @@
     const char* name;
   };
   const Case cases[] = {
-      {"a.example", "/x/1", "short"},     {"a.example", "/x/", "short"},
-      {"a.example", "/x", "none"},        {"a.example", "/x/y", "short"},
-      {"a.example", "/x/y/", "long"},     {"a.example", "/x/y/z/q", "long"},
-      {"A.Example:80", "/x/y/z", "long"}, {"b.example", "/x/y/", "other"},
-      {"d.example", "/x/", "none"},       {"c.example", "/any", "root"},
-      {"c.example", "any", "none"},       {"a.example", "", "none"},
-      {"", "/x/", "none"},                {"a.example", "/X/", "none"},
+      {"a.example", "/x/1", "short"},
+      {"a.example", "/x/", "short"},
+      {"a.example", "/x", "none"},
+      {"a.example", "/x/y", "short"},
+      {"a.example", "/x/y/", "long"},
+      {"a.example", "/x/y/z/q", "long"},
+      {"A.Example:80", "/x/y/z", "long"},
+      {"b.example", "/x/y/", "other"},
+      {"d.example", "/x/", "none"},
+      {"c.example", "/any", "root"},
+      {"c.example", "any", "none"},
+      {"a.example", "", "none"},
+      {"", "/x/", "none"},
+      {"a.example", "/X/", "none"},
   };
   for (const Case& it : cases)
     STRCMP_EQUAL(it.name, NameOf(it.host, it.path).c_str());
