--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,6 +21,7 @@
 ctest --test-dir build-tsan -L threaded --output-on-failure --no-tests=ignore
 scripts/smoke.sh build-tsan
 scripts/lint.sh
+scripts/deploy_check.sh
 if [ -s KNOWN-RED.txt ]; then
   echo "known red:"
   cat KNOWN-RED.txt
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -1,6 +1,7 @@
 #include "libs/budget/fleet_holder.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace turmericwinch {
 
