--- a/src/apps/turmericwinchd/main.cc
+++ b/src/apps/turmericwinchd/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "libs/base/log.h"
+#include "libs/base/program_settings.h"
 #include "libs/node/node.h"
 #include "libs/node/node_settings.h"
 
@@ -10,14 +11,6 @@
 
 namespace {
 
-bool AsksForHelp(int argc, char** argv) {
-  for (int n = 1; n < argc; ++n) {
-    if (std::string_view(argv[n]) == "--help")
-      return true;
-  }
-  return false;
-}
-
 int RunNode(const SettingsTable& table) {
   NodeSettings settings = NodeSettingsOf(table);
   StartLogging(settings.host, SeverityOf(settings.log_level));
@@ -31,23 +24,11 @@
 }
 
 int RunDaemon(int argc, char** argv) {
-  if (AsksForHelp(argc, argv)) {
-    std::cout << "turmericwinchd: the daemon of an entry host\n"
-              << SettingsHelp(NodeSettingSpecs());
-    return 0;
-  }
-  Reason reason;
-  std::optional<SettingsTable> table = SettingsTable::Read(
-      NodeSettingSpecs(), argc, argv, ProcessEnvironment(), &reason);
-  if (!table) {
-    std::cerr << ErrorText(reason);
-    return InfoOf(reason.code).exit_code;
-  }
-  if (table->Flag("print-settings")) {
-    std::cout << table->Print();
-    return 0;
-  }
-  return RunNode(*table);
+  int exit_code = 0;
+  std::optional<SettingsTable> table =
+      ReadProgramSettings("turmericwinchd: the daemon of an entry host",
+                          NodeSettingSpecs(), argc, argv, &exit_code);
+  return table ? RunNode(*table) : exit_code;
 }
 
 }  // namespace
--- a/tests/gateway/event_splitter_test.cc
+++ b/tests/gateway/event_splitter_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <vector>
+
 namespace turmericwinch {
 
 TEST_GROUP(EventSplitter) {
