--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -7,7 +7,9 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/gateway/event_order.h"
 #include "libs/gateway/event_splitter.h"
+#include "libs/gateway/retry_after.h"
 #include "libs/node/attempt_meter.h"
 
 namespace turmericwinch {
@@ -46,18 +48,6 @@
   return static_cast<std::uint32_t>(random());
 }
 
-// When a caller whose request did not run should come back.
-milliseconds RetryAfterOf(ResultCode code) {
-  switch (code) {
-    case ResultCode::kBudgetUnreachable:
-      return kRetryAfterNoTokens;
-    case ResultCode::kNoConfig:
-      return kRetryAfterNoConfig;
-    default:
-      return kRetryAfterBusy;
-  }
-}
-
 class CallRunner {
  public:
   CallRunner(GatewayContext& context,
@@ -110,8 +100,7 @@
   int unreached_ = 0;
   std::set<std::string> tried_;
   std::string last_target_;
-  std::uint64_t last_event_ = 0;
-  std::int64_t events_ = 0;
+  EventOrder order_;
   std::int64_t charged_ = 0;
   int status_ = 0;
 };
@@ -140,6 +129,7 @@
   deadline_ = start_ + route_->timeout;
   if (call_->time_left)
     deadline_ = std::min(deadline_, start_ + *call_->time_left);
+  order_.StartAfter(call_->after_event.value_or(0));
   service_ = ServiceOf(*route_, Draw());
   wish_.service = service_;
   if (team_) {
@@ -188,7 +178,7 @@
   bill.team = team_->name;
   bill.service = service_;
   bill.tokens = call_->tokens->prompt +
-                std::min(call_->tokens->most_output, events_ * each);
+                std::min(call_->tokens->most_output, order_.passed() * each);
   charged_ = bill.tokens;
   context_.ledger.Settle(id, std::move(bill));
 }
@@ -253,22 +243,19 @@
     splitter.Feed(*piece);
     std::string whole;
     while (std::optional<RawEvent> event = splitter.Next()) {
-      if (event->id && last_event_ != 0 && *event->id <= last_event_)
-        continue;
-      if (event->id && last_event_ != 0 && *event->id != last_event_ + 1) {
-        failure.text =
-            "events are missing before " + std::to_string(*event->id);
-        reason_ = {ResultCode::kTargetFailed, failure.text};
+      const EventVerdict verdict = order_.Take(event->id);
+      if (verdict == EventVerdict::kMissing) {
+        reason_ = {ResultCode::kTargetFailed,
+                   last_target_ + " left out events before " +
+                       std::to_string(event->id.value_or(0))};
         meter.Judge(TargetAnswer::kWrong);
         co_return head_sent_ ? AttemptEnd::kBroken : AttemptEnd::kLost;
       }
-      if (event->id)
-        last_event_ = *event->id;
-      ++events_;
-      whole += event->bytes;
+      if (verdict == EventVerdict::kPass)
+        whole += event->bytes;
     }
     if (!whole.empty()) {
-      meter.OnTokens(events_);
+      meter.OnTokens(order_.passed());
       if (!head_sent_) {
         exchange_.StartStream(
             stream.status(), context_.dialect.answer_headers(stream.headers()));
@@ -310,9 +297,8 @@
   order.team = wish_.team;
   order.time_left = Until(deadline_);
   order.rank = std::min(route_->rank, team_ ? team_->priority : route_->rank);
-  order.after_event = call_->after_event;
-  if (last_event_ != 0)
-    order.after_event = last_event_;
+  if (order_.last() != 0)
+    order.after_event = order_.last();
   if (order.time_left < kLeastTimeLeft) {
     reason_ = {ResultCode::kTargetTimeout, "no time was left to send it"};
     co_return AttemptEnd::kNotRun;
@@ -406,7 +392,7 @@
                {{"request", call_->id},
                 {"target", last_target_},
                 {"attempts", attempts_},
-                {"after_event", last_event_},
+                {"after_event", order_.last()},
                 {"reason", reason_.text}});
       continue;
     }
@@ -451,7 +437,7 @@
             {"status", status_},
             {"code", static_cast<int>(reason_.code)},
             {"reason", reason_.text},
-            {"events", events_},
+            {"events", order_.passed()},
             {"bound", call_ && call_->tokens ? call_->tokens->Sum() : 0},
             {"charged", charged_},
             {"config", config_ ? config_->version : 0},
--- /dev/null
+++ b/src/libs/gateway/retry_after.cc
@@ -0,0 +1,18 @@
+#include "libs/gateway/retry_after.h"
+
+#include "libs/gateway/gateway_constants.h"
+
+namespace turmericwinch {
+
+std::chrono::milliseconds RetryAfterOf(ResultCode code) {
+  switch (code) {
+    case ResultCode::kBudgetUnreachable:
+      return kRetryAfterNoTokens;
+    case ResultCode::kNoConfig:
+      return kRetryAfterNoConfig;
+    default:
+      return kRetryAfterBusy;
+  }
+}
+
+}  // namespace turmericwinch
