Let a holder that another process closed spend nothing

Cause, found on reading the diff: a host whose row is gone after it was written would set a new one, with what it holds not counted; two live processes of one host name could then spend the same tokens. Change: FleetHolder notes it at the next read, and the ledger is fenced.

--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -9,6 +9,7 @@
     : holder_(std::move(holder)), boot_id_(std::move(boot_id)) {}
 
 void FleetHolder::Read(FleetAccount account, BootTime now) {
+  is_closed_ = is_closed_ || (is_written_ && !account.marks.contains(holder_));
   CloseEarlierIncarnations(account, holder_, {boot_id_, now});
   known_ = std::move(account);
 }
@@ -94,6 +95,7 @@
 
 std::map<std::string, std::int64_t> FleetHolder::Confirm() {
   known_ = next_;
+  is_written_ = known_.marks.contains(holder_);
   return std::exchange(granted_next_, {});
 }
 
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -54,6 +54,9 @@
   // holds. Empty before.
   std::map<std::string, std::int64_t> OpenAll(const HostLedger& ledger,
                                               BootTime now) const;
+  // Whether the account was read without this holder after it had been written
+  // with it: another process closed it, and may spend its tokens.
+  bool is_closed() const { return is_closed_; }
   // The account as last read or confirmed.
   const FleetAccount& known() const { return known_; }
   // When the last write was issued that may have taken effect.
@@ -74,6 +77,8 @@
   // What the ledger is granted once the write is confirmed.
   std::map<std::string, std::int64_t> granted_next_;
   BootTime issued_{0};
+  bool is_written_ = false;
+  bool is_closed_ = false;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -44,13 +44,15 @@
         timer(context.control),
         holder(context.ledger_holder(), context.boot.id) {}
 
-  // Reads the account if it is not known. False if the store gave no answer.
+  // Reads the account. False if the store gave no answer.
   asio::awaitable<bool> Read();
   asio::awaitable<WriteEnd> Write();
   // Draws and gives back until every budget is as planned or the store fails.
   asio::awaitable<bool> Sync();
   // Whether the account should be written now. Prepares the write.
   bool Plan();
+  // Another process closed this holder: nothing may be spent any more.
+  void EndSpending();
   void LogRows();
   void SetReachable(bool now);
   // Opens all that the host holds once it has been out of touch for long.
@@ -193,6 +195,19 @@
   co_return WriteEnd::kDone;
 }
 
+void AccountKeeper::Private::EndSpending() {
+  SetReachable(false);
+  context.ledger.With([this](HostLedger& ledger) {
+    if (ledger.fenced())
+      return;
+    ledger.Fence();
+    LogEvent(kLog, Severity::kError, "holder_closed",
+             {{"holder", context.ledger_holder()}, {"version", version}});
+  });
+  DenyWaiting({ResultCode::kBudgetUnreachable,
+               "another process of this host has taken over its tokens"});
+}
+
 // One line for each budget whose row changed by this write.
 void AccountKeeper::Private::LogRows() {
   for (const auto& [name, budget] : holder.known().budgets) {
@@ -273,6 +288,10 @@
       if (!is_read)
         break;
     }
+    if (holder.is_closed()) {
+      EndSpending();
+      co_return false;
+    }
     const bool is_due = Plan();
     WriteEnd end = WriteEnd::kDone;
     if (is_due)
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -304,6 +304,18 @@
   CHECK(holder.OpenAll(ledger, BootTime(2'000) + kUndeclaredAfter).empty());
 }
 
+TEST(FleetHolder, AHolderThatAnotherProcessClosedKnowsIt) {
+  holder.Read({}, BootTime(500));
+  CHECK(!holder.is_closed());
+  Grant(BootTime(1'000));
+  FleetAccount account = holder.known();
+  holder.Read(account, BootTime(1'500));
+  CHECK(!holder.is_closed());
+  CloseEarlierIncarnations(account, "host_b", {"boot", BootTime(2'000)});
+  holder.Read(account, BootTime(2'000));
+  CHECK(holder.is_closed());
+}
+
 TEST(FleetHolder, ALoweredBoundTakesBackWhatIsNotUsed) {
   Grant(BootTime(1'000));
   wishes[kTeam].paid = 100;
