Log the paid bound with each changed account row

Cause: refusals for a used-up budget could not be compared with what was paid from the logs alone; the bound changes with each configuration. No change of behaviour.

--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -210,13 +210,18 @@
 
 // One line for each budget whose row changed by this write.
 void AccountKeeper::Private::LogRows() {
+  const std::shared_ptr<const GatewayConfig> config = context.config.Get();
   for (const auto& [name, budget] : holder.known().budgets) {
     auto row = budget.rows.find(context.ledger_holder());
     if (row == budget.rows.end() || logged[name] == row->second)
       continue;
     logged[name] = row->second;
+    auto paid = config->objects->budgets().find(name);
     LogEvent(kLog, Severity::kInfo, "account_row",
              {{"budget", name},
+              {"paid", paid == config->objects->budgets().end()
+                           ? 0
+                           : paid->second.tokens},
               {"granted", row->second.granted},
               {"given_back", row->second.given_back},
               {"opened", row->second.opened},
