--- a/src/libs/budget/loan_search.h
+++ b/src/libs/budget/loan_search.h
@@ -21,7 +21,7 @@
 
 // Time after which a host that was asked counts as silent: hosts of one region
 // are under 2 ms apart, and a busy one answers within some turns.
-inline constexpr std::chrono::milliseconds kLoanPatience{12};
+inline constexpr std::chrono::milliseconds kLoanPatience{25};
 // Time for which a silent host is not asked again.
 inline constexpr std::chrono::milliseconds kSilentLenderHold{1'000};
 // Hosts that are asked for one request at most.
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -426,8 +426,12 @@
   context_.metrics.CountResult(reason_.code);
   const auto elapsed = Clock::now() - start_;
   context_.metrics.AddWhole(elapsed);
-  if (exchange_.first_byte_at())
-    context_.metrics.AddFirstByte(*exchange_.first_byte_at() - start_);
+  std::int64_t first_ms = 0;
+  if (exchange_.first_byte_at()) {
+    const auto first = *exchange_.first_byte_at() - start_;
+    context_.metrics.AddFirstByte(first);
+    first_ms = std::chrono::duration_cast<milliseconds>(first).count();
+  }
   LogEvent(kLog, Severity::kInfo, "request_done",
            {{"request", call_ ? call_->id : std::string()},
             {"team", wish_.team},
@@ -441,6 +445,7 @@
             {"bound", call_ && call_->tokens ? call_->tokens->Sum() : 0},
             {"charged", charged_},
             {"config", config_ ? config_->version : 0},
+            {"first_ms", first_ms},
             {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
 }
 
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -18,7 +18,7 @@
 inline constexpr std::chrono::minutes kTargetConnectionAge{5};
 // Time that a request waits for tokens to be granted: a write to the store
 // takes 4 ms, and a busy account meets several conflicts.
-inline constexpr std::chrono::milliseconds kFleetGrantWait{40};
+inline constexpr std::chrono::milliseconds kFleetGrantWait{100};
 // What a refused caller is told to wait when nothing better is known.
 inline constexpr std::chrono::milliseconds kRetryAfterBusy{300};
 // The same when this host has no tokens of the budget: callers come back to
