Keep requests that crash targets from all gateways

Cause: a request that crashes each target that runs it was bounded by a route's attempts on each host only; its caller comes back to another host. Change: hosts tell each other of losses over the peer network (GatewayPeers); the product's Quarantine decides. A loss counts only once the list of targets shows that the target has ended or started anew, as a broken connection to a live target says nothing of the request.

--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -45,7 +45,7 @@
         timer(context.control),
         holder(context.ledger_holder(),
                context.boot.id,
-               context.peer_address()),
+               context.peers.address()),
         loans(context, [this](const FailedLoan& it) {
           this->context.ledger.Deny(it.budget, it.smallest, it.reason);
         }) {}
@@ -147,6 +147,7 @@
   holder.Read(std::move(account), context.boot.now());
   known = true;
   context.retries.SetHosts(holder.known().Hosts());
+  context.peers.Update(holder.known());
   co_return true;
 }
 
@@ -251,7 +252,7 @@
   if (now)
     synced_at = Clock::now();
   // Requests wait for other hosts' tokens while the account is out of reach.
-  context.ledger.SetReachable(now || loans.enabled());
+  context.ledger.SetReachable(now || context.peers.enabled());
 }
 
 void AccountKeeper::Private::OpenAll() {
@@ -295,7 +296,7 @@
     GrantWish missing = wish;
     missing.needed = std::max<std::int64_t>(wish.needed - available, 0);
     missing.smallest = std::max<std::int64_t>(wish.smallest - available, 0);
-    if (loans.enabled())
+    if (context.peers.enabled())
       loans.Ask(missing, holder.known(), told);
     else
       context.ledger.Deny(name, missing.smallest, told);
@@ -354,10 +355,6 @@
 
 AccountKeeper::~AccountKeeper() = default;
 
-std::optional<bool> AccountKeeper::Listen(Reason* reason) {
-  return d_->loans.Listen(reason);
-}
-
 asio::awaitable<void> AccountKeeper::Run() {
   for (;;) {
     milliseconds pause = kAccountTick;
--- a/src/libs/gateway/account_keeper.h
+++ b/src/libs/gateway/account_keeper.h
@@ -20,8 +20,6 @@
   AccountKeeper(GatewayContext& context, PlatformClient& platform);
   ~AccountKeeper();
 
-  // Takes connections of other hosts, if the settings name an address.
-  std::optional<bool> Listen(Reason* reason);
   // Runs until the process ends.
   boost::asio::awaitable<void> Run();
   // Draws soon, as a request waits. Safe from any thread.
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -106,6 +106,7 @@
 void Gateway::Private::TakeTargets(const HostList& targets) {
   list = targets;
   context.targets_known = true;
+  context.quarantine.OnTargets(list);
   UpdateTargets();
 }
 
@@ -201,7 +202,7 @@
   if (!d_->callers.Listen(settings.listen, reason) ||
       !d_->probes.Listen(settings.health_listen, reason) ||
       !d_->operators.Listen(settings.metrics_listen, reason) ||
-      !d_->account->Listen(reason))
+      !d_->context.peers.Listen(reason))
     return std::nullopt;
   LogEvent(kLog, Severity::kInfo, "started",
            {{"failure_domain", settings.failure_domain},
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -60,6 +60,11 @@
  private:
   // Finds configuration, route and team. False if the request is refused.
   bool Resolve();
+  // What the quarantine knows the request by.
+  std::string Digest() const;
+  // False if the request has crashed the targets that ran it.
+  bool PassesQuarantine();
+  void TellQuarantine(AttemptEnd end, const TargetChoice& choice);
   asio::awaitable<bool> Reserve();
   asio::awaitable<void> RunAttempts();
   asio::awaitable<std::optional<TargetChoice>> Choose(bool is_first);
@@ -147,6 +152,28 @@
   return true;
 }
 
+std::string CallRunner::Digest() const {
+  return Sha256Hex(wish_.team + "\n" + request_.method + " " + request_.target +
+                   "\n" + request_.body);
+}
+
+bool CallRunner::PassesQuarantine() {
+  if (!context_.quarantine.HasSuspects() ||
+      !context_.quarantine.IsQuarantined(Digest()))
+    return true;
+  reason_ = {ResultCode::kQuarantined, "targets crashed when they ran it"};
+  return false;
+}
+
+void CallRunner::TellQuarantine(AttemptEnd end, const TargetChoice& choice) {
+  if (cancel_.cancelled())
+    return;
+  if (end == AttemptEnd::kLost || end == AttemptEnd::kBroken)
+    context_.quarantine.OnLost({Digest(), choice.name, choice.incarnation});
+  else if (end == AttemptEnd::kDone && context_.quarantine.HasSuspects())
+    context_.quarantine.OnAnswered(Digest());
+}
+
 asio::awaitable<bool> CallRunner::Reserve() {
   if (!team_ || !call_->tokens)
     co_return true;
@@ -385,6 +412,7 @@
       co_return;
     }
     const AttemptEnd end = co_await Attempt(*choice);
+    TellQuarantine(end, *choice);
     if (end == AttemptEnd::kDone)
       co_return;
     if (MayTryAgain(end)) {
@@ -450,7 +478,7 @@
 }
 
 asio::awaitable<void> CallRunner::Run() {
-  if (!Resolve()) {
+  if (!Resolve() || !PassesQuarantine()) {
     co_await Refuse();
     LogEnd();
     co_return;
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -32,6 +32,10 @@
 // Least time that must be left of a request for it to be sent.
 inline constexpr std::chrono::milliseconds kLeastTimeLeft{5};
 
+// Hosts that are told at once of a request that crashes targets: more than
+// today's fleets have, and bounded for larger ones.
+inline constexpr std::size_t kMostPeersTold = 64;
+
 // Longest wait of one watch of the store; a store that returns after it was
 // silent may have forgotten the watch.
 inline constexpr std::chrono::milliseconds kWatchWait{5'000};
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -13,7 +13,9 @@
 #include "libs/gateway/gateway_config.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/gateway_dialect.h"
+#include "libs/gateway/gateway_peers.h"
 #include "libs/gateway/gateway_settings.h"
+#include "libs/gateway/request_quarantine.h"
 #include "libs/gateway/service_retries.h"
 #include "libs/http/http_client.h"
 #include "libs/node/node_metrics.h"
@@ -58,11 +60,6 @@
     return settings.host + "_" + incarnation;
   }
 
-  // Where other hosts reach this one, IP:PORT; empty if they do not.
-  std::string peer_address() const {
-    return settings.peer_listen.port() == 0 ? "" : ToText(settings.peer_listen);
-  }
-
   GatewaySettings settings;
   GatewayDialect dialect;
   std::string incarnation;
@@ -76,6 +73,8 @@
   SharedTargets targets;
   SharedLedger ledger;
   ServiceRetries retries;
+  GatewayPeers peers{control, settings};
+  RequestQuarantine quarantine{control, peers};
   std::atomic<bool> targets_known{false};
   std::atomic<bool> draining{false};
 };
--- /dev/null
+++ b/src/libs/gateway/gateway_peers.cc
@@ -0,0 +1,51 @@
+#include "libs/gateway/gateway_peers.h"
+
+#include <algorithm>
+
+#include "libs/gateway/gateway_constants.h"
+#include "libs/http/http_client.h"
+
+namespace turmericwinch {
+
+GatewayPeers::GatewayPeers(boost::asio::io_context& control,
+                           const GatewaySettings& settings)
+    : settings_(settings),
+      address_(settings.peer_listen.port() == 0 ? ""
+                                                : ToText(settings.peer_listen)),
+      network_(control, settings.fleet_key, [this](const PeerFrame& frame) {
+        Receive(frame);
+      }) {}
+
+std::optional<bool> GatewayPeers::Listen(Reason* reason) {
+  if (!enabled())
+    return true;
+  if (!network_.Listen(settings_.peer_listen, reason))
+    return std::nullopt;
+  return true;
+}
+
+void GatewayPeers::Update(const FleetAccount& account) {
+  addresses_.clear();
+  for (const auto& [holder, mark] : account.marks) {
+    if (!mark.address.empty() && mark.address != address_)
+      addresses_.push_back(mark.address);
+  }
+}
+
+void GatewayPeers::Send(const std::string& address, const PeerFrame& frame) {
+  if (enabled())
+    network_.Send(address, frame);
+}
+
+void GatewayPeers::SendToAll(const PeerFrame& frame) {
+  const std::size_t most = std::min(addresses_.size(), kMostPeersTold);
+  for (std::size_t n = 0; n < most; ++n)
+    Send(addresses_[n], frame);
+}
+
+void GatewayPeers::Receive(const PeerFrame& frame) {
+  std::any_of(handlers_.begin(), handlers_.end(),
+              [&](const Handler& it) { return it(frame); });
+}
+
+}  // namespace turmericwinch
--- a/src/libs/gateway/peer_loans.cc
+++ b/src/libs/gateway/peer_loans.cc
@@ -4,8 +4,6 @@
 
 #include "libs/base/log.h"
 #include "libs/budget/fleet_lender.h"
-#include "libs/http/http_client.h"
-#include "libs/peer/peer_network.h"
 
 namespace turmericwinch {
 
@@ -22,7 +20,8 @@
  public:
   Private(GatewayContext& context, FailHook on_failed);
 
-  void OnFrame(const PeerFrame& frame);
+  // Whether the frame is about loans.
+  bool Receive(const PeerFrame& frame);
   void Lend(const LoanAsk& ask);
   void Borrow(const LoanAnswer& answer);
   // Sends what is due, tells of what failed, and comes back when more is due.
@@ -31,10 +30,8 @@
 
   GatewayContext& context;
   FailHook on_failed;
-  std::string address;
   FleetLender lender;
   LoanSearch search;
-  PeerNetwork network;
   asio::steady_timer timer;
   bool is_waiting = false;
 };
@@ -42,19 +39,18 @@
 PeerLoans::Private::Private(GatewayContext& context, FailHook on_failed)
     : context(context),
       on_failed(std::move(on_failed)),
-      address(context.peer_address()),
-      lender(context.ledger_holder(), address),
-      search(context.ledger_holder(), address),
-      network(context.control,
-              context.settings.fleet_key,
-              [this](const PeerFrame& frame) { OnFrame(frame); }),
+      lender(context.ledger_holder(), context.peers.address()),
+      search(context.ledger_holder(), context.peers.address()),
       timer(context.control) {}
 
-void PeerLoans::Private::OnFrame(const PeerFrame& frame) {
-  if (const LoanAsk* ask = std::get_if<LoanAsk>(&frame))
+bool PeerLoans::Private::Receive(const PeerFrame& frame) {
+  const auto* ask = std::get_if<LoanAsk>(&frame);
+  const auto* answer = std::get_if<LoanAnswer>(&frame);
+  if (ask)
     Lend(*ask);
-  else if (const LoanAnswer* answer = std::get_if<LoanAnswer>(&frame))
+  else if (answer)
     Borrow(*answer);
+  return ask || answer;
 }
 
 void PeerLoans::Private::Lend(const LoanAsk& ask) {
@@ -71,7 +67,7 @@
               {"short", answer.grants[n].outcome == LoanOutcome::kShort}});
   }
   if (!answer.grants.empty())
-    network.Send(ask.reply_to, answer);
+    context.peers.Send(ask.reply_to, answer);
 }
 
 void PeerLoans::Private::Borrow(const LoanAnswer& answer) {
@@ -89,7 +85,7 @@
   context.ledger.With(
       [&](HostLedger& ledger) { asks = search.Due(ledger, Clock::now()); });
   for (const OutgoingAsk& it : asks)
-    network.Send(it.address, it.ask);
+    context.peers.Send(it.address, it.ask);
   for (const FailedLoan& it : search.TakeFailed()) {
     LogEvent(kLog, Severity::kInfo, "no_lender",
              {{"budget", it.budget},
@@ -112,21 +108,12 @@
 }
 
 PeerLoans::PeerLoans(GatewayContext& context, FailHook on_failed)
-    : d_(std::make_shared<Private>(context, std::move(on_failed))) {}
-
-PeerLoans::~PeerLoans() = default;
-
-std::optional<bool> PeerLoans::Listen(Reason* reason) {
-  if (!enabled())
-    return true;
-  if (!d_->network.Listen(d_->context.settings.peer_listen, reason))
-    return std::nullopt;
-  return true;
+    : d_(std::make_shared<Private>(context, std::move(on_failed))) {
+  context.peers.AddHandler(
+      [d = d_](const PeerFrame& frame) { return d->Receive(frame); });
 }
 
-bool PeerLoans::enabled() const {
-  return !d_->address.empty();
-}
+PeerLoans::~PeerLoans() = default;
 
 void PeerLoans::Ask(const GrantWish& wish,
                     const FleetAccount& account,
@@ -143,7 +130,7 @@
   d_->context.ledger.With([&](HostLedger& ledger) {
     for (const std::string& lender : ledger.Lenders()) {
       ledger.ReturnLoans(lender);
-      LoanAsk report{holder, lender, d_->address, {}};
+      LoanAsk report{holder, lender, d_->context.peers.address(), {}};
       for (const auto& [budget, totals] : ledger.UnreportedLoans(lender))
         report.wishes.push_back({budget, 0, 0, 0, totals});
       auto mark = account.marks.find(lender);
@@ -152,7 +139,7 @@
     }
   });
   for (const auto& [address, report] : reports)
-    d_->network.Send(address, report);
+    d_->context.peers.Send(address, report);
 }
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/peer_loans.h
+++ b/src/libs/gateway/peer_loans.h
@@ -5,7 +5,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 
 #include "libs/budget/loan_search.h"
 #include "libs/gateway/gateway_context.h"
@@ -22,9 +21,6 @@
   PeerLoans(GatewayContext& context, FailHook on_failed);
   ~PeerLoans();
 
-  // Takes connections of other hosts, if the settings name an address.
-  std::optional<bool> Listen(Reason* reason);
-  bool enabled() const;
   // Looks for a lender among the hosts of `account`; `wish` counts beyond what
   // this host has open. The requests that wait are woken once it is lent.
   void Ask(const GrantWish& wish,
--- /dev/null
+++ b/src/libs/gateway/pending_losses.cc
@@ -0,0 +1,36 @@
+#include "libs/gateway/pending_losses.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericwinch {
+
+void PendingLosses::Note(TargetLoss loss, Time now) {
+  std::erase_if(losses_, [now](const Pending& it) {
+    return now - it.time > kLossConfirmed;
+  });
+  if (losses_.size() < kMostPendingLosses)
+    losses_.push_back({std::move(loss), now});
+}
+
+std::vector<TargetLoss> PendingLosses::TakeConfirmed(const HostList& list,
+                                                     Time now) {
+  std::vector<TargetLoss> confirmed;
+  const auto lives = [&list](const TargetLoss& loss) {
+    return std::any_of(
+        list.targets.begin(), list.targets.end(), [&](const ListedMember& it) {
+          return it.name == loss.target && it.incarnation == loss.incarnation;
+        });
+  };
+  std::erase_if(losses_, [&](Pending& it) {
+    if (now - it.time > kLossConfirmed)
+      return true;
+    if (lives(it.loss))
+      return false;
+    confirmed.push_back(std::move(it.loss));
+    return true;
+  });
+  return confirmed;
+}
+
+}  // namespace turmericwinch
