Hold at most 0.45 of the unspent tokens in stock; open it at ticks

Since hosts lend each other tokens, less has to lie at each. A host in a cut opened its stock up to 1.3 s late, once the call to the store had timed out.

--- a/src/libs/budget/fleet_plan.h
+++ b/src/libs/budget/fleet_plan.h
@@ -23,7 +23,7 @@
 inline constexpr double kFleetOpenRequests = 2;
 // Share of the unspent tokens that all hosts together hold at most: the rest is
 // for hosts that run short, and is what is left if all lose power at once.
-inline constexpr double kFleetStockShare = 0.6;
+inline constexpr double kFleetStockShare = 0.45;
 // Part of a usual request's cost that is not worth a write to give back.
 inline constexpr double kFleetLeastReturn = 0.1;
 // Cost that a request is taken to have before the first, as a share of what was
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -63,6 +63,8 @@
   void SetReachable(bool now);
   // Opens all that the host holds once it has been out of touch for long.
   void OpenAll();
+  // The same at each tick: a call into a cut may take its whole time limit.
+  asio::awaitable<void> OpenAllAtTicks();
   // Notes what requests cost. Nobody reads bills here: what must last of them
   // is the counters.
   void TakeBills(HostLedger& ledger);
@@ -272,6 +274,15 @@
   }
 }
 
+asio::awaitable<void> AccountKeeper::Private::OpenAllAtTicks() {
+  asio::steady_timer tick(context.control);
+  for (;;) {
+    tick.expires_after(kAccountTick);
+    co_await tick.async_wait(asio::as_tuple(asio::use_awaitable));
+    OpenAll();
+  }
+}
+
 // A budget is used up only if no host has tokens left that cover the request:
 // callers do not come back after that answer.
 void AccountKeeper::Private::BorrowOrDeny(const Reason& why) {
@@ -356,6 +367,7 @@
 AccountKeeper::~AccountKeeper() = default;
 
 asio::awaitable<void> AccountKeeper::Run() {
+  asio::co_spawn(d_->context.control, d_->OpenAllAtTicks(), asio::detached);
   for (;;) {
     milliseconds pause = kAccountTick;
     if (!d_->context.draining && d_->context.config.Get()) {
