--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
-#include <cmath>
 #include <limits>
 #include <random>
 
 #include "libs/base/log.h"
-#include "libs/budget/demand_rate.h"
 #include "libs/budget/fleet_holder.h"
+#include "libs/gateway/budget_demands.h"
 #include "libs/gateway/peer_loans.h"
 
 namespace turmericwinch {
@@ -21,17 +20,6 @@
 
 constexpr LogCategory kLog{"account"};
 
-// Weight of one request in the average cost.
-constexpr double kRequestWeight = 0.1;
-
-// Demand of one budget at this host.
-struct Demand {
-  DemandRate rate{kFleetRateWindow};
-  std::int64_t used = 0;
-  // Usual cost of a request, 0 before the first.
-  double request = 0;
-};
-
 // How a write ended.
 enum class WriteEnd { kDone, kConflict, kFailed };
 
@@ -68,8 +56,6 @@
   // Notes what requests cost. Nobody reads bills here: what must last of them
   // is the counters.
   void TakeBills(HostLedger& ledger);
-  void NoteDemand(const std::string& budget, std::int64_t used);
-  double RateOf(const std::string& budget);
   // Notes the requests that wait for tokens.
   void NoteWaiting(HostLedger& ledger);
   // Looks at other hosts for what waiting requests need; where there is none,
@@ -94,7 +80,7 @@
   FleetHolder holder;
   PeerLoans loans;
   std::map<std::string, FleetRow> logged;
-  std::map<std::string, Demand> demands;
+  BudgetDemands demands{start};
   std::map<std::string, GrantWish> waiting;
   Reason reason;
 };
@@ -102,33 +88,12 @@
 void AccountKeeper::Private::TakeBills(HostLedger& ledger) {
   const std::vector<Bill> bills =
       ledger.UnconfirmedBills(std::numeric_limits<std::size_t>::max());
-  for (const Bill& it : bills) {
-    double& request = demands[it.budget].request;
-    const auto tokens = static_cast<double>(it.tokens);
-    request =
-        request == 0 ? tokens : request + kRequestWeight * (tokens - request);
-  }
+  for (const Bill& it : bills)
+    demands.NoteCost(it.budget, it.tokens);
   if (!bills.empty())
     ledger.ConfirmBills(bills.back().sequence);
 }
 
-void AccountKeeper::Private::NoteDemand(const std::string& budget,
-                                        std::int64_t used) {
-  Demand& demand = demands[budget];
-  demand.rate.Decay(Clock::now());
-  if (used > demand.used) {
-    demand.rate.Add(used - demand.used, Clock::now());
-    demand.used = used;
-  }
-}
-
-// The average is corrected for the time before the first request.
-double AccountKeeper::Private::RateOf(const std::string& budget) {
-  const std::chrono::duration<double> age = Clock::now() - start;
-  const std::chrono::duration<double> window = kFleetRateWindow;
-  return demands[budget].rate.Value() / (1 - std::exp(-age / window));
-}
-
 asio::awaitable<bool> AccountKeeper::Private::Read() {
   std::optional<PlatformObject> object =
       co_await platform.Get(PlatformDuty::kBudget, kFleetAccountName, &reason);
@@ -175,12 +140,13 @@
     std::map<std::string, FleetWish> wishes;
     for (const auto& [name, budget] : config->objects->budgets()) {
       const HolderCounters counters = ledger.Counters(name);
-      NoteDemand(name, counters.granted - counters.given_back -
-                           ledger.Available(name));
+      demands.NoteUsed(
+          name, counters.granted - counters.given_back - ledger.Available(name),
+          Clock::now());
       auto wish = waiting.find(name);
-      wishes[name] = {budget.tokens,
-                      wish == waiting.end() ? 0 : wish->second.needed,
-                      RateOf(name), demands[name].request};
+      wishes[name] = {
+          budget.tokens, wish == waiting.end() ? 0 : wish->second.needed,
+          demands.Rate(name, Clock::now()), demands.RequestCost(name)};
     }
     is_due = holder.Plan(wishes, ledger, context.boot.now());
   });
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
-#include <random>
 #include <set>
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
 #include "libs/gateway/event_order.h"
 #include "libs/gateway/event_splitter.h"
+#include "libs/gateway/resolved_call.h"
 #include "libs/gateway/retry_after.h"
 #include "libs/node/attempt_meter.h"
 
@@ -24,8 +24,6 @@
 constexpr int kServerError = 500;
 constexpr int kStatusOk = 200;
 constexpr int kFirstFailure = 300;
-// Parts of a prompt that other requests may share: all but the request's own.
-constexpr std::size_t kOwnParts = 1;
 
 // How one attempt ended.
 enum class AttemptEnd {
@@ -43,11 +41,6 @@
   return std::chrono::duration_cast<milliseconds>(time - Clock::now());
 }
 
-std::uint32_t Draw() {
-  static thread_local std::minstd_rand random{std::random_device{}()};
-  return static_cast<std::uint32_t>(random());
-}
-
 class CallRunner {
  public:
   CallRunner(GatewayContext& context,
@@ -58,8 +51,6 @@
   asio::awaitable<void> Run();
 
  private:
-  // Finds configuration, route and team. False if the request is refused.
-  bool Resolve();
   // What the quarantine knows the request by.
   std::string Digest() const;
   // False if the request has crashed the targets that ran it.
@@ -81,21 +72,14 @@
   void LogEnd();
 
   bool MayRepeat() const {
-    return route_->kind == RouteKind::kRepeatable ||
-           route_->kind == RouteKind::kStreamResumable;
+    return resolved_.route->kind == RouteKind::kRepeatable ||
+           resolved_.route->kind == RouteKind::kStreamResumable;
   }
 
   GatewayContext& context_;
   const HttpRequest& request_;
   HttpExchange& exchange_;
-  const Clock::time_point start_ = Clock::now();
-  Clock::time_point deadline_;
-  std::shared_ptr<const GatewayConfig> config_;
-  std::optional<GatewayCall> call_;
-  const PathRoute* route_ = nullptr;
-  const TeamConfig* team_ = nullptr;
-  std::string service_;
-  TargetWish wish_;
+  ResolvedCall resolved_;
   HttpCancel cancel_;
   std::optional<std::uint64_t> reservation_;
   Reason reason_;
@@ -110,51 +94,9 @@
   int status_ = 0;
 };
 
-bool CallRunner::Resolve() {
-  config_ = context_.config.Get();
-  if (!config_) {
-    reason_ = {ResultCode::kNoConfig, "this host has no configuration yet"};
-    return false;
-  }
-  call_ = context_.dialect.decode(request_, &reason_);
-  if (!call_)
-    return false;
-  route_ = config_->routes.Find(call_->host, call_->path);
-  if (!route_) {
-    reason_ = {ResultCode::kNotFound, "no route matches the host and path"};
-    return false;
-  }
-  team_ = call_->key.empty()
-              ? nullptr
-              : config_->objects->TeamOfKeyHash(Sha256Hex(call_->key));
-  if (!team_ && !route_->is_public && !config_->objects->teams().empty()) {
-    reason_ = {ResultCode::kUnauthorized, "the key is not known"};
-    return false;
-  }
-  deadline_ = start_ + route_->timeout;
-  if (call_->time_left)
-    deadline_ = std::min(deadline_, start_ + *call_->time_left);
-  order_.StartAfter(call_->after_event.value_or(0));
-  service_ = ServiceOf(*route_, Draw());
-  wish_.service = service_;
-  if (team_) {
-    wish_.team = team_->name;
-    wish_.share = team_->share;
-  }
-  if (call_->tokens)
-    wish_.prompt_tokens = call_->tokens->prompt;
-  std::uint64_t prefix = 0;
-  for (std::size_t n = 0; n + kOwnParts < call_->parts.size(); ++n) {
-    prefix = Hash64(std::to_string(call_->parts[n].id), prefix);
-    wish_.prefix_tokens += call_->parts[n].tokens;
-  }
-  wish_.prefix = prefix;
-  return true;
-}
-
 std::string CallRunner::Digest() const {
-  return Sha256Hex(wish_.team + "\n" + request_.method + " " + request_.target +
-                   "\n" + request_.body);
+  return Sha256Hex(resolved_.wish.team + "\n" + request_.method + " " +
+                   request_.target + "\n" + request_.body);
 }
 
 bool CallRunner::PassesQuarantine() {
@@ -175,13 +117,14 @@
 }
 
 asio::awaitable<bool> CallRunner::Reserve() {
-  if (!team_ || !call_->tokens)
+  if (!resolved_.team || !resolved_.call->tokens)
     co_return true;
   const std::vector<const BudgetConfig*> budgets =
-      config_->objects->Budgets(team_->name, service_);
+      resolved_.config->objects->Budgets(resolved_.team->name,
+                                         resolved_.service);
   if (budgets.empty())
     co_return true;
-  const std::int64_t tokens = call_->tokens->Sum();
+  const std::int64_t tokens = resolved_.call->tokens->Sum();
   reservation_ = co_await context_.ledger.Reserve(budgets.front()->name, tokens,
                                                   kFleetGrantWait, &reason_);
   co_return reservation_.has_value();
@@ -197,23 +140,26 @@
     context_.ledger.Release(id);
     return;
   }
-  auto per_event = config_->tokens_per_event.find(service_);
+  auto per_event = resolved_.config->tokens_per_event.find(resolved_.service);
   const std::int64_t each =
-      per_event == config_->tokens_per_event.end() ? 1 : per_event->second;
+      per_event == resolved_.config->tokens_per_event.end() ? 1
+                                                            : per_event->second;
   Bill bill;
-  bill.request_id = call_->id;
-  bill.team = team_->name;
-  bill.service = service_;
-  bill.tokens = call_->tokens->prompt +
-                std::min(call_->tokens->most_output, order_.passed() * each);
+  bill.request_id = resolved_.call->id;
+  bill.team = resolved_.team->name;
+  bill.service = resolved_.service;
+  bill.tokens =
+      resolved_.call->tokens->prompt +
+      std::min(resolved_.call->tokens->most_output, order_.passed() * each);
   charged_ = bill.tokens;
   context_.ledger.Settle(id, std::move(bill));
 }
 
 asio::awaitable<std::optional<TargetChoice>> CallRunner::Choose(bool is_first) {
   if (is_first)
-    co_return co_await context_.targets.Wait(wish_, deadline_, &reason_);
-  co_return context_.targets.Begin(wish_, tried_, &reason_);
+    co_return co_await context_.targets.Wait(resolved_.wish, resolved_.deadline,
+                                             &reason_);
+  co_return context_.targets.Begin(resolved_.wish, tried_, &reason_);
 }
 
 asio::awaitable<AttemptEnd> CallRunner::RelayWhole(HttpStream& stream,
@@ -223,7 +169,7 @@
   HttpFailure failure;
   while (!stream.done()) {
     std::optional<std::string> piece =
-        co_await stream.ReadSome(Until(deadline_), &failure);
+        co_await stream.ReadSome(Until(resolved_.deadline), &failure);
     if (!piece) {
       meter.Judge(cancel_.cancelled() ? TargetAnswer::kNoVerdict
                                       : TargetAnswer::kFailed);
@@ -235,8 +181,8 @@
   }
   meter.Judge(AnswerOfStatus(response.status, stream.headers()));
   if (response.status >= kServerError && MayRepeat() &&
-      attempts_ < route_->most_attempts && !cancel_.cancelled() &&
-      context_.retries.TakeRetry(service_)) {
+      attempts_ < resolved_.route->most_attempts && !cancel_.cancelled() &&
+      context_.retries.TakeRetry(resolved_.service)) {
     reason_ = {ResultCode::kTargetFailed,
                last_target_ + " answered " + std::to_string(response.status)};
     co_return AttemptEnd::kLost;
@@ -253,7 +199,7 @@
   HttpFailure failure;
   for (;;) {
     std::optional<std::string> piece =
-        co_await stream.ReadSome(Until(deadline_), &failure);
+        co_await stream.ReadSome(Until(resolved_.deadline), &failure);
     if (!piece || cancel_.cancelled())
       break;
     if (stream.done() && piece->empty() && splitter.pending_bytes() == 0) {
@@ -321,9 +267,11 @@
   }
   TargetOrder order;
   order.target = choice.name;
-  order.team = wish_.team;
-  order.time_left = Until(deadline_);
-  order.rank = std::min(route_->rank, team_ ? team_->priority : route_->rank);
+  order.team = resolved_.wish.team;
+  order.time_left = Until(resolved_.deadline);
+  order.rank =
+      std::min(resolved_.route->rank, resolved_.team ? resolved_.team->priority
+                                                     : resolved_.route->rank);
   if (order_.last() != 0)
     order.after_event = order_.last();
   if (order.time_left < kLeastTimeLeft) {
@@ -336,7 +284,7 @@
   options.timeouts.first_byte = order.time_left;
   options.cancel = &cancel_;
   options.is_mine = [this](const HttpHeaders& headers) {
-    return context_.dialect.is_mine(headers, call_->id);
+    return context_.dialect.is_mine(headers, resolved_.call->id);
   };
   HttpFailure failure;
   std::unique_ptr<HttpStream> stream =
@@ -344,7 +292,7 @@
   if (!stream) {
     if (!cancel_.cancelled()) {
       meter.Judge(failure.timed_out && failure.may_have_arrived &&
-                          Until(deadline_) < kLeastTimeLeft
+                          Until(resolved_.deadline) < kLeastTimeLeft
                       ? TargetAnswer::kNoVerdict
                       : AnswerOfFailure(failure));
       context_.client.DropIdle(*endpoint);
@@ -381,26 +329,28 @@
                choice.name + " answered something else"};
     co_return AttemptEnd::kLost;
   }
-  if (IsStream(route_->kind) && stream->status() >= kStatusOk &&
+  if (IsStream(resolved_.route->kind) && stream->status() >= kStatusOk &&
       stream->status() < kFirstFailure)
     co_return co_await RelayStream(*stream, meter);
   co_return co_await RelayWhole(*stream, meter);
 }
 
 bool CallRunner::MayTryAgain(AttemptEnd end) {
-  if (cancel_.cancelled() || Until(deadline_) < kLeastTimeLeft)
+  if (cancel_.cancelled() || Until(resolved_.deadline) < kLeastTimeLeft)
     return false;
   if (end != AttemptEnd::kNotRun && !MayRepeat())
     return false;
-  if (end == AttemptEnd::kBroken && route_->kind != RouteKind::kStreamResumable)
+  if (end == AttemptEnd::kBroken &&
+      resolved_.route->kind != RouteKind::kStreamResumable)
     return false;
-  if (attempts_ >= route_->most_attempts || unreached_ >= kMostUnreached)
+  if (attempts_ >= resolved_.route->most_attempts ||
+      unreached_ >= kMostUnreached)
     return false;
-  return context_.retries.TakeRetry(service_);
+  return context_.retries.TakeRetry(resolved_.service);
 }
 
 asio::awaitable<void> CallRunner::RunAttempts() {
-  context_.retries.OnRequest(service_);
+  context_.retries.OnRequest(resolved_.service);
   for (bool is_first = true;; is_first = false) {
     Reason reason;
     std::optional<TargetChoice> choice = co_await Choose(is_first);
@@ -417,7 +367,7 @@
       co_return;
     if (MayTryAgain(end)) {
       LogEvent(kLog, Severity::kInfo, "retried",
-               {{"request", call_->id},
+               {{"request", resolved_.call->id},
                 {"target", last_target_},
                 {"attempts", attempts_},
                 {"after_event", order_.last()},
@@ -438,51 +388,57 @@
     exchange_.Abort();
     co_return;
   }
-  if (route_ && may_have_run_ && Until(deadline_) <= kLeastTimeLeft)
+  if (resolved_.route && may_have_run_ &&
+      Until(resolved_.deadline) <= kLeastTimeLeft)
     reason_.code = ResultCode::kTargetTimeout;
   milliseconds retry_after{0};
   if (!may_have_run_) {
     retry_after = RetryAfterOf(reason_.code);
   }
-  const HttpResponse response = context_.dialect.refuse(
-      call_ ? &*call_ : nullptr, reason_, may_have_run_, retry_after);
+  const HttpResponse response =
+      context_.dialect.refuse(resolved_.call ? &*resolved_.call : nullptr,
+                              reason_, may_have_run_, retry_after);
   status_ = response.status;
   co_await exchange_.Send(response);
 }
 
 void CallRunner::LogEnd() {
   context_.metrics.CountResult(reason_.code);
-  const auto elapsed = Clock::now() - start_;
+  const auto elapsed = Clock::now() - resolved_.start;
   context_.metrics.AddWhole(elapsed);
   std::int64_t first_ms = 0;
   if (exchange_.first_byte_at()) {
-    const auto first = *exchange_.first_byte_at() - start_;
+    const auto first = *exchange_.first_byte_at() - resolved_.start;
     context_.metrics.AddFirstByte(first);
     first_ms = std::chrono::duration_cast<milliseconds>(first).count();
   }
   LogEvent(kLog, Severity::kInfo, "request_done",
-           {{"request", call_ ? call_->id : std::string()},
-            {"team", wish_.team},
-            {"route", route_ ? route_->name : std::string()},
+           {{"request", resolved_.call ? resolved_.call->id : std::string()},
+            {"team", resolved_.wish.team},
+            {"route", resolved_.route ? resolved_.route->name : std::string()},
             {"target", last_target_},
             {"attempts", attempts_},
             {"status", status_},
             {"code", static_cast<int>(reason_.code)},
             {"reason", reason_.text},
             {"events", order_.passed()},
-            {"bound", call_ && call_->tokens ? call_->tokens->Sum() : 0},
+            {"bound", resolved_.call && resolved_.call->tokens
+                          ? resolved_.call->tokens->Sum()
+                          : 0},
             {"charged", charged_},
-            {"config", config_ ? config_->version : 0},
+            {"config", resolved_.config ? resolved_.config->version : 0},
             {"first_ms", first_ms},
             {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
 }
 
 asio::awaitable<void> CallRunner::Run() {
-  if (!Resolve() || !PassesQuarantine()) {
+  const bool is_resolved = ResolveCall(context_, request_, resolved_, &reason_);
+  if (!is_resolved || !PassesQuarantine()) {
     co_await Refuse();
     LogEnd();
     co_return;
   }
+  order_.StartAfter(resolved_.call->after_event.value_or(0));
   exchange_.WatchCaller([this] { cancel_.Cancel(); });
   const bool reserved = co_await Reserve();
   if (!reserved)
