Give the caller a target's failure if no other target does better

Cause: a 500 of a target whose request may be repeated was dropped for the next attempt, and drew on the retry budget twice; if that attempt was lost, the caller got 502 though an answer was there. Change: the answer is kept and delivered; one retry is drawn. The two new rows of the table fail before (502 for 500), pass after.

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -6,8 +6,7 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
-#include "libs/gateway/event_order.h"
-#include "libs/gateway/event_splitter.h"
+#include "libs/gateway/answer_relay.h"
 #include "libs/gateway/resolved_call.h"
 #include "libs/gateway/retry_after.h"
 #include "libs/node/attempt_meter.h"
@@ -25,18 +24,6 @@
 constexpr int kStatusOk = 200;
 constexpr int kFirstFailure = 300;
 
-// How one attempt ended.
-enum class AttemptEnd {
-  // The caller has its answer, or its connection was given up.
-  kDone,
-  // No target ran the request.
-  kNotRun,
-  // A target may have run it, and the caller has no byte of an answer.
-  kLost,
-  // A stream broke after the caller got a part of it.
-  kBroken,
-};
-
 milliseconds Until(Clock::time_point time) {
   return std::chrono::duration_cast<milliseconds>(time - Clock::now());
 }
@@ -60,10 +47,8 @@
   asio::awaitable<void> RunAttempts();
   asio::awaitable<std::optional<TargetChoice>> Choose(bool is_first);
   asio::awaitable<AttemptEnd> Attempt(const TargetChoice& choice);
-  asio::awaitable<AttemptEnd> RelayStream(HttpStream& stream,
-                                          AttemptMeter& meter);
-  asio::awaitable<AttemptEnd> RelayWhole(HttpStream& stream,
-                                         AttemptMeter& meter);
+  // A failure that another target may still turn into a success is kept.
+  asio::awaitable<AttemptEnd> RelayWhole(RelayedAnswer& answer);
   // Whether another target may be tried after `end`; if not, `reason_` says
   // what the caller is told.
   bool MayTryAgain(AttemptEnd end);
@@ -84,12 +69,13 @@
   std::optional<std::uint64_t> reservation_;
   Reason reason_;
   bool may_have_run_ = false;
-  bool head_sent_ = false;
   int attempts_ = 0;
   int unreached_ = 0;
   std::set<std::string> tried_;
   std::string last_target_;
-  EventOrder order_;
+  AnswerRelay relay_{context_.dialect, exchange_, cancel_};
+  // What the caller gets if no target does better.
+  std::optional<HttpResponse> failed_answer_;
   std::int64_t charged_ = 0;
   int status_ = 0;
 };
@@ -148,9 +134,9 @@
   bill.request_id = resolved_.call->id;
   bill.team = resolved_.team->name;
   bill.service = resolved_.service;
-  bill.tokens =
-      resolved_.call->tokens->prompt +
-      std::min(resolved_.call->tokens->most_output, order_.passed() * each);
+  bill.tokens = resolved_.call->tokens->prompt +
+                std::min(resolved_.call->tokens->most_output,
+                         relay_.order().passed() * each);
   charged_ = bill.tokens;
   context_.ledger.Settle(id, std::move(bill));
 }
@@ -162,99 +148,21 @@
   co_return context_.targets.Begin(resolved_.wish, tried_, &reason_);
 }
 
-asio::awaitable<AttemptEnd> CallRunner::RelayWhole(HttpStream& stream,
-                                                   AttemptMeter& meter) {
-  HttpResponse response;
-  response.status = stream.status();
-  HttpFailure failure;
-  while (!stream.done()) {
-    std::optional<std::string> piece =
-        co_await stream.ReadSome(Until(resolved_.deadline), &failure);
-    if (!piece) {
-      meter.Judge(cancel_.cancelled() ? TargetAnswer::kNoVerdict
-                                      : TargetAnswer::kFailed);
-      reason_ = {ResultCode::kTargetFailed,
-                 "the answer of " + last_target_ + " broke: " + failure.text};
-      co_return AttemptEnd::kLost;
-    }
-    response.body += *piece;
-  }
-  meter.Judge(AnswerOfStatus(response.status, stream.headers()));
-  if (response.status >= kServerError && MayRepeat() &&
-      attempts_ < resolved_.route->most_attempts && !cancel_.cancelled() &&
-      context_.retries.TakeRetry(resolved_.service)) {
+asio::awaitable<AttemptEnd> CallRunner::RelayWhole(RelayedAnswer& answer) {
+  std::optional<HttpResponse> response = co_await relay_.Read(answer, &reason_);
+  if (!response)
+    co_return AttemptEnd::kLost;
+  if (response->status >= kServerError && MayRepeat()) {
     reason_ = {ResultCode::kTargetFailed,
-               last_target_ + " answered " + std::to_string(response.status)};
+               last_target_ + " answered " + std::to_string(response->status)};
+    failed_answer_ = std::move(response);
     co_return AttemptEnd::kLost;
   }
-  response.headers = context_.dialect.answer_headers(stream.headers());
-  status_ = response.status;
-  co_await exchange_.Send(response);
+  status_ = response->status;
+  co_await exchange_.Send(*response);
   co_return AttemptEnd::kDone;
 }
 
-asio::awaitable<AttemptEnd> CallRunner::RelayStream(HttpStream& stream,
-                                                    AttemptMeter& meter) {
-  EventSplitter splitter;
-  HttpFailure failure;
-  for (;;) {
-    std::optional<std::string> piece =
-        co_await stream.ReadSome(Until(resolved_.deadline), &failure);
-    if (!piece || cancel_.cancelled())
-      break;
-    if (stream.done() && piece->empty() && splitter.pending_bytes() == 0) {
-      meter.Judge(TargetAnswer::kGood);
-      if (!head_sent_) {
-        exchange_.StartStream(
-            stream.status(), context_.dialect.answer_headers(stream.headers()));
-        head_sent_ = true;
-      }
-      status_ = stream.status();
-      co_await exchange_.EndStream();
-      co_return AttemptEnd::kDone;
-    }
-    splitter.Feed(*piece);
-    std::string whole;
-    while (std::optional<RawEvent> event = splitter.Next()) {
-      const EventVerdict verdict = order_.Take(event->id);
-      if (verdict == EventVerdict::kMissing) {
-        reason_ = {ResultCode::kTargetFailed,
-                   last_target_ + " left out events before " +
-                       std::to_string(event->id.value_or(0))};
-        meter.Judge(TargetAnswer::kWrong);
-        co_return head_sent_ ? AttemptEnd::kBroken : AttemptEnd::kLost;
-      }
-      if (verdict == EventVerdict::kPass)
-        whole += event->bytes;
-    }
-    if (!whole.empty()) {
-      meter.OnTokens(order_.passed());
-      if (!head_sent_) {
-        exchange_.StartStream(
-            stream.status(), context_.dialect.answer_headers(stream.headers()));
-        head_sent_ = true;
-      }
-      const bool sent = co_await exchange_.Write(whole);
-      if (!sent) {
-        cancel_.Cancel();
-        break;
-      }
-    }
-    if (stream.done()) {
-      failure.text = "it ended within an event";
-      break;
-    }
-  }
-  if (cancel_.cancelled()) {
-    reason_ = {ResultCode::kCallerGone, "the caller left"};
-    co_return AttemptEnd::kDone;
-  }
-  meter.Judge(TargetAnswer::kFailed);
-  reason_ = {ResultCode::kTargetFailed,
-             "the stream of " + last_target_ + " broke: " + failure.text};
-  co_return head_sent_ ? AttemptEnd::kBroken : AttemptEnd::kLost;
-}
-
 asio::awaitable<AttemptEnd> CallRunner::Attempt(const TargetChoice& choice) {
   AttemptMeter meter(context_.targets, choice);
   last_target_ = choice.name;
@@ -272,8 +180,8 @@
   order.rank =
       std::min(resolved_.route->rank, resolved_.team ? resolved_.team->priority
                                                      : resolved_.route->rank);
-  if (order_.last() != 0)
-    order.after_event = order_.last();
+  if (relay_.order().last() != 0)
+    order.after_event = relay_.order().last();
   if (order.time_left < kLeastTimeLeft) {
     reason_ = {ResultCode::kTargetTimeout, "no time was left to send it"};
     co_return AttemptEnd::kNotRun;
@@ -329,10 +237,11 @@
                choice.name + " answered something else"};
     co_return AttemptEnd::kLost;
   }
+  RelayedAnswer answer{*stream, meter, last_target_, resolved_.deadline};
   if (IsStream(resolved_.route->kind) && stream->status() >= kStatusOk &&
       stream->status() < kFirstFailure)
-    co_return co_await RelayStream(*stream, meter);
-  co_return co_await RelayWhole(*stream, meter);
+    co_return co_await relay_.Stream(answer, &reason_);
+  co_return co_await RelayWhole(answer);
 }
 
 bool CallRunner::MayTryAgain(AttemptEnd end) {
@@ -355,7 +264,7 @@
     Reason reason;
     std::optional<TargetChoice> choice = co_await Choose(is_first);
     if (!choice) {
-      if (head_sent_)
+      if (relay_.head_sent())
         exchange_.Abort();
       else
         co_await Refuse();
@@ -370,11 +279,11 @@
                {{"request", resolved_.call->id},
                 {"target", last_target_},
                 {"attempts", attempts_},
-                {"after_event", order_.last()},
+                {"after_event", relay_.order().last()},
                 {"reason", reason_.text}});
       continue;
     }
-    if (head_sent_)
+    if (relay_.head_sent())
       exchange_.Abort();
     else
       co_await Refuse();
@@ -391,6 +300,11 @@
   if (resolved_.route && may_have_run_ &&
       Until(resolved_.deadline) <= kLeastTimeLeft)
     reason_.code = ResultCode::kTargetTimeout;
+  if (failed_answer_) {
+    status_ = failed_answer_->status;
+    co_await exchange_.Send(*failed_answer_);
+    co_return;
+  }
   milliseconds retry_after{0};
   if (!may_have_run_) {
     retry_after = RetryAfterOf(reason_.code);
@@ -421,7 +335,7 @@
             {"status", status_},
             {"code", static_cast<int>(reason_.code)},
             {"reason", reason_.text},
-            {"events", order_.passed()},
+            {"events", relay_.order().passed()},
             {"bound", resolved_.call && resolved_.call->tokens
                           ? resolved_.call->tokens->Sum()
                           : 0},
@@ -438,13 +352,15 @@
     LogEnd();
     co_return;
   }
-  order_.StartAfter(resolved_.call->after_event.value_or(0));
+  relay_.StartAfter(resolved_.call->after_event.value_or(0));
   exchange_.WatchCaller([this] { cancel_.Cancel(); });
   const bool reserved = co_await Reserve();
   if (!reserved)
     co_await Refuse();
   else
     co_await RunAttempts();
+  if (status_ == 0)
+    status_ = relay_.status();
   if (status_ != 0 && status_ < kFirstFailure)
     reason_ = {};
   Settle();
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -227,6 +227,8 @@
       {"/again/1", {Deed::kClose}, 200, 2},
       {"/again/1", {Deed::kFail}, 200, 2},
       {"/again/1", {Deed::kFail, Deed::kFail}, 500, 2},
+      {"/again/1", {Deed::kFail, Deed::kClose}, 500, 2},
+      {"/again/1", {Deed::kFail, Deed::kNotRun}, 500, 2},
       {"/again/1", {Deed::kClose, Deed::kClose}, 502, 2},
       {"/again/1", {Deed::kClose, Deed::kNotRun}, 502, 2},
       {"/fixed/1", {Deed::kClose}, 502, 1},
