--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,6 +22,7 @@
 scripts/smoke.sh build-tsan
 scripts/lint.sh
 scripts/deploy_check.sh
+scripts/logs_check.sh
 if [ -s KNOWN-RED.txt ]; then
   echo "known red:"
   cat KNOWN-RED.txt
--- a/src/libs/gateway/account_keeper.cc
+++ b/src/libs/gateway/account_keeper.cc
@@ -62,6 +62,10 @@
   // tells them why.
   void BorrowOrDeny(const Reason& reason);
   Reason Unreachable() const;
+  // Does so for all that wait now.
+  void BorrowForWaiting();
+  // Does so if the store has not answered kGrantPatience later.
+  asio::awaitable<void> BorrowLater();
 
   GatewayContext& context;
   PlatformClient& platform;
@@ -73,6 +77,10 @@
   bool reachable = true;
   // Whether a request began to wait since the last sync started.
   bool woken = false;
+  // When the sync under way started.
+  std::optional<Clock::time_point> sync_start;
+  // Whether BorrowLater() is under way.
+  bool borrows_later = false;
   // Whether the account is as last read or written.
   bool known = false;
   // 0 until the object exists.
@@ -282,11 +290,25 @@
 
 Reason AccountKeeper::Private::Unreachable() const {
   return {ResultCode::kBudgetUnreachable,
-          "no tokens are granted to this host, and the account is out of "
-          "reach: " +
+          "no tokens are granted to this host, no other one lends them, and "
+          "the account is out of reach: " +
               reason.text};
 }
 
+void AccountKeeper::Private::BorrowForWaiting() {
+  OpenAll();
+  context.ledger.With([this](HostLedger& ledger) { NoteWaiting(ledger); });
+  BorrowOrDeny(Unreachable());
+}
+
+asio::awaitable<void> AccountKeeper::Private::BorrowLater() {
+  asio::steady_timer patience(context.control, kGrantPatience);
+  co_await patience.async_wait(asio::as_tuple(asio::use_awaitable));
+  borrows_later = false;
+  if (sync_start && Clock::now() - *sync_start >= kGrantPatience)
+    BorrowForWaiting();
+}
+
 asio::awaitable<bool> AccountKeeper::Private::Sync() {
   OpenAll();
   // A read first: others have most likely written since, and a write that is
@@ -338,7 +360,9 @@
     milliseconds pause = kAccountTick;
     if (!d_->context.draining && d_->context.config.Get()) {
       d_->woken = false;
+      d_->sync_start = Clock::now();
       const bool ok = co_await d_->Sync();
+      d_->sync_start.reset();
       if (!ok)
         pause = kStorePause;
     }
@@ -355,12 +379,11 @@
   asio::post(d_->context.control, [this] {
     if (!d_->reachable) {
       // The store is asked again after its pause, others at once.
-      d_->OpenAll();
-      d_->context.ledger.With(
-          [this](HostLedger& ledger) { d_->NoteWaiting(ledger); });
-      d_->BorrowOrDeny(d_->Unreachable());
+      d_->BorrowForWaiting();
       return;
     }
+    if (d_->context.peers.enabled() && !std::exchange(d_->borrows_later, true))
+      asio::co_spawn(d_->context.control, d_->BorrowLater(), asio::detached);
     d_->woken = true;
     d_->timer.cancel();
   });
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -19,6 +19,10 @@
 // Time that a request waits for tokens to be granted: a write to the store
 // takes 4 ms, and a busy account meets several conflicts.
 inline constexpr std::chrono::milliseconds kFleetGrantWait{100};
+// Time after which a request that waits for a grant is served from other hosts'
+// tokens: the store is then slow or cut off, which is known for sure only when
+// the call to it times out.
+inline constexpr std::chrono::milliseconds kGrantPatience{30};
 // What a refused caller is told to wait when nothing better is known.
 inline constexpr std::chrono::milliseconds kRetryAfterBusy{300};
 // The same when this host has no tokens of the budget: callers come back to
