Count calls, conflicts and bytes of the fleet account

The metrics get six account_*_total counters; account_out_of_reach tells the duration of the sync and the totals so far.

--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -23,6 +23,10 @@
 // Result of a write to the account.
 enum class WriteOutcome { kDone, kConflict, kFailed };
 
+std::int64_t MillisecondsSince(Clock::time_point time) {
+  return std::chrono::duration_cast<milliseconds>(Clock::now() - time).count();
+}
+
 }  // namespace
 
 class AccountManager::Private {
@@ -98,6 +102,7 @@
   std::map<std::string, GrantRequest> waiting;
   // Reason of the last failed call to the store.
   Reason reason;
+  AccountStats stats;
 };
 
 void AccountManager::Private::ConsumeBills(HostLedger& ledger) {
@@ -112,11 +117,15 @@
 asio::awaitable<bool> AccountManager::Private::ReadAccount() {
   std::optional<PlatformObject> object =
       co_await platform.Get(PlatformDuty::kBudget, kFleetAccountName, &reason);
-  if (!object && reason.code != ResultCode::kPlatformNotFound)
+  ++stats.reads;
+  if (!object && reason.code != ResultCode::kPlatformNotFound) {
+    ++stats.failures;
     co_return false;
+  }
   FleetAccount account;
   version = 0;
   if (object) {
+    stats.bytes_read += object->value.size();
     std::optional<FleetAccount> read =
         ParseFleetAccount(object->value, &reason);
     if (!read) {
@@ -173,6 +182,8 @@
 asio::awaitable<WriteOutcome> AccountManager::Private::WriteAccount() {
   holder.BeginWrite(context.boot.now());
   std::string value = ToJson(holder.planned_account());
+  ++stats.writes;
+  stats.bytes_written += value.size();
   std::optional<std::uint64_t> answer;
   if (version == 0) {
     answer = co_await platform.Create(PlatformDuty::kBudget, kFleetAccountName,
@@ -186,6 +197,7 @@
     is_current = false;
     const bool conflict = reason.code == ResultCode::kPlatformConflict ||
                           reason.code == ResultCode::kPlatformExists;
+    ++(conflict ? stats.conflicts : stats.failures);
     co_return conflict ? WriteOutcome::kConflict : WriteOutcome::kFailed;
   }
   version = *answer;
@@ -357,7 +369,13 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   LogEvent(kLog, Severity::kWarning, "account_out_of_reach",
-           {{"code", static_cast<int>(reason.code)}, {"reason", reason.text}});
+           {{"code", static_cast<int>(reason.code)},
+            {"reason", reason.text},
+            {"ms", MillisecondsSince(*sync_start)},
+            {"reads", stats.reads},
+            {"writes", stats.writes},
+            {"conflicts", stats.conflicts},
+            {"bytes", stats.bytes_read + stats.bytes_written}});
   SetReachable(false);
   OpenAllTokens();
   BorrowOrDeny(UnreachableReason());
@@ -432,4 +450,8 @@
   return d_->synced_at;
 }
 
+const AccountStats& AccountManager::stats() const {
+  return d_->stats;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/gateway/account_manager.h
+++ b/src/libs/gateway/account_manager.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <memory>
 
+#include "libs/gateway/account_stats.h"
 #include "libs/gateway/gateway_context.h"
 #include "libs/platform/platform_client.h"
 
@@ -32,6 +33,8 @@
   // Time of the last successful sync, or of the start before the first one. A
   // sync also succeeds if the plan needs no call to the store.
   std::chrono::steady_clock::time_point synced_at() const;
+  // Calls to the store for the account since the start.
+  const AccountStats& stats() const;
 
  private:
   class Private;
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -130,6 +130,7 @@
   stats.listed_targets = target_list.targets.size();
   stats.account_age = age(account_manager->synced_at());
   stats.targets_age = age(target_source->last_contact());
+  stats.account = account_manager->stats();
   return stats;
 }
 
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -15,6 +15,22 @@
   text += "turmericwinch_" + name + " " + std::to_string(value) + "\n";
 }
 
+void AddCounter(std::string& text,
+                const std::string& name,
+                std::uint64_t value) {
+  text += "# TYPE turmericwinch_" + name + " counter\n";
+  text += "turmericwinch_" + name + " " + std::to_string(value) + "\n";
+}
+
+void AddAccountCounters(std::string& text, const AccountStats& stats) {
+  AddCounter(text, "account_reads_total", stats.reads);
+  AddCounter(text, "account_writes_total", stats.writes);
+  AddCounter(text, "account_conflicts_total", stats.conflicts);
+  AddCounter(text, "account_call_failures_total", stats.failures);
+  AddCounter(text, "account_read_bytes_total", stats.bytes_read);
+  AddCounter(text, "account_written_bytes_total", stats.bytes_written);
+}
+
 double Seconds(std::chrono::milliseconds time) {
   return static_cast<double>(time.count()) / kMsPerSecond;
 }
@@ -68,6 +84,7 @@
   AddGauge(text, "listed_targets", static_cast<double>(stats.listed_targets));
   AddGauge(text, "account_age_seconds", Seconds(stats.account_age));
   AddGauge(text, "targets_age_seconds", Seconds(stats.targets_age));
+  AddAccountCounters(text, stats.account);
   return text;
 }
 
--- a/src/libs/gateway/gateway_state.h
+++ b/src/libs/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <string>
 
+#include "libs/gateway/account_stats.h"
 #include "libs/gateway/gateway_context.h"
 
 namespace turmericwinch {
@@ -21,6 +22,7 @@
   // answer of the store to a request for the targets.
   std::chrono::milliseconds account_age{0};
   std::chrono::milliseconds targets_age{0};
+  AccountStats account;
 };
 
 // Returns counters and histograms of requests, and `stats` as gauges, in the
