Simulate the traffic of a fleet on one account; 65 hosts fail

The test of 65 hosts fails on this code and is listed in KNOWN-RED.txt; test programs leave out the tests that this file names, and scripts/test.sh prints the file.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,8 @@
 scripts/build.sh asan
 # log4cxx and OpenSSL keep state until the process ends; only our leaks count.
 export ASAN_OPTIONS=detect_leaks=0
+# The tests that KNOWN-RED.txt names are left out, and printed at the end.
+if [ -s KNOWN-RED.txt ]; then export TURMERICWINCH_KNOWN_RED=$PWD/KNOWN-RED.txt; fi
 ctest --test-dir build-asan --output-on-failure -j "$(nproc)"
 scripts/smoke.sh build-asan
 scripts/errors_check.sh build-asan
--- /dev/null
+++ b/tests/budget/fleet_traffic_test.cc
@@ -0,0 +1,38 @@
+#include <CppUTest/TestHarness.h>
+
+#include "fleet_traffic_run.h"
+
+namespace turmericwinch {
+
+namespace {
+
+// Requests per second and host of a fleet that serves 760 requests per second
+// with 65 hosts.
+constexpr double kRequestRate = 11.7;
+// Of 100 requests, 95 get their first token in time (docs/DEVELOPERS.md).
+constexpr int kMaxRefusedPercent = 5;
+
+FleetTrafficResult RunFleet(int hosts, int domains) {
+  FleetTrafficRun run({hosts, domains, 1, kRequestRate});
+  return run.Run();
+}
+
+}  // namespace
+
+TEST_GROUP(FleetTraffic){};
+
+TEST(FleetTraffic, NineHostsDrawTokensInTime) {
+  const FleetTrafficResult result = RunFleet(9, 4);
+  CHECK(result.requests > 0);
+  CHECK(result.refused * 100 <= result.requests * kMaxRefusedPercent);
+  LONGS_EQUAL(0, result.overspent);
+}
+
+TEST(FleetTraffic, SixtyFiveHostsAreNotRefusedTokensOfAnUnspentBudget) {
+  const FleetTrafficResult result = RunFleet(65, 5);
+  CHECK(result.requests > 0);
+  CHECK(result.refused * 100 <= result.requests * kMaxRefusedPercent);
+  LONGS_EQUAL(0, result.overspent);
+}
+
+}  // namespace turmericwinch
