Keep one stock of each budget in a failure domain of a large fleet

Cause: every host drew from the one account for itself. Each had a row in each budget, so the object grew with hosts times teams (48 to 100 KB), and each write by compare-and-swap raced those of 64 others. Class: work of every host on one shared object, whose size and whose lost writes both grow with the fleet.

Change: StockHosts ranks the hosts of a domain by a hash. In a domain with more hosts than its part of 12 writers, one host keeps the stock of a budget, and the others borrow from it over the peer network; a lender that is short draws and answers again. A host whose lenders do not answer or have nothing draws for itself, as before. Which way is taken follows from the hosts in the account, so fleets of 8 or 9 hosts draw as they did. The rows of the account, the open part, the heartbeat and closing are unchanged, and so is what bounds spending. A pause after a lost write is no longer cut short by the next request.

The first write of a holder only registers it now, so the FleetHolder tests register before they grant.

--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -13,10 +13,6 @@
 
 namespace json = boost::json;
 
-std::string_view HostOf(std::string_view holder) {
-  return holder.substr(0, holder.rfind('_'));
-}
-
 std::optional<FleetRow> ParseRow(const json::value& value) {
   const json::array* totals = value.if_array();
   if (!totals || totals->size() != 3)
@@ -56,7 +52,8 @@
   if (!boot_id || !ms)
     return std::nullopt;
   return FleetHeartbeat{*boot_id, BootTime(*ms),
-                        StringField(*object, "address").value_or("")};
+                        StringField(*object, "address").value_or(""),
+                        StringField(*object, "domain").value_or("")};
 }
 
 // Whether `last`, the last heartbeat of a holder that ended, proves that the
@@ -69,6 +66,10 @@
 
 }  // namespace
 
+std::string_view HostOfHolder(std::string_view holder) {
+  return holder.substr(0, holder.rfind('_'));
+}
+
 std::int64_t FleetBudget::Free(std::int64_t paid) const {
   std::int64_t free = paid - closed;
   for (const auto& [holder, row] : rows)
@@ -86,7 +87,7 @@
 int FleetAccount::HostCount() const {
   std::set<std::string_view> hosts;
   for (const auto& [holder, heartbeat] : heartbeats)
-    hosts.insert(HostOf(holder));
+    hosts.insert(HostOfHolder(holder));
   return static_cast<int>(hosts.size());
 }
 
@@ -102,7 +103,8 @@
   for (const auto& [holder, heartbeat] : account.heartbeats)
     heartbeats[holder] = {{"boot_id", heartbeat.boot_id},
                           {"ms", heartbeat.time.count()},
-                          {"address", heartbeat.address}};
+                          {"address", heartbeat.address},
+                          {"domain", heartbeat.domain}};
   return json::serialize(json::object{{"budgets", std::move(budgets)},
                                       {"marks", std::move(heartbeats)}});
 }
@@ -144,7 +146,7 @@
                               const std::string& holder,
                               const FleetHeartbeat& now) {
   const auto is_earlier = [&](const std::string& other) {
-    return other != holder && HostOf(other) == HostOf(holder);
+    return other != holder && HostOfHolder(other) == HostOfHolder(holder);
   };
   for (auto& [name, budget] : account.budgets) {
     for (const auto& [other, row] : budget.rows) {
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -25,10 +25,12 @@
 // The time, on the host's own boot clock, at which a holder issued its last
 // write. `boot_id` identifies one boot of the host. `address` (IP:PORT) is
 // where other hosts reach the holder; empty if it neither lends nor borrows.
+// `domain` is the host's failure domain, empty if unknown.
 struct FleetHeartbeat {
   std::string boot_id;
   BootTime time{0};
   std::string address;
+  std::string domain;
 
   bool operator==(const FleetHeartbeat&) const = default;
 };
@@ -60,6 +62,9 @@
   std::int64_t Spent() const;
 };
 
+// Host of the holder HOST_INCARNATION.
+std::string_view HostOfHolder(std::string_view holder);
+
 struct FleetAccount {
   std::map<std::string, FleetBudget> budgets;
   std::map<std::string, FleetHeartbeat> heartbeats;
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -7,16 +7,20 @@
 
 FleetHolder::FleetHolder(std::string holder,
                          std::string boot_id,
-                         std::string address)
+                         std::string address,
+                         std::string domain)
     : holder_(std::move(holder)),
       boot_id_(std::move(boot_id)),
-      address_(std::move(address)) {}
+      address_(std::move(address)),
+      domain_(std::move(domain)) {}
 
 void FleetHolder::LoadAccount(FleetAccount account, BootTime now) {
   is_closed_ =
       is_closed_ || (is_written_ && !account.heartbeats.contains(holder_));
-  CloseEarlierIncarnations(account, holder_, {boot_id_, now, address_});
+  CloseEarlierIncarnations(account, holder_,
+                           {boot_id_, now, address_, domain_});
   known_ = std::move(account);
+  stock_hosts_ = StockHosts(known_, holder_, domain_);
 }
 
 std::int64_t FleetHolder::Unopened(const std::string& budget,
@@ -41,7 +45,10 @@
   planned_grants_.clear();
   bool is_due = false;
   bool holds_unopened = false;
-  const int hosts = known_.HostCount();
+  const int hosts = stock_hosts_.CountPerBudget();
+  // Before the first write took effect, other hosts may be starting as well, so
+  // the account does not yet show who keeps the stock.
+  const bool is_first = !known_.heartbeats.contains(holder_);
   for (const auto& [name, holder_demand] : demands) {
     FleetBudget& budget = planned_.budgets[name];
     FleetDemand demand;
@@ -57,6 +64,9 @@
         holder_demand.request_cost > 0
             ? holder_demand.request_cost
             : static_cast<double>(holder_demand.paid) * kFleetInitialCostShare;
+    demand.keeps_stock = !is_first && (holder_demand.lends ||
+                                       stock_hosts_.LendersFor(name).empty());
+    demand.hosts_served = stock_hosts_.HostsServed();
     const FleetDraw plan = PlanFleetDraw(demand);
     is_due = is_due || plan.is_due;
     holds_unopened = holds_unopened || demand.unopened > 0;
@@ -77,8 +87,7 @@
     budget.rows[holder_] = row;
     planned_grants_[name] = granted;
   }
-  planned_.heartbeats[holder_] = {boot_id_, now, address_};
-  const bool is_first = !known_.heartbeats.contains(holder_);
+  planned_.heartbeats[holder_] = {boot_id_, now, address_, domain_};
   return is_due || is_first ||
          (holds_unopened && now - last_issued_ >= kFleetHeartbeatInterval);
 }
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -11,6 +11,7 @@
 #include "libs/budget/fleet_account.h"
 #include "libs/budget/fleet_plan.h"
 #include "libs/budget/host_ledger.h"
+#include "libs/budget/stock_hosts.h"
 
 namespace turmericwinch {
 
@@ -18,12 +19,16 @@
 struct HolderDemand {
   // Tokens paid for the whole budget.
   std::int64_t paid = 0;
-  // Tokens for all requests that wait for a grant.
+  // Tokens for all requests, of this host and of borrowers, that wait for a
+  // grant.
   std::int64_t needed = 0;
   // Tokens per second.
   double rate = 0;
   // Usual cost of a request; 0 before the first one.
   double request_cost = 0;
+  // Whether other hosts borrow from this one although another host keeps the
+  // stock of the domain.
+  bool lends = false;
 };
 
 // Drives a HostLedger whose grants are the opened tokens. Every write of the
@@ -36,7 +41,11 @@
  public:
   // `holder` names this incarnation, and `boot_id` the current boot of the host
   // (empty if unknown). `address` is where other hosts reach it, or empty.
-  FleetHolder(std::string holder, std::string boot_id, std::string address);
+  // `domain` is its failure domain, or empty.
+  FleetHolder(std::string holder,
+              std::string boot_id,
+              std::string address,
+              std::string domain = "");
 
   // Sets the account as read from the store, and closes the earlier
   // incarnations of this host in the copy that is written next.
@@ -68,6 +77,8 @@
   bool is_closed() const { return is_closed_; }
   // The account as last read or confirmed.
   const FleetAccount& known_account() const { return known_; }
+  // The hosts that keep stocks, according to the account as last read.
+  const StockHosts& stock_hosts() const { return stock_hosts_; }
   // When the last write that may have taken effect was issued.
   BootTime last_issued() const { return last_issued_; }
 
@@ -79,6 +90,8 @@
   std::string holder_;
   std::string boot_id_;
   std::string address_;
+  std::string domain_;
+  StockHosts stock_hosts_;
   FleetAccount known_;
   FleetAccount planned_;
   // Total of the tokens given back unopened, by budget. Counts from PlanWrite()
--- a/src/libs/budget/fleet_plan.cc
+++ b/src/libs/budget/fleet_plan.cc
@@ -24,17 +24,18 @@
   const double unspent = std::max(static_cast<double>(demand.unspent), 0.0);
   // A stock that does not cover a single request would be of no use.
   const double max_stock = unspent * kFleetStockShare * demand.demand_share;
-  const bool is_running_out = max_stock < demand.request_cost;
+  const double served_cost =
+      demand.request_cost * static_cast<double>(demand.hosts_served);
+  const bool is_running_out =
+      !demand.keeps_stock || max_stock < demand.request_cost;
   const double stock =
-      is_running_out
-          ? 0
-          : std::min(std::max(demand.rate * kFleetStockSeconds,
-                              demand.request_cost * kFleetStockRequests),
-                     max_stock);
-  const double open =
-      std::min(std::max(demand.rate * kFleetOpenSeconds,
-                        demand.request_cost * kFleetOpenRequests),
-               stock);
+      is_running_out ? 0
+                     : std::min(std::max(demand.rate * kFleetStockSeconds,
+                                         served_cost * kFleetStockRequests),
+                                max_stock);
+  const double open = std::min(std::max(demand.rate * kFleetOpenSeconds,
+                                        served_cost * kFleetOpenRequests),
+                               stock);
   const std::int64_t slack =
       demand.needed +
       static_cast<std::int64_t>(demand.request_cost * kFleetMinReturnShare);
--- a/src/libs/budget/fleet_plan.h
+++ b/src/libs/budget/fleet_plan.h
@@ -14,12 +14,12 @@
 // Seconds of demand that a host's stock covers. Outages of the store last up to
 // 9 s, and demand is uneven.
 inline constexpr double kFleetStockSeconds = 13;
-// Minimum stock, in requests of the usual cost.
+// Minimum stock for each host served, in requests of the usual cost.
 inline constexpr double kFleetStockRequests = 3;
 // Seconds of demand that a host's open tokens cover. They must last for the
 // first kOpenAllDelay of an outage of the store.
 inline constexpr double kFleetOpenSeconds = 5;
-// Minimum of open tokens, in requests of the usual cost.
+// Minimum of open tokens for each host served, in requests of the usual cost.
 inline constexpr double kFleetOpenRequests = 2;
 // Maximum share of the unspent tokens that all hosts together hold. The rest
 // serves hosts that run short, and is not lost if all hosts lose power at once.
@@ -72,6 +72,11 @@
   double rate = 0;
   // Usual cost of a request.
   double request_cost = 0;
+  // Whether this host keeps a stock. Otherwise it draws only what is needed and
+  // gives back the rest.
+  bool keeps_stock = true;
+  // Hosts whose requests the stock serves, this one included.
+  std::size_t hosts_served = 1;
 };
 
 // What a host should do for one budget.
--- a/src/libs/budget/loan_search.cc
+++ b/src/libs/budget/loan_search.cc
@@ -41,6 +41,7 @@
 }
 
 void LoanSearch::Start(const GrantRequest& request,
+                       LoanScope scope,
                        std::vector<LenderEndpoint> lenders,
                        const Reason& reason,
                        MonotonicTime now) {
@@ -53,6 +54,7 @@
     return;
   }
   search.request = request;
+  search.scope = scope;
   search.reason = reason;
   search.deadline = now;
   std::erase_if(lenders, [&](const LenderEndpoint& it) {
@@ -76,6 +78,7 @@
   if (search.lenders.empty())
     return std::nullopt;
   search.asked_lender = std::move(search.lenders.front());
+  search.is_drawing = false;
   search.lenders.pop_front();
   search.deadline = now + kLoanResponseTimeout;
   const GrantRequest& request = search.request;
@@ -101,7 +104,7 @@
       ++it;
       continue;
     }
-    if (search.asked_lender)
+    if (search.asked_lender && !search.is_drawing)
       unresponsive_until_[search.asked_lender->address] =
           now + kUnresponsiveLenderPause;
     search.asked_lender.reset();
@@ -112,7 +115,7 @@
       ++it;
       continue;
     }
-    failed_.push_back({it->first, search.request.smallest, search.reason});
+    failed_.push_back({search.request, search.scope, search.reason});
     it = searches_.erase(it);
   }
   return requests;
@@ -139,6 +142,11 @@
     if (search == searches_.end() || !search->second.asked_lender ||
         search->second.asked_lender->holder != response.lender)
       continue;
+    if (it.outcome == LoanOutcome::kDrawing) {
+      search->second.is_drawing = true;
+      search->second.deadline = now + kLoanDrawTimeout;
+      continue;
+    }
     // Ask the next host without waiting for the timeout.
     search->second.asked_lender.reset();
     search->second.deadline = now;
--- a/src/libs/budget/loan_search.h
+++ b/src/libs/budget/loan_search.h
@@ -15,6 +15,7 @@
 #include "libs/budget/borrower.h"
 #include "libs/budget/fleet_account.h"
 #include "libs/budget/host_ledger.h"
+#include "libs/budget/lender_endpoint.h"
 #include "libs/budget/loan_message.h"
 
 namespace turmericwinch {
@@ -23,28 +24,33 @@
 // one region are less than 2 ms apart, and a busy host answers within a few
 // iterations of its event loop.
 inline constexpr std::chrono::milliseconds kLoanResponseTimeout{25};
+// Time for which a host that draws the tokens from the account is waited for:
+// a read and a write of the account.
+inline constexpr std::chrono::milliseconds kLoanDrawTimeout{80};
 // Time for which an unresponsive host gets no further requests.
 inline constexpr std::chrono::milliseconds kUnresponsiveLenderPause{1'000};
 // Maximum number of hosts that one search asks.
 inline constexpr std::size_t kMaxLendersAsked = 6;
 
-// A host that may lend tokens.
-struct LenderEndpoint {
-  std::string holder;
-  std::string address;
-};
-
 // Hosts other than `holder` that hold tokens of `budget` according to the
 // account, in descending order of their tokens.
 std::vector<LenderEndpoint> FindLenders(const FleetAccount& account,
                                         const std::string& budget,
                                         const std::string& holder);
 
+// Hosts that a search asks.
+enum class LoanScope {
+  // Those that keep the stock of this host's failure domain.
+  kDomain,
+  // Those of the whole fleet that hold tokens.
+  kFleet
+};
+
 // A search that found no lender with enough tokens, and the reason given to
 // callers.
 struct FailedLoanSearch {
-  std::string budget;
-  std::int64_t smallest = 0;
+  GrantRequest request;
+  LoanScope scope = LoanScope::kFleet;
   Reason reason;
 };
 
@@ -58,8 +64,9 @@
 
   // Starts a search, or extends the one in progress for the budget. `request`
   // counts tokens in addition to this host's own row. `reason` is reported if
-  // the search fails.
+  // the search fails. A search in progress keeps its scope and lenders.
   void Start(const GrantRequest& request,
+             LoanScope scope,
              std::vector<LenderEndpoint> lenders,
              const Reason& reason,
              MonotonicTime now);
@@ -81,9 +88,12 @@
  private:
   struct Search {
     GrantRequest request;
+    LoanScope scope = LoanScope::kFleet;
     Reason reason;
     std::deque<LenderEndpoint> lenders;
     std::optional<LenderEndpoint> asked_lender;
+    // Whether the asked lender draws the tokens and answers again.
+    bool is_drawing = false;
     MonotonicTime deadline;
   };
 
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <limits>
 #include <random>
+#include <set>
 
 #include "libs/base/log.h"
 #include "libs/budget/fleet_holder.h"
@@ -37,10 +38,12 @@
         timer(context.control),
         holder(context.ledger_holder(),
                context.boot.id,
-               context.peers.address()),
-        loans(context, [this](const FailedLoanSearch& it) {
-          this->context.ledger.Deny(it.budget, it.smallest, it.reason);
-        }) {}
+               context.peers.address(),
+               context.settings.failure_domain),
+        loans(
+            context,
+            [this](const FailedLoanSearch& it) { HandleFailedSearch(it); },
+            [this](const std::string& it) { return DrawForBorrowers(it); }) {}
 
   // Reads the account. Returns false if the read failed.
   asio::awaitable<bool> ReadAccount();
@@ -65,6 +68,21 @@
   void ConsumeBills(HostLedger& ledger);
   // Records how many tokens the waiting requests need in each budget.
   void RecordWaiting(HostLedger& ledger);
+  // Adds the requests that wait now to `waiting`, and borrows for those that
+  // another host of this failure domain should serve.
+  void CollectWaiting();
+  // What `request` needs beyond the tokens that this host has available.
+  GrantRequest Missing(const GrantRequest& request);
+  void HandleFailedSearch(const FailedLoanSearch& search);
+  // Draws tokens for hosts that borrow from this one. Returns false if the
+  // store is unavailable.
+  bool DrawForBorrowers(const std::string& budget);
+  // Starts the next sync now.
+  void SyncSoon();
+  // Gets tokens for `waiting` from the account, or from any other host if the
+  // account does not answer soon.
+  void SyncForWaiting();
+  void LogOutOfReach();
   // Asks other hosts for the tokens that waiting requests need. Denies the
   // requests with `reason` if no other host can be asked.
   void BorrowOrDeny(const Reason& reason);
@@ -100,6 +118,16 @@
   BudgetDemands demands{start};
   // Tokens that waiting requests need, by budget.
   std::map<std::string, GrantRequest> waiting;
+  // Budgets of which no host of this failure domain lent enough tokens, so that
+  // the requests in `waiting` draw them from the account.
+  std::set<std::string> drawn_directly;
+  // When another host last requested tokens of a budget that this host had to
+  // draw.
+  std::map<std::string, Clock::time_point> lent_at;
+  // When the account was last read, and the time until it is read again
+  // although nothing has to be written.
+  Clock::time_point read_at = start;
+  milliseconds refresh_pause = kFirstAccountRefresh;
   // Reason of the last failed call to the store.
   Reason reason;
   AccountStats stats;
@@ -118,6 +146,7 @@
   std::optional<PlatformObject> object =
       co_await platform.Get(PlatformDuty::kBudget, kFleetAccountName, &reason);
   ++stats.reads;
+  read_at = Clock::now();
   if (!object && reason.code != ResultCode::kPlatformNotFound) {
     ++stats.failures;
     co_return false;
@@ -160,19 +189,26 @@
   if (!config)
     return false;
   bool is_due = false;
+  CollectWaiting();
+  const std::map<std::string, std::int64_t> deferred = loans.DeferredTokens();
   context.ledger.With([&](HostLedger& ledger) {
     ConsumeBills(ledger);
-    RecordWaiting(ledger);
     std::map<std::string, HolderDemand> demands_by_budget;
     for (const auto& [name, budget] : config->objects->budgets()) {
       const HolderCounters counters = ledger.Counters(name);
       demands.RecordUsed(
           name, counters.granted - counters.given_back - ledger.Available(name),
           Clock::now());
-      auto request = waiting.find(name);
-      demands_by_budget[name] = {
-          budget.tokens, request == waiting.end() ? 0 : request->second.needed,
-          demands.Rate(name, Clock::now()), demands.AverageRequestCost(name)};
+      HolderDemand& demand = demands_by_budget[name];
+      demand.paid = budget.tokens;
+      demand.rate = demands.Rate(name, Clock::now());
+      demand.request_cost = demands.AverageRequestCost(name);
+      if (auto it = waiting.find(name); it != waiting.end())
+        demand.needed += it->second.needed;
+      if (auto it = deferred.find(name); it != deferred.end())
+        demand.needed += it->second;
+      if (auto it = lent_at.find(name); it != lent_at.end())
+        demand.lends = Clock::now() - it->second < kLenderRoleTime;
     }
     is_due = holder.PlanWrite(demands_by_budget, ledger, context.boot.now());
   });
@@ -255,6 +291,85 @@
   context.ledger.SetReachable(now || context.peers.enabled());
 }
 
+void AccountManager::Private::CollectWaiting() {
+  context.ledger.With([this](HostLedger& ledger) { RecordWaiting(ledger); });
+  if (!context.peers.enabled())
+    return;
+  // A loan that fails at once changes `waiting`, so loans start after the loop.
+  std::vector<std::pair<GrantRequest, std::vector<LenderEndpoint>>>
+      domain_loans;
+  std::erase_if(waiting, [&](const auto& entry) {
+    const auto& [name, request] = entry;
+    std::vector<LenderEndpoint> lenders = holder.stock_hosts().LendersFor(name);
+    if (lenders.empty() || drawn_directly.contains(name))
+      return false;
+    const GrantRequest missing = Missing(request);
+    if (missing.needed > 0)
+      domain_loans.emplace_back(missing, std::move(lenders));
+    return true;
+  });
+  for (auto& [request, lenders] : domain_loans) {
+    loans.RequestLoan(request, LoanScope::kDomain, std::move(lenders),
+                      {ResultCode::kBudgetUnreachable,
+                       "no host of the failure domain lends the tokens"});
+  }
+}
+
+GrantRequest AccountManager::Private::Missing(const GrantRequest& request) {
+  std::int64_t available = 0;
+  context.ledger.With([&](HostLedger& ledger) {
+    available = ledger.Available(request.budget);
+  });
+  GrantRequest missing = request;
+  missing.needed = std::max<std::int64_t>(request.needed - available, 0);
+  missing.smallest = std::max<std::int64_t>(request.smallest - available, 0);
+  return missing;
+}
+
+void AccountManager::Private::HandleFailedSearch(
+    const FailedLoanSearch& search) {
+  const std::string& budget = search.request.budget;
+  if (search.scope == LoanScope::kFleet) {
+    context.ledger.Deny(budget, search.request.smallest, search.reason);
+    return;
+  }
+  drawn_directly.insert(budget);
+  context.ledger.With([&](HostLedger& ledger) {
+    GrantRequest request = search.request;
+    const std::int64_t available =
+        std::max<std::int64_t>(ledger.Available(budget), 0);
+    request.needed += available;
+    request.smallest += available;
+    waiting[budget] = request;
+  });
+  SyncForWaiting();
+}
+
+bool AccountManager::Private::DrawForBorrowers(const std::string& budget) {
+  if (!reachable || context.draining)
+    return false;
+  lent_at[budget] = Clock::now();
+  SyncSoon();
+  return true;
+}
+
+void AccountManager::Private::SyncSoon() {
+  sync_requested = true;
+  timer.cancel();
+}
+
+void AccountManager::Private::SyncForWaiting() {
+  if (!reachable) {
+    // The store is retried after kStoreRetryPause; other hosts are asked now.
+    OpenAllTokens();
+    BorrowOrDeny(UnreachableReason());
+    return;
+  }
+  if (context.peers.enabled() && !std::exchange(borrow_scheduled, true))
+    asio::co_spawn(context.control, BorrowAfterDelay(), asio::detached);
+  SyncSoon();
+}
+
 void AccountManager::Private::OpenAllTokens() {
   if (reachable)
     return;
@@ -286,12 +401,10 @@
 // the request, because callers do not retry after that response.
 void AccountManager::Private::BorrowOrDeny(const Reason& why) {
   const std::shared_ptr<const GatewayConfig> config = context.config.Get();
+  drawn_directly.clear();
   for (const auto& [name, request] : std::exchange(waiting, {})) {
-    std::int64_t available = 0;
-    context.ledger.With([&, &budget = name](HostLedger& ledger) {
-      available = ledger.Available(budget);
-    });
-    if (available >= request.needed)
+    const GrantRequest missing = Missing(request);
+    if (missing.needed == 0)
       continue;
     Reason denial = why;
     auto budget = holder.known_account().budgets.find(name);
@@ -303,11 +416,11 @@
       denial = {ResultCode::kBudgetUnreachable,
                 "other hosts hold the remaining tokens of budget " + name};
     }
-    GrantRequest missing = request;
-    missing.needed = std::max<std::int64_t>(request.needed - available, 0);
-    missing.smallest = std::max<std::int64_t>(request.smallest - available, 0);
     if (context.peers.enabled())
-      loans.RequestLoan(missing, holder.known_account(), denial);
+      loans.RequestLoan(
+          missing, LoanScope::kFleet,
+          FindLenders(holder.known_account(), name, context.ledger_holder()),
+          denial);
     else
       context.ledger.Deny(name, missing.smallest, denial);
   }
@@ -322,7 +435,7 @@
 
 void AccountManager::Private::BorrowForWaiting() {
   OpenAllTokens();
-  context.ledger.With([this](HostLedger& ledger) { RecordWaiting(ledger); });
+  CollectWaiting();
   BorrowOrDeny(UnreachableReason());
 }
 
@@ -338,8 +451,15 @@
   OpenAllTokens();
   // Reads first: other hosts have most likely written the account since, and a
   // write to a store that is cut off would delay the use of the stock.
-  if (PlanWrite())
+  if (PlanWrite()) {
     is_current = false;
+  } else if (Clock::now() - read_at >= refresh_pause) {
+    refresh_pause = std::min(refresh_pause * 2, kMaxAccountRefresh);
+    // Nothing has to be written, so the account as last read will do.
+    const bool is_read = co_await ReadAccount();
+    if (!is_read)
+      LogOutOfReach();
+  }
   for (int n = 0; n < kMaxAccountConflicts; ++n) {
     if (!is_current) {
       const bool is_read = co_await ReadAccount();
@@ -365,9 +485,20 @@
       break;
     const milliseconds max_pause =
         kInitialConflictPause * (1 << std::min(n, 6));
-    timer.expires_after(milliseconds(random() % (max_pause.count() + 1)));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    // Not `timer`, which SyncSoon() cancels: a sync that is requested meanwhile
+    // must not shorten the pause.
+    asio::steady_timer pause(context.control,
+                             milliseconds(random() % (max_pause.count() + 1)));
+    co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
   }
+  LogOutOfReach();
+  SetReachable(false);
+  OpenAllTokens();
+  BorrowOrDeny(UnreachableReason());
+  co_return false;
+}
+
+void AccountManager::Private::LogOutOfReach() {
   LogEvent(kLog, Severity::kWarning, "account_out_of_reach",
            {{"code", static_cast<int>(reason.code)},
             {"reason", reason.text},
@@ -376,10 +507,6 @@
             {"writes", stats.writes},
             {"conflicts", stats.conflicts},
             {"bytes", stats.bytes_read + stats.bytes_written}});
-  SetReachable(false);
-  OpenAllTokens();
-  BorrowOrDeny(UnreachableReason());
-  co_return false;
 }
 
 AccountManager::AccountManager(GatewayContext& context,
@@ -398,6 +525,7 @@
       d_->sync_start = Clock::now();
       const bool ok = co_await d_->Sync();
       d_->sync_start.reset();
+      d_->loans.AnswerDeferred(ok && d_->sync_requested);
       if (!ok)
         pause = kStoreRetryPause;
     }
@@ -412,18 +540,14 @@
 }
 
 void AccountManager::RequestSync() {
+  asio::post(d_->context.control, [this] { d_->SyncSoon(); });
+}
+
+void AccountManager::RequestTokens() {
   asio::post(d_->context.control, [this] {
-    if (!d_->reachable) {
-      // The store is retried after kStoreRetryPause; other hosts are asked now.
-      d_->BorrowForWaiting();
-      return;
-    }
-    if (d_->context.peers.enabled() &&
-        !std::exchange(d_->borrow_scheduled, true))
-      asio::co_spawn(d_->context.control, d_->BorrowAfterDelay(),
-                     asio::detached);
-    d_->sync_requested = true;
-    d_->timer.cancel();
+    d_->CollectWaiting();
+    if (!d_->waiting.empty())
+      d_->SyncForWaiting();
   });
 }
 
--- a/src/libs/gateway/account_manager.h
+++ b/src/libs/gateway/account_manager.h
@@ -14,8 +14,8 @@
 
 namespace turmericwinch {
 
-// Used on the control thread. The account is one object in the store. Each host
-// writes it with a compare-and-swap on its version. Rows hold totals that only
+// Used on the control thread. The account is one object in the store. Hosts
+// write it with a compare-and-swap on its version. Rows hold totals that only
 // grow, so a write that is repeated, lost or late is never counted twice.
 class AccountManager {
  public:
@@ -24,9 +24,12 @@
 
   // Runs until the process ends.
   boost::asio::awaitable<void> Run();
-  // Starts a sync soon because a request waits for tokens. While the store is
-  // unavailable, tries to borrow from other hosts instead. Thread-safe.
+  // Starts a sync soon. Thread-safe.
   void RequestSync();
+  // Gets tokens for the requests that wait: from the host that keeps the stock
+  // of this failure domain, else from the account, or from any other host while
+  // the store is unavailable. Thread-safe.
+  void RequestTokens();
   // Returns all unused tokens and closes this host's row. Returns false if the
   // write to the store failed.
   boost::asio::awaitable<bool> Close();
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -93,7 +93,7 @@
           }),
       signals(context.control, SIGTERM, SIGINT, SIGHUP) {
   context.ledger.SetGrantRequestHandler(
-      [this] { account_manager->RequestSync(); });
+      [this] { account_manager->RequestTokens(); });
 }
 
 void Gateway::Private::ApplyConfig(
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -47,6 +47,14 @@
 inline constexpr std::chrono::milliseconds kStoreRetryPause{300};
 // Interval at which a host compares its grants with its demand.
 inline constexpr std::chrono::milliseconds kAccountSyncInterval{250};
+// Interval at which a host that has nothing to write reads the account, to
+// learn of the hosts that keep stocks. It doubles from the first value, as
+// hosts of a fleet start together, to the second.
+inline constexpr std::chrono::milliseconds kFirstAccountRefresh{1'000};
+inline constexpr std::chrono::milliseconds kMaxAccountRefresh{8'000};
+// Time for which a host keeps a stock after others borrowed tokens that it had
+// to draw.
+inline constexpr std::chrono::seconds kLenderRoleTime{5};
 // Window over which a host averages its demand for tokens.
 inline constexpr std::chrono::seconds kDemandWindow{8};
 // Write conflicts after which a host stops a sync of the account.
--- a/src/libs/gateway/peer_loans.cc
+++ b/src/libs/gateway/peer_loans.cc
@@ -1,5 +1,6 @@
 #include "libs/gateway/peer_loans.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 
 #include "libs/base/log.h"
@@ -13,16 +14,36 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr LogCategory kLog{"loans"};
+// Maximum number of loan requests that wait for a draw.
+constexpr std::size_t kMaxDeferredRequests = 256;
+
+// A loan request that waits for a draw.
+struct DeferredRequest {
+  LoanRequest request;
+  bool has_waited = false;
+};
+
+bool IsShort(const LoanResponse& response) {
+  return std::any_of(
+      response.grants.begin(), response.grants.end(),
+      [](const LoanGrant& it) { return it.outcome == LoanOutcome::kShort; });
+}
 
 }  // namespace
 
 class PeerLoans::Private : public std::enable_shared_from_this<Private> {
  public:
-  Private(GatewayContext& context, FailureHandler on_failure);
+  Private(GatewayContext& context,
+          FailureHandler on_failure,
+          DrawHandler on_short);
 
   // Returns whether the frame was a loan request or a loan response.
   bool HandleFrame(const PeerFrame& frame);
   void HandleLoanRequest(const LoanRequest& request);
+  LoanResponse Lend(const LoanRequest& request);
+  void SendResponse(const LoanRequest& request, const LoanResponse& response);
+  // Returns whether this host draws the tokens that `response` lacks.
+  bool Defer(const LoanRequest& request, const LoanResponse& response);
   void HandleLoanResponse(const LoanResponse& response);
   // Sends the due loan requests, reports failed searches, and schedules the
   // next call.
@@ -32,15 +53,20 @@
 
   GatewayContext& context;
   FailureHandler on_failure;
+  DrawHandler on_short;
+  std::vector<DeferredRequest> deferred;
   FleetLender lender;
   LoanSearch search;
   asio::steady_timer timer;
   bool is_scheduled = false;
 };
 
-PeerLoans::Private::Private(GatewayContext& context, FailureHandler on_failure)
+PeerLoans::Private::Private(GatewayContext& context,
+                            FailureHandler on_failure,
+                            DrawHandler on_short)
     : context(context),
       on_failure(std::move(on_failure)),
+      on_short(std::move(on_short)),
       lender(context.ledger_holder(), context.peers.address()),
       search(context.ledger_holder(), context.peers.address()),
       timer(context.control) {}
@@ -55,18 +81,48 @@
   return request || response;
 }
 
-void PeerLoans::Private::HandleLoanRequest(const LoanRequest& request) {
+LoanResponse PeerLoans::Private::Lend(const LoanRequest& request) {
   LoanResponse response;
   context.ledger.With([&](HostLedger& ledger) {
     response = lender.HandleRequest(request, ledger, Clock::now());
   });
+  return response;
+}
+
+bool PeerLoans::Private::Defer(const LoanRequest& request,
+                               const LoanResponse& response) {
+  if (!IsShort(response) || deferred.size() >= kMaxDeferredRequests)
+    return false;
+  for (const LoanGrant& it : response.grants) {
+    if (it.outcome == LoanOutcome::kShort && !on_short(it.budget))
+      return false;
+  }
+  deferred.push_back({request, false});
+  return true;
+}
+
+void PeerLoans::Private::HandleLoanRequest(const LoanRequest& request) {
+  LoanResponse response = Lend(request);
+  if (Defer(request, response)) {
+    for (LoanGrant& it : response.grants) {
+      if (it.outcome == LoanOutcome::kShort)
+        it.outcome = LoanOutcome::kDrawing;
+    }
+  }
+  SendResponse(request, response);
+}
+
+void PeerLoans::Private::SendResponse(const LoanRequest& request,
+                                      const LoanResponse& response) {
   for (std::size_t n = 0; n < response.grants.size(); ++n) {
-    LogEvent(kLog, Severity::kInfo, "lent",
-             {{"budget", response.grants[n].budget},
-              {"borrower", request.borrower},
-              {"needed", request.items[n].needed},
-              {"lent", response.grants[n].lent},
-              {"short", response.grants[n].outcome == LoanOutcome::kShort}});
+    LogEvent(
+        kLog, Severity::kInfo, "lent",
+        {{"budget", response.grants[n].budget},
+         {"borrower", request.borrower},
+         {"needed", request.items[n].needed},
+         {"lent", response.grants[n].lent},
+         {"short", response.grants[n].outcome == LoanOutcome::kShort},
+         {"drawing", response.grants[n].outcome == LoanOutcome::kDrawing}});
   }
   if (!response.grants.empty())
     context.peers.Send(request.reply_to, response);
@@ -91,8 +147,9 @@
     context.peers.Send(it.address, it.request);
   for (const FailedLoanSearch& it : search.TakeFailed()) {
     LogEvent(kLog, Severity::kInfo, "no_lender",
-             {{"budget", it.budget},
-              {"needed", it.smallest},
+             {{"budget", it.request.budget},
+              {"scope", it.scope == LoanScope::kDomain ? "domain" : "fleet"},
+              {"needed", it.request.smallest},
               {"code", static_cast<int>(it.reason.code)}});
     on_failure(it);
   }
@@ -110,8 +167,12 @@
   is_scheduled = false;
 }
 
-PeerLoans::PeerLoans(GatewayContext& context, FailureHandler on_failure)
-    : d_(std::make_shared<Private>(context, std::move(on_failure))) {
+PeerLoans::PeerLoans(GatewayContext& context,
+                     FailureHandler on_failure,
+                     DrawHandler on_short)
+    : d_(std::make_shared<Private>(context,
+                                   std::move(on_failure),
+                                   std::move(on_short))) {
   context.peers.AddHandler(
       [d = d_](const PeerFrame& frame) { return d->HandleFrame(frame); });
 }
@@ -119,15 +180,33 @@
 PeerLoans::~PeerLoans() = default;
 
 void PeerLoans::RequestLoan(const GrantRequest& request,
-                            const FleetAccount& account,
+                            LoanScope scope,
+                            std::vector<LenderEndpoint> lenders,
                             const Reason& reason) {
-  d_->search.Start(
-      request,
-      FindLenders(account, request.budget, d_->context.ledger_holder()), reason,
-      Clock::now());
+  d_->search.Start(request, scope, std::move(lenders), reason, Clock::now());
   d_->SendDueRequests();
 }
 
+std::map<std::string, std::int64_t> PeerLoans::DeferredTokens() const {
+  std::map<std::string, std::int64_t> tokens;
+  for (const DeferredRequest& deferred : d_->deferred) {
+    for (const LoanRequestItem& it : deferred.request.items)
+      tokens[it.budget] += it.needed;
+  }
+  return tokens;
+}
+
+void PeerLoans::AnswerDeferred(bool draws_again) {
+  for (DeferredRequest& it : std::exchange(d_->deferred, {})) {
+    const LoanResponse response = d_->Lend(it.request);
+    if (draws_again && !it.has_waited && IsShort(response)) {
+      d_->deferred.push_back({std::move(it.request), true});
+      continue;
+    }
+    d_->SendResponse(it.request, response);
+  }
+}
+
 void PeerLoans::ReturnAll(const FleetAccount& account) {
   const std::string holder = d_->context.ledger_holder();
   std::map<std::string, LoanRequest> reports;
--- a/src/libs/gateway/peer_loans.h
+++ b/src/libs/gateway/peer_loans.h
@@ -3,8 +3,12 @@
 #ifndef SRC_LIBS_GATEWAY_PEER_LOANS_H_
 #define SRC_LIBS_GATEWAY_PEER_LOANS_H_
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "libs/budget/loan_search.h"
 #include "libs/gateway/gateway_context.h"
@@ -17,16 +21,28 @@
  public:
   // Called when no host lends enough for the smallest waiting request.
   using FailureHandler = std::function<void(const FailedLoanSearch&)>;
-
-  PeerLoans(GatewayContext& context, FailureHandler on_failure);
+  // Called when another host requests more tokens of `budget` than this host
+  // has open. Returns whether this host will draw them; AnswerDeferred() is
+  // then called.
+  using DrawHandler = std::function<bool(const std::string& budget)>;
+
+  PeerLoans(GatewayContext& context,
+            FailureHandler on_failure,
+            DrawHandler on_short);
   ~PeerLoans();
 
-  // Searches a lender among the hosts of `account`. `request` counts
-  // tokens beyond those that this host has open. The waiting requests continue
-  // once the tokens are lent; `reason` is reported if no host lends them.
+  // Asks `lenders` one after another. `request` counts tokens beyond those that
+  // this host has open. The waiting requests continue once the tokens are lent;
+  // `reason` is reported if no host lends them.
   void RequestLoan(const GrantRequest& request,
-                   const FleetAccount& account,
+                   LoanScope scope,
+                   std::vector<LenderEndpoint> lenders,
                    const Reason& reason);
+  // Tokens that other hosts wait for, by budget.
+  std::map<std::string, std::int64_t> DeferredTokens() const;
+  // Answers the requests that waited for a draw. If `draws_again`, requests for
+  // which too few tokens were drawn wait for the next draw, but only once.
+  void AnswerDeferred(bool draws_again);
   // Returns all borrowed tokens that are not in use. Called at shutdown.
   void ReturnAll(const FleetAccount& account);
 
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -292,7 +292,16 @@
   std::map<std::string, HolderDemand> demands{
       {kTeam, {10 * kPaid, 0, 1'000, 200}}};
 
+  // The first write only registers the holder.
+  void Register(BootTime now) {
+    CHECK(holder.PlanWrite(demands, ledger, now));
+    holder.BeginWrite(now);
+    holder.ConfirmWrite();
+  }
+
   void Grant(BootTime now) {
+    if (holder.known_account().heartbeats.empty())
+      Register(now);
     CHECK(holder.PlanWrite(demands, ledger, now));
     holder.BeginWrite(now);
     for (const auto& [name, total] : holder.ConfirmWrite())
--- a/tests/budget/fleet_plan_test.cc
+++ b/tests/budget/fleet_plan_test.cc
@@ -37,6 +37,35 @@
   CHECK(!PlanFleetDraw(demand).is_due);
 }
 
+TEST(FleetPlan, HostWithoutAStockDrawsOnlyWhatIsNeeded) {
+  demand.keeps_stock = false;
+  CHECK(!PlanFleetDraw(demand).is_due);
+  demand.needed = 7'000;
+  const FleetDraw plan = PlanFleetDraw(demand);
+  LONGS_EQUAL(7'000, plan.draw);
+  LONGS_EQUAL(7'000, plan.open);
+  CHECK(plan.is_due);
+}
+
+TEST(FleetPlan, HostThatNoLongerKeepsAStockGivesItBack) {
+  demand.keeps_stock = false;
+  demand.available = 10'000;
+  demand.unopened = 5'000;
+  const FleetDraw plan = PlanFleetDraw(demand);
+  LONGS_EQUAL(5'000, plan.give_back);
+  CHECK(plan.keep_open < 10'000);
+  CHECK(plan.is_due);
+}
+
+TEST(FleetPlan, StockForManyHostsCoversTheFirstRequestsOfEach) {
+  demand.rate = 0;
+  demand.hosts_served = 13;
+  demand.demand_share = 0.5;
+  const FleetDraw plan = PlanFleetDraw(demand);
+  LONGS_EQUAL(195'000, plan.draw);
+  LONGS_EQUAL(130'000, plan.open);
+}
+
 TEST(FleetPlan, WaitingRequestsDrawFreeTokens) {
   demand.available = 10'000;
   demand.unopened = 5'000;
--- a/tests/budget/fleet_traffic_run.cc
+++ b/tests/budget/fleet_traffic_run.cc
@@ -5,9 +5,11 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "libs/budget/demand_rate.h"
 #include "libs/budget/fleet_holder.h"
 #include "libs/budget/fleet_lender.h"
 #include "libs/budget/loan_search.h"
@@ -30,6 +32,9 @@
 constexpr seconds kEnd{15};
 constexpr milliseconds kSyncInterval{250};
 constexpr milliseconds kRetryPause{300};
+constexpr milliseconds kFirstRefreshPause{1'000};
+constexpr milliseconds kMaxRefreshPause{8'000};
+constexpr seconds kDemandWindow{8};
 constexpr milliseconds kBorrowDelay{30};
 constexpr milliseconds kFirstConflictPause{4};
 constexpr int kMaxConflicts = 12;
@@ -46,6 +51,14 @@
 struct WaitingRequest {
   std::string team;
   std::int64_t cost;
+  // Whether no host of the domain lent tokens for it.
+  bool draws_directly = false;
+};
+
+// Tokens of a team that a host's requests and borrowers have used so far.
+struct Demand {
+  DemandRate rate{kDemandWindow};
+  std::int64_t used = 0;
 };
 
 struct Host {
@@ -53,7 +66,7 @@
       : id("host-" + std::to_string(n) + "_1"),
         address(id + ":1"),
         domain(std::move(domain)),
-        holder(id, "boot", address),
+        holder(id, "boot", address, this->domain),
         ledger(id),
         lender(id, address),
         search(id, address) {}
@@ -70,7 +83,13 @@
   bool sync_requested = false;
   std::uint64_t version = 0;
   std::map<int, WaitingRequest> waiting;
-  std::map<std::string, std::int64_t> used;
+  // Requests of other hosts that wait for a draw.
+  std::vector<LoanRequest> deferred;
+  // Teams of which other hosts borrowed tokens that this host had to draw.
+  std::set<std::string> lent_teams;
+  std::map<std::string, Demand> demands;
+  microseconds next_refresh{0};
+  milliseconds refresh_pause = kFirstRefreshPause;
 };
 
 }  // namespace
@@ -82,7 +101,6 @@
     for (int n = 0; n < options.hosts; ++n) {
       hosts.push_back(std::make_unique<Host>(
           n, "domain-" + std::to_string(n % options.domains)));
-      hosts.back()->is_stopped = n < options.stopped_hosts;
     }
   }
 
@@ -104,8 +122,18 @@
   void Arrive(Host& host);
   bool Start(Host& host, const WaitingRequest& request);
   void Wake(Host& host);
-  void Borrow(Host& host);
+  bool MustDraw(const Host& host, const WaitingRequest& request) const;
+  void BorrowInDomain(Host& host);
+  void BorrowInFleet(Host& host);
+  void StartSearch(Host& host,
+                   const WaitingRequest& request,
+                   LoanScope scope,
+                   std::vector<LenderEndpoint> lenders);
   void SendLoanRequests(Host& host);
+  Host* FindHost(const std::string& address);
+  void HandleLoanRequest(Host& lender, const LoanRequest& request);
+  void SendLoanResponse(const LoanRequest& request,
+                        const LoanResponse& response);
   void ScheduleArrival(Host& host);
 
   FleetTrafficOptions options;
@@ -130,6 +158,8 @@
 }
 
 void FleetTrafficRun::Private::Tick(Host& host) {
+  if (host.is_stopped)
+    return;
   At(kSyncInterval, [this, &host] { Tick(host); });
   RequestSync(host);
 }
@@ -139,8 +169,13 @@
     host.sync_requested = true;
     return;
   }
-  if (!PlanWrite(host))
+  const bool refreshes = now >= host.next_refresh;
+  if (!PlanWrite(host) && !refreshes)
     return;
+  if (refreshes) {
+    host.next_refresh = now + host.refresh_pause;
+    host.refresh_pause = std::min(host.refresh_pause * 2, kMaxRefreshPause);
+  }
   host.is_syncing = true;
   Read(host, 0);
 }
@@ -196,8 +231,9 @@
       RequestSync(host);
   });
   Wake(host);
-  if (!host.waiting.empty())
-    Borrow(host);
+  BorrowInFleet(host);
+  for (const LoanRequest& it : std::exchange(host.deferred, {}))
+    SendLoanResponse(it, host.lender.HandleRequest(it, host.ledger, Time()));
 }
 
 bool FleetTrafficRun::Private::PlanWrite(Host& host) {
@@ -206,13 +242,19 @@
     host.ledger.ConfirmBills(bills.back().sequence);
   std::map<std::string, std::int64_t> needed;
   for (const auto& [id, it] : host.waiting)
-    needed[it.team] += it.cost;
-  const double rate = options.request_rate * (kMaxCost / 2.0) / kTeams;
+    needed[it.team] += MustDraw(host, it) ? it.cost : 0;
+  for (const LoanRequest& it : host.deferred)
+    needed[it.items.front().budget] += it.items.front().needed;
   std::map<std::string, HolderDemand> demands;
   for (int n = 0; n < kTeams; ++n) {
     const std::string team = TeamName(n);
-    demands[team] = {kPaid, needed[team], now >= kTrafficStart ? rate : 0.0,
-                     kMaxCost / 2.0};
+    const HolderCounters counters = host.ledger.Counters(team);
+    const std::int64_t total =
+        counters.granted - counters.given_back - host.ledger.Available(team);
+    Demand& demand = host.demands[team];
+    demand.rate.AddTokens(total - std::exchange(demand.used, total), Time());
+    demands[team] = {kPaid, needed[team], demand.rate.Value(), kMaxCost / 2.0,
+                     host.lent_teams.contains(team)};
   }
   return host.holder.PlanWrite(demands, host.ledger, Boot());
 }
@@ -238,10 +280,13 @@
   host.waiting.emplace(id, request);
   At(kGrantWait,
      [this, &host, id] { result.refused += host.waiting.erase(id); });
-  RequestSync(host);
+  if (MustDraw(host, request))
+    RequestSync(host);
+  else
+    BorrowInDomain(host);
   At(kBorrowDelay, [this, &host, id] {
     if (host.waiting.contains(id))
-      Borrow(host);
+      BorrowInFleet(host);
   });
 }
 
@@ -268,40 +313,94 @@
                 [&](const auto& it) { return Start(host, it.second); });
 }
 
-void FleetTrafficRun::Private::Borrow(Host& host) {
+bool FleetTrafficRun::Private::MustDraw(const Host& host,
+                                        const WaitingRequest& request) const {
+  return request.draws_directly ||
+         host.holder.stock_hosts().LendersFor(request.team).empty();
+}
+
+void FleetTrafficRun::Private::BorrowInDomain(Host& host) {
+  for (const auto& [id, it] : host.waiting) {
+    if (!MustDraw(host, it))
+      StartSearch(host, it, LoanScope::kDomain,
+                  host.holder.stock_hosts().LendersFor(it.team));
+  }
+  SendLoanRequests(host);
+}
+
+void FleetTrafficRun::Private::BorrowInFleet(Host& host) {
   for (const auto& [id, it] : host.waiting) {
-    const std::int64_t available =
-        std::max<std::int64_t>(host.ledger.Available(it.team), 0);
-    host.search.Start(
-        {it.team, it.cost - available, it.cost - available},
-        FindLenders(host.holder.known_account(), it.team, host.id),
-        {ResultCode::kBudgetUnreachable, "no lender"}, Time());
+    if (MustDraw(host, it))
+      StartSearch(host, it, LoanScope::kFleet,
+                  FindLenders(host.holder.known_account(), it.team, host.id));
   }
   SendLoanRequests(host);
 }
 
+void FleetTrafficRun::Private::StartSearch(
+    Host& host,
+    const WaitingRequest& request,
+    LoanScope scope,
+    std::vector<LenderEndpoint> lenders) {
+  const std::int64_t available =
+      std::max<std::int64_t>(host.ledger.Available(request.team), 0);
+  const std::int64_t missing = request.cost - available;
+  host.search.Start({request.team, missing, missing}, scope, std::move(lenders),
+                    {ResultCode::kBudgetUnreachable, "no lender"}, Time());
+}
+
+Host* FleetTrafficRun::Private::FindHost(const std::string& address) {
+  for (const auto& it : hosts) {
+    if (it->address == address)
+      return it->is_stopped ? nullptr : it.get();
+  }
+  return nullptr;
+}
+
+void FleetTrafficRun::Private::HandleLoanRequest(Host& lender,
+                                                 const LoanRequest& request) {
+  LoanResponse response =
+      lender.lender.HandleRequest(request, lender.ledger, Time());
+  for (LoanGrant& it : response.grants) {
+    if (it.outcome != LoanOutcome::kShort)
+      continue;
+    it.outcome = LoanOutcome::kDrawing;
+    lender.lent_teams.insert(it.budget);
+    lender.deferred.push_back(request);
+    RequestSync(lender);
+  }
+  SendLoanResponse(request, response);
+}
+
+void FleetTrafficRun::Private::SendLoanResponse(const LoanRequest& request,
+                                                const LoanResponse& response) {
+  At(kMessageTime, [this, request, response] {
+    Host* borrower = FindHost(request.reply_to);
+    if (!borrower)
+      return;
+    borrower->search.HandleResponse(response, borrower->ledger, Time());
+    Wake(*borrower);
+    SendLoanRequests(*borrower);
+  });
+}
+
 void FleetTrafficRun::Private::SendLoanRequests(Host& host) {
   for (const OutgoingLoanRequest& it :
        host.search.DueRequests(host.ledger, Time())) {
-    At(kMessageTime, [this, &host, it] {
-      const auto other =
-          std::find_if(hosts.begin(), hosts.end(), [&](const auto& candidate) {
-            return candidate->address == it.address;
-          });
-      if (other == hosts.end() || (*other)->is_stopped)
-        return;
-      const LoanResponse response =
-          (*other)->lender.HandleRequest(it.request, (*other)->ledger, Time());
-      At(kMessageTime, [this, &host, response] {
-        host.search.HandleResponse(response, host.ledger, Time());
-        Wake(host);
-        SendLoanRequests(host);
-      });
+    At(kMessageTime, [this, it] {
+      if (Host* lender = FindHost(it.address))
+        HandleLoanRequest(*lender, it.request);
     });
   }
-  host.search.TakeFailed();
-  if (const std::optional<MonotonicTime> next = host.search.NextDueTime();
-      next && *next > Time())
+  for (const FailedLoanSearch& failed : host.search.TakeFailed()) {
+    if (failed.scope == LoanScope::kFleet)
+      continue;
+    for (auto& [id, it] : host.waiting)
+      it.draws_directly |= it.team == failed.request.budget;
+    RequestSync(host);
+  }
+  const std::optional<MonotonicTime> next = host.search.NextDueTime();
+  if (next && *next > Time())
     At(std::chrono::duration_cast<microseconds>(*next - Time()),
        [this, &host] { SendLoanRequests(host); });
 }
@@ -315,10 +414,15 @@
   for (const auto& host : d_->hosts) {
     d_->At(microseconds(d_->random() % 300'000),
            [this, &host = *host] { d_->Tick(host); });
-    if (!host->is_stopped)
-      d_->At(kTrafficStart,
-             [this, &host = *host] { d_->ScheduleArrival(host); });
   }
+  d_->At(kTrafficStart, [this] {
+    int stopped = 0;
+    for (const auto& host : d_->hosts) {
+      host->is_stopped = stopped++ < d_->options.stopped_hosts;
+      if (!host->is_stopped)
+        d_->ScheduleArrival(*host);
+    }
+  });
   while (!d_->events.empty() && d_->events.begin()->first <= kEnd) {
     auto event = d_->events.extract(d_->events.begin());
     d_->now = event.key();
--- a/tests/budget/fleet_traffic_run.h
+++ b/tests/budget/fleet_traffic_run.h
@@ -15,7 +15,8 @@
   std::uint64_t seed = 0;
   // Requests per second at each host.
   double request_rate = 0;
-  // Hosts whose process stops answering at the start, counted from the first.
+  // Hosts whose process stops for good when the requests begin, counted from
+  // the first.
   int stopped_hosts = 0;
 };
 
--- a/tests/budget/fleet_traffic_test.cc
+++ b/tests/budget/fleet_traffic_test.cc
@@ -12,8 +12,8 @@
 // Of 100 requests, 95 get their first token in time (docs/DEVELOPERS.md).
 constexpr int kMaxRefusedPercent = 5;
 
-FleetTrafficResult RunFleet(int hosts, int domains) {
-  FleetTrafficRun run({hosts, domains, 1, kRequestRate});
+FleetTrafficResult RunFleet(int hosts, int domains, int stopped_hosts = 0) {
+  FleetTrafficRun run({hosts, domains, 1, kRequestRate, stopped_hosts});
   return run.Run();
 }
 
@@ -35,4 +35,12 @@
   LONGS_EQUAL(0, result.overspent);
 }
 
+// With 20 of 65 hosts stopped, stocks of every domain are out of reach.
+TEST(FleetTraffic, HostsDrawThemselvesWhileHostsWithStocksDoNotAnswer) {
+  const FleetTrafficResult result = RunFleet(65, 5, 20);
+  CHECK(result.requests > 0);
+  CHECK(result.refused * 100 <= result.requests * kMaxRefusedPercent);
+  LONGS_EQUAL(0, result.overspent);
+}
+
 }  // namespace turmericwinch
--- a/tests/budget/loan_search_test.cc
+++ b/tests/budget/loan_search_test.cc
@@ -42,7 +42,7 @@
   }
 
   void Start(std::int64_t needed, std::int64_t smallest) {
-    search.Start({kBudget, needed, smallest},
+    search.Start({kBudget, needed, smallest}, LoanScope::kFleet,
                  FindLenders(account, kBudget, "own_1"), reason, kStart);
   }
 
@@ -118,11 +118,34 @@
   CHECK(!search.IsSearching(kBudget));
   const std::vector<FailedLoanSearch> failed = search.TakeFailed();
   LONGS_EQUAL(1, failed.size());
-  LONGS_EQUAL(800, failed[0].smallest);
+  LONGS_EQUAL(800, failed[0].request.smallest);
   STRCMP_EQUAL("cut off", failed[0].reason.text.c_str());
   CHECK(search.TakeFailed().empty());
 }
 
+TEST(LoanSearch, LenderThatDrawsTokensIsWaitedForAndStaysResponsive) {
+  AddOther("keeper", 1'000, 0);
+  AddOther("other", 500, 500);
+  Start(800, 800);
+  const OutgoingLoanRequest asked = search.DueRequests(ledger, kStart).at(0);
+  STRCMP_EQUAL("keeper:1", asked.address.c_str());
+  search.HandleResponse({"keeper_1",
+                         "own_1",
+                         "keeper:1",
+                         {{kBudget, 0, 0, LoanOutcome::kDrawing}}},
+                        ledger, kStart);
+  STRCMP_EQUAL("", Step(kStart + kLoanResponseTimeout).c_str());
+  const MonotonicTime late = kStart + kLoanDrawTimeout;
+  STRCMP_EQUAL("other:1", Step(late).c_str());
+  STRCMP_EQUAL("", Step(late).c_str());
+  CHECK(!search.IsSearching(kBudget));
+  LONGS_EQUAL(1, search.TakeFailed().size());
+  others["keeper:1"]->ledger.ApplyGrant(kBudget, 800);
+  Start(800, 800);
+  STRCMP_EQUAL("keeper:1", Step(late).c_str());
+  LONGS_EQUAL(800, ledger.AvailableFrom("keeper_1", kBudget));
+}
+
 TEST(LoanSearch, HostsWithoutAnAddressOrTokensAreNotAsked) {
   AddOther("empty", 0, 0);
   AddOther("mute", 1'000, 1'000);
