Read a target's bytes only to a limit, whatever they are

A target in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes.

Cause: of the reads from a target, only the header block and the body read by HttpClient::Call() had a limit. Without one were: the body of a plain response (held in memory until the route's deadline), an event without an end and events repeated without end (relayed until then), chunk headers and trailers in a row, the body of a response to another request and such responses in a row, and the body of a refusal, whose loop even outlived the request. Class: a loop that ends only when the peer ends it.

Evidence: the new tests, on the code before: 64 MB read of a body without a length and the caller given no answer (0 instead of 502), 64 MB of repeated events relayed; the loop over a refusal had no other bound than the peer.

Change: 4 MiB for bodies read or skipped, 16 KiB of framing in a row, 64 KiB buffered before they can be parsed, 4 responses to other requests, 256 KiB of a stream without a new event, 64 KiB of a refusal. Above it the connection is closed and the attempt has failed, with the limit in the reason. Looked for elsewhere: the loops of src/libs/node and HttpClient::Call() have limits.

Ruled out: a shorter deadline alone; at 200 Mbit/s a second is 25 MB, and hosts have 120 MB.

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -244,11 +244,13 @@
     meter.SetOutcome(verdict == HeadVerdict::kOtherTarget
                          ? AttemptOutcome::kLeaving
                          : AttemptOutcome::kFailed);
-    while (!stream->done()) {
+    // The connection can be used again once the whole refusal is read.
+    for (std::size_t n = 0; !stream->done() && n < kMaxRefusalBytes;) {
       std::optional<std::string> piece =
           co_await stream->ReadSome(kGatewayTargetConnectTimeout, &failure);
       if (!piece)
         break;
+      n += piece->size();
     }
     reason_ = {ResultCode::kOverloaded,
                "target " + choice.name + " did not run the request"};
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -14,6 +14,10 @@
 // Time without data after which a connection to a target counts as broken.
 // Callers wait at least 2 s between two events.
 inline constexpr std::chrono::milliseconds kTargetSilenceTimeout{1'500};
+// Bytes of a stream without a new event, and of a refusal's body, after which a
+// target counts as failed. An event holds a few tokens.
+inline constexpr std::size_t kMaxBytesWithoutEvent = 256 * 1024;
+inline constexpr std::size_t kMaxRefusalBytes = 64 * 1024;
 // Maximum age of a connection to a target.
 inline constexpr std::chrono::minutes kMaxTargetConnectionAge{5};
 // Time that a request waits for a grant of tokens. A write to the store takes
--- a/src/libs/gateway/response_relay.cc
+++ b/src/libs/gateway/response_relay.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "libs/gateway/gateway_constants.h"
+
 namespace turmericwinch {
 
 namespace {
@@ -33,6 +35,13 @@
       co_return std::nullopt;
     }
     result.body += *piece;
+    if (result.body.size() > kHttpMostBodyBytes) {
+      response.meter.SetOutcome(AttemptOutcome::kFailed);
+      *reason = {ResultCode::kTargetFailed,
+                 "the response of target " + response.target + " exceeds " +
+                     std::to_string(kHttpMostBodyBytes) + " bytes"};
+      co_return std::nullopt;
+    }
   }
   response.meter.SetOutcome(
       OutcomeOfStatus(result.status, response.stream.headers()));
@@ -73,6 +82,7 @@
     Reason* reason) {
   HttpStream& stream = response.stream;
   EventSplitter splitter;
+  std::size_t bytes_without_event = 0;
   HttpFailure failure;
   for (;;) {
     std::optional<std::string> piece =
@@ -102,6 +112,13 @@
         break;
       }
     }
+    bytes_without_event =
+        events->empty() ? bytes_without_event + piece->size() : 0;
+    if (bytes_without_event > kMaxBytesWithoutEvent) {
+      failure.text = std::to_string(bytes_without_event) +
+                     " bytes arrived without a new event";
+      break;
+    }
     if (stream.done()) {
       failure.text = "the stream ended in the middle of an event";
       break;
--- a/src/libs/http/http_client.cc
+++ b/src/libs/http/http_client.cc
@@ -115,11 +115,13 @@
 };
 
 // Reads and discards the rest of a response. Returns false if only the close of
-// the connection ends the response, or if the connection failed.
+// the connection ends the response, if the connection failed, or if the
+// response is longer than kHttpMostBodyBytes.
 asio::awaitable<bool> DiscardBody(HttpConnection& connection,
                                   http_internal::Parser& parser) {
   if (parser.need_eof())
     co_return false;
+  std::size_t discarded = 0;
   while (!parser.is_done()) {
     char buf[kHttpReadBytes];
     auto& body = parser.get().body();
@@ -128,7 +130,9 @@
     body.more = true;
     auto [ec, n] = co_await http::async_read_some(
         connection.socket, connection.buf, parser, kAwait);
-    if (ec && ec != http::error::need_buffer)
+    discarded += n;
+    if ((ec && ec != http::error::need_buffer) ||
+        discarded > kHttpMostBodyBytes)
       co_return false;
   }
   co_return true;
@@ -235,7 +239,7 @@
   stream->cancel = options.cancel;
   const auto first_byte_deadline =
       std::chrono::steady_clock::now() + timeouts.first_byte;
-  for (;;) {
+  for (int skipped = 0;; ++skipped) {
     HttpConnection& used = *stream->connection;
     stream->parser.emplace();
     stream->parser->header_limit(kHttpMostHeaderBytes);
@@ -258,7 +262,9 @@
     }
     if (!options.matches_request || options.matches_request(stream->headers))
       break;
-    const bool discarded = co_await DiscardBody(used, *stream->parser);
+    bool discarded = false;
+    if (skipped < kHttpMaxSkippedResponses)
+      discarded = co_await DiscardBody(used, *stream->parser);
     if (!discarded) {
       *failure = {HttpPhase::kFirstByte, true, false,
                   "the response belongs to another request"};
--- a/src/libs/http/http_connection.h
+++ b/src/libs/http/http_connection.h
@@ -30,7 +30,7 @@
 
   boost::asio::ip::tcp::socket socket;
   SocketDeadline deadline;
-  boost::beast::flat_buffer buf;
+  boost::beast::flat_buffer buf{kHttpMaxBufferedBytes};
   std::chrono::steady_clock::time_point idle_since;
   std::chrono::steady_clock::time_point renew_at;
   // Longest idle time before reuse, from the Keep-Alive header of the peer if
--- a/src/libs/http/http_constants.h
+++ b/src/libs/http/http_constants.h
@@ -23,6 +23,10 @@
 // Maximum age of a pooled client connection. Each connection gets a random age
 // between half of this and this, so that they are not all replaced at once.
 inline constexpr std::chrono::minutes kHttpPoolMaxAge{5};
+// Maximum bytes of a response that a client buffers before it can parse them.
+inline constexpr std::size_t kHttpMaxBufferedBytes = 64 * 1024;
+// Maximum number of responses to other requests that a call skips.
+inline constexpr int kHttpMaxSkippedResponses = 4;
 // Buffer size of one socket read, in bytes.
 inline constexpr std::size_t kHttpReadBytes = 8 * 1024;
 
--- a/src/libs/http/http_stream.cc
+++ b/src/libs/http/http_stream.cc
@@ -40,6 +40,8 @@
   if (d_->done)
     co_return std::string();
   std::string piece;
+  // Bytes of chunk headers and trailers since the last bytes of the body.
+  std::size_t framing_bytes = 0;
   auto& body = d_->parser->get().body();
   while (!d_->parser->is_done()) {
     char buf[kHttpReadBytes];
@@ -67,6 +69,17 @@
     }
     if (!piece.empty())
       co_return piece;
+    framing_bytes += n;
+    if (framing_bytes > kHttpMostHeaderBytes) {
+      *failure = {HttpPhase::kBody, true, false,
+                  "the response has more than " +
+                      std::to_string(kHttpMostHeaderBytes) +
+                      " bytes of chunk headers and trailers in a row"};
+      if (d_->cancel)
+        d_->cancel->Attach(nullptr);
+      d_->connection.reset();
+      co_return std::nullopt;
+    }
   }
   d_->done = true;
   if (d_->cancel)
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
+#include "endless_target.h"
 #include "libs/http/http_client.h"
 #include "libs/http/http_server.h"
 #include "platform/config_decoder.h"
@@ -20,13 +21,13 @@
 
 constexpr char kConfig[] = R"({"version":1,"routes":[
  {"name":"once","host":"h","path_prefix":"/once/","type":"non_idempotent",
-  "service":"app","max_attempts":2,"timeout_ms":2000},
+  "service":"app","max_attempts":2,"timeout_ms":60000},
  {"name":"again","host":"h","path_prefix":"/again/","type":"idempotent",
-  "service":"app","max_attempts":2,"timeout_ms":2000},
+  "service":"app","max_attempts":2,"timeout_ms":60000},
  {"name":"stream","host":"h","path_prefix":"/stream/","type":"streaming",
-  "service":"app","max_attempts":2,"resumable":true,"timeout_ms":2000},
+  "service":"app","max_attempts":2,"resumable":true,"timeout_ms":60000},
  {"name":"fixed","host":"h","path_prefix":"/fixed/","type":"streaming",
-  "service":"app","max_attempts":2,"resumable":false,"timeout_ms":2000}],
+  "service":"app","max_attempts":2,"resumable":false,"timeout_ms":60000}],
  "services":[{"name":"app"}],
  "tenants":[{"name":"team","api_keys":["key"],"prepaid":1000}]})";
 
@@ -344,4 +345,66 @@
   CHECK(ended);
 }
 
+// Bytes that are no answer may come without end until the caller closes.
+TEST(GatewayCall, BytesWithoutEndFromATargetAreReadOnlyToALimit) {
+  const std::string ok =
+      "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
+      "Turmericwinch-Response-Signature: mac\r\n";
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: other\r\n";
+  const std::string not_run =
+      "HTTP/1.1 503 Busy\r\nTurmericwinch-Attempt-Id: id1\r\n"
+      "Turmericwinch-Not-Executed: 1\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+  struct Case {
+    const char* path;
+    std::string start;
+    std::string piece;
+    int status;
+  };
+  const Case cases[] = {
+      {"/once/1", "", "garbage", 502},
+      {"/once/1", "HTTP/1.1 200 OK\r\nName: ", "value", 502},
+      {"/once/1", "HTTP/1.1 200 OK\r\n", "Name: value\r\n", 502},
+      {"/once/1", ok + "\r\n", "body", 502},
+      {"/once/1", ok + chunked, chunk, 502},
+      {"/once/1", ok + chunked + "10;", "extension", 502},
+      {"/once/1", ok + chunked + "0\r\n", "Trailer: value\r\n", 502},
+      {"/once/1", other + chunked, chunk, 502},
+      {"/once/1", "", other + "Content-Length: 0\r\n\r\n", 502},
+      {"/once/1", "", "HTTP/1.1 100 Continue\r\n\r\n", 502},
+      {"/once/1", not_run + chunked, chunk, 503},
+      {"/once/1", not_run + "\r\n", "body", 503},
+      {"/fixed/1", ok + chunked, chunk, 502},
+      {"/fixed/1", ok + "\r\n", "data: no end of the event\n", 502},
+      {"/fixed/1", ok + "\r\n", ":\n", 502},
+  };
+  // Twice the limit of a body, and what two socket buffers hold.
+  constexpr std::size_t kMaxSentBytes = 16 * 1024 * 1024;
+  for (const Case& it : cases) {
+    EndlessTarget target(context.traffic, it.start, it.piece);
+    HostList list;
+    list.targets = {{"i-3", "a", ToText(target.endpoint()),
+                     std::to_string(++incarnation_), "app", false}};
+    context.targets.Update(list, *context.config.Get()->objects);
+    LONGS_EQUAL_TEXT(it.status, StatusOf(it.path), it.start.c_str());
+    CHECK_TEXT(target.sent_bytes() <= kMaxSentBytes, it.start.c_str());
+  }
+}
+
+// The events of a stream are relayed once; repeated ones do not keep the
+// connection to the target open.
+TEST(GatewayCall, EventsRepeatedWithoutEndBreakTheStream) {
+  EndlessTarget target(context.traffic,
+                       "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
+                       "Turmericwinch-Response-Signature: mac\r\n\r\n",
+                       EventText(1));
+  HostList list;
+  list.targets = {{"i-3", "a", ToText(target.endpoint()), "9", "app", false}};
+  context.targets.Update(list, *context.config.Get()->objects);
+  CHECK(!Call(Request("/fixed/1")).has_value());
+  CHECK(target.sent_bytes() < EndlessTarget::kMaxSentBytes);
+}
+
 }  // namespace turmericwinch::platform
