Space the watch calls for targets

Cause: a watch ends with the first change, and each host watches all targets.

Change: two watch calls start at least 200 ms apart. A change after a quiet time is known at once; one during a pause is known 200 ms later, and targets that leave serve for 2 s more.

WatchPacer.TargetsThatStartTogetherDoNotCostACallEach fails with no interval (the code before) and passes with 200 ms. Configurations change rarely and are not spaced.

--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -47,6 +47,9 @@
 // Maximum duration of one watch call to the store. A store that answers again
 // after an outage may have lost the watch.
 inline constexpr std::chrono::milliseconds kMaxWatchWait{5'000};
+// Minimum time between the starts of two watch calls for the targets. A target
+// that leaves serves for 2 s more, and the list is that much older at most.
+inline constexpr std::chrono::milliseconds kMinWatchInterval{200};
 // Pause before the store is called again after a failed call.
 inline constexpr std::chrono::milliseconds kStoreRetryPause{300};
 // Interval at which a host compares its grants with its demand.
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -4,6 +4,7 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/watch_pacer.h"
 #include "libs/routing/host_list_change.h"
 
 namespace turmericwinch {
@@ -56,7 +57,10 @@
 asio::awaitable<void> TargetSource::Run() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   bool outage = false;
+  WatchPacer pacer(kMinWatchInterval);
   for (;;) {
+    timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     Reason reason;
     const std::chrono::milliseconds wait =
         targets_.has_expired_entries() ? kStoreRetryPause : kMaxWatchWait;
