Send callers away from a host whose network link is full

Cause: callers are spread unevenly, and a host with a link of 10 Mbit/s gets 200 requests a second, 5.5 KB each in the mean, so its link is full and every call on it is late, targets look slow and its queue fills, while hosts beside it idle. It went on reporting itself ready. Class: a host that takes work without regard to what it can carry.

Ruled out: its processor (at most 0.053 of 0.09 cores), the account's traffic.

Change: LinkLoad averages the bytes of requests and responses over a second. From 0.7 of the bandwidth on (setting link-mbps; 0, the default, turns it off) health probes fail and responses close their connection, so that callers' next connections go to other hosts; for 5 s at least, until below 0.35, and longer each time that callers fill the link again within 10 s. Nothing is refused.

--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -32,7 +32,8 @@
   Private(GatewaySettings settings, GatewayDeployment parts);
 
   bool IsReady() const {
-    return context.config.Get() && context.targets_known && !context.draining;
+    return context.config.Get() && context.targets_known && !context.draining &&
+           !context.link.is_saturated();
   }
   void ApplyConfig(std::shared_ptr<const GatewayConfig> config);
   void ApplyTargets(const HostList& list);
@@ -136,6 +137,7 @@
 
 asio::awaitable<void> Gateway::Private::HandleProbe(HttpExchange& exchange) {
   HttpResponse response;
+  context.IsLinkSaturated();
   response.status = IsReady() ? kStatusOk : kStatusUnavailable;
   co_await exchange.Send(response);
 }
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -217,6 +217,7 @@
     return context_.dialect.belongs_to_call(headers, resolved_.call->id);
   };
   HttpFailure failure;
+  context_.link.RecordSent(request.body.size(), Clock::now());
   std::unique_ptr<HttpStream> stream =
       co_await context_.client.Open(*endpoint, request, options, &failure);
   if (!stream) {
@@ -375,6 +376,11 @@
 }
 
 asio::awaitable<void> CallRunner::Run() {
+  context_.link.RecordReceived(request_.body.size(), Clock::now());
+  // The load balancer sends the caller's next connection to another host, as
+  // this host's health probes fail meanwhile.
+  if (context_.IsLinkSaturated())
+    exchange_.CloseAfterResponse();
   const bool is_resolved = ResolveCall(context_, request_, resolved_, &reason_);
   if (!is_resolved || !PassesQuarantine()) {
     co_await Refuse();
@@ -392,6 +398,10 @@
     status_ = relay_.status();
   if (status_ != 0 && status_ < kFirstNonSuccessStatus)
     reason_ = {};
+  if (relay_.received_bytes() > 0) {
+    context_.link.RecordReceived(relay_.received_bytes(), Clock::now());
+    context_.link.RecordSent(relay_.received_bytes(), Clock::now());
+  }
   Settle();
   LogRequestDone();
 }
--- a/src/libs/gateway/gateway_context.cc
+++ b/src/libs/gateway/gateway_context.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 
 #include "libs/base/digest.h"
+#include "libs/base/log.h"
 
 namespace turmericwinch {
 
@@ -11,6 +12,8 @@
 
 constexpr std::size_t kIncarnationBytes = 6;
 constexpr char kBootIdFile[] = "/proc/sys/kernel/random/boot_id";
+constexpr LogCategory kLog{"gateway"};
+constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr std::int64_t kMsPerSecond = 1'000;
 constexpr std::int64_t kNsPerMs = 1'000'000;
 
@@ -37,8 +40,21 @@
       incarnation(RandomHex(kIncarnationBytes)),
       targets(settings.failure_domain, settings.host),
       ledger(settings.host + "_" + incarnation),
-      retries(settings.retry_ratio, settings.retry_slack) {
+      retries(settings.retry_ratio, settings.retry_slack),
+      link(settings.link_mbps * kBytesPerMegabit) {
   client.SetUnresponsivePeerTimeout(kTargetSilenceTimeout);
 }
 
+bool GatewayContext::IsLinkSaturated() {
+  const std::optional<bool> change =
+      link.Update(std::chrono::steady_clock::now());
+  if (change) {
+    LogEvent(kLog, *change ? Severity::kWarning : Severity::kInfo,
+             *change ? "link_saturated" : "link_relieved",
+             {{"bytes_per_s", static_cast<std::int64_t>(link.rate())},
+              {"link_mbps", static_cast<std::int64_t>(settings.link_mbps)}});
+  }
+  return link.is_saturated();
+}
+
 }  // namespace turmericwinch
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include "libs/gateway/gateway_dialect.h"
 #include "libs/gateway/gateway_peers.h"
 #include "libs/gateway/gateway_settings.h"
+#include "libs/gateway/link_load.h"
 #include "libs/gateway/request_quarantine.h"
 #include "libs/gateway/service_retries.h"
 #include "libs/http/http_client.h"
@@ -60,6 +61,10 @@
     return settings.host + "_" + incarnation;
   }
 
+  // Recomputes and returns whether the network link is saturated, and logs a
+  // change. Thread-safe.
+  bool IsLinkSaturated();
+
   GatewaySettings settings;
   GatewayDialect dialect;
   std::string incarnation;
@@ -73,6 +78,7 @@
   SharedTargets targets;
   SharedLedger ledger;
   ServiceRetries retries;
+  LinkLoad link;
   GatewayPeers peers{control, settings};
   RequestQuarantine quarantine{control, peers};
   // Whether the list of targets was received once.
--- a/src/libs/gateway/gateway_settings.cc
+++ b/src/libs/gateway/gateway_settings.cc
@@ -67,6 +67,10 @@
        .default_value = "400",
        .least = 1,
        .most = kMaxRate},
+      {.name = "link-mbps",
+       .label = "bandwidth of this host's network link in each direction, in "
+                "Mbit/s; 0 if unknown",
+       .default_value = "0"},
       {.name = "retry-ratio",
        .label = "retries that all hosts may make, per request of a service",
        .default_value = "0.2"},
@@ -107,6 +111,7 @@
   settings.store = EndpointSetting(table, "store");
   settings.store_rates = {static_cast<double>(table.Integer("store-reads")),
                           static_cast<double>(table.Integer("store-writes"))};
+  settings.link_mbps = std::strtod(table.Text("link-mbps").c_str(), nullptr);
   settings.retry_ratio =
       std::strtod(table.Text("retry-ratio").c_str(), nullptr);
   settings.retry_slack = static_cast<double>(table.Integer("retry-slack"));
--- a/src/libs/gateway/gateway_settings.h
+++ b/src/libs/gateway/gateway_settings.h
@@ -28,6 +28,9 @@
   std::string fleet_key;
   boost::asio::ip::tcp::endpoint store;
   PlatformRates store_rates;
+  // Bandwidth of this host's network link in each direction, in Mbit/s; 0 if
+  // unknown.
+  double link_mbps = 0;
   // Retry budget of all hosts together: retries that each request adds, and
   // retries that are allowed beyond these.
   double retry_ratio = 0;
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -76,6 +76,8 @@
     waiting += n;
   AddGauge(text, "ready", stats.is_ready ? 1 : 0);
   AddGauge(text, "draining", context.draining ? 1 : 0);
+  AddGauge(text, "link_saturated", context.link.is_saturated() ? 1 : 0);
+  AddGauge(text, "link_bytes_per_second", context.link.rate());
   AddGauge(text, "config_version",
            config ? static_cast<double>(config->version) : 0);
   AddGauge(text, "caller_connections", static_cast<double>(stats.callers));
--- a/src/libs/gateway/response_relay.cc
+++ b/src/libs/gateway/response_relay.cc
@@ -34,6 +34,7 @@
                                                 " failed: " + failure.text};
       co_return std::nullopt;
     }
+    received_bytes_ += piece->size();
     result.body += *piece;
     if (result.body.size() > kHttpMostBodyBytes) {
       response.meter.SetOutcome(AttemptOutcome::kFailed);
@@ -89,6 +90,7 @@
         co_await stream.ReadSome(Until(response.deadline), &failure);
     if (!piece || cancel_.cancelled())
       break;
+    received_bytes_ += piece->size();
     if (stream.done() && piece->empty() && splitter.pending_bytes() == 0) {
       response.meter.SetOutcome(AttemptOutcome::kGood);
       StartStreamOnce(stream);
--- a/src/libs/gateway/response_relay.h
+++ b/src/libs/gateway/response_relay.h
@@ -64,6 +64,8 @@
   // Status of the stream once it has ended completely; 0 before.
   int status() const { return status_; }
   const EventOrder& order() const { return order_; }
+  // Bytes of all bodies read from targets.
+  std::size_t received_bytes() const { return received_bytes_; }
 
  private:
   // Returns the bytes of the events that are complete after `piece` and that
@@ -82,6 +84,7 @@
   EventOrder order_;
   bool head_sent_ = false;
   int status_ = 0;
+  std::size_t received_bytes_ = 0;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/http/http_exchange.cc
+++ b/src/libs/http/http_exchange.cc
@@ -74,6 +74,10 @@
   co_return co_await d_->WriteBuffer();
 }
 
+void HttpExchange::CloseAfterResponse() {
+  d_->keep_alive = false;
+}
+
 void HttpExchange::Abort() {
   d_->keep_alive = false;
   d_->started = true;
--- a/src/libs/http/http_exchange.h
+++ b/src/libs/http/http_exchange.h
@@ -31,6 +31,9 @@
   boost::asio::awaitable<bool> Write(std::string_view data);
   // Ends a chunked response. Returns false if the caller has disconnected.
   boost::asio::awaitable<bool> EndStream();
+  // Closes the connection after the response, and announces that in its head.
+  // Call before the response is started.
+  void CloseAfterResponse();
   // Closes the connection without a response once the handler returns.
   void Abort();
   // Whether the caller has closed its connection. A close that follows unread
