Answer a loan request at once if the account has too few tokens left

Cause: the lender did not look at what it knows: whether it keeps stocks for others, and what the account has left.

Change: FleetHolder::MayDrawForLoan() decides, and the lender answers kShort at once where it is false. In small fleets loans are again as they were.

--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -92,6 +92,17 @@
          (holds_unopened && now - last_issued_ >= kFleetHeartbeatInterval);
 }
 
+bool FleetHolder::MayDrawForLoan(const std::string& budget,
+                                 std::int64_t paid,
+                                 std::int64_t tokens) const {
+  if (stock_hosts_.HostsServed() == 1)
+    return false;
+  auto found = known_.budgets.find(budget);
+  const std::int64_t free =
+      found == known_.budgets.end() ? paid : found->second.Free(paid);
+  return free >= tokens;
+}
+
 bool FleetHolder::PlanClose(const HostLedger& ledger) {
   planned_ = known_;
   planned_grants_.clear();
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -71,6 +71,12 @@
   // kOpenAllDelay.
   std::map<std::string, std::int64_t> OpenAll(const HostLedger& ledger,
                                               BootTime now) const;
+  // Whether this host should draw `tokens` of `budget` for a borrower. False if
+  // every host of the fleet draws for itself, or if the account has too few
+  // tokens left, so that the borrower learns at once that it gets none here.
+  bool MayDrawForLoan(const std::string& budget,
+                      std::int64_t paid,
+                      std::int64_t tokens) const;
   // Whether an account was read without this holder after a write with this
   // holder took effect. Another process has then closed the holder and may
   // spend its tokens.
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -43,7 +43,8 @@
         loans(
             context,
             [this](const FailedLoanSearch& it) { HandleFailedSearch(it); },
-            [this](const std::string& it) { return DrawForBorrowers(it); }) {}
+            [this](const LoanRequestItem& it) { return DrawForBorrower(it); }) {
+  }
 
   // Reads the account. Returns false if the read failed.
   asio::awaitable<bool> ReadAccount();
@@ -74,9 +75,9 @@
   // What `request` needs beyond the tokens that this host has available.
   GrantRequest Missing(const GrantRequest& request);
   void HandleFailedSearch(const FailedLoanSearch& search);
-  // Draws tokens for hosts that borrow from this one. Returns false if the
-  // store is unavailable.
-  bool DrawForBorrowers(const std::string& budget);
+  // Starts a sync that draws tokens for a borrower. Returns false if the store
+  // is unavailable or if MayDrawForLoan() is false.
+  bool DrawForBorrower(const LoanRequestItem& request);
   // Starts the next sync now.
   void SyncSoon();
   // Gets tokens for `waiting` from the account, or from any other host if the
@@ -345,10 +346,16 @@
   SyncForWaiting();
 }
 
-bool AccountManager::Private::DrawForBorrowers(const std::string& budget) {
-  if (!reachable || context.draining)
+bool AccountManager::Private::DrawForBorrower(const LoanRequestItem& request) {
+  const std::shared_ptr<const GatewayConfig> config = context.config.Get();
+  if (!reachable || context.draining || !config)
+    return false;
+  auto budget = config->objects->budgets().find(request.budget);
+  if (budget == config->objects->budgets().end() ||
+      !holder.MayDrawForLoan(request.budget, budget->second.tokens,
+                             request.smallest))
     return false;
-  lent_at[budget] = Clock::now();
+  lent_at[request.budget] = Clock::now();
   SyncSoon();
   return true;
 }
--- a/src/libs/gateway/peer_loans.cc
+++ b/src/libs/gateway/peer_loans.cc
@@ -93,8 +93,9 @@
                                const LoanResponse& response) {
   if (!IsShort(response) || deferred.size() >= kMaxDeferredRequests)
     return false;
-  for (const LoanGrant& it : response.grants) {
-    if (it.outcome == LoanOutcome::kShort && !on_short(it.budget))
+  for (std::size_t n = 0; n < response.grants.size(); ++n) {
+    if (response.grants[n].outcome == LoanOutcome::kShort &&
+        !on_short(request.items[n]))
       return false;
   }
   deferred.push_back({request, false});
--- a/src/libs/gateway/peer_loans.h
+++ b/src/libs/gateway/peer_loans.h
@@ -21,10 +21,10 @@
  public:
   // Called when no host lends enough for the smallest waiting request.
   using FailureHandler = std::function<void(const FailedLoanSearch&)>;
-  // Called when another host requests more tokens of `budget` than this host
+  // Called when another host requests more tokens of a budget than this host
   // has open. Returns whether this host will draw them; AnswerDeferred() is
   // then called.
-  using DrawHandler = std::function<bool(const std::string& budget)>;
+  using DrawHandler = std::function<bool(const LoanRequestItem&)>;
 
   PeerLoans(GatewayContext& context,
             FailureHandler on_failure,
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -352,6 +352,28 @@
   CHECK(holder.OpenAll(ledger, BootTime(2'000) + kOpenAllDelay).empty());
 }
 
+TEST(FleetHolder, DrawsForBorrowersOnlyWhatTheAccountHasLeft) {
+  FleetAccount account;
+  holder = FleetHolder("host_a", "boot", "host_a:1", "domain");
+  for (int n = 0; n < 2 * static_cast<int>(kMaxStockHosts); ++n) {
+    const std::string other = "host-" + std::to_string(n) + "_1";
+    account.heartbeats[other] = {"boot", BootTime(0), other + ":1", "domain"};
+  }
+  account.budgets[kTeam].rows["host-1_1"] = {kPaid - 500, 0, 0};
+  holder.LoadAccount(account, BootTime(1'000));
+  CHECK(holder.MayDrawForLoan(kTeam, kPaid, 500));
+  CHECK(!holder.MayDrawForLoan(kTeam, kPaid, 501));
+  CHECK(holder.MayDrawForLoan("another team", kPaid, 501));
+}
+
+TEST(FleetHolder, HostsOfASmallFleetDoNotDrawForBorrowers) {
+  FleetAccount account;
+  account.heartbeats["host-1_1"] = {"boot", BootTime(0), "host-1:1", "domain"};
+  holder = FleetHolder("host_a", "boot", "host_a:1", "domain");
+  holder.LoadAccount(account, BootTime(1'000));
+  CHECK(!holder.MayDrawForLoan(kTeam, kPaid, 1));
+}
+
 TEST(FleetHolder, DetectsThatAnotherProcessClosedIt) {
   holder.LoadAccount({}, BootTime(500));
   CHECK(!holder.is_closed());
