Log the prompt parts of requests and of lost responses

No log told which part of a prompt the requests share that are lost with a target. response_lost names them for each attempt whose answer was lost, request_done for each request. No logic changes.

--- a/src/libs/gateway/gateway_call.h
+++ b/src/libs/gateway/gateway_call.h
@@ -26,6 +26,10 @@
   std::int64_t tokens = 0;
 };
 
+// The ids of `parts` in hexadecimal, separated by commas, for logs. At most
+// kMaxLoggedPromptParts are named.
+std::string PromptPartsText(const std::vector<PromptPart>& parts);
+
 // `id` identifies this attempt of the caller. `api_key` is the caller's secret;
 // empty if it sent none. `time_left` is how long the caller still waits,
 // counted from the arrival of the request. `after_event` is the last event that
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -44,6 +44,7 @@
   bool PassesQuarantine();
   // Reports a failed or successful attempt to the quarantine.
   void ReportToQuarantine(AttemptResult result, const TargetChoice& choice);
+  void LogLostResponse(const TargetChoice& choice);
   // Reserves the request's tokens. Returns false if there are too few.
   asio::awaitable<bool> Reserve();
   asio::awaitable<void> RunAttempts();
@@ -106,13 +107,25 @@
   if (cancel_.cancelled())
     return;
   if (result == AttemptResult::kFailed ||
-      result == AttemptResult::kStreamBroken)
+      result == AttemptResult::kStreamBroken) {
+    LogLostResponse(choice);
     context_.quarantine.OnLost(
         {RequestDigest(), choice.name, choice.incarnation});
-  else if (result == AttemptResult::kDone && context_.quarantine.HasSuspects())
+  } else if (result == AttemptResult::kDone &&
+             context_.quarantine.HasSuspects())
     context_.quarantine.OnAnswered(RequestDigest());
 }
 
+void CallRunner::LogLostResponse(const TargetChoice& choice) {
+  LogEvent(kLog, Severity::kWarning, "response_lost",
+           {{"request", resolved_.call->id},
+            {"target", choice.name},
+            {"incarnation", choice.incarnation},
+            {"events", relay_.order().passed()},
+            {"parts", PromptPartsText(resolved_.call->prompt_parts)},
+            {"reason", reason_.text}});
+}
+
 asio::awaitable<bool> CallRunner::Reserve() {
   if (!resolved_.team || !resolved_.call->tokens)
     co_return true;
@@ -356,23 +369,26 @@
     first_ms =
         std::chrono::duration_cast<milliseconds>(first_byte_time).count();
   }
-  LogEvent(kLog, Severity::kInfo, "request_done",
-           {{"request", resolved_.call ? resolved_.call->id : std::string()},
-            {"team", resolved_.routing_request.team},
-            {"route", resolved_.route ? resolved_.route->name : std::string()},
-            {"target", last_target_},
-            {"attempts", attempts_},
-            {"status", status_},
-            {"code", static_cast<int>(reason_.code)},
-            {"reason", reason_.text},
-            {"events", relay_.order().passed()},
-            {"bound", resolved_.call && resolved_.call->tokens
-                          ? resolved_.call->tokens->Sum()
-                          : 0},
-            {"charged", charged_tokens_},
-            {"config", resolved_.config ? resolved_.config->version : 0},
-            {"first_ms", first_ms},
-            {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
+  LogEvent(
+      kLog, Severity::kInfo, "request_done",
+      {{"request", resolved_.call ? resolved_.call->id : std::string()},
+       {"team", resolved_.routing_request.team},
+       {"route", resolved_.route ? resolved_.route->name : std::string()},
+       {"parts", resolved_.call ? PromptPartsText(resolved_.call->prompt_parts)
+                                : std::string()},
+       {"target", last_target_},
+       {"attempts", attempts_},
+       {"status", status_},
+       {"code", static_cast<int>(reason_.code)},
+       {"reason", reason_.text},
+       {"events", relay_.order().passed()},
+       {"bound", resolved_.call && resolved_.call->tokens
+                     ? resolved_.call->tokens->Sum()
+                     : 0},
+       {"charged", charged_tokens_},
+       {"config", resolved_.config ? resolved_.config->version : 0},
+       {"first_ms", first_ms},
+       {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
 }
 
 asio::awaitable<void> CallRunner::Run() {
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -40,6 +40,9 @@
 // A request is sent to a target only if at least this time is left.
 inline constexpr std::chrono::milliseconds kMinTimeLeft{5};
 
+// Prompt parts of one request that a log line names.
+inline constexpr std::size_t kMaxLoggedPromptParts = 8;
+
 // Maximum number of hosts that are notified of a request that crashes targets.
 // Bounds the traffic in large fleets; current fleets have fewer hosts.
 inline constexpr std::size_t kMaxNotifiedPeers = 64;
