--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -45,6 +45,9 @@
   kCutStream,
 };
 
+// Id of a prompt part on which a scripted target crashes.
+constexpr char kDeadlyPart[] = "dead";
+
 std::string EventText(int id) {
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
@@ -74,6 +77,9 @@
       behavior = script_.front();
       script_.erase(script_.begin());
     }
+    if (request.headers.Get("Turmericwinch-Prefix-Hash").find(kDeadlyPart) !=
+        std::string_view::npos)
+      behavior = TargetBehavior::kClose;
     HttpResponse response;
     response.headers.Add(
         "Turmericwinch-Attempt-Id",
@@ -165,7 +171,27 @@
     context.targets.Update(list, *config.objects);
   }
 
+  // Lists both targets as restarted after a crash.
+  void ListCrash() {
+    RestartTargets(*context.config.Get());
+    HostList none;
+    context.quarantine.OnTargetList(none);
+  }
+
+  // The response to a request whose prompt has `parts` and a last part of its
+  // own; no two such requests are alike.
+  int StatusOfPrompt(const std::string& parts) {
+    const std::string own = std::to_string(++requests_);
+    HttpRequest request = Request("/fixed/1");
+    request.body = own;
+    request.headers.Add("Turmericwinch-Token-Count", "1,1");
+    request.headers.Add("Turmericwinch-Prefix-Hash", parts + "," + own + ":9");
+    const auto response = Call(request);
+    return response ? response->status : 0;
+  }
+
   int incarnation_ = 0;
+  int requests_ = 0;
 
   void setup() override {
     Reason reason;
@@ -266,6 +292,20 @@
   LONGS_EQUAL(1, ReceivedRequests());
 }
 
+TEST(GatewayCall, APromptPartThatCrashedTargetsReachesNoMoreTargets) {
+  constexpr int kCrashes = 5;
+  const std::string deadly = std::string("a1:9,b2:9,") + kDeadlyPart + ":9";
+  for (int n = 0; n < kCrashes; ++n) {
+    StatusOfPrompt(deadly);
+    ListCrash();
+  }
+  const std::size_t before = ReceivedRequests();
+  LONGS_EQUAL(503, StatusOfPrompt(deadly));
+  LONGS_EQUAL(before, ReceivedRequests());
+  script = {TargetBehavior::kStream};
+  LONGS_EQUAL(200, StatusOfPrompt("a1:9,b2:9"));
+}
+
 TEST(GatewayCall, AResponseToAnotherRequestIsNotRelayed) {
   script = {TargetBehavior::kOtherAttemptId};
   HttpRequest request = Request("/again/1");
