--- a/src/libs/delivery/delivery_constants.h
+++ b/src/libs/delivery/delivery_constants.h
@@ -65,6 +65,29 @@
 // Requests that are suspected or refused at the same time.
 inline constexpr std::size_t kMaxSuspects = 4'096;
 
+// Crashes of targets that a prompt part must explain to be quarantined. One
+// more than a request that is tried at two targets can cause.
+inline constexpr std::size_t kCrashesToBlame = 3;
+// Crashes, and requests lost in one crash, that a host keeps as evidence.
+inline constexpr std::size_t kMaxRecordedCrashes = 64;
+inline constexpr std::size_t kMaxLostRequests = 256;
+// Duration of the first quarantine of a part. It doubles each time that further
+// crashes renew it, up to kQuarantineHold.
+inline constexpr std::chrono::milliseconds kFirstPartHold{120'000};
+// Time after the first report of a crash in which the other hosts have reported
+// it. Hosts notice broken connections at the same time.
+inline constexpr std::chrono::milliseconds kCrashReportTime{100};
+// Time for which a crash is kept, and a verdict after its quarantine. Longer
+// than a quarantine, so that one more crash after its end renews it.
+inline constexpr std::chrono::milliseconds kCrashRetention =
+    2 * kQuarantineHold;
+// Parts that are quarantined at the same time.
+inline constexpr std::size_t kMaxQuarantinedParts = 256;
+// Answered parts that a host remembers, and the time for which an answer shows
+// that a part is sound.
+inline constexpr std::size_t kMaxAnsweredParts = 16'384;
+inline constexpr std::chrono::milliseconds kAnsweredPartHold{600'000};
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_DELIVERY_DELIVERY_CONSTANTS_H_
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -228,6 +228,7 @@
   asio::co_spawn(context.control, d_->config_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->target_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->account_manager->Run(), asio::detached);
+  asio::co_spawn(context.control, context.quarantine.Run(), asio::detached);
   context.control.run();
   return d_->exit_code;
 }
--- a/src/libs/gateway/gateway_call.h
+++ b/src/libs/gateway/gateway_call.h
@@ -6,9 +6,12 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
+#include "libs/delivery/target_crash.h"
+
 namespace turmericwinch {
 
 // Upper bound of the tokens that a request costs.
@@ -22,14 +25,10 @@
 // A part of a prompt. Two prompts with equal ids at equal positions have equal
 // text there, which a target may have cached from an earlier request.
 struct PromptPart {
-  std::uint64_t id = 0;
+  PromptPartId id = 0;
   std::int64_t tokens = 0;
 };
 
-// The ids of `parts` in hexadecimal, separated by commas, for logs. At most
-// kMaxLoggedPromptParts are named.
-std::string PromptPartsText(const std::vector<PromptPart>& parts);
-
 // `id` identifies this attempt of the caller. `api_key` is the caller's secret;
 // empty if it sent none. `time_left` is how long the caller still waits,
 // counted from the arrival of the request. `after_event` is the last event that
@@ -45,6 +44,17 @@
   std::optional<std::uint64_t> after_event;
 };
 
+// The parts of the call's prompt that other requests may have too: all but the
+// last.
+std::span<const PromptPart> SharedParts(const GatewayCall& call);
+// Ids of SharedParts().
+std::vector<PromptPartId> SharedPartIds(const GatewayCall& call);
+// Ids of all parts of the call's prompt.
+std::vector<PromptPartId> PartIds(const GatewayCall& call);
+// `parts` in hexadecimal, separated by commas, for logs. At most
+// kMaxLoggedPromptParts are named.
+std::string PartIdsText(const std::vector<PromptPartId>& parts);
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_GATEWAY_GATEWAY_CALL_H_
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -40,11 +40,14 @@
  private:
   // Digest that identifies the request in the quarantine.
   std::string RequestDigest() const;
-  // Returns false if the request is quarantined because it crashed targets.
+  // Returns false if the request is quarantined because it, or others with a
+  // part of its prompt, crashed targets.
   bool PassesQuarantine();
   // Reports a failed or successful attempt to the quarantine.
   void ReportToQuarantine(AttemptResult result, const TargetChoice& choice);
-  void LogLostResponse(const TargetChoice& choice);
+  // Whether the answer shows that the parts of the prompt crash no target.
+  bool ArePartsSound(AttemptResult result) const;
+  void ReportLoss(const TargetChoice& choice);
   // Reserves the request's tokens. Returns false if there are too few.
   asio::awaitable<bool> Reserve();
   asio::awaitable<void> RunAttempts();
@@ -56,6 +59,8 @@
   // Whether another target may be tried after `result`. If not, `reason_` is
   // the reason that is reported to the caller.
   bool MayRetry(AttemptResult result);
+  // Ends the call without a whole answer.
+  asio::awaitable<void> EndUnanswered();
   // Sends the caller an error response, or closes its connection if it left.
   asio::awaitable<void> Refuse();
   // Settles or releases the reserved tokens.
@@ -76,6 +81,7 @@
   std::optional<std::uint64_t> reservation_;
   Reason reason_;
   bool may_have_run_ = false;
+  std::vector<PromptPartId> shared_parts_;
   int attempts_ = 0;
   // Targets that the request did not reach.
   int unreached_targets_ = 0;
@@ -94,6 +100,14 @@
 }
 
 bool CallRunner::PassesQuarantine() {
+  const std::optional<PromptPartId> part =
+      context_.quarantine.FindQuarantinedPart(shared_parts_);
+  if (part) {
+    reason_ = {ResultCode::kQuarantined,
+               "the prompt part " + PartIdsText({*part}) +
+                   " is quarantined: targets crashed on requests with it"};
+    return false;
+  }
   if (!context_.quarantine.HasSuspects() ||
       !context_.quarantine.IsQuarantined(RequestDigest()))
     return true;
@@ -104,26 +118,36 @@
 
 void CallRunner::ReportToQuarantine(AttemptResult result,
                                     const TargetChoice& choice) {
+  const bool are_parts_sound = ArePartsSound(result);
+  if (are_parts_sound)
+    context_.quarantine.OnPartsAnswered(shared_parts_);
   if (cancel_.cancelled())
     return;
   if (result == AttemptResult::kFailed ||
-      result == AttemptResult::kStreamBroken) {
-    LogLostResponse(choice);
-    context_.quarantine.OnLost(
-        {RequestDigest(), choice.name, choice.incarnation});
-  } else if (result == AttemptResult::kDone &&
-             context_.quarantine.HasSuspects())
+      result == AttemptResult::kStreamBroken)
+    ReportLoss(choice);
+  else if (result == AttemptResult::kDone && context_.quarantine.HasSuspects())
     context_.quarantine.OnAnswered(RequestDigest());
 }
 
-void CallRunner::LogLostResponse(const TargetChoice& choice) {
+bool CallRunner::ArePartsSound(AttemptResult result) const {
+  if (relay_.order().passed() >= kEventsOfSoundParts)
+    return true;
+  const int status = status_ != 0 ? status_ : relay_.status();
+  return result == AttemptResult::kDone && status >= kStatusOk &&
+         status < kFirstNonSuccessStatus;
+}
+
+void CallRunner::ReportLoss(const TargetChoice& choice) {
   LogEvent(kLog, Severity::kWarning, "response_lost",
            {{"request", resolved_.call->id},
             {"target", choice.name},
             {"incarnation", choice.incarnation},
             {"events", relay_.order().passed()},
-            {"parts", PromptPartsText(resolved_.call->prompt_parts)},
+            {"parts", PartIdsText(PartIds(*resolved_.call))},
             {"reason", reason_.text}});
+  context_.quarantine.OnLost(
+      {RequestDigest(), choice.name, choice.incarnation, shared_parts_});
 }
 
 asio::awaitable<bool> CallRunner::Reserve() {
@@ -280,8 +304,10 @@
     co_return AttemptResult::kFailed;
   }
   RelayedResponse response{*stream, meter, last_target_, resolved_.deadline};
-  if (IsStream(resolved_.route->kind) && stream->status() >= kStatusOk &&
-      stream->status() < kFirstNonSuccessStatus)
+  const bool is_stream = IsStream(resolved_.route->kind) &&
+                         stream->status() >= kStatusOk &&
+                         stream->status() < kFirstNonSuccessStatus;
+  if (is_stream)
     co_return co_await relay_.RelayStream(response, &reason_);
   co_return co_await RelayResponse(response);
 }
@@ -303,36 +329,41 @@
 asio::awaitable<void> CallRunner::RunAttempts() {
   context_.retries.OnRequest(resolved_.service);
   for (bool is_first = true;; is_first = false) {
-    Reason reason;
     std::optional<TargetChoice> choice = co_await ChooseTarget(is_first);
     if (!choice) {
-      if (relay_.head_sent())
-        exchange_.Abort();
-      else
-        co_await Refuse();
+      co_await EndUnanswered();
+      co_return;
+    }
+    // The verdict may have come while the request waited.
+    if (!PassesQuarantine()) {
+      context_.targets.EndAttempt(*choice);
+      co_await EndUnanswered();
       co_return;
     }
     const AttemptResult result = co_await RunAttempt(*choice);
     ReportToQuarantine(result, *choice);
     if (result == AttemptResult::kDone)
       co_return;
-    if (MayRetry(result)) {
-      LogEvent(kLog, Severity::kInfo, "retried",
-               {{"request", resolved_.call->id},
-                {"target", last_target_},
-                {"attempts", attempts_},
-                {"after_event", relay_.order().last_id()},
-                {"reason", reason_.text}});
-      continue;
+    if (!MayRetry(result)) {
+      co_await EndUnanswered();
+      co_return;
     }
-    if (relay_.head_sent())
-      exchange_.Abort();
-    else
-      co_await Refuse();
-    co_return;
+    LogEvent(kLog, Severity::kInfo, "retried",
+             {{"request", resolved_.call->id},
+              {"target", last_target_},
+              {"attempts", attempts_},
+              {"after_event", relay_.order().last_id()},
+              {"reason", reason_.text}});
   }
 }
 
+asio::awaitable<void> CallRunner::EndUnanswered() {
+  if (relay_.head_sent())
+    exchange_.Abort();
+  else
+    co_await Refuse();
+}
+
 asio::awaitable<void> CallRunner::Refuse() {
   if (cancel_.cancelled()) {
     reason_ = {ResultCode::kCallerGone, "the caller closed its connection"};
@@ -369,26 +400,25 @@
     first_ms =
         std::chrono::duration_cast<milliseconds>(first_byte_time).count();
   }
-  LogEvent(
-      kLog, Severity::kInfo, "request_done",
-      {{"request", resolved_.call ? resolved_.call->id : std::string()},
-       {"team", resolved_.routing_request.team},
-       {"route", resolved_.route ? resolved_.route->name : std::string()},
-       {"parts", resolved_.call ? PromptPartsText(resolved_.call->prompt_parts)
-                                : std::string()},
-       {"target", last_target_},
-       {"attempts", attempts_},
-       {"status", status_},
-       {"code", static_cast<int>(reason_.code)},
-       {"reason", reason_.text},
-       {"events", relay_.order().passed()},
-       {"bound", resolved_.call && resolved_.call->tokens
-                     ? resolved_.call->tokens->Sum()
-                     : 0},
-       {"charged", charged_tokens_},
-       {"config", resolved_.config ? resolved_.config->version : 0},
-       {"first_ms", first_ms},
-       {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
+  LogEvent(kLog, Severity::kInfo, "request_done",
+           {{"request", resolved_.call ? resolved_.call->id : std::string()},
+            {"team", resolved_.routing_request.team},
+            {"route", resolved_.route ? resolved_.route->name : std::string()},
+            {"parts", resolved_.call ? PartIdsText(PartIds(*resolved_.call))
+                                     : std::string()},
+            {"target", last_target_},
+            {"attempts", attempts_},
+            {"status", status_},
+            {"code", static_cast<int>(reason_.code)},
+            {"reason", reason_.text},
+            {"events", relay_.order().passed()},
+            {"bound", resolved_.call && resolved_.call->tokens
+                          ? resolved_.call->tokens->Sum()
+                          : 0},
+            {"charged", charged_tokens_},
+            {"config", resolved_.config ? resolved_.config->version : 0},
+            {"first_ms", first_ms},
+            {"ms", std::chrono::duration_cast<milliseconds>(elapsed).count()}});
 }
 
 asio::awaitable<void> CallRunner::Run() {
@@ -398,6 +428,8 @@
   if (context_.IsLinkSaturated())
     exchange_.CloseAfterResponse();
   const bool is_resolved = ResolveCall(context_, request_, resolved_, &reason_);
+  if (is_resolved)
+    shared_parts_ = SharedPartIds(*resolved_.call);
   if (!is_resolved || !PassesQuarantine()) {
     co_await Refuse();
     LogRequestDone();
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -47,11 +47,20 @@
 // Bounds the traffic in large fleets; current fleets have fewer hosts.
 inline constexpr std::size_t kMaxNotifiedPeers = 64;
 
+// Events of a stream after which the parts of its prompt are known to be sound:
+// a part that crashes targets does so before the first.
+inline constexpr std::int64_t kEventsOfSoundParts = 3;
+// Interval at which a host sends its quarantined prompt parts to other hosts,
+// and the number of hosts that it sends them to.
+inline constexpr std::chrono::milliseconds kQuarantineResendInterval{1'000};
+inline constexpr std::size_t kQuarantineResendPeers = 8;
+
 // Maximum duration of one watch call to the store. A store that answers again
 // after an outage may have lost the watch.
 inline constexpr std::chrono::milliseconds kMaxWatchWait{5'000};
 // Minimum time between the starts of two watch calls for the targets. A target
-// that leaves serves for 2 s more, and the list is that much older at most.
+// that leaves serves for 2 s more, and
+// the list is that much older at most.
 inline constexpr std::chrono::milliseconds kMinWatchInterval{200};
 // Pause before the store is called again after a failed call.
 inline constexpr std::chrono::milliseconds kStoreRetryPause{300};
--- a/src/libs/gateway/gateway_peers.cc
+++ b/src/libs/gateway/gateway_peers.cc
@@ -1,6 +1,7 @@
 #include "libs/gateway/gateway_peers.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "libs/gateway/gateway_constants.h"
 #include "libs/http/http_client.h"
@@ -43,6 +44,14 @@
     Send(addresses_[n], frame);
 }
 
+void GatewayPeers::SendToSome(const PeerFrame& frame, std::size_t count) {
+  std::vector<std::string> chosen;
+  std::sample(addresses_.begin(), addresses_.end(), std::back_inserter(chosen),
+              count, random_);
+  for (const std::string& it : chosen)
+    Send(it, frame);
+}
+
 void GatewayPeers::HandleFrame(const PeerFrame& frame) {
   std::any_of(handlers_.begin(), handlers_.end(),
               [&](const Handler& it) { return it(frame); });
--- a/src/libs/gateway/gateway_peers.h
+++ b/src/libs/gateway/gateway_peers.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   void UpdateAddresses(const FleetAccount& account);
   void Send(const std::string& address, const PeerFrame& frame);
   void SendToAll(const PeerFrame& frame);
+  // Sends to `count` hosts, chosen at random, or to all if there are fewer.
+  void SendToSome(const PeerFrame& frame, std::size_t count);
   std::size_t size() const { return addresses_.size(); }
 
  private:
@@ -46,6 +49,7 @@
   std::string address_;
   std::vector<std::string> addresses_;
   std::vector<Handler> handlers_;
+  std::minstd_rand random_{std::random_device{}()};
   PeerNetwork network_;
 };
 
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -78,6 +78,8 @@
   AddGauge(text, "draining", context.draining ? 1 : 0);
   AddGauge(text, "link_saturated", context.link.is_saturated() ? 1 : 0);
   AddGauge(text, "link_bytes_per_second", context.link.rate());
+  AddGauge(text, "quarantined_prompt_parts",
+           static_cast<double>(context.quarantine.quarantined_parts()));
   AddGauge(text, "config_version",
            config ? static_cast<double>(config->version) : 0);
   AddGauge(text, "caller_connections", static_cast<double>(stats.callers));
--- a/src/libs/gateway/pending_losses.h
+++ b/src/libs/gateway/pending_losses.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/delivery/target_crash.h"
 #include "libs/routing/host_list.h"
 
 namespace turmericwinch {
@@ -24,6 +25,11 @@
   std::string digest;
   std::string target;
   std::string incarnation;
+  std::vector<PromptPartId> shared_parts;
+
+  // Each incarnation counts as a target of its own, so that a second crash of
+  // a restarted target counts again.
+  std::string TargetIncarnation() const { return target + "/" + incarnation; }
 };
 
 // A broken connection to a target that stays alive says nothing about the
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -1,35 +1,70 @@
 #include "libs/gateway/request_quarantine.h"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio.hpp>
+#include <map>
 #include <utility>
 
 #include "libs/base/log.h"
+#include "libs/delivery/delivery_constants.h"
+#include "libs/gateway/gateway_call.h"
+#include "libs/gateway/gateway_constants.h"
 
 namespace turmericwinch {
 
 namespace {
 
+namespace asio = boost::asio;
 using Clock = std::chrono::steady_clock;
 
 constexpr LogCategory kLog{"quarantine"};
 
+void LogParts(std::string_view event, const std::vector<PromptPartId>& parts) {
+  LogEvent(kLog, Severity::kWarning, event, {{"parts", PartIdsText(parts)}});
+}
+
 }  // namespace
 
-RequestQuarantine::RequestQuarantine(boost::asio::io_context& control,
+RequestQuarantine::RequestQuarantine(asio::io_context& control,
                                      GatewayPeers& peers)
     : control_(control), peers_(peers) {
   peers_.AddHandler(
       [this](const PeerFrame& frame) { return HandleFrame(frame); });
 }
 
+asio::awaitable<void> RequestQuarantine::Run() {
+  asio::steady_timer timer(control_);
+  for (;;) {
+    timer.expires_after(kQuarantineResendInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    PromptPartNotice notice;
+    {
+      std::lock_guard lock(mutex_);
+      parts_.Expire(Clock::now());
+      notice.quarantined = parts_.Verdicts(Clock::now());
+      UpdateCounts();
+    }
+    if (notice.quarantined.empty())
+      continue;
+    peers_.SendToSome(notice, kQuarantineResendPeers);
+  }
+}
+
 bool RequestQuarantine::IsQuarantined(const std::string& digest) const {
   std::lock_guard lock(mutex_);
   return quarantine_.IsQuarantined(digest, Clock::now());
 }
 
-void RequestQuarantine::OnLost(TargetLoss loss) {
+std::optional<PromptPartId> RequestQuarantine::FindQuarantinedPart(
+    const std::vector<PromptPartId>& shared_parts) const {
+  if (quarantined_parts_ == 0)
+    return std::nullopt;
+  std::lock_guard lock(mutex_);
+  return parts_.FindQuarantined(shared_parts, Clock::now());
+}
+
+void RequestQuarantine::OnLost(const TargetLoss& loss) {
   std::lock_guard lock(mutex_);
-  pending_.AddLoss(std::move(loss), Clock::now());
+  pending_.AddLoss(loss, Clock::now());
 }
 
 void RequestQuarantine::OnAnswered(const std::string& digest) {
@@ -37,55 +72,174 @@
     std::lock_guard lock(mutex_);
     if (!quarantine_.OnAnswered(digest))
       return;
-    suspects_ = quarantine_.suspects();
+    UpdateCounts();
   }
   LogEvent(kLog, Severity::kInfo, "suspect_cleared", {{"digest", digest}});
-  boost::asio::post(
-      control_, [this, digest] { peers_.SendToAll(QuarantineNotice{digest}); });
+  asio::post(control_,
+             [this, digest] { peers_.SendToAll(QuarantineNotice{digest}); });
+}
+
+void RequestQuarantine::OnPartsAnswered(
+    const std::vector<PromptPartId>& shared_parts) {
+  PromptPartNotice notice;
+  {
+    std::lock_guard lock(mutex_);
+    notice.answered = parts_.OnAnswered(shared_parts, Clock::now());
+    if (notice.answered.empty())
+      return;
+    UpdateCounts();
+  }
+  LogParts("prompt_part_cleared", notice.answered);
+  asio::post(control_,
+             [this, parts = notice.answered] { WithdrawEverywhere(parts); });
+}
+
+void RequestQuarantine::WithdrawEverywhere(std::vector<PromptPartId> parts) {
+  peers_.SendToAll(PromptPartNotice{{}, std::move(parts)});
 }
 
 void RequestQuarantine::OnTargetList(const HostList& list) {
-  std::vector<TargetLoss> confirmed;
+  std::map<std::string, std::vector<TargetLoss>> crashes;
   {
     std::lock_guard lock(mutex_);
     quarantine_.Expire(Clock::now());
-    suspects_ = quarantine_.suspects();
-    confirmed = pending_.TakeConfirmed(list, Clock::now());
+    UpdateCounts();
+    for (TargetLoss& it : pending_.TakeConfirmed(list, Clock::now()))
+      crashes[it.TargetIncarnation()].push_back(std::move(it));
   }
-  for (const TargetLoss& it : confirmed) {
-    // Each incarnation counts as a target of its own, so that a second crash of
-    // a restarted target counts again.
-    const std::string target = it.target + "/" + it.incarnation;
-    RecordLoss(it.digest, target);
-    peers_.SendToAll(QuarantineNotice{it.digest, target});
+  for (const auto& [target, losses] : crashes)
+    ReportCrash(target, losses);
+}
+
+void RequestQuarantine::ReportCrash(const std::string& target,
+                                    const std::vector<TargetLoss>& losses) {
+  TargetCrash crash{target, {}};
+  {
+    std::lock_guard lock(mutex_);
+    for (const TargetLoss& loss : losses) {
+      LostRequest request{loss.digest, {}};
+      for (PromptPartId it : loss.shared_parts) {
+        if (!parts_.IsSound(it, Clock::now()))
+          request.shared_parts.push_back(it);
+      }
+      crash.requests.push_back(std::move(request));
+    }
   }
+  peers_.SendToAll(CrashNotice{crash});
+  has_reported_ = true;
+  RecordCrash(crash, true);
+}
+
+void RequestQuarantine::RecordCrash(const TargetCrash& crash, bool is_own) {
+  for (const LostRequest& it : crash.requests)
+    RecordLoss(it.digest, crash.target, is_own);
+  {
+    std::lock_guard lock(mutex_);
+    parts_.OnCrash(crash, Clock::now());
+  }
+  if (!std::exchange(is_evaluating_, true))
+    asio::co_spawn(control_, EvaluateCrashes(), asio::detached);
+}
+
+asio::awaitable<void> RequestQuarantine::EvaluateCrashes() {
+  asio::steady_timer timer(control_);
+  while (is_evaluating_) {
+    timer.expires_after(kCrashReportTime);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    std::vector<PromptPartId> causes;
+    {
+      std::lock_guard lock(mutex_);
+      causes = parts_.QuarantineCauses(Clock::now());
+      is_evaluating_ = parts_.HasNewCrashes(Clock::now());
+      UpdateCounts();
+    }
+    if (!causes.empty())
+      AnnounceCauses(causes);
+  }
+}
+
+void RequestQuarantine::AnnounceCauses(
+    const std::vector<PromptPartId>& causes) {
+  LogParts("prompt_part_quarantined", causes);
+  if (!std::exchange(has_reported_, false))
+    return;
+  PromptPartNotice notice;
+  for (PromptPartId it : causes)
+    notice.quarantined.push_back({it, kFirstPartHold});
+  peers_.SendToAll(notice);
 }
 
 bool RequestQuarantine::HandleFrame(const PeerFrame& frame) {
-  const auto* notice = std::get_if<QuarantineNotice>(&frame);
-  if (!notice)
-    return false;
-  if (!notice->target.empty()) {
-    RecordLoss(notice->digest, notice->target);
+  if (const auto* crash = std::get_if<CrashNotice>(&frame)) {
+    RecordCrash(crash->crash, false);
     return true;
   }
+  if (const auto* parts = std::get_if<PromptPartNotice>(&frame)) {
+    HandleNotice(*parts);
+    return true;
+  }
+  if (const auto* notice = std::get_if<QuarantineNotice>(&frame)) {
+    HandleNotice(*notice);
+    return true;
+  }
+  return false;
+}
+
+void RequestQuarantine::HandleNotice(const QuarantineNotice& notice) {
+  if (!notice.target.empty()) {
+    RecordLoss(notice.digest, notice.target, false);
+    return;
+  }
   std::lock_guard lock(mutex_);
-  quarantine_.OnAnswered(notice->digest);
-  suspects_ = quarantine_.suspects();
-  return true;
+  quarantine_.OnAnswered(notice.digest);
+  UpdateCounts();
+}
+
+// A verdict on a part that this host knows to be sound is withdrawn at all
+// hosts.
+void RequestQuarantine::HandleNotice(const PromptPartNotice& notice) {
+  std::vector<PromptPartId> added;
+  std::vector<PromptPartId> cleared;
+  std::vector<PromptPartId> objections;
+  {
+    std::lock_guard lock(mutex_);
+    const Clock::time_point now = Clock::now();
+    cleared = parts_.OnAnswered(notice.answered, now);
+    for (const QuarantinedPart& it : notice.quarantined) {
+      if (parts_.IsSound(it.part, now))
+        objections.push_back(it.part);
+      else if (parts_.AddVerdict(it, now))
+        added.push_back(it.part);
+    }
+    UpdateCounts();
+  }
+  if (!cleared.empty())
+    LogParts("prompt_part_cleared", cleared);
+  if (!added.empty())
+    LogParts("prompt_part_quarantined", added);
+  if (!objections.empty())
+    WithdrawEverywhere(std::move(objections));
 }
 
 void RequestQuarantine::RecordLoss(const std::string& digest,
-                                   const std::string& target) {
+                                   const std::string& target,
+                                   bool is_own) {
   bool is_refused = false;
   {
     std::lock_guard lock(mutex_);
     quarantine_.OnLost(digest, target, Clock::now());
-    suspects_ = quarantine_.suspects();
+    UpdateCounts();
     is_refused = quarantine_.IsQuarantined(digest, Clock::now());
   }
-  LogEvent(kLog, Severity::kWarning, "target_lost_with_request",
-           {{"digest", digest}, {"target", target}, {"refused", is_refused}});
+  if (is_own || is_refused) {
+    LogEvent(kLog, Severity::kWarning, "target_lost_with_request",
+             {{"digest", digest}, {"target", target}, {"refused", is_refused}});
+  }
+}
+
+void RequestQuarantine::UpdateCounts() {
+  suspects_ = quarantine_.suspects();
+  quarantined_parts_ = parts_.verdicts();
 }
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/request_quarantine.h
+++ b/src/libs/gateway/request_quarantine.h
@@ -1,44 +1,88 @@
-// Keeps all hosts from sending requests again that crash targets.
+// Keeps all hosts from sending requests that crash targets.
 
 #ifndef SRC_LIBS_GATEWAY_REQUEST_QUARANTINE_H_
 #define SRC_LIBS_GATEWAY_REQUEST_QUARANTINE_H_
 
 #include <atomic>
+#include <boost/asio/awaitable.hpp>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
+#include "libs/delivery/prompt_part_quarantine.h"
 #include "libs/delivery/quarantine.h"
 #include "libs/gateway/gateway_peers.h"
 #include "libs/gateway/pending_losses.h"
 
 namespace turmericwinch {
 
-// Thread-safe, except that OnTargetList() is called on the control thread only.
+// Refuses requests that crashed targets and requests with a prompt part that
+// did. A loss counts once the list of targets no longer has the incarnation of
+// its target. The hosts notify each other of crashes. Thread-safe, except that
+// the functions that say so are called on the control thread only.
 class RequestQuarantine {
  public:
   RequestQuarantine(boost::asio::io_context& control, GatewayPeers& peers);
 
+  // Sends the quarantined parts to some other hosts at intervals, as notices
+  // are lost in cuts and hosts start later. Runs on the control thread until
+  // the process ends.
+  boost::asio::awaitable<void> Run();
+
   // Whether any request is suspected. If not, no digest has to be computed.
   bool HasSuspects() const { return suspects_ > 0; }
   bool IsQuarantined(const std::string& digest) const;
+  // A part for which a request with these shared parts must be refused.
+  std::optional<PromptPartId> FindQuarantinedPart(
+      const std::vector<PromptPartId>& shared_parts) const;
+  std::size_t quarantined_parts() const { return quarantined_parts_; }
   // Called when the response to a request at `loss.target` was lost.
-  void OnLost(TargetLoss loss);
+  void OnLost(const TargetLoss& loss);
   // Called when a target has answered the request.
   void OnAnswered(const std::string& digest);
+  // Called when a target has answered a request with these shared parts.
+  void OnPartsAnswered(const std::vector<PromptPartId>& shared_parts);
   // Counts the losses of targets that have ended, and notifies the other hosts.
+  // Called on the control thread.
   void OnTargetList(const HostList& list);
 
  private:
-  // Returns whether the frame was a quarantine notice.
+  // Records a crash that this host has found, and notifies the other hosts.
+  // Called on the control thread.
+  void ReportCrash(const std::string& target,
+                   const std::vector<TargetLoss>& losses);
+  void RecordCrash(const TargetCrash& crash, bool is_own);
+  // Quarantines the parts that explain the crashes once all hosts have reported
+  // them. Ends when no crash is new.
+  boost::asio::awaitable<void> EvaluateCrashes();
+  // Tells the other hosts of quarantined parts if this host has reported a
+  // crash: all hosts reach the same verdict, and one that tells is enough.
+  void AnnounceCauses(const std::vector<PromptPartId>& causes);
+  // Returns whether the frame was a notice to the quarantine.
   bool HandleFrame(const PeerFrame& frame);
-  void RecordLoss(const std::string& digest, const std::string& target);
+  void HandleNotice(const QuarantineNotice& notice);
+  void HandleNotice(const PromptPartNotice& notice);
+  // Withdraws the quarantine of these parts at all hosts.
+  void WithdrawEverywhere(std::vector<PromptPartId> parts);
+  void RecordLoss(const std::string& digest,
+                  const std::string& target,
+                  bool is_own);
+  // The mutex must be held.
+  void UpdateCounts();
 
   boost::asio::io_context& control_;
   GatewayPeers& peers_;
   mutable std::mutex mutex_;
   PendingLosses pending_;
   Quarantine quarantine_;
+  PromptPartQuarantine parts_;
+  // Whether EvaluateCrashes() runs, and whether this host has reported a crash
+  // since it last told of a verdict. Used on the control thread.
+  bool is_evaluating_ = false;
+  bool has_reported_ = false;
   std::atomic<std::size_t> suspects_{0};
+  std::atomic<std::size_t> quarantined_parts_{0};
 };
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/resolved_call.cc
+++ b/src/libs/gateway/resolved_call.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Number of parts at the end of a prompt that no other request has. Only the
-// parts before them are hashed into the shared prefix.
-constexpr std::size_t kUnsharedPromptParts = 1;
-
 std::uint32_t RandomNumber() {
   static thread_local std::minstd_rand random{std::random_device{}()};
   return static_cast<std::uint32_t>(random());
@@ -28,11 +24,9 @@
   const GatewayCall& call = *resolved.call;
   if (call.tokens)
     request.prompt_tokens = call.tokens->prompt;
-  for (std::size_t n = 0; n + kUnsharedPromptParts < call.prompt_parts.size();
-       ++n) {
-    request.prefix =
-        Hash64(std::to_string(call.prompt_parts[n].id), request.prefix);
-    request.prefix_tokens += call.prompt_parts[n].tokens;
+  for (const PromptPart& it : SharedParts(call)) {
+    request.prefix = Hash64(std::to_string(it.id), request.prefix);
+    request.prefix_tokens += it.tokens;
   }
   return request;
 }
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1898,6 +1898,534 @@
 }
 
 
+LostRequest::~LostRequest() noexcept {
+}
+
+
+void LostRequest::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void LostRequest::__set_shared_parts(const std::vector<int64_t> & val) {
+  this->shared_parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const LostRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LostRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shared_parts.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->shared_parts.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += iprot->readI64(this->shared_parts[_i46]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shared_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LostRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LostRequest");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shared_parts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->shared_parts.size()));
+    std::vector<int64_t> ::const_iterator _iter47;
+    for (_iter47 = this->shared_parts.begin(); _iter47 != this->shared_parts.end(); ++_iter47)
+    {
+      xfer += oprot->writeI64((*_iter47));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LostRequest &a, LostRequest &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.shared_parts, b.shared_parts);
+  swap(a.__isset, b.__isset);
+}
+
+LostRequest::LostRequest(const LostRequest& other48) {
+  digest = other48.digest;
+  shared_parts = other48.shared_parts;
+  __isset = other48.__isset;
+}
+LostRequest& LostRequest::operator=(const LostRequest& other49) {
+  digest = other49.digest;
+  shared_parts = other49.shared_parts;
+  __isset = other49.__isset;
+  return *this;
+}
+void LostRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LostRequest(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "shared_parts=" << to_string(shared_parts);
+  out << ")";
+}
+
+
+CrashNotice::~CrashNotice() noexcept {
+}
+
+
+void CrashNotice::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void CrashNotice::__set_requests(const std::vector<LostRequest> & val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->requests.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += this->requests[_i54].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashNotice");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<LostRequest> ::const_iterator _iter55;
+    for (_iter55 = this->requests.begin(); _iter55 != this->requests.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashNotice &a, CrashNotice &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+CrashNotice::CrashNotice(const CrashNotice& other56) {
+  target = other56.target;
+  requests = other56.requests;
+  __isset = other56.__isset;
+}
+CrashNotice& CrashNotice::operator=(const CrashNotice& other57) {
+  target = other57.target;
+  requests = other57.requests;
+  __isset = other57.__isset;
+  return *this;
+}
+void CrashNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashNotice(";
+  out << "target=" << to_string(target);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+QuarantinedPart::~QuarantinedPart() noexcept {
+}
+
+
+void QuarantinedPart::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void QuarantinedPart::__set_hold_ms(const int64_t val) {
+  this->hold_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantinedPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantinedPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hold_ms);
+          this->__isset.hold_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantinedPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantinedPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hold_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->hold_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantinedPart &a, QuarantinedPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.hold_ms, b.hold_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantinedPart::QuarantinedPart(const QuarantinedPart& other58) noexcept {
+  part = other58.part;
+  hold_ms = other58.hold_ms;
+  __isset = other58.__isset;
+}
+QuarantinedPart& QuarantinedPart::operator=(const QuarantinedPart& other59) noexcept {
+  part = other59.part;
+  hold_ms = other59.hold_ms;
+  __isset = other59.__isset;
+  return *this;
+}
+void QuarantinedPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantinedPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "hold_ms=" << to_string(hold_ms);
+  out << ")";
+}
+
+
+PromptPartNotice::~PromptPartNotice() noexcept {
+}
+
+
+void PromptPartNotice::__set_quarantined(const std::vector<QuarantinedPart> & val) {
+  this->quarantined = val;
+}
+
+void PromptPartNotice::__set_answered(const std::vector<int64_t> & val) {
+  this->answered = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptPartNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptPartNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->quarantined.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->quarantined[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered.clear();
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->answered.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
+            {
+              xfer += iprot->readI64(this->answered[_i69]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptPartNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptPartNotice");
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<QuarantinedPart> ::const_iterator _iter70;
+    for (_iter70 = this->quarantined.begin(); _iter70 != this->quarantined.end(); ++_iter70)
+    {
+      xfer += (*_iter70).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered.size()));
+    std::vector<int64_t> ::const_iterator _iter71;
+    for (_iter71 = this->answered.begin(); _iter71 != this->answered.end(); ++_iter71)
+    {
+      xfer += oprot->writeI64((*_iter71));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptPartNotice &a, PromptPartNotice &b) {
+  using ::std::swap;
+  swap(a.quarantined, b.quarantined);
+  swap(a.answered, b.answered);
+  swap(a.__isset, b.__isset);
+}
+
+PromptPartNotice::PromptPartNotice(const PromptPartNotice& other72) {
+  quarantined = other72.quarantined;
+  answered = other72.answered;
+  __isset = other72.__isset;
+}
+PromptPartNotice& PromptPartNotice::operator=(const PromptPartNotice& other73) {
+  quarantined = other73.quarantined;
+  answered = other73.answered;
+  __isset = other73.__isset;
+  return *this;
+}
+void PromptPartNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptPartNotice(";
+  out << "quarantined=" << to_string(quarantined);
+  out << ", " << "answered=" << to_string(answered);
+  out << ")";
+}
+
+
 HostListAsk::~HostListAsk() noexcept {
 }
 
@@ -2024,19 +2552,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListAsk::HostListAsk(const HostListAsk& other42) {
-  digest = other42.digest;
-  part_of = other42.part_of;
-  offset = other42.offset;
-  peer = other42.peer;
-  __isset = other42.__isset;
+HostListAsk::HostListAsk(const HostListAsk& other74) {
+  digest = other74.digest;
+  part_of = other74.part_of;
+  offset = other74.offset;
+  peer = other74.peer;
+  __isset = other74.__isset;
 }
-HostListAsk& HostListAsk::operator=(const HostListAsk& other43) {
-  digest = other43.digest;
-  part_of = other43.part_of;
-  offset = other43.offset;
-  peer = other43.peer;
-  __isset = other43.__isset;
+HostListAsk& HostListAsk::operator=(const HostListAsk& other75) {
+  digest = other75.digest;
+  part_of = other75.part_of;
+  offset = other75.offset;
+  peer = other75.peer;
+  __isset = other75.__isset;
   return *this;
 }
 void HostListAsk::printTo(std::ostream& out) const {
@@ -2244,27 +2772,27 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListPart::HostListPart(const HostListPart& other44) {
-  version = other44.version;
-  age_ms = other44.age_ms;
-  base = other44.base;
-  digest = other44.digest;
-  offset = other44.offset;
-  total = other44.total;
-  text = other44.text;
-  peer = other44.peer;
-  __isset = other44.__isset;
-}
-HostListPart& HostListPart::operator=(const HostListPart& other45) {
-  version = other45.version;
-  age_ms = other45.age_ms;
-  base = other45.base;
-  digest = other45.digest;
-  offset = other45.offset;
-  total = other45.total;
-  text = other45.text;
-  peer = other45.peer;
-  __isset = other45.__isset;
+HostListPart::HostListPart(const HostListPart& other76) {
+  version = other76.version;
+  age_ms = other76.age_ms;
+  base = other76.base;
+  digest = other76.digest;
+  offset = other76.offset;
+  total = other76.total;
+  text = other76.text;
+  peer = other76.peer;
+  __isset = other76.__isset;
+}
+HostListPart& HostListPart::operator=(const HostListPart& other77) {
+  version = other77.version;
+  age_ms = other77.age_ms;
+  base = other77.base;
+  digest = other77.digest;
+  offset = other77.offset;
+  total = other77.total;
+  text = other77.text;
+  peer = other77.peer;
+  __isset = other77.__isset;
   return *this;
 }
 void HostListPart::printTo(std::ostream& out) const {
@@ -2344,6 +2872,16 @@
   this->host_list_part = val;
 __isset.host_list_part = true;
 }
+
+void Frame::__set_crash_notice(const CrashNotice& val) {
+  this->crash_notice = val;
+__isset.crash_notice = true;
+}
+
+void Frame::__set_prompt_part_notice(const PromptPartNotice& val) {
+  this->prompt_part_notice = val;
+__isset.prompt_part_notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -2468,6 +3006,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_notice.read(iprot);
+          this->__isset.crash_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->prompt_part_notice.read(iprot);
+          this->__isset.prompt_part_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2544,6 +3098,16 @@
     xfer += this->host_list_part.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.crash_notice) {
+    xfer += oprot->writeFieldBegin("crash_notice", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->crash_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.prompt_part_notice) {
+    xfer += oprot->writeFieldBegin("prompt_part_notice", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->prompt_part_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2563,38 +3127,44 @@
   swap(a.quarantine_notice, b.quarantine_notice);
   swap(a.host_list_ask, b.host_list_ask);
   swap(a.host_list_part, b.host_list_part);
+  swap(a.crash_notice, b.crash_notice);
+  swap(a.prompt_part_notice, b.prompt_part_notice);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other46) {
-  version = other46.version;
-  hello = other46.hello;
-  proof = other46.proof;
-  membership = other46.membership;
-  config_notice = other46.config_notice;
-  config_request = other46.config_request;
-  config_part = other46.config_part;
-  budget_ask = other46.budget_ask;
-  budget_answer = other46.budget_answer;
-  quarantine_notice = other46.quarantine_notice;
-  host_list_ask = other46.host_list_ask;
-  host_list_part = other46.host_list_part;
-  __isset = other46.__isset;
-}
-Frame& Frame::operator=(const Frame& other47) {
-  version = other47.version;
-  hello = other47.hello;
-  proof = other47.proof;
-  membership = other47.membership;
-  config_notice = other47.config_notice;
-  config_request = other47.config_request;
-  config_part = other47.config_part;
-  budget_ask = other47.budget_ask;
-  budget_answer = other47.budget_answer;
-  quarantine_notice = other47.quarantine_notice;
-  host_list_ask = other47.host_list_ask;
-  host_list_part = other47.host_list_part;
-  __isset = other47.__isset;
+Frame::Frame(const Frame& other78) {
+  version = other78.version;
+  hello = other78.hello;
+  proof = other78.proof;
+  membership = other78.membership;
+  config_notice = other78.config_notice;
+  config_request = other78.config_request;
+  config_part = other78.config_part;
+  budget_ask = other78.budget_ask;
+  budget_answer = other78.budget_answer;
+  quarantine_notice = other78.quarantine_notice;
+  host_list_ask = other78.host_list_ask;
+  host_list_part = other78.host_list_part;
+  crash_notice = other78.crash_notice;
+  prompt_part_notice = other78.prompt_part_notice;
+  __isset = other78.__isset;
+}
+Frame& Frame::operator=(const Frame& other79) {
+  version = other79.version;
+  hello = other79.hello;
+  proof = other79.proof;
+  membership = other79.membership;
+  config_notice = other79.config_notice;
+  config_request = other79.config_request;
+  config_part = other79.config_part;
+  budget_ask = other79.budget_ask;
+  budget_answer = other79.budget_answer;
+  quarantine_notice = other79.quarantine_notice;
+  host_list_ask = other79.host_list_ask;
+  host_list_part = other79.host_list_part;
+  crash_notice = other79.crash_notice;
+  prompt_part_notice = other79.prompt_part_notice;
+  __isset = other79.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -2612,6 +3182,8 @@
   out << ", " << "quarantine_notice="; (__isset.quarantine_notice ? (out << to_string(quarantine_notice)) : (out << "<null>"));
   out << ", " << "host_list_ask="; (__isset.host_list_ask ? (out << to_string(host_list_ask)) : (out << "<null>"));
   out << ", " << "host_list_part="; (__isset.host_list_part ? (out << to_string(host_list_part)) : (out << "<null>"));
+  out << ", " << "crash_notice="; (__isset.crash_notice ? (out << to_string(crash_notice)) : (out << "<null>"));
+  out << ", " << "prompt_part_notice="; (__isset.prompt_part_notice ? (out << to_string(prompt_part_notice)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -45,6 +45,14 @@
 
 class QuarantineNotice;
 
+class LostRequest;
+
+class CrashNotice;
+
+class QuarantinedPart;
+
+class PromptPartNotice;
+
 class HostListAsk;
 
 class HostListPart;
@@ -815,6 +823,202 @@
 
 std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj);
 
+typedef struct _LostRequest__isset {
+  _LostRequest__isset() : digest(false), shared_parts(false) {}
+  bool digest :1;
+  bool shared_parts :1;
+} _LostRequest__isset;
+
+class LostRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LostRequest(const LostRequest&);
+  LostRequest& operator=(const LostRequest&);
+  LostRequest() noexcept
+              : digest() {
+  }
+
+  virtual ~LostRequest() noexcept;
+  std::string digest;
+  std::vector<int64_t>  shared_parts;
+
+  _LostRequest__isset __isset;
+
+  void __set_digest(const std::string& val);
+
+  void __set_shared_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const LostRequest & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(shared_parts == rhs.shared_parts))
+      return false;
+    return true;
+  }
+  bool operator != (const LostRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LostRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LostRequest &a, LostRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LostRequest& obj);
+
+typedef struct _CrashNotice__isset {
+  _CrashNotice__isset() : target(false), requests(false) {}
+  bool target :1;
+  bool requests :1;
+} _CrashNotice__isset;
+
+class CrashNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashNotice(const CrashNotice&);
+  CrashNotice& operator=(const CrashNotice&);
+  CrashNotice() noexcept
+              : target() {
+  }
+
+  virtual ~CrashNotice() noexcept;
+  std::string target;
+  std::vector<LostRequest>  requests;
+
+  _CrashNotice__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_requests(const std::vector<LostRequest> & val);
+
+  bool operator == (const CrashNotice & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashNotice &a, CrashNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
+
+typedef struct _QuarantinedPart__isset {
+  _QuarantinedPart__isset() : part(false), hold_ms(false) {}
+  bool part :1;
+  bool hold_ms :1;
+} _QuarantinedPart__isset;
+
+class QuarantinedPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantinedPart(const QuarantinedPart&) noexcept;
+  QuarantinedPart& operator=(const QuarantinedPart&) noexcept;
+  QuarantinedPart() noexcept
+                  : part(0),
+                    hold_ms(0) {
+  }
+
+  virtual ~QuarantinedPart() noexcept;
+  int64_t part;
+  int64_t hold_ms;
+
+  _QuarantinedPart__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_hold_ms(const int64_t val);
+
+  bool operator == (const QuarantinedPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(hold_ms == rhs.hold_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantinedPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantinedPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantinedPart &a, QuarantinedPart &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantinedPart& obj);
+
+typedef struct _PromptPartNotice__isset {
+  _PromptPartNotice__isset() : quarantined(false), answered(false) {}
+  bool quarantined :1;
+  bool answered :1;
+} _PromptPartNotice__isset;
+
+class PromptPartNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptPartNotice(const PromptPartNotice&);
+  PromptPartNotice& operator=(const PromptPartNotice&);
+  PromptPartNotice() noexcept {
+  }
+
+  virtual ~PromptPartNotice() noexcept;
+  std::vector<QuarantinedPart>  quarantined;
+  std::vector<int64_t>  answered;
+
+  _PromptPartNotice__isset __isset;
+
+  void __set_quarantined(const std::vector<QuarantinedPart> & val);
+
+  void __set_answered(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptPartNotice & rhs) const
+  {
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    if (!(answered == rhs.answered))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptPartNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptPartNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptPartNotice &a, PromptPartNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptPartNotice& obj);
+
 typedef struct _HostListAsk__isset {
   _HostListAsk__isset() : digest(false), part_of(false), offset(false), peer(false) {}
   bool digest :1;
@@ -972,7 +1176,7 @@
 std::ostream& operator<<(std::ostream& out, const HostListPart& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), budget_ask(false), budget_answer(false), quarantine_notice(false), host_list_ask(false), host_list_part(false) {}
+  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), budget_ask(false), budget_answer(false), quarantine_notice(false), host_list_ask(false), host_list_part(false), crash_notice(false), prompt_part_notice(false) {}
   bool version :1;
   bool hello :1;
   bool proof :1;
@@ -985,6 +1189,8 @@
   bool quarantine_notice :1;
   bool host_list_ask :1;
   bool host_list_part :1;
+  bool crash_notice :1;
+  bool prompt_part_notice :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -1009,6 +1215,8 @@
   QuarantineNotice quarantine_notice;
   HostListAsk host_list_ask;
   HostListPart host_list_part;
+  CrashNotice crash_notice;
+  PromptPartNotice prompt_part_notice;
 
   _Frame__isset __isset;
 
@@ -1036,6 +1244,10 @@
 
   void __set_host_list_part(const HostListPart& val);
 
+  void __set_crash_notice(const CrashNotice& val);
+
+  void __set_prompt_part_notice(const PromptPartNotice& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1084,6 +1296,14 @@
       return false;
     else if (__isset.host_list_part && !(host_list_part == rhs.host_list_part))
       return false;
+    if (__isset.crash_notice != rhs.__isset.crash_notice)
+      return false;
+    else if (__isset.crash_notice && !(crash_notice == rhs.crash_notice))
+      return false;
+    if (__isset.prompt_part_notice != rhs.__isset.prompt_part_notice)
+      return false;
+    else if (__isset.prompt_part_notice && !(prompt_part_notice == rhs.prompt_part_notice))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -106,6 +106,32 @@
   4: bool relay
 }
 
+// A request that was lost in a crash. `shared_parts` are ids of prompt parts,
+// unsigned numbers in the bits of an i64.
+struct LostRequest {
+  1: string digest
+  2: list<i64> shared_parts
+}
+
+// The target, name and incarnation, crashed while these requests were in
+// flight.
+struct CrashNotice {
+  1: string target
+  2: list<LostRequest> requests
+}
+
+struct QuarantinedPart {
+  1: i64 part
+  2: i64 hold_ms
+}
+
+// `quarantined` crash the targets that answer requests with them. Requests with
+// `answered` were answered, so that these parts are sound.
+struct PromptPartNotice {
+  1: list<QuarantinedPart> quarantined
+  2: list<i64> answered
+}
+
 // Requests the host list unless its digest is `digest`. `offset` is the
 // position from which the text with digest `part_of` is to be continued.
 struct HostListAsk {
@@ -144,4 +170,6 @@
   10: optional QuarantineNotice quarantine_notice
   12: optional HostListAsk host_list_ask
   13: optional HostListPart host_list_part
+  14: optional CrashNotice crash_notice
+  15: optional PromptPartNotice prompt_part_notice
 }
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -5,6 +5,7 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include "libs/peer/budget_wire.h"
+#include "libs/peer/crash_wire.h"
 #include "libs/peer/peer_constants.h"
 
 namespace turmericwinch {
@@ -102,6 +103,12 @@
     result.relay = notice.relay;
     frame_->__set_quarantine_notice(result);
   }
+  void operator()(const CrashNotice& notice) const {
+    frame_->__set_crash_notice(ToWire(notice));
+  }
+  void operator()(const PromptPartNotice& notice) const {
+    frame_->__set_prompt_part_notice(ToWire(notice));
+  }
   void operator()(const HostListRequest& request) const {
     wire::HostListAsk result;
     result.digest = request.digest;
@@ -200,6 +207,10 @@
     return QuarantineNotice{it.digest, it.target,
                             std::chrono::milliseconds(it.hold_ms), it.relay};
   }
+  if (wire.__isset.crash_notice)
+    return CrashNoticeOf(wire.crash_notice);
+  if (wire.__isset.prompt_part_notice)
+    return PromptPartNoticeOf(wire.prompt_part_notice);
   if (wire.__isset.host_list_ask)
     return HostListRequestOf(wire.host_list_ask);
   if (wire.__isset.host_list_part)
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -7,8 +7,11 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "libs/budget/loan_message.h"
+#include "libs/delivery/prompt_part_quarantine.h"
+#include "libs/delivery/target_crash.h"
 #include "libs/membership/membership_message.h"
 
 namespace turmericwinch {
@@ -57,6 +60,18 @@
   bool relay = false;
 };
 
+// A target crashed while the sender's requests were in flight at it.
+struct CrashNotice {
+  TargetCrash crash;
+};
+
+// `quarantined` crash the targets that answer requests with them. Requests with
+// `answered` got their whole answers, so that these parts are sound.
+struct PromptPartNotice {
+  std::vector<QuarantinedPart> quarantined;
+  std::vector<PromptPartId> answered;
+};
+
 // Requests the receiver's host list unless its digest is `digest`; the response
 // goes to `peer`. `offset` is the position from which the text with digest
 // `part_of` is to be continued.
@@ -90,6 +105,8 @@
                                ConfigRequest,
                                ConfigPart,
                                QuarantineNotice,
+                               CrashNotice,
+                               PromptPartNotice,
                                HostListRequest,
                                HostListPart,
                                LoanRequest,
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -299,6 +299,8 @@
     StatusOfPrompt(deadly);
     ListCrash();
   }
+  while (context.quarantine.quarantined_parts() == 0)
+    context.control.run_one();
   const std::size_t before = ReceivedRequests();
   LONGS_EQUAL(503, StatusOfPrompt(deadly));
   LONGS_EQUAL(before, ReceivedRequests());
--- /dev/null
+++ b/tests/delivery/answered_parts_test.cc
@@ -0,0 +1,34 @@
+#include "libs/delivery/answered_parts.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libs/delivery/delivery_constants.h"
+
+namespace turmericwinch {
+
+TEST_GROUP(AnsweredParts) {
+  AnsweredParts parts;
+  AnsweredParts::Time now{std::chrono::hours(1)};
+};
+
+TEST(AnsweredParts, AnAnswerCountsForATime) {
+  parts.Add(1, now);
+  CHECK(parts.Contains(1, now));
+  CHECK(!parts.Contains(2, now));
+  now += kAnsweredPartHold;
+  CHECK(!parts.Contains(1, now));
+  parts.Add(1, now);
+  CHECK(parts.Contains(1, now));
+}
+
+TEST(AnsweredParts, ThePartThatWasAnsweredLeastRecentlyIsForgotten) {
+  for (PromptPartId n = 0; n < kMaxAnsweredParts; ++n)
+    parts.Add(n, now);
+  parts.Add(0, now);
+  parts.Add(kMaxAnsweredParts, now);
+  LONGS_EQUAL(kMaxAnsweredParts, parts.size());
+  CHECK(parts.Contains(0, now));
+  CHECK(!parts.Contains(1, now));
+}
+
+}  // namespace turmericwinch
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/asio.hpp>
 #include <memory>
 
 #include "libs/http/http_client.h"
@@ -13,6 +14,9 @@
 
 namespace {
 
+constexpr PromptPartId kTeam = 2;
+constexpr PromptPartId kDeadly = 3;
+
 // A host with its peer connections and its quarantine.
 struct Host {
   Host(boost::asio::io_context& context, unsigned short port)
@@ -48,6 +52,7 @@
   std::unique_ptr<Host> first;
   std::unique_ptr<Host> second;
   HostList no_targets;
+  int crashes_ = 0;
 
   void setup() override {
     first = std::make_unique<Host>(context, FreePort(context));
@@ -60,6 +65,15 @@
     second->peers.UpdateAddresses(account);
   }
 
+  // Lets the host lose requests with the deadly part to `count` new targets.
+  void CrashWithPart(Host & host, int count) {
+    for (int n = 0; n < count; ++n) {
+      const std::string own = std::to_string(++crashes_);
+      host.quarantine.OnLost({"d" + own, "t" + own, "1", {kTeam, kDeadly}});
+      host.quarantine.OnTargetList(no_targets);
+    }
+  }
+
   // Runs handlers until `is_done` returns true. A test that never gets there is
   // ended by the timeout of the test runner.
   void RunUntil(const std::function<bool()>& is_done) {
@@ -90,6 +104,42 @@
   CHECK(first->quarantine.IsQuarantined("digest"));
 }
 
+TEST(RequestQuarantine, APartThatCrashedTargetsOfTwoHostsIsRefusedByBoth) {
+  CrashWithPart(*first, 3);
+  RunUntil([this] {
+    return second->quarantine.FindQuarantinedPart({kDeadly}).has_value();
+  });
+  CHECK(first->quarantine.FindQuarantinedPart({kTeam, kDeadly}).has_value());
+  CHECK(!first->quarantine.FindQuarantinedPart({kTeam}).has_value());
+}
+
+// The second host alone has seen an answer to a request with the part.
+TEST(RequestQuarantine, AHostThatKnowsAPartToBeSoundWithdrawsItsQuarantine) {
+  second->quarantine.OnPartsAnswered({kDeadly});
+  CrashWithPart(*first, 3);
+  RunUntil([this] {
+    return first->quarantine.FindQuarantinedPart({kDeadly}).has_value();
+  });
+  RunUntil([this] {
+    return !first->quarantine.FindQuarantinedPart({kDeadly}).has_value();
+  });
+  CHECK(!second->quarantine.FindQuarantinedPart({kDeadly}).has_value());
+}
+
+TEST(RequestQuarantine, AHostThatStartsLaterLearnsTheQuarantinedParts) {
+  boost::asio::co_spawn(context, first->quarantine.Run(),
+                        boost::asio::detached);
+  CrashWithPart(*first, 3);
+  RunUntil([this] { return first->quarantine.quarantined_parts() > 0; });
+  Host third(context, FreePort(context));
+  FleetAccount account;
+  account.heartbeats["three_1"] = {"boot", BootTime(0), third.peers.address()};
+  first->peers.UpdateAddresses(account);
+  RunUntil([&] {
+    return third.quarantine.FindQuarantinedPart({kDeadly}).has_value();
+  });
+}
+
 TEST(RequestQuarantine, AnAnswerClearsTheSuspectAtAllHosts) {
   first->quarantine.OnLost({"digest", "t1", "1"});
   first->quarantine.OnTargetList(no_targets);
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -87,6 +87,30 @@
   CHECK(!DecodePayload(Payload(bad), &reason));
 }
 
+TEST(PeerCodec, CrashNoticesRoundTrip) {
+  constexpr PromptPartId kLargePart = 0xfedc'ba98'7654'3210;
+  const CrashNotice sent{{"t/1", {{"d1", {7, kLargePart}}, {"d2", {}}}}};
+  auto frame = DecodePayload(Payload(sent), &reason);
+  CHECK(frame.has_value());
+  const TargetCrash& crash = std::get<CrashNotice>(*frame).crash;
+  STRCMP_EQUAL("t/1", crash.target.c_str());
+  LONGS_EQUAL(2, crash.requests.size());
+  STRCMP_EQUAL("d1", crash.requests[0].digest.c_str());
+  CHECK(crash.requests[0].shared_parts ==
+        std::vector<PromptPartId>({7, kLargePart}));
+  CHECK(!DecodePayload(Payload(CrashNotice{}), &reason));
+  const PromptPartNotice parts{{{kLargePart, std::chrono::milliseconds(7)}},
+                               {8}};
+  frame = DecodePayload(Payload(parts), &reason);
+  const auto& read = std::get<PromptPartNotice>(*frame);
+  LONGS_EQUAL(1, read.quarantined.size());
+  CHECK(read.quarantined[0].part == kLargePart);
+  LONGS_EQUAL(7, read.quarantined[0].hold.count());
+  CHECK(read.answered == std::vector<PromptPartId>({8}));
+  const PromptPartNotice bad{{{1, std::chrono::milliseconds(-1)}}, {}};
+  CHECK(!DecodePayload(Payload(bad), &reason));
+}
+
 TEST(PeerCodec, HostListFieldsRoundTrip) {
   auto frame = DecodePayload(Payload(SampleHostListPart()), &reason);
   const auto& part = std::get<HostListPart>(*frame);
