Count a crash when the target refuses connections

Callers saw: 8 to 11 targets crash although the deadly part was known to be in the first three, as the quarantine learnt of each crash 2.7 to 3 s late.

Cause: a loss counted only once the list of targets showed the end, after three missed heartbeats. Class: a decision that waits for a slow report where a direct sign is at hand.

Why this works: when a target closes a connection too early, the host connects to it once. Refused: nothing listens there, the crash counts at once, also for losses reported later. Accepted or silent: the list decides as before, as only the connection may have been lost (ALiveTargetThatClosedAConnectionIsNotSuspected). Ruled out: counting every broken connection, since connections are reset and answers cut while targets live.

RequestQuarantine.ATargetThatRefusesConnectionsCountsAsCrashedAtOnce waits for ever without the probe.

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -81,6 +81,8 @@
   std::optional<std::uint64_t> reservation_;
   Reason reason_;
   bool may_have_run_ = false;
+  // Whether the target closed the connection of the last attempt too early.
+  bool connection_closed_ = false;
   std::vector<PromptPartId> shared_parts_;
   int attempts_ = 0;
   // Targets that the request did not reach.
@@ -147,7 +149,8 @@
             {"parts", PartIdsText(PartIds(*resolved_.call))},
             {"reason", reason_.text}});
   context_.quarantine.OnLost(
-      {RequestDigest(), choice.name, choice.incarnation, shared_parts_});
+      {RequestDigest(), choice.name, choice.incarnation,
+       connection_closed_ ? choice.address : std::string(), shared_parts_});
 }
 
 asio::awaitable<bool> CallRunner::Reserve() {
@@ -219,6 +222,7 @@
 asio::awaitable<AttemptResult> CallRunner::RunAttempt(
     const TargetChoice& choice) {
   AttemptMeter meter(context_.targets, choice);
+  connection_closed_ = false;
   last_target_ = choice.name;
   tried_targets_.insert(choice.name);
   const std::optional<asio::ip::tcp::endpoint> endpoint =
@@ -271,6 +275,7 @@
       ++unreached_targets_;
       co_return AttemptResult::kNotRun;
     }
+    connection_closed_ = !failure.timed_out;
     ++attempts_;
     may_have_run_ = true;
     co_return AttemptResult::kFailed;
@@ -307,9 +312,13 @@
   const bool is_stream = IsStream(resolved_.route->kind) &&
                          stream->status() >= kStatusOk &&
                          stream->status() < kFirstNonSuccessStatus;
+  AttemptResult result = AttemptResult::kFailed;
   if (is_stream)
-    co_return co_await relay_.RelayStream(response, &reason_);
-  co_return co_await RelayResponse(response);
+    result = co_await relay_.RelayStream(response, &reason_);
+  else
+    result = co_await RelayResponse(response);
+  connection_closed_ = response.connection_closed;
+  co_return result;
 }
 
 bool CallRunner::MayRetry(AttemptResult result) {
--- a/src/libs/gateway/pending_losses.h
+++ b/src/libs/gateway/pending_losses.h
@@ -5,6 +5,7 @@
 #define SRC_LIBS_GATEWAY_PENDING_LOSSES_H_
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -21,10 +22,13 @@
 inline constexpr std::size_t kMaxPendingLosses = 1'024;
 
 // A request that was in flight on a target when its response was lost.
+// `address` is that of the target, IP:PORT; empty if the target closed no
+// connection, for example after a timeout.
 struct TargetLoss {
   std::string digest;
   std::string target;
   std::string incarnation;
+  std::string address;
   std::vector<PromptPartId> shared_parts;
 
   // Each incarnation counts as a target of its own, so that a second crash of
@@ -38,7 +42,13 @@
  public:
   using Time = std::chrono::steady_clock::time_point;
 
-  void AddLoss(TargetLoss loss, Time now);
+  // Returns whether the target is already known to have ended; the loss is then
+  // confirmed and not kept.
+  bool AddLoss(const TargetLoss& loss, Time now);
+  // Records that the incarnation of a target has ended. Removes and returns its
+  // losses.
+  std::vector<TargetLoss> TakeEnded(const std::string& target_incarnation,
+                                    Time now);
   // Removes and returns the losses whose target is not in `list`, or is there
   // as another incarnation.
   std::vector<TargetLoss> TakeConfirmed(const HostList& list, Time now);
@@ -50,7 +60,11 @@
     Time time;
   };
 
+  void Expire(Time now);
+
   std::vector<Pending> losses_;
+  // Times at which incarnations of targets were found to have ended.
+  std::map<std::string, Time> ended_;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -6,8 +6,10 @@
 
 #include "libs/base/log.h"
 #include "libs/delivery/delivery_constants.h"
+#include "libs/gateway/connect_probe.h"
 #include "libs/gateway/gateway_call.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/http/http_client.h"
 
 namespace turmericwinch {
 
@@ -63,8 +65,35 @@
 }
 
 void RequestQuarantine::OnLost(const TargetLoss& loss) {
-  std::lock_guard lock(mutex_);
-  pending_.AddLoss(loss, Clock::now());
+  const std::string target = loss.TargetIncarnation();
+  bool has_ended = false;
+  bool must_probe = false;
+  {
+    std::lock_guard lock(mutex_);
+    has_ended = pending_.AddLoss(loss, Clock::now());
+    must_probe =
+        !has_ended && !loss.address.empty() && probed_.insert(target).second;
+  }
+  if (has_ended)
+    asio::post(control_, [this, target, loss] { ReportCrash(target, {loss}); });
+  else if (must_probe)
+    asio::co_spawn(control_, ProbeTarget(loss), asio::detached);
+}
+
+asio::awaitable<void> RequestQuarantine::ProbeTarget(TargetLoss loss) {
+  const std::string target = loss.TargetIncarnation();
+  bool is_refused = false;
+  if (const auto endpoint = ParseEndpoint(loss.address))
+    is_refused = co_await IsConnectionRefused(*endpoint);
+  std::vector<TargetLoss> losses;
+  {
+    std::lock_guard lock(mutex_);
+    probed_.erase(target);
+    if (is_refused)
+      losses = pending_.TakeEnded(target, Clock::now());
+  }
+  if (!losses.empty())
+    ReportCrash(target, losses);
 }
 
 void RequestQuarantine::OnAnswered(const std::string& digest) {
--- a/src/libs/gateway/request_quarantine.h
+++ b/src/libs/gateway/request_quarantine.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,9 +19,10 @@
 namespace turmericwinch {
 
 // Refuses requests that crashed targets and requests with a prompt part that
-// did. A loss counts once the list of targets no longer has the incarnation of
-// its target. The hosts notify each other of crashes. Thread-safe, except that
-// the functions that say so are called on the control thread only.
+// did. A loss counts once its target has ended: it refuses connections, or the
+// list of targets no longer has its incarnation. The hosts notify each other of
+// crashes. Thread-safe, except that the functions that say so are called on the
+// control thread only.
 class RequestQuarantine {
  public:
   RequestQuarantine(boost::asio::io_context& control, GatewayPeers& peers);
@@ -48,6 +50,8 @@
   void OnTargetList(const HostList& list);
 
  private:
+  // Connects to the target of `loss`; if it refuses, its losses count.
+  boost::asio::awaitable<void> ProbeTarget(TargetLoss loss);
   // Records a crash that this host has found, and notifies the other hosts.
   // Called on the control thread.
   void ReportCrash(const std::string& target,
@@ -81,6 +85,8 @@
   // since it last told of a verdict. Used on the control thread.
   bool is_evaluating_ = false;
   bool has_reported_ = false;
+  // Incarnations of targets to which a probe is under way.
+  std::set<std::string> probed_;
   std::atomic<std::size_t> suspects_{0};
   std::atomic<std::size_t> quarantined_parts_{0};
 };
--- a/src/libs/gateway/response_relay.cc
+++ b/src/libs/gateway/response_relay.cc
@@ -27,6 +27,7 @@
     std::optional<std::string> piece =
         co_await response.stream.ReadSome(Until(response.deadline), &failure);
     if (!piece) {
+      response.connection_closed = !failure.timed_out;
       response.meter.SetOutcome(cancel_.cancelled() ? AttemptOutcome::kNoVerdict
                                                     : AttemptOutcome::kFailed);
       *reason = {ResultCode::kTargetFailed, "reading the response of target " +
@@ -88,8 +89,10 @@
   for (;;) {
     std::optional<std::string> piece =
         co_await stream.ReadSome(Until(response.deadline), &failure);
-    if (!piece || cancel_.cancelled())
+    if (!piece || cancel_.cancelled()) {
+      response.connection_closed = !failure.timed_out;
       break;
+    }
     received_bytes_ += piece->size();
     if (stream.done() && piece->empty() && splitter.pending_bytes() == 0) {
       response.meter.SetOutcome(AttemptOutcome::kGood);
@@ -123,6 +126,7 @@
     }
     if (stream.done()) {
       failure.text = "the stream ended in the middle of an event";
+      response.connection_closed = true;
       break;
     }
   }
--- a/src/libs/gateway/response_relay.h
+++ b/src/libs/gateway/response_relay.h
@@ -38,6 +38,8 @@
   AttemptMeter& meter;
   std::string target;
   std::chrono::steady_clock::time_point deadline;
+  // Set if the target closed or reset the connection before the end.
+  bool connection_closed = false;
 };
 
 // Relays the responses to one request. Later attempts continue the stream that
--- a/tests/gateway/pending_losses_test.cc
+++ b/tests/gateway/pending_losses_test.cc
@@ -48,6 +48,17 @@
   LONGS_EQUAL(1, losses.TakeConfirmed(list, kStart).size());
 }
 
+TEST(PendingLosses, ATargetThatHasEndedConfirmsItsLossesAndLaterOnes) {
+  losses.AddLoss({"other", "t2", "1"}, kStart);
+  const auto confirmed = losses.TakeEnded("t1/1", kStart);
+  LONGS_EQUAL(1, confirmed.size());
+  STRCMP_EQUAL("digest", confirmed[0].digest.c_str());
+  LONGS_EQUAL(1, losses.size());
+  CHECK(losses.AddLoss({"late", "t1", "1"}, kStart));
+  CHECK(!losses.AddLoss({"late", "t1", "2"}, kStart));
+  LONGS_EQUAL(2, losses.size());
+}
+
 TEST(PendingLosses, OldLossesAreRemovedAndTheNumberIsBounded) {
   for (std::size_t n = 0; n < 2 * kMaxPendingLosses; ++n)
     losses.AddLoss({"digest", "t1", "1"}, kStart);
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -69,7 +69,7 @@
   void CrashWithPart(Host & host, int count) {
     for (int n = 0; n < count; ++n) {
       const std::string own = std::to_string(++crashes_);
-      host.quarantine.OnLost({"d" + own, "t" + own, "1", {kTeam, kDeadly}});
+      host.quarantine.OnLost({"d" + own, "t" + own, "1", "", {kTeam, kDeadly}});
       host.quarantine.OnTargetList(no_targets);
     }
   }
@@ -104,6 +104,26 @@
   CHECK(first->quarantine.IsQuarantined("digest"));
 }
 
+// The list of targets shows a crash only after seconds.
+TEST(RequestQuarantine, ATargetThatRefusesConnectionsCountsAsCrashedAtOnce) {
+  const std::string closed = "127.0.0.1:" + std::to_string(FreePort(context));
+  first->quarantine.OnLost({"digest", "t1", "1", closed, {}});
+  RunUntil([this] { return second->quarantine.HasSuspects(); });
+  CHECK(first->quarantine.HasSuspects());
+}
+
+TEST(RequestQuarantine, ALiveTargetThatClosedAConnectionIsNotSuspected) {
+  boost::asio::ip::tcp::acceptor target(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  first->quarantine.OnLost(
+      {"digest", "t1", "1", ToText(target.local_endpoint()), {}});
+  bool accepted = false;
+  target.async_accept([&](auto, auto) { accepted = true; });
+  RunUntil([&] { return accepted; });
+  context.poll();
+  CHECK(!first->quarantine.HasSuspects());
+}
+
 TEST(RequestQuarantine, APartThatCrashedTargetsOfTwoHostsIsRefusedByBoth) {
   CrashWithPart(*first, 3);
   RunUntil([this] {
