Keep quarantined prompt parts in the store

Callers saw: after all hosts were killed, targets crashed again on a part that had been known, as each host learnt it anew.

Cause: verdicts lay in the memory of the processes only. Class: state that must last kept where nothing lasts. The quarantine of whole requests at gateways has the same lack, and holds for one request and its retries only (open).

Why this works: verdicts are written with compare-and-swap to an object of their own kind, which hosts watch from their start on. A withdrawn verdict is removed. A host whose write fails offers it again each second. Ruled out: the fleet account, whose watch would wake every host at each grant.

Tests: QuarantineStore.AHostThatStartsLaterLearnsTheVerdicts and two more, new with it; without the store a second host never learns.

--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include "libs/gateway/gateway_call_runner.h"
 #include "libs/gateway/gateway_context.h"
 #include "libs/gateway/gateway_state.h"
+#include "libs/gateway/quarantine_store.h"
 #include "libs/gateway/target_source.h"
 
 namespace turmericwinch {
@@ -53,6 +54,7 @@
   std::unique_ptr<ConfigSource> config_source;
   std::unique_ptr<TargetSource> target_source;
   std::unique_ptr<AccountManager> account_manager;
+  std::unique_ptr<QuarantineStore> quarantine_store;
   HttpServer caller_server;
   HttpServer probe_server;
   HttpServer operator_server;
@@ -76,6 +78,12 @@
           *store,
           [this](const HostList& targets) { ApplyTargets(targets); })),
       account_manager(std::make_unique<AccountManager>(context, *store)),
+      quarantine_store(std::make_unique<QuarantineStore>(
+          context.control,
+          *store,
+          [this](const std::vector<QuarantinedPart>& parts) {
+            context.quarantine.OnStoredParts(parts);
+          })),
       caller_server({&context.traffic},
                     {kHttpMostBodyBytes, kGatewayMaxCallerConnections},
                     [this](const HttpRequest& request, HttpExchange& exchange) {
@@ -95,6 +103,10 @@
       signals(context.control, SIGTERM, SIGINT, SIGHUP) {
   context.ledger.SetGrantRequestHandler(
       [this] { account_manager->RequestTokens(); });
+  context.quarantine.SetStore(
+      [this](const std::vector<QuarantinedPart>& parts) {
+        quarantine_store->Store(parts);
+      });
 }
 
 void Gateway::Private::ApplyConfig(
@@ -228,6 +240,7 @@
   asio::co_spawn(context.control, d_->config_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->target_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->account_manager->Run(), asio::detached);
+  asio::co_spawn(context.control, d_->quarantine_store->Run(), asio::detached);
   asio::co_spawn(context.control, context.quarantine.Run(), asio::detached);
   context.control.run();
   return d_->exit_code;
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -55,11 +55,14 @@
 inline constexpr std::chrono::milliseconds kQuarantineResendInterval{1'000};
 inline constexpr std::size_t kQuarantineResendPeers = 8;
 
+// Time by which the stored end of a quarantine may be too early.
+inline constexpr std::chrono::milliseconds kStoredHoldSlack{10'000};
+
 // Maximum duration of one watch call to the store. A store that answers again
 // after an outage may have lost the watch.
 inline constexpr std::chrono::milliseconds kMaxWatchWait{5'000};
-// Minimum time between the starts of two watch calls for the targets. A target
-// that leaves serves for 2 s more, and
+// Minimum time between the starts of two watch calls for the targets, or for
+// the quarantined prompt parts. A target that leaves serves for 2 s more, and
 // the list is that much older at most.
 inline constexpr std::chrono::milliseconds kMinWatchInterval{200};
 // Pause before the store is called again after a failed call.
--- /dev/null
+++ b/src/libs/gateway/quarantine_store.cc
@@ -0,0 +1,130 @@
+#include "libs/gateway/quarantine_store.h"
+
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "libs/base/log.h"
+#include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/watch_pacer.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr LogCategory kLog{"quarantine"};
+// Kind and name. The kind is its own, as a watch returns all changes of a kind.
+constexpr char kObjectName[] = "quarantine/prompt-parts";
+
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+bool IsConflict(const Reason& reason) {
+  return reason.code == ResultCode::kPlatformConflict ||
+         reason.code == ResultCode::kPlatformExists;
+}
+
+}  // namespace
+
+QuarantineStore::QuarantineStore(asio::io_context& control,
+                                 PlatformClient& platform,
+                                 Sink on_parts)
+    : control_(control), platform_(platform), on_parts_(std::move(on_parts)) {}
+
+asio::awaitable<void> QuarantineStore::Run() {
+  asio::steady_timer timer(control_);
+  WatchPacer pacer(kMinWatchInterval);
+  for (;;) {
+    timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    const bool answered = co_await WatchOnce();
+    if (answered)
+      continue;
+    timer.expires_after(kStoreRetryPause);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+asio::awaitable<bool> QuarantineStore::WatchOnce() {
+  Reason reason;
+  const std::uint64_t version = version_;
+  const std::optional<PlatformObject> object = co_await platform_.Watch(
+      PlatformDuty::kCaches, kObjectName, version, kMaxWatchWait, &reason);
+  if (object)
+    co_return HandleObject(*object);
+  if (reason.code != ResultCode::kPlatformNotFound)
+    co_return false;
+  if (version_ > 0)
+    co_return true;
+  const std::optional<std::uint64_t> created = co_await platform_.Create(
+      PlatformDuty::kCaches, kObjectName, stored_.ToText(), &reason);
+  if (created)
+    version_ = *created;
+  co_return created || IsConflict(reason);
+}
+
+bool QuarantineStore::HandleObject(const PlatformObject& object) {
+  version_ = std::max(version_, object.version);
+  Reason reason;
+  std::optional<QuarantinedPartsObject> parsed =
+      QuarantinedPartsObject::Parse(object.value, &reason);
+  if (!parsed) {
+    LogEvent(kLog, Severity::kError, "stored_parts_unreadable",
+             {{"version", object.version}, {"reason", reason.text}});
+    return true;
+  }
+  stored_ = std::move(*parsed);
+  on_parts_(stored_.Parts(UnixMs()));
+  return true;
+}
+
+void QuarantineStore::Store(const std::vector<QuarantinedPart>& changes) {
+  QuarantinedPartsObject next = stored_;
+  if (version_ == 0 || is_writing_ || !next.Apply(changes, UnixMs()))
+    return;
+  is_writing_ = true;
+  asio::co_spawn(control_, Write(changes), asio::detached);
+}
+
+asio::awaitable<bool> QuarantineStore::Refresh(Reason* reason) {
+  const std::optional<PlatformObject> object =
+      co_await platform_.Get(PlatformDuty::kCaches, kObjectName, reason);
+  co_return object&& HandleObject(*object);
+}
+
+asio::awaitable<void> QuarantineStore::Write(
+    std::vector<QuarantinedPart> changes) {
+  Reason reason;
+  for (int n = 0; n < kMaxAccountConflicts; ++n) {
+    QuarantinedPartsObject next = stored_;
+    if (!next.Apply(changes, UnixMs())) {
+      reason = {};
+      break;
+    }
+    PlatformObject object{kObjectName, version_, next.ToText()};
+    const std::optional<std::uint64_t> written = co_await platform_.Update(
+        PlatformDuty::kCaches, std::move(object), &reason);
+    if (written) {
+      version_ = std::max(version_, *written);
+      stored_ = std::move(next);
+      break;
+    }
+    if (!IsConflict(reason))
+      break;
+    const bool refreshed = co_await Refresh(&reason);
+    if (!refreshed)
+      break;
+  }
+  is_writing_ = false;
+  if (reason.code != ResultCode::kOk) {
+    LogEvent(
+        kLog, Severity::kWarning, "parts_not_stored",
+        {{"code", static_cast<int>(reason.code)}, {"reason", reason.text}});
+  }
+}
+
+}  // namespace turmericwinch
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -47,6 +47,7 @@
     }
     if (notice.quarantined.empty())
       continue;
+    store_(notice.quarantined);
     peers_.SendToSome(notice, kQuarantineResendPeers);
   }
 }
@@ -124,9 +125,18 @@
 }
 
 void RequestQuarantine::WithdrawEverywhere(std::vector<PromptPartId> parts) {
+  std::vector<QuarantinedPart> removed;
+  for (PromptPartId it : parts)
+    removed.push_back({it, std::chrono::milliseconds(0)});
+  store_(removed);
   peers_.SendToAll(PromptPartNotice{{}, std::move(parts)});
 }
 
+void RequestQuarantine::OnStoredParts(
+    const std::vector<QuarantinedPart>& parts) {
+  HandleNotice(PromptPartNotice{parts, {}});
+}
+
 void RequestQuarantine::OnTargetList(const HostList& list) {
   std::map<std::string, std::vector<TargetLoss>> crashes;
   {
@@ -196,6 +206,7 @@
   for (PromptPartId it : causes)
     notice.quarantined.push_back({it, kFirstPartHold});
   peers_.SendToAll(notice);
+  store_(notice.quarantined);
 }
 
 bool RequestQuarantine::HandleFrame(const PeerFrame& frame) {
--- a/src/libs/gateway/request_quarantine.h
+++ b/src/libs/gateway/request_quarantine.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -25,11 +26,17 @@
 // control thread only.
 class RequestQuarantine {
  public:
+  // Stores quarantined parts where other hosts find them. A hold of 0 means
+  // that the part is no longer quarantined. Called on the control thread.
+  using StoreParts = std::function<void(const std::vector<QuarantinedPart>&)>;
+
   RequestQuarantine(boost::asio::io_context& control, GatewayPeers& peers);
 
-  // Sends the quarantined parts to some other hosts at intervals, as notices
-  // are lost in cuts and hosts start later. Runs on the control thread until
-  // the process ends.
+  // Called on the control thread, before Run().
+  void SetStore(StoreParts store) { store_ = std::move(store); }
+  // Sends the quarantined parts to the store and to some other hosts at
+  // intervals, as notices are lost in cuts and hosts start later. Runs on the
+  // control thread until the process ends.
   boost::asio::awaitable<void> Run();
 
   // Whether any request is suspected. If not, no digest has to be computed.
@@ -45,6 +52,9 @@
   void OnAnswered(const std::string& digest);
   // Called when a target has answered a request with these shared parts.
   void OnPartsAnswered(const std::vector<PromptPartId>& shared_parts);
+  // Called with verdicts that other hosts have stored. Called on the control
+  // thread.
+  void OnStoredParts(const std::vector<QuarantinedPart>& parts);
   // Counts the losses of targets that have ended, and notifies the other hosts.
   // Called on the control thread.
   void OnTargetList(const HostList& list);
@@ -67,7 +77,7 @@
   bool HandleFrame(const PeerFrame& frame);
   void HandleNotice(const QuarantineNotice& notice);
   void HandleNotice(const PromptPartNotice& notice);
-  // Withdraws the quarantine of these parts at all hosts.
+  // Withdraws the quarantine of these parts at all hosts and in the store.
   void WithdrawEverywhere(std::vector<PromptPartId> parts);
   void RecordLoss(const std::string& digest,
                   const std::string& target,
@@ -77,6 +87,7 @@
 
   boost::asio::io_context& control_;
   GatewayPeers& peers_;
+  StoreParts store_ = [](const std::vector<QuarantinedPart>&) {};
   mutable std::mutex mutex_;
   PendingLosses pending_;
   Quarantine quarantine_;
--- /dev/null
+++ b/tests/gateway/quarantine_store_test.cc
@@ -0,0 +1,85 @@
+#include "libs/gateway/quarantine_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio.hpp>
+
+#include "support/memory_platform.h"
+
+namespace turmericwinch {
+
+namespace {
+
+using Parts = std::vector<QuarantinedPart>;
+
+constexpr std::chrono::milliseconds kHold{60'000};
+
+}  // namespace
+
+TEST_GROUP(QuarantineStore) {
+  boost::asio::io_context context;
+  MemoryPlatform platform;
+  Parts learnt;
+  QuarantineStore first{context, platform, [](const Parts&) {}};
+  QuarantineStore second{context, platform,
+                         [this](const Parts& parts) { learnt = parts; }};
+
+  void Start(QuarantineStore & store) {
+    boost::asio::co_spawn(context, store.Run(), boost::asio::detached);
+  }
+
+  // Runs handlers until `is_done` returns true. A test that never gets there is
+  // ended by the timeout of the test runner.
+  void RunUntil(const std::function<bool()>& is_done) {
+    while (!is_done())
+      context.run_one();
+  }
+
+  std::size_t StoredParts() {
+    Reason reason;
+    const auto object = QuarantinedPartsObject::Parse(
+        platform.store.Find("quarantine/prompt-parts")->value, &reason);
+    return object->Parts(0).size();
+  }
+
+  // Waits until the store has taken the change.
+  void Store(QuarantineStore & store, const Parts& changes) {
+    const int before = platform.writes;
+    RunUntil([&] {
+      store.Store(changes);
+      return platform.writes > before;
+    });
+  }
+};
+
+TEST(QuarantineStore, AHostThatStartsLaterLearnsTheVerdicts) {
+  Start(first);
+  RunUntil([this] { return platform.writes > 0; });
+  Store(first, {{7, kHold}});
+  Start(second);
+  RunUntil([this] { return !learnt.empty(); });
+  CHECK(learnt[0].part == 7);
+}
+
+TEST(QuarantineStore, WritersAtTheSameTimeLoseNoVerdict) {
+  Start(first);
+  Start(second);
+  RunUntil([this] { return platform.writes > 0; });
+  RunUntil([this] {
+    first.Store({{7, kHold}});
+    second.Store({{8, kHold}});
+    return StoredParts() == 2;
+  });
+}
+
+TEST(QuarantineStore, AWithdrawnPartIsRemoved) {
+  Start(first);
+  Start(second);
+  RunUntil([this] { return platform.writes > 0; });
+  Store(first, {{7, kHold}});
+  RunUntil([this] { return !learnt.empty(); });
+  Store(first, {{7, std::chrono::milliseconds(0)}});
+  RunUntil([this] { return learnt.empty(); });
+}
+
+}  // namespace turmericwinch
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -135,15 +135,22 @@
 
 // The second host alone has seen an answer to a request with the part.
 TEST(RequestQuarantine, AHostThatKnowsAPartToBeSoundWithdrawsItsQuarantine) {
+  std::size_t stored = 0;
+  std::size_t removed = 0;
+  first->quarantine.SetStore([&](const std::vector<QuarantinedPart>& parts) {
+    ++(parts[0].hold.count() > 0 ? stored : removed);
+  });
+  second->quarantine.SetStore([&](const std::vector<QuarantinedPart>& parts) {
+    ++(parts[0].hold.count() > 0 ? stored : removed);
+  });
   second->quarantine.OnPartsAnswered({kDeadly});
   CrashWithPart(*first, 3);
-  RunUntil([this] {
-    return first->quarantine.FindQuarantinedPart({kDeadly}).has_value();
-  });
+  RunUntil([&] { return removed > 0; });
   RunUntil([this] {
     return !first->quarantine.FindQuarantinedPart({kDeadly}).has_value();
   });
   CHECK(!second->quarantine.FindQuarantinedPart({kDeadly}).has_value());
+  LONGS_EQUAL(1, stored);
 }
 
 TEST(RequestQuarantine, AHostThatStartsLaterLearnsTheQuarantinedParts) {
