--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -10,6 +10,7 @@
 #include "libs/http/http_server.h"
 #include "platform/config_decoder.h"
 #include "platform/edge_dialect.h"
+#include "raw_target.h"
 #include "support/run_coroutine.h"
 
 namespace turmericwinch::platform {
@@ -435,6 +436,42 @@
   }
 }
 
+// An answer with neither a length nor chunks ends with its connection.
+TEST(GatewayCall, AnAnswerWithoutFramingIsWholeOnlyIfItsConnectionIsClosed) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
+      "Turmericwinch-Response-Signature: mac\r\n\r\n";
+  struct Case {
+    const char* path;
+    std::string body;
+    ConnectionEnd end;
+    bool is_whole;
+  };
+  const std::string events = EventText(1) + EventText(2);
+  const Case cases[] = {
+      {"/once/1", "whole", ConnectionEnd::kClose, true},
+      {"/once/1", "", ConnectionEnd::kClose, true},
+      {"/once/1", "part", ConnectionEnd::kReset, false},
+      {"/fixed/1", events, ConnectionEnd::kClose, true},
+      {"/fixed/1", events + "id: 3\nda", ConnectionEnd::kClose, false},
+      {"/fixed/1", events + "id: 3\ndata: x\n", ConnectionEnd::kClose, false},
+      {"/fixed/1", events, ConnectionEnd::kReset, false},
+      {"/stream/1", events, ConnectionEnd::kClose, true},
+  };
+  for (const Case& it : cases) {
+    RawTarget target(context.traffic, head + it.body, it.end);
+    HostList list;
+    list.targets = {{"i-3", "a", ToText(target.endpoint()),
+                     std::to_string(++incarnation_), "app", false}};
+    context.targets.Update(list, *context.config.Get()->objects);
+    const auto response = Call(Request(it.path));
+    const bool is_whole = response && response->status == 200;
+    CHECK_TEXT(it.is_whole == is_whole, (it.path + it.body).c_str());
+    if (is_whole)
+      STRCMP_EQUAL(it.body.c_str(), response->body.c_str());
+  }
+}
+
 // The events of a stream are relayed once; repeated ones do not keep the
 // connection to the target open.
 TEST(GatewayCall, EventsRepeatedWithoutEndBreakTheStream) {
