--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -53,6 +53,8 @@
   asio::awaitable<void> RunAttempts();
   asio::awaitable<std::optional<TargetChoice>> ChooseTarget(bool is_first);
   asio::awaitable<AttemptResult> RunAttempt(const TargetChoice& choice);
+  // Records the rate limit that the target names in its response.
+  void RecordRateLimit(const TargetChoice& choice, const HttpHeaders& headers);
   // Relays a response that is no stream. A server error is kept for the caller
   // and not sent yet if the request may be retried at another target.
   asio::awaitable<AttemptResult> RelayResponse(RelayedResponse& response);
@@ -281,6 +283,7 @@
     co_return AttemptResult::kFailed;
   }
   ++attempts_;
+  RecordRateLimit(choice, stream->headers());
   const HeadVerdict verdict =
       context_.dialect.classify_head(stream->status(), stream->headers());
   if (verdict == HeadVerdict::kNotRun || verdict == HeadVerdict::kOtherTarget) {
@@ -321,6 +324,18 @@
   co_return result;
 }
 
+void CallRunner::RecordRateLimit(const TargetChoice& choice,
+                                 const HttpHeaders& headers) {
+  const std::optional<double> limit =
+      context_.dialect.parse_rate_limit(headers);
+  if (!context_.targets.RecordRateLimit(choice, limit))
+    return;
+  LogEvent(kLog, Severity::kInfo, "target_rate_limit",
+           {{"request", resolved_.call->id},
+            {"target", choice.name},
+            {"per_second", limit ? std::to_string(*limit) : "none"}});
+}
+
 bool CallRunner::MayRetry(AttemptResult result) {
   if (cancel_.cancelled() || TimeUntil(resolved_.deadline) < kMinTimeLeft)
     return false;
--- a/src/libs/gateway/gateway_dialect.h
+++ b/src/libs/gateway/gateway_dialect.h
@@ -60,6 +60,9 @@
       belongs_to_call;
   std::function<HeadVerdict(int status, const HttpHeaders&)> classify_head;
   std::function<std::optional<ReportedLoad>(const HttpHeaders&)> parse_load;
+  // Requests per second that the target takes from all hosts together, if its
+  // response names a limit.
+  std::function<std::optional<double>(const HttpHeaders&)> parse_rate_limit;
   // Selects the headers of a target's response that the caller gets.
   std::function<HttpHeaders(const HttpHeaders&)> caller_headers;
   // Makes the response to a refused request. `may_have_run` is false only if no
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -47,6 +47,7 @@
                     {"state", NameOf(it.state)},
                     {"ejections", it.ejections},
                     {"limit", it.limit},
+                    {"rate_limit", it.rate_limit},
                     {"wait_seconds", it.wait_seconds},
                     {"seconds_per_token", it.seconds_per_token},
                     {"seconds_per_prompt_token", it.seconds_per_prompt_token}});
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -48,6 +48,12 @@
   table_.RecordFirstToken(choice, elapsed, Clock::now());
 }
 
+bool SharedTargets::RecordRateLimit(const TargetChoice& choice,
+                                    std::optional<double> limit) {
+  std::lock_guard lock(mutex_);
+  return table_.RecordRateLimit(choice, limit, Clock::now());
+}
+
 void SharedTargets::EndAttempt(const TargetChoice& choice,
                                AttemptOutcome outcome,
                                std::chrono::duration<double> token_time) {
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -41,6 +41,9 @@
   // Must be called when the first token of an attempt has arrived.
   void RecordFirstToken(TargetChoice& choice,
                         std::chrono::duration<double> elapsed);
+  // Records the rate limit that the response to the attempt named, or that it
+  // named none. Returns whether the target's limit changed.
+  bool RecordRateLimit(const TargetChoice& choice, std::optional<double> limit);
   // `token_time` is the measured time between tokens, 0 if it is not known.
   void EndAttempt(const TargetChoice& choice,
                   AttemptOutcome outcome = AttemptOutcome::kNoVerdict,
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -14,6 +14,7 @@
 #include "libs/routing/prefix_ring.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
+#include "libs/routing/target_rate_limit.h"
 
 namespace turmericwinch {
 
@@ -30,6 +31,7 @@
   TargetLoad load{1};
   ConcurrencyLimit limit;
   TargetHealth health;
+  TargetRateLimit rate_limit;
 
   // Requests that this host may have in flight at the target. Few at a new
   // target that has not answered yet: its speed is unknown, and all hosts start
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -356,6 +356,14 @@
     target->health.Eject(now);
 }
 
+bool TargetTable::RecordRateLimit(const TargetChoice& choice,
+                                  std::optional<double> limit,
+                                  TimePoint now) {
+  Target* target = d_->Find(choice);
+  return target &&
+         target->rate_limit.RecordResponse(limit, choice.sent_at, now);
+}
+
 void TargetTable::RecordLoadReport(const std::string& name,
                                    const LoadReport& report) {
   auto it = d_->targets.find(name);
@@ -370,7 +378,8 @@
         {name, it.member.failure_domain, it.service, it.member.address,
          it.load.in_flight(), it.member.leaving, it.health.State(now),
          it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
-         it.load.seconds_per_token(), it.load.seconds_per_prompt_token()});
+         it.load.seconds_per_token(), it.load.seconds_per_prompt_token(),
+         it.rate_limit.limit().value_or(0)});
   }
   return stats;
 }
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -69,6 +69,9 @@
   double wait_seconds = 0;
   double seconds_per_token = 0;
   double seconds_per_prompt_token = 0;
+  // Requests per second that the target takes from all hosts; 0 if it named no
+  // limit.
+  double rate_limit = 0;
 };
 
 // Chooses the target with the least expected time, in the own failure domain
@@ -111,6 +114,11 @@
                   AttemptOutcome outcome,
                   std::chrono::duration<double> token_time,
                   TimePoint now);
+  // Records the rate limit that the response to the attempt named, or that it
+  // named none. Returns whether the target's limit changed.
+  bool RecordRateLimit(const TargetChoice& choice,
+                       std::optional<double> limit,
+                       TimePoint now);
   // Records the load that the target `name` reported.
   void RecordLoadReport(const std::string& name, const LoadReport& report);
 
--- a/tests/adapter/edge_dialect_test.cc
+++ b/tests/adapter/edge_dialect_test.cc
@@ -199,4 +199,15 @@
   }
 }
 
+TEST(EdgeDialect, ARateLimitIsAPositiveDecimalNumber) {
+  const auto limit = [this](const char* text) {
+    return dialect.parse_rate_limit(Headers({{"Server-Limit", text}}));
+  };
+  DOUBLES_EQUAL(4.25, *limit("4.25"), 1e-9);
+  DOUBLES_EQUAL(12, *limit(" 12 "), 1e-9);
+  for (const char* it : {"", "0", "-1", "many", "1,5", "nan", "inf", "1e999"})
+    CHECK_TEXT(!limit(it), it);
+  CHECK(!dialect.parse_rate_limit(HttpHeaders()));
+}
+
 }  // namespace turmericwinch::platform
