--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -46,6 +46,10 @@
   kCutStream,
 };
 
+// Requests per second that a scripted target with a limit names. So few that a
+// test never lasts until the next one.
+constexpr char kRateLimit[] = "0.0001";
+
 // Id of a prompt part on which a scripted target crashes.
 constexpr char kDeadlyPart[] = "dead";
 
@@ -68,6 +72,7 @@
                                  nullptr)) {}
 
   std::vector<HttpRequest> requests;
+  bool names_limit = false;
 
  private:
   asio::awaitable<void> Handle(const HttpRequest& request,
@@ -89,6 +94,8 @@
             : std::string(request.headers.Get("Turmericwinch-Attempt-Id")));
     if (behavior != TargetBehavior::kUnsigned)
       response.headers.Add("Turmericwinch-Response-Signature", "mac");
+    if (names_limit)
+      response.headers.Add("Server-Limit", kRateLimit);
     response.body = "whole";
     switch (behavior) {
       case TargetBehavior::kClose:
@@ -388,6 +395,38 @@
   CHECK(ended);
 }
 
+TEST(GatewayCall, ATargetGetsNoMoreRequestsThanTheRateLimitThatItNamed) {
+  // The bound of the users' platform: one and a half times the limit, and 5.
+  constexpr std::size_t kMaxAfterLimit = 5;
+  constexpr int kRequests = 40;
+  one.names_limit = true;
+  // The retry of the first request goes to the other target.
+  script = {TargetBehavior::kFail};
+  LONGS_EQUAL(200, StatusOf("/again/1"));
+  const std::size_t before = one.requests.size();
+  LONGS_EQUAL(1, before);
+  for (int n = 0; n < kRequests; ++n)
+    LONGS_EQUAL(200, StatusOf("/again/1"));
+  CHECK(one.requests.size() - before <= kMaxAfterLimit);
+  CHECK(two.requests.size() >= kRequests - kMaxAfterLimit);
+  // Retries keep to the limit, too.
+  script.assign(kRequests, TargetBehavior::kFail);
+  for (int n = 0; n < kRequests; ++n)
+    StatusOf("/again/1");
+  CHECK(one.requests.size() - before <= kMaxAfterLimit);
+}
+
+TEST(GatewayCall, ARequestThatNoRateLimitAllowsIsRefusedAtOnce) {
+  one.names_limit = true;
+  two.names_limit = true;
+  int status = 0;
+  for (int n = 0; n < 40; ++n)
+    status = StatusOf("/again/1");
+  LONGS_EQUAL(503, status);
+  HttpRequest request = Request("/again/1");
+  CHECK(Call(request)->headers.Has("Retry-After"));
+}
+
 // Bytes that are no answer may come without end until the caller closes.
 TEST(GatewayCall, BytesWithoutEndFromATargetAreReadOnlyToALimit) {
   const std::string ok =
