--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -242,6 +242,7 @@
   asio::co_spawn(context.control, d_->account_manager->Run(), asio::detached);
   asio::co_spawn(context.control, d_->quarantine_store->Run(), asio::detached);
   asio::co_spawn(context.control, context.quarantine.Run(), asio::detached);
+  asio::co_spawn(context.control, context.rate_limits.Run(), asio::detached);
   context.control.run();
   return d_->exit_code;
 }
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -352,6 +352,7 @@
 
 asio::awaitable<void> CallRunner::RunAttempts() {
   context_.retries.OnRequest(resolved_.service);
+  context_.demand.RecordRequest(resolved_.service, Clock::now());
   for (bool is_first = true;; is_first = false) {
     std::optional<TargetChoice> choice = co_await ChooseTarget(is_first);
     if (!choice) {
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -55,6 +55,13 @@
 inline constexpr std::chrono::milliseconds kQuarantineResendInterval{1'000};
 inline constexpr std::size_t kQuarantineResendPeers = 8;
 
+// Interval at which hosts tell each other of rate limits and their demand, the
+// window over which the demand is averaged, and the time for which that of
+// another host counts.
+inline constexpr std::chrono::milliseconds kRateShareInterval{500};
+inline constexpr std::chrono::seconds kServiceDemandWindow{4};
+inline constexpr std::chrono::milliseconds kPeerDemandHold{3'000};
+
 // Time by which the stored end of a quarantine may be too early.
 inline constexpr std::chrono::milliseconds kStoredHoldSlack{10'000};
 
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -16,7 +16,9 @@
 #include "libs/gateway/gateway_peers.h"
 #include "libs/gateway/gateway_settings.h"
 #include "libs/gateway/link_load.h"
+#include "libs/gateway/rate_limit_sharing.h"
 #include "libs/gateway/request_quarantine.h"
+#include "libs/gateway/service_demand.h"
 #include "libs/gateway/service_retries.h"
 #include "libs/http/http_client.h"
 #include "libs/node/node_metrics.h"
@@ -78,9 +80,11 @@
   SharedTargets targets;
   SharedLedger ledger;
   ServiceRetries retries;
+  ServiceDemand demand;
   LinkLoad link;
   GatewayPeers peers{control, settings};
   RequestQuarantine quarantine{control, peers};
+  RateLimitSharing rate_limits{control, peers, targets, demand};
   // Whether the list of targets was received once.
   std::atomic<bool> targets_known{false};
   std::atomic<bool> draining{false};
--- a/src/libs/gateway/gateway_peers.h
+++ b/src/libs/gateway/gateway_peers.h
@@ -41,6 +41,8 @@
   // Sends to `count` hosts, chosen at random, or to all if there are fewer.
   void SendToSome(const PeerFrame& frame, std::size_t count);
   std::size_t size() const { return addresses_.size(); }
+  // Addresses of the other hosts.
+  const std::vector<std::string>& addresses() const { return addresses_; }
 
  private:
   void HandleFrame(const PeerFrame& frame);
--- /dev/null
+++ b/src/libs/gateway/rate_limit_sharing.cc
@@ -0,0 +1,115 @@
+#include "libs/gateway/rate_limit_sharing.h"
+
+#include <boost/asio.hpp>
+
+#include "libs/base/log.h"
+#include "libs/gateway/gateway_constants.h"
+#include "libs/routing/routing_constants.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr LogCategory kLog{"gateway"};
+
+}  // namespace
+
+RateLimitSharing::RateLimitSharing(asio::io_context& control,
+                                   GatewayPeers& peers,
+                                   SharedTargets& targets,
+                                   ServiceDemand& demand)
+    : control_(control), peers_(peers), targets_(targets), demand_(demand) {
+  peers_.AddHandler(
+      [this](const PeerFrame& frame) { return HandleFrame(frame); });
+}
+
+asio::awaitable<void> RateLimitSharing::Run() {
+  asio::steady_timer timer(control_);
+  for (;;) {
+    timer.expires_after(kRateShareInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    Update();
+  }
+}
+
+void RateLimitSharing::Update() {
+  targets_.SetFirstRateShare(1.0 / static_cast<double>(peers_.size() + 1));
+  const std::vector<RateLimitStatus> limits = targets_.RateLimits();
+  if (limits.empty())
+    return;
+  SendNotice(limits);
+  UpdateShares(limits);
+}
+
+void RateLimitSharing::SendNotice(const std::vector<RateLimitStatus>& limits) {
+  RateLimitNotice notice{peers_.address(), demand_.Rates(Clock::now()), {}};
+  for (const RateLimitStatus& it : limits) {
+    notice.limits.push_back(
+        {it.target, it.incarnation, it.limit,
+         std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                               it.heard_at)});
+  }
+  peers_.SendToAll(notice);
+}
+
+void RateLimitSharing::UpdateShares(
+    const std::vector<RateLimitStatus>& limits) {
+  for (const RateLimitStatus& it : limits) {
+    if (!it.limit)
+      continue;
+    const std::vector<HostDemand> demands = DemandsFor(it.service);
+    double share = RateShareOf(peers_.address(), it.target, *it.limit, demands);
+    if (Clock::now() - it.heard_at > kRateLimitStale)
+      share = 1.0 / static_cast<double>(demands.size());
+    targets_.SetRateShare(it.target, share);
+  }
+}
+
+std::vector<HostDemand> RateLimitSharing::DemandsFor(
+    const std::string& service) {
+  const Clock::time_point now = Clock::now();
+  std::vector<HostDemand> demands = {
+      {peers_.address(), demand_.Rates(now)[service]}};
+  std::vector<std::string> silent;
+  double sum = demands.front().rate;
+  for (const std::string& address : peers_.addresses()) {
+    auto it = known_peers_.find(address);
+    if (it == known_peers_.end() ||
+        now - it->second.heard_at > kPeerDemandHold) {
+      silent.push_back(address);
+      continue;
+    }
+    demands.push_back({address, it->second.demands[service]});
+    sum += demands.back().rate;
+  }
+  const double mean = sum / static_cast<double>(demands.size());
+  for (const std::string& it : silent)
+    demands.push_back({it, mean});
+  return demands;
+}
+
+bool RateLimitSharing::HandleFrame(const PeerFrame& frame) {
+  const auto* notice = std::get_if<RateLimitNotice>(&frame);
+  if (!notice)
+    return false;
+  const Clock::time_point now = Clock::now();
+  known_peers_[notice->peer] = {notice->demands, now};
+  std::erase_if(known_peers_, [now](const auto& it) {
+    return now - it.second.heard_at > kPeerDemandHold;
+  });
+  for (const NamedRateLimit& it : notice->limits) {
+    const bool changed = targets_.RecordRateLimitNotice(
+        {it.target, it.incarnation, "", it.limit, now - it.age});
+    if (changed) {
+      LogEvent(kLog, Severity::kInfo, "target_rate_limit",
+               {{"peer", notice->peer},
+                {"target", it.target},
+                {"per_second", it.limit ? std::to_string(*it.limit) : "none"}});
+    }
+  }
+  return true;
+}
+
+}  // namespace turmericwinch
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -54,6 +54,26 @@
   return table_.RecordRateLimit(choice, limit, Clock::now());
 }
 
+bool SharedTargets::RecordRateLimitNotice(const RateLimitStatus& status) {
+  std::lock_guard lock(mutex_);
+  return table_.RecordRateLimitNotice(status, Clock::now());
+}
+
+void SharedTargets::SetRateShare(const std::string& target, double share) {
+  std::lock_guard lock(mutex_);
+  table_.SetRateShare(target, share, Clock::now());
+}
+
+void SharedTargets::SetFirstRateShare(double share) {
+  std::lock_guard lock(mutex_);
+  table_.SetFirstRateShare(share);
+}
+
+std::vector<RateLimitStatus> SharedTargets::RateLimits() const {
+  std::lock_guard lock(mutex_);
+  return table_.RateLimits(Clock::now());
+}
+
 void SharedTargets::EndAttempt(const TargetChoice& choice,
                                AttemptOutcome outcome,
                                std::chrono::duration<double> token_time) {
@@ -76,6 +96,46 @@
   }
 }
 
+bool SharedTargets::IsRateQueueFull(const std::string& service,
+                                    Clock::time_point now,
+                                    Reason* reason) const {
+  const std::optional<double> rate = table_.AllowedRate(service, now);
+  if (!rate)
+    return false;
+  const std::size_t waiting = queue_.Sizes()[service];
+  if (static_cast<double>(waiting) <= *rate * kMaxRateLimitQueue.count())
+    return false;
+  *reason = {ResultCode::kOverloaded, "the rate limits of all targets of " +
+                                          service + " allow this host " +
+                                          std::to_string(*rate) +
+                                          " requests a second, and " +
+                                          std::to_string(waiting) + " wait"};
+  return true;
+}
+
+// Rate limits allow the next request at a known time, and nothing else may
+// happen then that starts it.
+asio::awaitable<void> SharedTargets::WaitForStart(
+    std::shared_ptr<Waiter> waiter,
+    Clock::time_point deadline) {
+  for (;;) {
+    {
+      std::lock_guard lock(mutex_);
+      const Clock::time_point now = Clock::now();
+      if (waiter->choice || now >= deadline)
+        co_return;
+      const auto next = table_.NextRateStart(waiter->ticket.service, now);
+      waiter->timer.expires_at(
+          std::min(std::max(next.value_or(deadline), now + kMinRateWait),
+                   std::max(deadline, now + kMinRateWait)));
+    }
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    std::lock_guard lock(mutex_);
+    if (!waiter->choice)
+      StartQueuedRequests();
+  }
+}
+
 std::shared_ptr<SharedTargets::Waiter> SharedTargets::BeginOrEnqueue(
     const RoutingRequest& request,
     Clock::time_point deadline,
@@ -83,14 +143,16 @@
     std::optional<TargetChoice>& choice,
     Reason* reason) {
   const Clock::time_point now = Clock::now();
-  deadline = std::min(deadline, now + kMaxTargetWait);
   std::optional<QueueTicket> ticket;
   std::lock_guard lock(mutex_);
   choice = queue_.BeginOrEnqueue(request, deadline, now, &ticket, reason);
   if (!ticket)
     return nullptr;
+  if (IsRateQueueFull(request.service, now, reason)) {
+    queue_.Remove(*ticket);
+    return nullptr;
+  }
   auto waiter = std::make_shared<Waiter>(executor, *ticket);
-  waiter->timer.expires_at(deadline);
   waiters_.emplace(*ticket, waiter);
   return waiter;
 }
@@ -100,13 +162,14 @@
     Clock::time_point deadline,
     Reason* reason) {
   request.limited = true;
+  deadline = std::min(deadline, Clock::now() + kMaxTargetWait);
   auto executor = co_await asio::this_coro::executor;
   std::optional<TargetChoice> choice;
   std::shared_ptr<Waiter> waiter =
       BeginOrEnqueue(request, deadline, executor, choice, reason);
   if (!waiter)
     co_return choice;
-  co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  co_await WaitForStart(waiter, deadline);
   std::lock_guard lock(mutex_);
   if (waiter->choice)
     co_return std::move(waiter->choice);
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -33,7 +33,8 @@
   // Begins the first attempt of a request. Waits until `deadline`, in fair
   // order by team, while every target is full, or while the request's team
   // already has its share in flight and the targets have reached their limits.
-  // Fails with kOverloaded or kNoTarget.
+  // If all targets have named rate limits, waits only behind as many requests
+  // as start within kMaxRateLimitQueue. Fails with kOverloaded or kNoTarget.
   boost::asio::awaitable<std::optional<TargetChoice>> WaitForTarget(
       RoutingRequest request,
       std::chrono::steady_clock::time_point deadline,
@@ -44,6 +45,11 @@
   // Records the rate limit that the response to the attempt named, or that it
   // named none. Returns whether the target's limit changed.
   bool RecordRateLimit(const TargetChoice& choice, std::optional<double> limit);
+  // See the functions of TargetTable.
+  bool RecordRateLimitNotice(const RateLimitStatus& status);
+  void SetRateShare(const std::string& target, double share);
+  void SetFirstRateShare(double share);
+  std::vector<RateLimitStatus> RateLimits() const;
   // `token_time` is the measured time between tokens, 0 if it is not known.
   void EndAttempt(const TargetChoice& choice,
                   AttemptOutcome outcome = AttemptOutcome::kNoVerdict,
@@ -58,6 +64,15 @@
   // Starts waiting requests while targets have capacity. The mutex must be
   // held.
   void StartQueuedRequests();
+  // Whether the rate limits of the service's targets let no further request
+  // wait. The mutex must be held.
+  bool IsRateQueueFull(const std::string& service,
+                       std::chrono::steady_clock::time_point now,
+                       Reason* reason) const;
+  // Waits until the waiter's request has started, or until the deadline.
+  boost::asio::awaitable<void> WaitForStart(
+      std::shared_ptr<Waiter> waiter,
+      std::chrono::steady_clock::time_point deadline);
   // Starts or queues a request. Returns null if it was started or refused.
   std::shared_ptr<Waiter> BeginOrEnqueue(
       const RoutingRequest& request,
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -2426,6 +2426,442 @@
 }
 
 
+ServiceDemand::~ServiceDemand() noexcept {
+}
+
+
+void ServiceDemand::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ServiceDemand::__set_rate(const double val) {
+  this->rate = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServiceDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceDemand");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceDemand &a, ServiceDemand &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.rate, b.rate);
+  swap(a.__isset, b.__isset);
+}
+
+ServiceDemand::ServiceDemand(const ServiceDemand& other74) {
+  name = other74.name;
+  rate = other74.rate;
+  __isset = other74.__isset;
+}
+ServiceDemand& ServiceDemand::operator=(const ServiceDemand& other75) {
+  name = other75.name;
+  rate = other75.rate;
+  __isset = other75.__isset;
+  return *this;
+}
+void ServiceDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServiceDemand(";
+  out << "name=" << to_string(name);
+  out << ", " << "rate=" << to_string(rate);
+  out << ")";
+}
+
+
+NamedRateLimit::~NamedRateLimit() noexcept {
+}
+
+
+void NamedRateLimit::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void NamedRateLimit::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+
+void NamedRateLimit::__set_limit(const double val) {
+  this->limit = val;
+}
+
+void NamedRateLimit::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const NamedRateLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NamedRateLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NamedRateLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NamedRateLimit");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NamedRateLimit &a, NamedRateLimit &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.incarnation, b.incarnation);
+  swap(a.limit, b.limit);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+NamedRateLimit::NamedRateLimit(const NamedRateLimit& other76) {
+  target = other76.target;
+  incarnation = other76.incarnation;
+  limit = other76.limit;
+  age_ms = other76.age_ms;
+  __isset = other76.__isset;
+}
+NamedRateLimit& NamedRateLimit::operator=(const NamedRateLimit& other77) {
+  target = other77.target;
+  incarnation = other77.incarnation;
+  limit = other77.limit;
+  age_ms = other77.age_ms;
+  __isset = other77.__isset;
+  return *this;
+}
+void NamedRateLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NamedRateLimit(";
+  out << "target=" << to_string(target);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "limit=" << to_string(limit);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+RateLimitNotice::~RateLimitNotice() noexcept {
+}
+
+
+void RateLimitNotice::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+
+void RateLimitNotice::__set_demands(const std::vector<ServiceDemand> & val) {
+  this->demands = val;
+}
+
+void RateLimitNotice::__set_limits(const std::vector<NamedRateLimit> & val) {
+  this->limits = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateLimitNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateLimitNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          this->__isset.peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->demands.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->demands[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->limits.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
+            {
+              xfer += this->limits[_i87].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateLimitNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateLimitNotice");
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
+    std::vector<ServiceDemand> ::const_iterator _iter88;
+    for (_iter88 = this->demands.begin(); _iter88 != this->demands.end(); ++_iter88)
+    {
+      xfer += (*_iter88).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<NamedRateLimit> ::const_iterator _iter89;
+    for (_iter89 = this->limits.begin(); _iter89 != this->limits.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateLimitNotice &a, RateLimitNotice &b) {
+  using ::std::swap;
+  swap(a.peer, b.peer);
+  swap(a.demands, b.demands);
+  swap(a.limits, b.limits);
+  swap(a.__isset, b.__isset);
+}
+
+RateLimitNotice::RateLimitNotice(const RateLimitNotice& other90) {
+  peer = other90.peer;
+  demands = other90.demands;
+  limits = other90.limits;
+  __isset = other90.__isset;
+}
+RateLimitNotice& RateLimitNotice::operator=(const RateLimitNotice& other91) {
+  peer = other91.peer;
+  demands = other91.demands;
+  limits = other91.limits;
+  __isset = other91.__isset;
+  return *this;
+}
+void RateLimitNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateLimitNotice(";
+  out << "peer=" << to_string(peer);
+  out << ", " << "demands=" << to_string(demands);
+  out << ", " << "limits=" << to_string(limits);
+  out << ")";
+}
+
+
 HostListAsk::~HostListAsk() noexcept {
 }
 
@@ -2552,19 +2988,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListAsk::HostListAsk(const HostListAsk& other74) {
-  digest = other74.digest;
-  part_of = other74.part_of;
-  offset = other74.offset;
-  peer = other74.peer;
-  __isset = other74.__isset;
+HostListAsk::HostListAsk(const HostListAsk& other92) {
+  digest = other92.digest;
+  part_of = other92.part_of;
+  offset = other92.offset;
+  peer = other92.peer;
+  __isset = other92.__isset;
 }
-HostListAsk& HostListAsk::operator=(const HostListAsk& other75) {
-  digest = other75.digest;
-  part_of = other75.part_of;
-  offset = other75.offset;
-  peer = other75.peer;
-  __isset = other75.__isset;
+HostListAsk& HostListAsk::operator=(const HostListAsk& other93) {
+  digest = other93.digest;
+  part_of = other93.part_of;
+  offset = other93.offset;
+  peer = other93.peer;
+  __isset = other93.__isset;
   return *this;
 }
 void HostListAsk::printTo(std::ostream& out) const {
@@ -2772,27 +3208,27 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListPart::HostListPart(const HostListPart& other76) {
-  version = other76.version;
-  age_ms = other76.age_ms;
-  base = other76.base;
-  digest = other76.digest;
-  offset = other76.offset;
-  total = other76.total;
-  text = other76.text;
-  peer = other76.peer;
-  __isset = other76.__isset;
-}
-HostListPart& HostListPart::operator=(const HostListPart& other77) {
-  version = other77.version;
-  age_ms = other77.age_ms;
-  base = other77.base;
-  digest = other77.digest;
-  offset = other77.offset;
-  total = other77.total;
-  text = other77.text;
-  peer = other77.peer;
-  __isset = other77.__isset;
+HostListPart::HostListPart(const HostListPart& other94) {
+  version = other94.version;
+  age_ms = other94.age_ms;
+  base = other94.base;
+  digest = other94.digest;
+  offset = other94.offset;
+  total = other94.total;
+  text = other94.text;
+  peer = other94.peer;
+  __isset = other94.__isset;
+}
+HostListPart& HostListPart::operator=(const HostListPart& other95) {
+  version = other95.version;
+  age_ms = other95.age_ms;
+  base = other95.base;
+  digest = other95.digest;
+  offset = other95.offset;
+  total = other95.total;
+  text = other95.text;
+  peer = other95.peer;
+  __isset = other95.__isset;
   return *this;
 }
 void HostListPart::printTo(std::ostream& out) const {
@@ -2882,6 +3318,11 @@
   this->prompt_part_notice = val;
 __isset.prompt_part_notice = true;
 }
+
+void Frame::__set_rate_limit_notice(const RateLimitNotice& val) {
+  this->rate_limit_notice = val;
+__isset.rate_limit_notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -3022,6 +3463,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rate_limit_notice.read(iprot);
+          this->__isset.rate_limit_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3108,6 +3557,11 @@
     xfer += this->prompt_part_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.rate_limit_notice) {
+    xfer += oprot->writeFieldBegin("rate_limit_notice", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->rate_limit_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3129,42 +3583,45 @@
   swap(a.host_list_part, b.host_list_part);
   swap(a.crash_notice, b.crash_notice);
   swap(a.prompt_part_notice, b.prompt_part_notice);
+  swap(a.rate_limit_notice, b.rate_limit_notice);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other78) {
-  version = other78.version;
-  hello = other78.hello;
-  proof = other78.proof;
-  membership = other78.membership;
-  config_notice = other78.config_notice;
-  config_request = other78.config_request;
-  config_part = other78.config_part;
-  budget_ask = other78.budget_ask;
-  budget_answer = other78.budget_answer;
-  quarantine_notice = other78.quarantine_notice;
-  host_list_ask = other78.host_list_ask;
-  host_list_part = other78.host_list_part;
-  crash_notice = other78.crash_notice;
-  prompt_part_notice = other78.prompt_part_notice;
-  __isset = other78.__isset;
-}
-Frame& Frame::operator=(const Frame& other79) {
-  version = other79.version;
-  hello = other79.hello;
-  proof = other79.proof;
-  membership = other79.membership;
-  config_notice = other79.config_notice;
-  config_request = other79.config_request;
-  config_part = other79.config_part;
-  budget_ask = other79.budget_ask;
-  budget_answer = other79.budget_answer;
-  quarantine_notice = other79.quarantine_notice;
-  host_list_ask = other79.host_list_ask;
-  host_list_part = other79.host_list_part;
-  crash_notice = other79.crash_notice;
-  prompt_part_notice = other79.prompt_part_notice;
-  __isset = other79.__isset;
+Frame::Frame(const Frame& other96) {
+  version = other96.version;
+  hello = other96.hello;
+  proof = other96.proof;
+  membership = other96.membership;
+  config_notice = other96.config_notice;
+  config_request = other96.config_request;
+  config_part = other96.config_part;
+  budget_ask = other96.budget_ask;
+  budget_answer = other96.budget_answer;
+  quarantine_notice = other96.quarantine_notice;
+  host_list_ask = other96.host_list_ask;
+  host_list_part = other96.host_list_part;
+  crash_notice = other96.crash_notice;
+  prompt_part_notice = other96.prompt_part_notice;
+  rate_limit_notice = other96.rate_limit_notice;
+  __isset = other96.__isset;
+}
+Frame& Frame::operator=(const Frame& other97) {
+  version = other97.version;
+  hello = other97.hello;
+  proof = other97.proof;
+  membership = other97.membership;
+  config_notice = other97.config_notice;
+  config_request = other97.config_request;
+  config_part = other97.config_part;
+  budget_ask = other97.budget_ask;
+  budget_answer = other97.budget_answer;
+  quarantine_notice = other97.quarantine_notice;
+  host_list_ask = other97.host_list_ask;
+  host_list_part = other97.host_list_part;
+  crash_notice = other97.crash_notice;
+  prompt_part_notice = other97.prompt_part_notice;
+  rate_limit_notice = other97.rate_limit_notice;
+  __isset = other97.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -3184,6 +3641,7 @@
   out << ", " << "host_list_part="; (__isset.host_list_part ? (out << to_string(host_list_part)) : (out << "<null>"));
   out << ", " << "crash_notice="; (__isset.crash_notice ? (out << to_string(crash_notice)) : (out << "<null>"));
   out << ", " << "prompt_part_notice="; (__isset.prompt_part_notice ? (out << to_string(prompt_part_notice)) : (out << "<null>"));
+  out << ", " << "rate_limit_notice="; (__isset.rate_limit_notice ? (out << to_string(rate_limit_notice)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -53,6 +53,12 @@
 
 class PromptPartNotice;
 
+class ServiceDemand;
+
+class NamedRateLimit;
+
+class RateLimitNotice;
+
 class HostListAsk;
 
 class HostListPart;
@@ -1019,6 +1025,175 @@
 
 std::ostream& operator<<(std::ostream& out, const PromptPartNotice& obj);
 
+typedef struct _ServiceDemand__isset {
+  _ServiceDemand__isset() : name(false), rate(false) {}
+  bool name :1;
+  bool rate :1;
+} _ServiceDemand__isset;
+
+class ServiceDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceDemand(const ServiceDemand&);
+  ServiceDemand& operator=(const ServiceDemand&);
+  ServiceDemand() noexcept
+                : name(),
+                  rate(0) {
+  }
+
+  virtual ~ServiceDemand() noexcept;
+  std::string name;
+  double rate;
+
+  _ServiceDemand__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_rate(const double val);
+
+  bool operator == (const ServiceDemand & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceDemand &a, ServiceDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceDemand& obj);
+
+typedef struct _NamedRateLimit__isset {
+  _NamedRateLimit__isset() : target(false), incarnation(false), limit(false), age_ms(false) {}
+  bool target :1;
+  bool incarnation :1;
+  bool limit :1;
+  bool age_ms :1;
+} _NamedRateLimit__isset;
+
+class NamedRateLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  NamedRateLimit(const NamedRateLimit&);
+  NamedRateLimit& operator=(const NamedRateLimit&);
+  NamedRateLimit() noexcept
+                 : target(),
+                   incarnation(),
+                   limit(0),
+                   age_ms(0) {
+  }
+
+  virtual ~NamedRateLimit() noexcept;
+  std::string target;
+  std::string incarnation;
+  double limit;
+  int64_t age_ms;
+
+  _NamedRateLimit__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_incarnation(const std::string& val);
+
+  void __set_limit(const double val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const NamedRateLimit & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const NamedRateLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NamedRateLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NamedRateLimit &a, NamedRateLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const NamedRateLimit& obj);
+
+typedef struct _RateLimitNotice__isset {
+  _RateLimitNotice__isset() : peer(false), demands(false), limits(false) {}
+  bool peer :1;
+  bool demands :1;
+  bool limits :1;
+} _RateLimitNotice__isset;
+
+class RateLimitNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateLimitNotice(const RateLimitNotice&);
+  RateLimitNotice& operator=(const RateLimitNotice&);
+  RateLimitNotice() noexcept
+                  : peer() {
+  }
+
+  virtual ~RateLimitNotice() noexcept;
+  std::string peer;
+  std::vector<ServiceDemand>  demands;
+  std::vector<NamedRateLimit>  limits;
+
+  _RateLimitNotice__isset __isset;
+
+  void __set_peer(const std::string& val);
+
+  void __set_demands(const std::vector<ServiceDemand> & val);
+
+  void __set_limits(const std::vector<NamedRateLimit> & val);
+
+  bool operator == (const RateLimitNotice & rhs) const
+  {
+    if (!(peer == rhs.peer))
+      return false;
+    if (!(demands == rhs.demands))
+      return false;
+    if (!(limits == rhs.limits))
+      return false;
+    return true;
+  }
+  bool operator != (const RateLimitNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateLimitNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateLimitNotice &a, RateLimitNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const RateLimitNotice& obj);
+
 typedef struct _HostListAsk__isset {
   _HostListAsk__isset() : digest(false), part_of(false), offset(false), peer(false) {}
   bool digest :1;
@@ -1176,7 +1351,7 @@
 std::ostream& operator<<(std::ostream& out, const HostListPart& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), budget_ask(false), budget_answer(false), quarantine_notice(false), host_list_ask(false), host_list_part(false), crash_notice(false), prompt_part_notice(false) {}
+  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), budget_ask(false), budget_answer(false), quarantine_notice(false), host_list_ask(false), host_list_part(false), crash_notice(false), prompt_part_notice(false), rate_limit_notice(false) {}
   bool version :1;
   bool hello :1;
   bool proof :1;
@@ -1191,6 +1366,7 @@
   bool host_list_part :1;
   bool crash_notice :1;
   bool prompt_part_notice :1;
+  bool rate_limit_notice :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -1217,6 +1393,7 @@
   HostListPart host_list_part;
   CrashNotice crash_notice;
   PromptPartNotice prompt_part_notice;
+  RateLimitNotice rate_limit_notice;
 
   _Frame__isset __isset;
 
@@ -1248,6 +1425,8 @@
 
   void __set_prompt_part_notice(const PromptPartNotice& val);
 
+  void __set_rate_limit_notice(const RateLimitNotice& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1304,6 +1483,10 @@
       return false;
     else if (__isset.prompt_part_notice && !(prompt_part_notice == rhs.prompt_part_notice))
       return false;
+    if (__isset.rate_limit_notice != rhs.__isset.rate_limit_notice)
+      return false;
+    else if (__isset.rate_limit_notice && !(rate_limit_notice == rhs.rate_limit_notice))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -132,6 +132,28 @@
   2: list<i64> answered
 }
 
+// Requests per second that callers send to a service at the sender.
+struct ServiceDemand {
+  1: string name
+  2: double rate
+}
+
+// The target takes `limit` requests per second from all hosts together, or has
+// ended its limit if `limit` is 0. It said so `age_ms` before this frame.
+struct NamedRateLimit {
+  1: string target
+  2: string incarnation
+  3: double limit
+  4: i64 age_ms
+}
+
+// The demand at `peer`, by which hosts divide the rate limits of targets.
+struct RateLimitNotice {
+  1: string peer
+  2: list<ServiceDemand> demands
+  3: list<NamedRateLimit> limits
+}
+
 // Requests the host list unless its digest is `digest`. `offset` is the
 // position from which the text with digest `part_of` is to be continued.
 struct HostListAsk {
@@ -172,4 +194,5 @@
   13: optional HostListPart host_list_part
   14: optional CrashNotice crash_notice
   15: optional PromptPartNotice prompt_part_notice
+  16: optional RateLimitNotice rate_limit_notice
 }
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -7,6 +7,7 @@
 #include "libs/peer/budget_wire.h"
 #include "libs/peer/crash_wire.h"
 #include "libs/peer/peer_constants.h"
+#include "libs/peer/rate_limit_wire.h"
 
 namespace turmericwinch {
 
@@ -109,6 +110,9 @@
   void operator()(const PromptPartNotice& notice) const {
     frame_->__set_prompt_part_notice(ToWire(notice));
   }
+  void operator()(const RateLimitNotice& notice) const {
+    frame_->__set_rate_limit_notice(ToWire(notice));
+  }
   void operator()(const HostListRequest& request) const {
     wire::HostListAsk result;
     result.digest = request.digest;
@@ -211,6 +215,8 @@
     return CrashNoticeOf(wire.crash_notice);
   if (wire.__isset.prompt_part_notice)
     return PromptPartNoticeOf(wire.prompt_part_notice);
+  if (wire.__isset.rate_limit_notice)
+    return RateLimitNoticeOf(wire.rate_limit_notice);
   if (wire.__isset.host_list_ask)
     return HostListRequestOf(wire.host_list_ask);
   if (wire.__isset.host_list_part)
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,6 +74,23 @@
   std::vector<PromptPartId> answered;
 };
 
+// The target takes `limit` requests per second from all hosts together; without
+// a value it has ended its limit. `age` is the time since it said so.
+struct NamedRateLimit {
+  std::string target;
+  std::string incarnation;
+  std::optional<double> limit;
+  std::chrono::milliseconds age{0};
+};
+
+// The requests per second that callers send to each service at the host `peer`,
+// and the rate limits of targets that it knows.
+struct RateLimitNotice {
+  std::string peer;
+  std::map<std::string, double> demands;
+  std::vector<NamedRateLimit> limits;
+};
+
 // Requests the receiver's host list unless its digest is `digest`; the response
 // goes to `peer`. `offset` is the position from which the text with digest
 // `part_of` is to be continued.
@@ -107,6 +126,7 @@
                                QuarantineNotice,
                                CrashNotice,
                                PromptPartNotice,
+                               RateLimitNotice,
                                HostListRequest,
                                HostListPart,
                                LoanRequest,
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -122,6 +122,25 @@
 // Time for which a team counts as active after its last request.
 inline constexpr std::chrono::seconds kTeamActiveTime{60};
 
+// Hosts that get a share of the rate limit of a target, however low it is.
+inline constexpr double kMinRateHosts = 2;
+// Demand that a host without callers is assumed to have, as a fraction of the
+// mean demand of the hosts: its callers may come back.
+inline constexpr double kMinDemandFraction = 0.1;
+// Longest wait for a request that a rate limit allows; beyond it the target
+// counts as unusable.
+inline constexpr std::chrono::duration<double> kMaxStartWait{60};
+// Shortest wait for the next request that a rate limit allows.
+inline constexpr std::chrono::milliseconds kMinRateWait{1};
+// Requests may wait for targets with rate limits only as long as their starts
+// take at most this time: callers are better off with another host.
+inline constexpr std::chrono::duration<double> kMaxRateLimitQueue{0.5};
+// Time without news of a target's rate limit after which each host may use an
+// equal part: the hosts with a share may be gone.
+inline constexpr std::chrono::milliseconds kRateLimitStale{4'000};
+// Time for which a host tells others that a rate limit has ended.
+inline constexpr std::chrono::milliseconds kRateLimitEndHold{10'000};
+
 // Time span whose allowance of a configured rate may be used in one burst.
 inline constexpr std::chrono::duration<double> kRateBurst{1.0};
 
--- a/src/libs/routing/target_rate_limit.cc
+++ b/src/libs/routing/target_rate_limit.cc
@@ -1,18 +1,81 @@
 #include "libs/routing/target_rate_limit.h"
 
+#include <algorithm>
+
+#include "libs/routing/routing_constants.h"
+
 namespace turmericwinch {
 
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr double kMaxAllowance = 1;
+
+}  // namespace
+
 bool TargetRateLimit::RecordResponse(std::optional<double> limit,
                                      TimePoint sent_at,
                                      TimePoint now) {
-  if (limit)
-    named_at_ = now;
-  else if (limit_ && sent_at < named_at_)
+  if (!limit && (!limit_ || sent_at < heard_at_))
     return false;
-  if (limit == limit_)
+  const bool changed = limit != limit_;
+  SetLimit(limit, now, now);
+  return changed;
+}
+
+bool TargetRateLimit::RecordNotice(std::optional<double> limit,
+                                   TimePoint heard_at,
+                                   TimePoint now) {
+  if (heard_at_ && heard_at <= *heard_at_)
     return false;
+  const bool changed = limit != limit_;
+  SetLimit(limit, heard_at, now);
+  return changed;
+}
+
+void TargetRateLimit::SetLimit(std::optional<double> limit,
+                               TimePoint heard_at,
+                               TimePoint now) {
+  allowance_ = limit_ ? Allowance(now) : 0;
+  last_refill_ = now;
   limit_ = limit;
-  return true;
+  heard_at_ = heard_at;
+}
+
+void TargetRateLimit::SetShare(double share, TimePoint now) {
+  allowance_ = Allowance(now);
+  last_refill_ = now;
+  share_ = share;
+}
+
+double TargetRateLimit::Allowance(TimePoint now) const {
+  const Seconds elapsed = std::max(now - last_refill_, TimePoint::duration(0));
+  return std::min(allowance_ + own_rate() * elapsed.count(), kMaxAllowance);
+}
+
+bool TargetRateLimit::MayStart(TimePoint now) const {
+  return !limit_ || Allowance(now) >= kMaxAllowance;
+}
+
+void TargetRateLimit::RecordStart(TimePoint now) {
+  if (!limit_)
+    return;
+  allowance_ = Allowance(now) - kMaxAllowance;
+  last_refill_ = now;
+}
+
+std::optional<TargetRateLimit::TimePoint> TargetRateLimit::NextStart(
+    TimePoint now) const {
+  if (MayStart(now))
+    return now;
+  if (own_rate() <= 0)
+    return std::nullopt;
+  const Seconds wait((kMaxAllowance - Allowance(now)) / own_rate());
+  if (wait > kMaxStartWait)
+    return std::nullopt;
+  // Rounded up, so that the allowance suffices then.
+  return now + std::chrono::ceil<std::chrono::milliseconds>(wait);
 }
 
 }  // namespace turmericwinch
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -69,8 +69,8 @@
   Candidate FindBest(TargetGroup& group, const RoutingQuery& query);
   // Any target with room that the sample missed, nearest tier first. If none is
   // healthy, an ejected one, so that failure detection can't leave a service
-  // without targets.
-  Target* FindLastResort(const RoutingQuery& query, bool* any_full);
+  // without targets. Sets `obstacle` to why targets can't take the request now.
+  Target* FindLastResort(const RoutingQuery& query, const char** obstacle);
   TargetChoice StartAttempt(const RoutingQuery& query,
                             Target& target,
                             double uncached_tokens);
@@ -90,6 +90,8 @@
   std::map<std::string, std::map<int, TargetGroup>> groups;
   std::map<std::string, TeamShares> teams;
   PrefixRecord prefixes;
+  // Share of a rate limit that this host may use until SetRateShare().
+  double first_rate_share = 1;
 };
 
 std::set<std::string> TargetTable::Private::ServicesWithAnswers() const {
@@ -164,7 +166,8 @@
     if (weight == 0 || it->member.leaving ||
         static_cast<double>(it->load.in_flight()) >=
             it->AllowedInFlight(query.now) ||
-        query.excluded.contains(it->member.name))
+        query.excluded.contains(it->member.name) ||
+        !it->rate_limit.MayStart(query.now))
       return;
     const double uncached = std::max(prompt - cached, 1.0);
     const double domain_penalty = it->member.failure_domain == failure_domain
@@ -198,7 +201,7 @@
 }
 
 Target* TargetTable::Private::FindLastResort(const RoutingQuery& query,
-                                             bool* any_full) {
+                                             const char** obstacle) {
   Target* ejected = nullptr;
   auto service = groups.find(query.request.service);
   if (service == groups.end())
@@ -209,15 +212,17 @@
       if (it->member.leaving || state == TargetState::kLeaving ||
           query.excluded.contains(it->member.name))
         continue;
-      if (it->load.in_flight() >= it->max_in_flight)
-        *any_full = true;
+      if (!it->rate_limit.MayStart(query.now))
+        *obstacle = "has reached its rate limit";
+      else if (it->load.in_flight() >= it->max_in_flight)
+        *obstacle = "is full";
       else if (it->health.Weight(query.now) > 0)
         return it;
       else if (!ejected)
         ejected = it;
     }
   }
-  return *any_full ? nullptr : ejected;
+  return *obstacle ? nullptr : ejected;
 }
 
 TargetChoice TargetTable::Private::StartAttempt(const RoutingQuery& query,
@@ -231,6 +236,7 @@
   choice.team = request.team;
   choice.sent_at = query.now;
   target.load.BeginRequest(uncached_tokens, query.now);
+  target.rate_limit.RecordStart(query.now);
   if (!request.team.empty())
     teams[request.service].BeginRequest(request.team);
   if (request.prefix != 0)
@@ -306,15 +312,17 @@
         return d_->StartAttempt(query, *best.target, best.uncached_tokens);
     }
   }
-  bool any_full = false;
-  Target* last = d_->FindLastResort(query, &any_full);
+  const char* obstacle = nullptr;
+  Target* last = d_->FindLastResort(query, &obstacle);
   if (last)
     return d_->StartAttempt(query, *last,
                             static_cast<double>(request.prompt_tokens));
-  return Fail(reason,
-              any_full ? ResultCode::kOverloaded : ResultCode::kNoTarget,
-              any_full ? "every target of " + request.service + " is full"
-                       : "no target of " + request.service + " is known");
+  if (!obstacle) {
+    return Fail(reason, ResultCode::kNoTarget,
+                "no target of " + request.service + " is known");
+  }
+  return Fail(reason, ResultCode::kOverloaded,
+              "every target of " + request.service + " " + obstacle);
 }
 
 bool TargetTable::IsOverShare(const RoutingRequest& request,
@@ -360,8 +368,77 @@
                                   std::optional<double> limit,
                                   TimePoint now) {
   Target* target = d_->Find(choice);
-  return target &&
-         target->rate_limit.RecordResponse(limit, choice.sent_at, now);
+  if (!target)
+    return false;
+  TargetRateLimit& rate_limit = target->rate_limit;
+  if (limit && !rate_limit.limit())
+    rate_limit.SetShare(d_->first_rate_share, now);
+  return rate_limit.RecordResponse(limit, choice.sent_at, now);
+}
+
+bool TargetTable::RecordRateLimitNotice(const RateLimitStatus& status,
+                                        TimePoint now) {
+  auto it = d_->targets.find(status.target);
+  if (it == d_->targets.end() ||
+      it->second.member.incarnation != status.incarnation)
+    return false;
+  TargetRateLimit& rate_limit = it->second.rate_limit;
+  if (status.limit && !rate_limit.limit())
+    rate_limit.SetShare(d_->first_rate_share, now);
+  return rate_limit.RecordNotice(status.limit, status.heard_at, now);
+}
+
+void TargetTable::SetRateShare(const std::string& target,
+                               double share,
+                               TimePoint now) {
+  auto it = d_->targets.find(target);
+  if (it != d_->targets.end())
+    it->second.rate_limit.SetShare(share, now);
+}
+
+void TargetTable::SetFirstRateShare(double share) {
+  d_->first_rate_share = share;
+}
+
+std::vector<RateLimitStatus> TargetTable::RateLimits(TimePoint now) const {
+  std::vector<RateLimitStatus> result;
+  for (const auto& [name, it] : d_->targets) {
+    const std::optional<TimePoint> heard_at = it.rate_limit.heard_at();
+    if (heard_at &&
+        (it.rate_limit.limit() || now - *heard_at < kRateLimitEndHold)) {
+      result.push_back({name, it.member.incarnation, it.service,
+                        it.rate_limit.limit(), *heard_at});
+    }
+  }
+  return result;
+}
+
+std::optional<double> TargetTable::AllowedRate(const std::string& service,
+                                               TimePoint now) const {
+  std::optional<double> rate;
+  for (const auto& [name, it] : d_->targets) {
+    if (it.service != service || it.member.leaving ||
+        it.health.Weight(now) == 0)
+      continue;
+    if (!it.rate_limit.limit())
+      return std::nullopt;
+    rate = rate.value_or(0) + it.rate_limit.own_rate();
+  }
+  return rate;
+}
+
+std::optional<TargetTable::TimePoint> TargetTable::NextRateStart(
+    const std::string& service,
+    TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const auto& [name, it] : d_->targets) {
+    if (it.service != service || it.member.leaving || !it.rate_limit.limit())
+      continue;
+    const std::optional<TimePoint> start = it.rate_limit.NextStart(now);
+    if (start && (!next || *start < *next))
+      next = start;
+  }
+  return next;
 }
 
 void TargetTable::RecordLoadReport(const std::string& name,
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -74,6 +74,16 @@
   double rate_limit = 0;
 };
 
+// What is known of the rate limit of a target. Without `limit`, the target has
+// ended a limit.
+struct RateLimitStatus {
+  std::string target;
+  std::string incarnation;
+  std::string service;
+  std::optional<double> limit;
+  std::chrono::steady_clock::time_point heard_at;
+};
+
 // Chooses the target with the least expected time, in the own failure domain
 // and the near ones first. Compares a random sample of this host's subset of
 // the targets, the targets that recently got the request's prefix, and the
@@ -119,6 +129,23 @@
   bool RecordRateLimit(const TargetChoice& choice,
                        std::optional<double> limit,
                        TimePoint now);
+  // Records a rate limit, or its end, that another host heard of. Returns
+  // whether the target's limit changed.
+  bool RecordRateLimitNotice(const RateLimitStatus& status, TimePoint now);
+  // Sets the part of the target's rate limit that this host may use, 0 to 1.
+  void SetRateShare(const std::string& target, double share, TimePoint now);
+  // Sets the share of targets that name their first limit later.
+  void SetFirstRateShare(double share);
+  // The rate limits in force, and those that ended within kRateLimitEndHold.
+  std::vector<RateLimitStatus> RateLimits(TimePoint now) const;
+  // Requests per second that this host may start at the service if all its
+  // usable targets have named rate limits; nullopt if any has not.
+  std::optional<double> AllowedRate(const std::string& service,
+                                    TimePoint now) const;
+  // The earliest time at which a rate limit allows a request to the service;
+  // nullopt if no target has named one, or if none ever does.
+  std::optional<TimePoint> NextRateStart(const std::string& service,
+                                         TimePoint now) const;
   // Records the load that the target `name` reported.
   void RecordLoadReport(const std::string& name, const LoadReport& report);
 
--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -87,6 +87,26 @@
   UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
 }
 
+TEST(SharedTargets, ARequestWaitsUntilTheRateLimitAllowsIt) {
+  Choice first;
+  Spawn("one", first);
+  targets.RecordRateLimit(*first, 100);
+  const Choice second =
+      RunCoroutine(context, Wait("one", std::chrono::hours(1)));
+  CHECK(second.has_value());
+}
+
+TEST(SharedTargets, ARequestThatARateLimitDelaysTooLongIsRefusedAtOnce) {
+  Choice first;
+  Spawn("one", first);
+  targets.RecordRateLimit(*first, 1);
+  const Choice second =
+      RunCoroutine(context, Wait("one", std::chrono::hours(1)));
+  CHECK_FALSE(second.has_value());
+  CHECK(reason.code == ResultCode::kOverloaded);
+  UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+}
+
 TEST(SharedTargets, FloodOfOneTeamLeavesCapacityForOthers) {
   Choice calm;
   Spawn("calm", calm);
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -111,6 +111,32 @@
   CHECK(!DecodePayload(Payload(bad), &reason));
 }
 
+TEST(PeerCodec, RateLimitNoticeRoundTrip) {
+  const RateLimitNotice sent{
+      "10.0.0.1:1",
+      {{"llm", 2.5}},
+      {{"t", "1", 4.25, std::chrono::milliseconds(7)}, {"u", "2", {}, {}}}};
+  auto frame = DecodePayload(Payload(sent), &reason);
+  CHECK(frame.has_value());
+  const auto& read = std::get<RateLimitNotice>(*frame);
+  STRCMP_EQUAL("10.0.0.1:1", read.peer.c_str());
+  CHECK(read.demands == sent.demands);
+  LONGS_EQUAL(2, read.limits.size());
+  STRCMP_EQUAL(
+      "t 1",
+      (read.limits[0].target + " " + read.limits[0].incarnation).c_str());
+  CHECK(read.limits[0].limit == 4.25);
+  LONGS_EQUAL(7, read.limits[0].age.count());
+  CHECK(!read.limits[1].limit);
+  const RateLimitNotice bad[] = {
+      {},
+      {"p", {{"llm", -1}}, {}},
+      {"p", {}, {{"t", "1", std::nan(""), {}}}},
+      {"p", {}, {{"t", "1", 1, std::chrono::milliseconds(-1)}}}};
+  for (const RateLimitNotice& it : bad)
+    CHECK(!DecodePayload(Payload(it), &reason));
+}
+
 TEST(PeerCodec, HostListFieldsRoundTrip) {
   auto frame = DecodePayload(Payload(SampleHostListPart()), &reason);
   const auto& part = std::get<HostListPart>(*frame);
