Use the rate limits of targets more fully, by long prompts first

Cause: 0.83 to 0.9 of the limits were used, and half of that by short prompts. A limit counts requests, so a short one takes the place of a long one that costs another target ten times as much.

Tests: TargetTable.ATargetWithARateLimitIsLeftToLongPrompts, TargetRateLimit.UnusedAllowanceIsSavedUpForAShortTimeOnly, both new with it.

--- a/src/libs/routing/rate_share.h
+++ b/src/libs/routing/rate_share.h
@@ -17,9 +17,9 @@
 // Returns the part, 0 to 1, of the `limit` (requests per second) of `target`
 // that `host` may use. Answers the load of targets that take less than their
 // share of the requests: hosts with more callers get more. Each host may save
-// one request up, so that only kMinRateHosts hosts, and one more for each
-// request per second, get a share: all may use what they saved at once. The
-// hosts must have different names.
+// a request up, and all may use what they saved at once, so that only
+// kMinRateHosts hosts get a share, and one more for each request per second.
+// The hosts must have different names.
 double RateShareOf(const std::string& host,
                    const std::string& target,
                    double limit,
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -16,6 +16,8 @@
 // Weight of a sample that is slower than the estimate of the idle target's
 // prompt speed.
 inline constexpr double kSlowerSampleWeight = 0.02;
+// Weight of a new request in the moving average of the prompt lengths.
+inline constexpr double kPromptAverageWeight = 0.02;
 // Prompt length, in tokens, from which a request is used to measure the prompt
 // speed.
 inline constexpr double kMinPromptTokensForSpeed = 512;
@@ -130,6 +132,12 @@
 // Longest wait for a request that a rate limit allows; beyond it the target
 // counts as unusable.
 inline constexpr std::chrono::duration<double> kMaxStartWait{60};
+// Time whose starts at a target with a rate limit a host may save up, beyond
+// one request.
+inline constexpr std::chrono::duration<double> kSavedRateTime{0.5};
+// Allowance, in requests, that is left over after one request at a target with
+// a rate limit that is underused.
+inline constexpr double kUnderusedAllowance = 0.5;
 // Shortest wait for the next request that a rate limit allows.
 inline constexpr std::chrono::milliseconds kMinRateWait{1};
 // Requests may wait for targets with rate limits only as long as their starts
--- a/src/libs/routing/target_rate_limit.cc
+++ b/src/libs/routing/target_rate_limit.cc
@@ -10,7 +10,7 @@
 
 using Seconds = std::chrono::duration<double>;
 
-constexpr double kMaxAllowance = 1;
+constexpr double kOneRequest = 1;
 
 }  // namespace
 
@@ -51,27 +51,34 @@
 
 double TargetRateLimit::Allowance(TimePoint now) const {
   const Seconds elapsed = std::max(now - last_refill_, TimePoint::duration(0));
-  return std::min(allowance_ + own_rate() * elapsed.count(), kMaxAllowance);
+  return std::min(allowance_ + own_rate() * elapsed.count(),
+                  kOneRequest + own_rate() * kSavedRateTime.count());
 }
 
 bool TargetRateLimit::MayStart(TimePoint now) const {
-  return !limit_ || Allowance(now) >= kMaxAllowance;
+  return !limit_ || Allowance(now) >= kOneRequest;
 }
 
 void TargetRateLimit::RecordStart(TimePoint now) {
   if (!limit_)
     return;
-  allowance_ = Allowance(now) - kMaxAllowance;
+  allowance_ = Allowance(now) - kOneRequest;
   last_refill_ = now;
 }
 
+bool TargetRateLimit::IsUnderused(TimePoint now) const {
+  const Seconds elapsed = std::max(now - last_refill_, TimePoint::duration(0));
+  return allowance_ + own_rate() * elapsed.count() >=
+         kOneRequest + kUnderusedAllowance;
+}
+
 std::optional<TargetRateLimit::TimePoint> TargetRateLimit::NextStart(
     TimePoint now) const {
   if (MayStart(now))
     return now;
   if (own_rate() <= 0)
     return std::nullopt;
-  const Seconds wait((kMaxAllowance - Allowance(now)) / own_rate());
+  const Seconds wait((kOneRequest - Allowance(now)) / own_rate());
   if (wait > kMaxStartWait)
     return std::nullopt;
   // Rounded up, so that the allowance suffices then.
--- a/src/libs/routing/target_rate_limit.h
+++ b/src/libs/routing/target_rate_limit.h
@@ -32,6 +32,9 @@
   // Whether a request may start. Always true without a limit.
   bool MayStart(TimePoint now) const;
   void RecordStart(TimePoint now);
+  // Whether allowance has been left unused for a while, so that the share is
+  // higher than the demand for it.
+  bool IsUnderused(TimePoint now) const;
   // The earliest time at which a request may start; nullopt if never, because
   // this host has no share.
   std::optional<TimePoint> NextStart(TimePoint now) const;
@@ -43,8 +46,8 @@
   std::optional<TimePoint> heard_at() const { return heard_at_; }
 
  private:
-  // Requests that may start now; at most 1, as the unused allowances of all
-  // hosts may be used at once.
+  // Requests that may start now. Bounded, as the unused allowances of all hosts
+  // may be used at once.
   double Allowance(TimePoint now) const;
   void SetLimit(std::optional<double> limit, TimePoint heard_at, TimePoint now);
 
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -67,6 +67,11 @@
   void IndexGroups(double hosts);
   Target* Find(const TargetChoice& choice);
   Candidate FindBest(TargetGroup& group, const RoutingQuery& query);
+  // Whether a target with a rate limit is left to requests with longer prompts.
+  // A limit counts requests, so long ones relieve the other targets most.
+  bool IsLeftToLonger(const TargetGroup& group,
+                      const Target& target,
+                      const RoutingQuery& query) const;
   // Any target with room that the sample missed, nearest tier first. If none is
   // healthy, an ejected one, so that failure detection can't leave a service
   // without targets. Sets `obstacle` to why targets can't take the request now.
@@ -90,6 +95,8 @@
   std::map<std::string, std::map<int, TargetGroup>> groups;
   std::map<std::string, TeamShares> teams;
   PrefixRecord prefixes;
+  // Moving averages of the prompt tokens of requests, by service.
+  std::map<std::string, double> mean_prompt_tokens;
   // Share of a rate limit that this host may use until SetRateShare().
   double first_rate_share = 1;
 };
@@ -155,6 +162,22 @@
   return static_cast<double>(in_flight) >= std::max(limit - reserved, 1.0);
 }
 
+bool TargetTable::Private::IsLeftToLonger(const TargetGroup& group,
+                                          const Target& target,
+                                          const RoutingQuery& query) const {
+  if (!target.rate_limit.limit() || target.rate_limit.IsUnderused(query.now))
+    return false;
+  auto mean = mean_prompt_tokens.find(query.request.service);
+  if (mean == mean_prompt_tokens.end() ||
+      static_cast<double>(query.request.prompt_tokens) >= mean->second)
+    return false;
+  return std::any_of(group.targets.begin(), group.targets.end(),
+                     [&](const Target* it) {
+                       return !it->rate_limit.limit() && !it->member.leaving &&
+                              it->health.Weight(query.now) > 0;
+                     });
+}
+
 Candidate TargetTable::Private::FindBest(TargetGroup& group,
                                          const RoutingQuery& query) {
   Candidate best;
@@ -167,7 +190,8 @@
         static_cast<double>(it->load.in_flight()) >=
             it->AllowedInFlight(query.now) ||
         query.excluded.contains(it->member.name) ||
-        !it->rate_limit.MayStart(query.now))
+        !it->rate_limit.MayStart(query.now) ||
+        IsLeftToLonger(group, *it, query))
       return;
     const double uncached = std::max(prompt - cached, 1.0);
     const double domain_penalty = it->member.failure_domain == failure_domain
@@ -303,6 +327,10 @@
                 "team " + request.team + " has its share in flight at " +
                     request.service);
   }
+  const auto prompt = static_cast<double>(request.prompt_tokens);
+  double& mean =
+      d_->mean_prompt_tokens.try_emplace(request.service, prompt).first->second;
+  mean += kPromptAverageWeight * (prompt - mean);
   const RoutingQuery query{request, excluded, now};
   auto service = d_->groups.find(request.service);
   if (service != d_->groups.end()) {
--- a/tests/routing/target_rate_limit_test.cc
+++ b/tests/routing/target_rate_limit_test.cc
@@ -39,8 +39,18 @@
   limit.SetShare(0.25, now);
   CHECK(!limit.MayStart(now));
   LONGS_EQUAL(20, Starts(seconds(10)) + (limit.MayStart(now) ? 1 : 0));
-  // Unused allowance is not saved up beyond one request.
+}
+
+TEST(TargetRateLimit, UnusedAllowanceIsSavedUpForAShortTimeOnly) {
+  limit.RecordResponse(8, now, now);
+  limit.SetShare(0.25, now);
+  CHECK(!limit.IsUnderused(now));
   now += seconds(60);
+  CHECK(limit.IsUnderused(now));
+  // One request, and half a second of two requests a second.
+  limit.RecordStart(now);
+  CHECK(!limit.IsUnderused(now));
+  CHECK(limit.MayStart(now));
   limit.RecordStart(now);
   CHECK(!limit.MayStart(now));
   CHECK(limit.NextStart(now) == now + milliseconds(500));
--- a/tests/routing/target_table_test.cc
+++ b/tests/routing/target_table_test.cc
@@ -249,4 +249,33 @@
   CHECK(table.Stats(kStart)[0].state == TargetState::kEjected);
 }
 
+// A limit counts requests, whatever their length.
+TEST(TargetTable, ATargetWithARateLimitIsLeftToLongPrompts) {
+  list.targets = {Member("limited"), Member("free")};
+  Update();
+  const RoutingRequest long_request{"llm", 4'000};
+  const RoutingRequest short_request{"llm", 100};
+  std::optional<TargetChoice> choice;
+  while (!choice || choice->name != "limited")
+    choice = table.BeginAttempt(short_request, {}, kStart, &reason);
+  table.SetFirstRateShare(1);
+  table.RecordRateLimit(*choice, 1, kStart);
+  for (int n = 0; n < 20; ++n) {
+    auto long_choice = table.BeginAttempt(long_request, {}, kStart, &reason);
+    CHECK(!long_choice || long_choice->name == "free");
+    if (long_choice)
+      table.EndAttempt(*long_choice, AttemptOutcome::kGood, {}, kStart);
+  }
+  // One request is allowed from here on, and the other target is busy.
+  const auto now = kStart + std::chrono::seconds(1);
+  choice = table.BeginAttempt(short_request, {}, now, &reason);
+  STRCMP_EQUAL("free", choice->name.c_str());
+  choice = table.BeginAttempt(long_request, {}, now, &reason);
+  STRCMP_EQUAL("limited", choice->name.c_str());
+  // Nobody uses the allowance any more.
+  choice = table.BeginAttempt(short_request, {"free"},
+                              now + std::chrono::seconds(2), &reason);
+  STRCMP_EQUAL("limited", choice->name.c_str());
+}
+
 }  // namespace turmericwinch
