Report stored quarantines as stored after a conflict

A write that succeeded after a conflict with another host still logged parts_not_stored with the reason of the first try, as the reason was not reset. Seen on reading the diff; nothing else depends on the reason. HandleObject no longer returns a constant.

--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -51,11 +51,12 @@
 
 asio::awaitable<bool> QuarantineStore::WatchOnce() {
   Reason reason;
-  const std::uint64_t version = version_;
   const std::optional<PlatformObject> object = co_await platform_.Watch(
-      PlatformDuty::kCaches, kObjectName, version, kMaxWatchWait, &reason);
-  if (object)
-    co_return HandleObject(*object);
+      PlatformDuty::kCaches, kObjectName, version_, kMaxWatchWait, &reason);
+  if (object) {
+    HandleObject(*object);
+    co_return true;
+  }
   if (reason.code != ResultCode::kPlatformNotFound)
     co_return false;
   if (version_ > 0)
@@ -67,7 +68,7 @@
   co_return created || IsConflict(reason);
 }
 
-bool QuarantineStore::HandleObject(const PlatformObject& object) {
+void QuarantineStore::HandleObject(const PlatformObject& object) {
   version_ = std::max(version_, object.version);
   Reason reason;
   std::optional<QuarantinedPartsObject> parsed =
@@ -75,11 +76,10 @@
   if (!parsed) {
     LogEvent(kLog, Severity::kError, "stored_parts_unreadable",
              {{"version", object.version}, {"reason", reason.text}});
-    return true;
+    return;
   }
   stored_ = std::move(*parsed);
   on_parts_(stored_.Parts(UnixMs()));
-  return true;
 }
 
 void QuarantineStore::Store(const std::vector<QuarantinedPart>& changes) {
@@ -93,7 +93,9 @@
 asio::awaitable<bool> QuarantineStore::Refresh(Reason* reason) {
   const std::optional<PlatformObject> object =
       co_await platform_.Get(PlatformDuty::kCaches, kObjectName, reason);
-  co_return object&& HandleObject(*object);
+  if (object)
+    HandleObject(*object);
+  co_return object.has_value();
 }
 
 asio::awaitable<void> QuarantineStore::Write(
@@ -111,6 +113,7 @@
     if (written) {
       version_ = std::max(version_, *written);
       stored_ = std::move(next);
+      reason = {};
       break;
     }
     if (!IsConflict(reason))
--- a/src/libs/gateway/quarantine_store.h
+++ b/src/libs/gateway/quarantine_store.h
@@ -35,9 +35,10 @@
   // Returns whether the store answered.
   boost::asio::awaitable<bool> WatchOnce();
   boost::asio::awaitable<void> Write(std::vector<QuarantinedPart> changes);
-  // Reads the object anew, as another host has changed it.
+  // Reads the object anew, as another host has changed it. Returns false and
+  // sets `reason` if that fails.
   boost::asio::awaitable<bool> Refresh(Reason* reason);
-  bool HandleObject(const PlatformObject& object);
+  void HandleObject(const PlatformObject& object);
 
   boost::asio::io_context& control_;
   PlatformClient& platform_;
