Ignore the rate limit of a target that is not the one asked

A response 421 comes from another target that has the address now, and an unverified one from nobody known; a limit in them was recorded for the target asked. Found on reading the diff.

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -283,9 +283,10 @@
     co_return AttemptResult::kFailed;
   }
   ++attempts_;
-  RecordRateLimit(choice, stream->headers());
   const HeadVerdict verdict =
       context_.dialect.classify_head(stream->status(), stream->headers());
+  if (verdict == HeadVerdict::kAnswer || verdict == HeadVerdict::kNotRun)
+    RecordRateLimit(choice, stream->headers());
   if (verdict == HeadVerdict::kNotRun || verdict == HeadVerdict::kOtherTarget) {
     meter.SetOutcome(verdict == HeadVerdict::kOtherTarget
                          ? AttemptOutcome::kLeaving
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -416,6 +416,16 @@
   CHECK(one.requests.size() - before <= kMaxAfterLimit);
 }
 
+TEST(GatewayCall, ARateLimitOfAnotherTargetAtTheAddressIsIgnored) {
+  one.names_limit = true;
+  two.names_limit = true;
+  script = {TargetBehavior::kOtherTarget, TargetBehavior::kUnsigned};
+  StatusOf("/once/1");
+  LONGS_EQUAL(2, ReceivedRequests());
+  for (const TargetStats& it : context.targets.Stats())
+    DOUBLES_EQUAL(0, it.rate_limit, 0);
+}
+
 TEST(GatewayCall, ARequestThatNoRateLimitAllowsIsRefusedAtOnce) {
   one.names_limit = true;
   two.names_limit = true;
