Ask other hosts for no negative number of tokens

Callers saw: after the loan request, nothing sent before by this host reached the lender: it rejected the frame and closed the connection, with what was queued behind it. Rate limits, crash notices and loans go over the same connection.

Cause: a request for tokens that a loan has covered meanwhile asks for what is needed less what the lender lent, below 0; only the smallest amount was kept above 0.

Why this works: the amount needed is at least the smallest amount, which is at least one token. LoanSearch.ARequestThatALoanHasCoveredAsksForNoNegativeAmount failed before.

--- a/src/libs/budget/loan_search.cc
+++ b/src/libs/budget/loan_search.cc
@@ -86,10 +86,13 @@
   const std::int64_t own =
       std::max<std::int64_t>(ledger.Available(request.budget), 0);
   const std::int64_t lent = ledger.AvailableFrom(lender, request.budget);
-  LoanRequestItem item{
-      request.budget, AddSaturated(request.needed, own - lent),
-      std::max<std::int64_t>(AddSaturated(request.smallest, own - lent), 1), 0,
-      ledger.LoanOf(lender, request.budget)};
+  // A loan that arrived meanwhile may cover the request.
+  const std::int64_t smallest =
+      std::max<std::int64_t>(AddSaturated(request.smallest, own - lent), 1);
+  const std::int64_t needed =
+      std::max(AddSaturated(request.needed, own - lent), smallest);
+  LoanRequestItem item{request.budget, needed, smallest, 0,
+                       ledger.LoanOf(lender, request.budget)};
   return OutgoingLoanRequest{search.asked_lender->address,
                              {holder_, lender, address_, {std::move(item)}}};
 }
--- a/tests/budget/loan_search_test.cc
+++ b/tests/budget/loan_search_test.cc
@@ -146,6 +146,20 @@
   LONGS_EQUAL(800, ledger.AvailableFrom("keeper_1", kBudget));
 }
 
+// A loan may arrive between the request that needs tokens and the search.
+TEST(LoanSearch, ARequestThatALoanHasCoveredAsksForNoNegativeAmount) {
+  AddOther("lender", 5'000, 5'000);
+  Start(800, 800);
+  Step(kStart);
+  LONGS_EQUAL(800, ledger.AvailableFrom("lender_1", kBudget));
+  Start(300, 200);
+  const auto requests = search.DueRequests(ledger, kStart);
+  LONGS_EQUAL(1, requests.size());
+  const LoanRequestItem& item = requests[0].request.items[0];
+  CHECK(item.smallest > 0);
+  CHECK(item.needed >= item.smallest);
+}
+
 TEST(LoanSearch, HostsWithoutAnAddressOrTokensAreNotAsked) {
   AddOther("empty", 0, 0);
   AddOther("mute", 1'000, 1'000);
