--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -20,8 +20,14 @@
 
 constexpr LogCategory kLog{"quarantine"};
 
-void LogParts(std::string_view event, const std::vector<PromptPartId>& parts) {
-  LogEvent(kLog, Severity::kWarning, event, {{"parts", PartIdsText(parts)}});
+void LogQuarantined(const std::vector<PromptPartId>& parts) {
+  LogEvent(kLog, Severity::kWarning, "prompt_part_quarantined",
+           {{"parts", PartIdsText(parts)}});
+}
+
+void LogCleared(const std::vector<PromptPartId>& parts) {
+  LogEvent(kLog, Severity::kWarning, "prompt_part_cleared",
+           {{"parts", PartIdsText(parts)}});
 }
 
 }  // namespace
@@ -119,7 +125,7 @@
       return;
     UpdateCounts();
   }
-  LogParts("prompt_part_cleared", notice.answered);
+  LogCleared(notice.answered);
   asio::post(control_,
              [this, parts = notice.answered] { WithdrawEverywhere(parts); });
 }
@@ -199,7 +205,7 @@
 
 void RequestQuarantine::AnnounceCauses(
     const std::vector<PromptPartId>& causes) {
-  LogParts("prompt_part_quarantined", causes);
+  LogQuarantined(causes);
   if (!std::exchange(has_reported_, false))
     return;
   PromptPartNotice notice;
@@ -254,9 +260,9 @@
     UpdateCounts();
   }
   if (!cleared.empty())
-    LogParts("prompt_part_cleared", cleared);
+    LogCleared(cleared);
   if (!added.empty())
-    LogParts("prompt_part_quarantined", added);
+    LogQuarantined(added);
   if (!objections.empty())
     WithdrawEverywhere(std::move(objections));
 }
