Call what the project has already; compute demands once

No behaviour changes.

gateway_test 48, adapter_test 35, routing_test 65, operations_test 19 and platform_test 11 tests pass under ASan, as before.

--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -232,8 +232,7 @@
   }
   if (!answer) {
     is_current = false;
-    const bool conflict = reason.code == ResultCode::kPlatformConflict ||
-                          reason.code == ResultCode::kPlatformExists;
+    const bool conflict = IsWriteConflict(reason.code);
     ++(conflict ? stats.conflicts : stats.failures);
     co_return conflict ? WriteOutcome::kConflict : WriteOutcome::kFailed;
   }
@@ -467,7 +466,7 @@
     if (!is_read)
       LogOutOfReach();
   }
-  for (int n = 0; n < kMaxAccountConflicts; ++n) {
+  for (int n = 0; n < kMaxWriteConflicts; ++n) {
     if (!is_current) {
       const bool is_read = co_await ReadAccount();
       if (!is_read)
@@ -561,7 +560,7 @@
 asio::awaitable<bool> AccountManager::Close() {
   d_->context.ledger.With([](HostLedger& ledger) { ledger.Fence(); });
   d_->loans.ReturnAll(d_->holder.known_account());
-  for (int n = 0; n < kMaxAccountConflicts; ++n) {
+  for (int n = 0; n < kMaxWriteConflicts; ++n) {
     const bool is_read = co_await d_->ReadAccount();
     if (!is_read)
       co_return false;
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -86,8 +86,9 @@
 inline constexpr std::chrono::seconds kLenderRoleTime{5};
 // Window over which a host averages its demand for tokens.
 inline constexpr std::chrono::seconds kDemandWindow{8};
-// Write conflicts after which a host stops a sync of the account.
-inline constexpr int kMaxAccountConflicts = 12;
+// Write conflicts after which a host stops writing an object of the store for
+// now.
+inline constexpr int kMaxWriteConflicts = 12;
 // Upper bound of the random pause after the first write conflict. Doubles with
 // each further conflict.
 inline constexpr std::chrono::milliseconds kInitialConflictPause{4};
--- a/src/libs/gateway/pending_losses.cc
+++ b/src/libs/gateway/pending_losses.cc
@@ -47,9 +47,8 @@
           return it.name == loss.target && it.incarnation == loss.incarnation;
         });
   };
+  Expire(now);
   std::erase_if(losses_, [&](Pending& it) {
-    if (now - it.time > kLossConfirmationWindow)
-      return true;
     if (is_alive(it.loss))
       return false;
     confirmed.push_back(std::move(it.loss));
--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -23,11 +23,6 @@
       .count();
 }
 
-bool IsConflict(const Reason& reason) {
-  return reason.code == ResultCode::kPlatformConflict ||
-         reason.code == ResultCode::kPlatformExists;
-}
-
 }  // namespace
 
 QuarantineStore::QuarantineStore(asio::io_context& control,
@@ -65,7 +60,7 @@
       PlatformDuty::kCaches, kObjectName, stored_.ToText(), &reason);
   if (created)
     version_ = *created;
-  co_return created || IsConflict(reason);
+  co_return created || IsWriteConflict(reason.code);
 }
 
 void QuarantineStore::HandleObject(const PlatformObject& object) {
@@ -101,7 +96,7 @@
 asio::awaitable<void> QuarantineStore::Write(
     std::vector<QuarantinedPart> changes) {
   Reason reason;
-  for (int n = 0; n < kMaxAccountConflicts; ++n) {
+  for (int n = 0; n < kMaxWriteConflicts; ++n) {
     QuarantinedPartsObject next = stored_;
     if (!next.Apply(changes, UnixMs())) {
       reason = {};
@@ -116,7 +111,7 @@
       reason = {};
       break;
     }
-    if (!IsConflict(reason))
+    if (!IsWriteConflict(reason.code))
       break;
     const bool refreshed = co_await Refresh(&reason);
     if (!refreshed)
--- a/src/libs/gateway/rate_limit_sharing.cc
+++ b/src/libs/gateway/rate_limit_sharing.cc
@@ -39,12 +39,15 @@
   const std::vector<RateLimitStatus> limits = targets_.RateLimits();
   if (limits.empty())
     return;
-  SendNotice(limits);
-  UpdateShares(limits);
+  const std::map<std::string, double> own_demands = demand_.Rates(Clock::now());
+  SendNotice(limits, own_demands);
+  UpdateShares(limits, own_demands);
 }
 
-void RateLimitSharing::SendNotice(const std::vector<RateLimitStatus>& limits) {
-  RateLimitNotice notice{peers_.address(), demand_.Rates(Clock::now()), {}};
+void RateLimitSharing::SendNotice(
+    const std::vector<RateLimitStatus>& limits,
+    const std::map<std::string, double>& own_demands) {
+  RateLimitNotice notice{peers_.address(), own_demands, {}};
   for (const RateLimitStatus& it : limits) {
     notice.limits.push_back(
         {it.target, it.incarnation, it.limit,
@@ -55,11 +58,19 @@
 }
 
 void RateLimitSharing::UpdateShares(
-    const std::vector<RateLimitStatus>& limits) {
+    const std::vector<RateLimitStatus>& limits,
+    const std::map<std::string, double>& own_demands) {
+  std::map<std::string, std::vector<HostDemand>> by_service;
   for (const RateLimitStatus& it : limits) {
     if (!it.limit)
       continue;
-    const std::vector<HostDemand> demands = DemandsFor(it.service);
+    auto [entry, is_new] = by_service.try_emplace(it.service);
+    std::vector<HostDemand>& demands = entry->second;
+    if (is_new) {
+      auto own = own_demands.find(it.service);
+      demands =
+          DemandsFor(it.service, own == own_demands.end() ? 0 : own->second);
+    }
     double share = RateShareOf(peers_.address(), it.target, *it.limit, demands);
     if (Clock::now() - it.heard_at > kRateLimitStale)
       share = 1.0 / static_cast<double>(demands.size());
@@ -67,13 +78,12 @@
   }
 }
 
-std::vector<HostDemand> RateLimitSharing::DemandsFor(
-    const std::string& service) {
+std::vector<HostDemand> RateLimitSharing::DemandsFor(const std::string& service,
+                                                     double own) const {
   const Clock::time_point now = Clock::now();
-  std::vector<HostDemand> demands = {
-      {peers_.address(), demand_.Rates(now)[service]}};
+  std::vector<HostDemand> demands = {{peers_.address(), own}};
   std::vector<std::string> silent;
-  double sum = demands.front().rate;
+  double sum = own;
   for (const std::string& address : peers_.addresses()) {
     auto it = known_peers_.find(address);
     if (it == known_peers_.end() ||
@@ -81,7 +91,9 @@
       silent.push_back(address);
       continue;
     }
-    demands.push_back({address, it->second.demands[service]});
+    auto rate = it->second.demands.find(service);
+    demands.push_back(
+        {address, rate == it->second.demands.end() ? 0 : rate->second});
     sum += demands.back().rate;
   }
   const double mean = sum / static_cast<double>(demands.size());
--- a/src/libs/gateway/rate_limit_sharing.h
+++ b/src/libs/gateway/rate_limit_sharing.h
@@ -45,11 +45,14 @@
 
   // Returns whether the frame was a notice of rate limits.
   bool HandleFrame(const PeerFrame& frame);
-  void SendNotice(const std::vector<RateLimitStatus>& limits);
-  void UpdateShares(const std::vector<RateLimitStatus>& limits);
-  // The demand for the service at all hosts. A host that was not heard of
-  // lately counts with the mean of the others.
-  std::vector<HostDemand> DemandsFor(const std::string& service);
+  void SendNotice(const std::vector<RateLimitStatus>& limits,
+                  const std::map<std::string, double>& own_demands);
+  void UpdateShares(const std::vector<RateLimitStatus>& limits,
+                    const std::map<std::string, double>& own_demands);
+  // The demand for the service at all hosts; `own` is that of this host. A host
+  // that was not heard of lately counts with the mean of the others.
+  std::vector<HostDemand> DemandsFor(const std::string& service,
+                                     double own) const;
 
   boost::asio::io_context& control_;
   GatewayPeers& peers_;
--- a/src/libs/operations/budget_store.cc
+++ b/src/libs/operations/budget_store.cc
@@ -11,9 +11,7 @@
 constexpr int kMaxTopUpAttempts = 20;
 
 bool NeedsReread(ResultCode code) {
-  return code == ResultCode::kPlatformConflict ||
-         code == ResultCode::kPlatformExists ||
-         code == ResultCode::kPlatformUnknown;
+  return IsWriteConflict(code) || code == ResultCode::kPlatformUnknown;
 }
 
 }  // namespace
--- a/src/libs/platform/platform_client.cc
+++ b/src/libs/platform/platform_client.cc
@@ -2,6 +2,11 @@
 
 namespace turmericwinch {
 
+bool IsWriteConflict(ResultCode code) {
+  return code == ResultCode::kPlatformConflict ||
+         code == ResultCode::kPlatformExists;
+}
+
 PlatformClient::Answer<PlatformHosts> PlatformClient::HostsSince(
     std::uint64_t,
     std::chrono::milliseconds,
--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -38,6 +38,10 @@
   std::string text;
 };
 
+// Whether a write failed because another writer has changed or created the
+// object, so that it must be read again.
+bool IsWriteConflict(ResultCode code);
+
 // Calls return nullopt on failure. Reasons: kPlatformUnavailable (nothing was
 // written), kPlatformLimited (nothing was written; this host's share of calls
 // is used up), kPlatformUnknown (a write may have taken effect),
--- a/src/libs/routing/target_rate_limit.cc
+++ b/src/libs/routing/target_rate_limit.cc
@@ -19,9 +19,7 @@
                                      TimePoint now) {
   if (!limit && (!limit_ || sent_at < heard_at_))
     return false;
-  const bool changed = limit != limit_;
-  SetLimit(limit, now, now);
-  return changed;
+  return SetLimit(limit, now, now);
 }
 
 bool TargetRateLimit::RecordNotice(std::optional<double> limit,
@@ -29,18 +27,18 @@
                                    TimePoint now) {
   if (heard_at_ && heard_at <= *heard_at_)
     return false;
-  const bool changed = limit != limit_;
-  SetLimit(limit, heard_at, now);
-  return changed;
+  return SetLimit(limit, heard_at, now);
 }
 
-void TargetRateLimit::SetLimit(std::optional<double> limit,
+bool TargetRateLimit::SetLimit(std::optional<double> limit,
                                TimePoint heard_at,
                                TimePoint now) {
+  const bool changed = limit != limit_;
   allowance_ = limit_ ? Allowance(now) : 0;
   last_refill_ = now;
   limit_ = limit;
   heard_at_ = heard_at;
+  return changed;
 }
 
 void TargetRateLimit::SetShare(double share, TimePoint now) {
--- a/src/libs/routing/target_rate_limit.h
+++ b/src/libs/routing/target_rate_limit.h
@@ -49,7 +49,8 @@
   // Requests that may start now. Bounded, as the unused allowances of all hosts
   // may be used at once.
   double Allowance(TimePoint now) const;
-  void SetLimit(std::optional<double> limit, TimePoint heard_at, TimePoint now);
+  // Returns whether the limit changed.
+  bool SetLimit(std::optional<double> limit, TimePoint heard_at, TimePoint now);
 
   std::optional<double> limit_;
   double share_ = 0;
