Split the attempt at a target and the quarantine from the call runner

TargetAttempt sends the request to one target and reports what became of it; CallQuarantine holds what identifies the call in the quarantine and computes the digest of the body once (it was computed up to four times while any request was suspected). No behaviour changes, but that a final status below 200, which no target sends, no longer clears the logged reason.

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -4,12 +4,13 @@
 #include <boost/asio.hpp>
 #include <set>
 
-#include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/gateway/call_quarantine.h"
 #include "libs/gateway/resolved_call.h"
 #include "libs/gateway/response_relay.h"
 #include "libs/gateway/retry_after.h"
-#include "libs/node/attempt_meter.h"
+#include "libs/gateway/target_attempt.h"
+#include "libs/gateway/time_until.h"
 
 namespace turmericwinch {
 
@@ -20,13 +21,6 @@
 using std::chrono::milliseconds;
 
 constexpr LogCategory kLog{"gateway"};
-constexpr int kFirstServerErrorStatus = 500;
-constexpr int kStatusOk = 200;
-constexpr int kFirstNonSuccessStatus = 300;
-
-milliseconds TimeUntil(Clock::time_point time) {
-  return std::chrono::duration_cast<milliseconds>(time - Clock::now());
-}
 
 class CallRunner {
  public:
@@ -38,26 +32,18 @@
   asio::awaitable<void> Run();
 
  private:
-  // Digest that identifies the request in the quarantine.
-  std::string RequestDigest() const;
-  // Returns false if the request is quarantined because it, or others with a
-  // part of its prompt, crashed targets.
-  bool PassesQuarantine();
   // Reports a failed or successful attempt to the quarantine.
-  void ReportToQuarantine(AttemptResult result, const TargetChoice& choice);
+  void ReportToQuarantine(const AttemptReport& report,
+                          const TargetChoice& choice);
   // Whether the answer shows that the parts of the prompt crash no target.
   bool ArePartsSound(AttemptResult result) const;
-  void ReportLoss(const TargetChoice& choice);
+  void ReportLoss(const TargetChoice& choice, bool connection_closed);
   // Reserves the request's tokens. Returns false if there are too few.
   asio::awaitable<bool> Reserve();
   asio::awaitable<void> RunAttempts();
   asio::awaitable<std::optional<TargetChoice>> ChooseTarget(bool is_first);
+  // Runs an attempt, and reports its outcome to the quarantine.
   asio::awaitable<AttemptResult> RunAttempt(const TargetChoice& choice);
-  // Records the rate limit that the target names in its response.
-  void RecordRateLimit(const TargetChoice& choice, const HttpHeaders& headers);
-  // Relays a response that is no stream. A server error is kept for the caller
-  // and not sent yet if the request may be retried at another target.
-  asio::awaitable<AttemptResult> RelayResponse(RelayedResponse& response);
   // Whether another target may be tried after `result`. If not, `reason_` is
   // the reason that is reported to the caller.
   bool MayRetry(AttemptResult result);
@@ -69,12 +55,6 @@
   void Settle();
   void LogRequestDone();
 
-  // Whether the request may run at more than one target.
-  bool IsRepeatable() const {
-    return resolved_.route->kind == RouteKind::kRepeatable ||
-           resolved_.route->kind == RouteKind::kStreamResumable;
-  }
-
   GatewayContext& context_;
   const HttpRequest& request_;
   HttpExchange& exchange_;
@@ -83,9 +63,7 @@
   std::optional<std::uint64_t> reservation_;
   Reason reason_;
   bool may_have_run_ = false;
-  // Whether the target closed the connection of the last attempt too early.
-  bool connection_closed_ = false;
-  std::vector<PromptPartId> shared_parts_;
+  CallQuarantine quarantine_{context_.quarantine, request_};
   int attempts_ = 0;
   // Targets that the request did not reach.
   int unreached_targets_ = 0;
@@ -98,51 +76,28 @@
   int status_ = 0;
 };
 
-std::string CallRunner::RequestDigest() const {
-  return Sha256Hex(resolved_.routing_request.team + "\n" + request_.method +
-                   " " + request_.target + "\n" + request_.body);
-}
-
-bool CallRunner::PassesQuarantine() {
-  const std::optional<PromptPartId> part =
-      context_.quarantine.FindQuarantinedPart(shared_parts_);
-  if (part) {
-    reason_ = {ResultCode::kQuarantined,
-               "the prompt part " + PartIdsText({*part}) +
-                   " is quarantined: targets crashed on requests with it"};
-    return false;
-  }
-  if (!context_.quarantine.HasSuspects() ||
-      !context_.quarantine.IsQuarantined(RequestDigest()))
-    return true;
-  reason_ = {ResultCode::kQuarantined,
-             "the request is quarantined: targets crashed while they ran it"};
-  return false;
-}
-
-void CallRunner::ReportToQuarantine(AttemptResult result,
+void CallRunner::ReportToQuarantine(const AttemptReport& report,
                                     const TargetChoice& choice) {
-  const bool are_parts_sound = ArePartsSound(result);
-  if (are_parts_sound)
-    context_.quarantine.OnPartsAnswered(shared_parts_);
+  if (ArePartsSound(report.result))
+    quarantine_.RecordSoundParts();
   if (cancel_.cancelled())
     return;
-  if (result == AttemptResult::kFailed ||
-      result == AttemptResult::kStreamBroken)
-    ReportLoss(choice);
-  else if (result == AttemptResult::kDone && context_.quarantine.HasSuspects())
-    context_.quarantine.OnAnswered(RequestDigest());
+  if (report.result == AttemptResult::kFailed ||
+      report.result == AttemptResult::kStreamBroken)
+    ReportLoss(choice, report.connection_closed);
+  else if (report.result == AttemptResult::kDone)
+    quarantine_.RecordAnswer();
 }
 
 bool CallRunner::ArePartsSound(AttemptResult result) const {
   if (relay_.order().passed() >= kEventsOfSoundParts)
     return true;
   const int status = status_ != 0 ? status_ : relay_.status();
-  return result == AttemptResult::kDone && status >= kStatusOk &&
-         status < kFirstNonSuccessStatus;
+  return result == AttemptResult::kDone && IsSuccess(status);
 }
 
-void CallRunner::ReportLoss(const TargetChoice& choice) {
+void CallRunner::ReportLoss(const TargetChoice& choice,
+                            bool connection_closed) {
   LogEvent(kLog, Severity::kWarning, "response_lost",
            {{"request", resolved_.call->id},
             {"target", choice.name},
@@ -150,9 +105,7 @@
             {"events", relay_.order().passed()},
             {"parts", PartIdsText(PartIds(*resolved_.call))},
             {"reason", reason_.text}});
-  context_.quarantine.OnLost(
-      {RequestDigest(), choice.name, choice.incarnation,
-       connection_closed_ ? choice.address : std::string(), shared_parts_});
+  quarantine_.RecordLoss(choice, connection_closed);
 }
 
 asio::awaitable<bool> CallRunner::Reserve() {
@@ -203,144 +156,31 @@
                                           tried_targets_, &reason_);
 }
 
-asio::awaitable<AttemptResult> CallRunner::RelayResponse(
-    RelayedResponse& relayed) {
-  std::optional<HttpResponse> response =
-      co_await relay_.ReadResponse(relayed, &reason_);
-  if (!response)
-    co_return AttemptResult::kFailed;
-  if (response->status >= kFirstServerErrorStatus && IsRepeatable()) {
-    reason_ = {ResultCode::kTargetFailed, "target " + last_target_ +
-                                              " responded with status " +
-                                              std::to_string(response->status)};
-    failed_response_ = std::move(response);
-    co_return AttemptResult::kFailed;
-  }
-  status_ = response->status;
-  co_await exchange_.Send(*response);
-  co_return AttemptResult::kDone;
-}
-
 asio::awaitable<AttemptResult> CallRunner::RunAttempt(
     const TargetChoice& choice) {
-  AttemptMeter meter(context_.targets, choice);
-  connection_closed_ = false;
   last_target_ = choice.name;
   tried_targets_.insert(choice.name);
-  const std::optional<asio::ip::tcp::endpoint> endpoint =
-      ParseEndpoint(choice.address);
-  if (!endpoint) {
-    reason_ = {
-        ResultCode::kNoTarget,
-        "target " + choice.name + " has the invalid address " + choice.address};
-    co_return AttemptResult::kNotRun;
+  AttemptReport report;
+  {
+    TargetAttempt attempt(context_, resolved_, choice);
+    report =
+        co_await attempt.Run(request_, exchange_, relay_, cancel_, &reason_);
   }
-  RequestMetadata metadata;
-  metadata.target = choice.name;
-  metadata.team = resolved_.routing_request.team;
-  metadata.time_left = TimeUntil(resolved_.deadline);
-  metadata.priority = std::min(
-      resolved_.route->priority,
-      resolved_.team ? resolved_.team->priority : resolved_.route->priority);
-  if (relay_.order().last_id() != 0)
-    metadata.after_event = relay_.order().last_id();
-  if (metadata.time_left < kMinTimeLeft) {
-    reason_ = {ResultCode::kTargetTimeout,
-               "too little time was left to send the request to target " +
-                   choice.name};
-    co_return AttemptResult::kNotRun;
-  }
-  const HttpRequest request =
-      context_.dialect.encode_request(request_, metadata);
-  HttpCallOptions options;
-  options.timeouts.connect = kGatewayTargetConnectTimeout;
-  options.timeouts.first_byte = metadata.time_left;
-  options.cancel = &cancel_;
-  options.matches_request = [this](const HttpHeaders& headers) {
-    return context_.dialect.belongs_to_call(headers, resolved_.call->id);
-  };
-  HttpFailure failure;
-  context_.link.RecordSent(request.body.size(), Clock::now());
-  std::unique_ptr<HttpStream> stream =
-      co_await context_.client.Open(*endpoint, request, options, &failure);
-  if (!stream) {
-    if (!cancel_.cancelled()) {
-      meter.SetOutcome(failure.timed_out && failure.may_have_arrived &&
-                               TimeUntil(resolved_.deadline) < kMinTimeLeft
-                           ? AttemptOutcome::kNoVerdict
-                           : OutcomeOfFailure(failure));
-      context_.client.CloseIdleConnections(*endpoint);
-    }
-    reason_ = {ResultCode::kTargetFailed, "the call to target " + choice.name +
-                                              " failed: " + failure.text};
-    if (!failure.may_have_arrived) {
-      ++unreached_targets_;
-      co_return AttemptResult::kNotRun;
-    }
-    connection_closed_ = !failure.timed_out;
-    ++attempts_;
-    may_have_run_ = true;
-    co_return AttemptResult::kFailed;
-  }
-  ++attempts_;
-  const HeadVerdict verdict =
-      context_.dialect.classify_head(stream->status(), stream->headers());
-  if (verdict == HeadVerdict::kAnswer || verdict == HeadVerdict::kNotRun)
-    RecordRateLimit(choice, stream->headers());
-  if (verdict == HeadVerdict::kNotRun || verdict == HeadVerdict::kOtherTarget) {
-    meter.SetOutcome(verdict == HeadVerdict::kOtherTarget
-                         ? AttemptOutcome::kLeaving
-                         : AttemptOutcome::kFailed);
-    // The connection can be used again once the whole refusal is read.
-    for (std::size_t n = 0; !stream->done() && n < kMaxRefusalBytes;) {
-      std::optional<std::string> piece =
-          co_await stream->ReadSome(kGatewayTargetConnectTimeout, &failure);
-      if (!piece)
-        break;
-      n += piece->size();
-    }
-    reason_ = {ResultCode::kOverloaded,
-               "target " + choice.name + " did not run the request"};
-    co_return AttemptResult::kNotRun;
-  }
-  may_have_run_ = true;
-  if (verdict == HeadVerdict::kUnverified) {
-    meter.SetOutcome(AttemptOutcome::kWrong);
-    context_.client.CloseIdleConnections(*endpoint);
-    reason_ = {
-        ResultCode::kTargetFailed,
-        "the response of target " + choice.name + " could not be verified"};
-    co_return AttemptResult::kFailed;
-  }
-  RelayedResponse response{*stream, meter, last_target_, resolved_.deadline};
-  const bool is_stream = IsStream(resolved_.route->kind) &&
-                         stream->status() >= kStatusOk &&
-                         stream->status() < kFirstNonSuccessStatus;
-  AttemptResult result = AttemptResult::kFailed;
-  if (is_stream)
-    result = co_await relay_.RelayStream(response, &reason_);
-  else
-    result = co_await RelayResponse(response);
-  connection_closed_ = response.connection_closed;
-  co_return result;
-}
-
-void CallRunner::RecordRateLimit(const TargetChoice& choice,
-                                 const HttpHeaders& headers) {
-  const std::optional<double> limit =
-      context_.dialect.parse_rate_limit(headers);
-  if (!context_.targets.RecordRateLimit(choice, limit))
-    return;
-  LogEvent(kLog, Severity::kInfo, "target_rate_limit",
-           {{"request", resolved_.call->id},
-            {"target", choice.name},
-            {"per_second", limit ? std::to_string(*limit) : "none"}});
+  attempts_ += report.arrived ? 1 : 0;
+  unreached_targets_ += report.is_unreachable ? 1 : 0;
+  may_have_run_ = may_have_run_ || report.may_have_run;
+  if (report.failed_response)
+    failed_response_ = std::move(report.failed_response);
+  if (report.status != 0)
+    status_ = report.status;
+  ReportToQuarantine(report, choice);
+  co_return report.result;
 }
 
 bool CallRunner::MayRetry(AttemptResult result) {
   if (cancel_.cancelled() || TimeUntil(resolved_.deadline) < kMinTimeLeft)
     return false;
-  if (result != AttemptResult::kNotRun && !IsRepeatable())
+  if (result != AttemptResult::kNotRun && !IsRepeatable(resolved_.route->kind))
     return false;
   if (result == AttemptResult::kStreamBroken &&
       resolved_.route->kind != RouteKind::kStreamResumable)
@@ -361,13 +201,12 @@
       co_return;
     }
     // The verdict may have come while the request waited.
-    if (!PassesQuarantine()) {
+    if (!quarantine_.Passes(&reason_)) {
       context_.targets.EndAttempt(*choice);
       co_await EndUnanswered();
       co_return;
     }
     const AttemptResult result = co_await RunAttempt(*choice);
-    ReportToQuarantine(result, *choice);
     if (result == AttemptResult::kDone)
       co_return;
     if (!MayRetry(result)) {
@@ -455,8 +294,8 @@
     exchange_.CloseAfterResponse();
   const bool is_resolved = ResolveCall(context_, request_, resolved_, &reason_);
   if (is_resolved)
-    shared_parts_ = SharedPartIds(*resolved_.call);
-  if (!is_resolved || !PassesQuarantine()) {
+    quarantine_.SetCall(resolved_);
+  if (!is_resolved || !quarantine_.Passes(&reason_)) {
     co_await Refuse();
     LogRequestDone();
     co_return;
@@ -470,7 +309,7 @@
     co_await RunAttempts();
   if (status_ == 0)
     status_ = relay_.status();
-  if (status_ != 0 && status_ < kFirstNonSuccessStatus)
+  if (IsSuccess(status_))
     reason_ = {};
   if (relay_.received_bytes() > 0) {
     context_.link.RecordReceived(relay_.received_bytes(), Clock::now());
--- a/src/libs/gateway/path_route.h
+++ b/src/libs/gateway/path_route.h
@@ -25,6 +25,11 @@
   return kind == RouteKind::kStreamOnce || kind == RouteKind::kStreamResumable;
 }
 
+// Whether the request may run at more than one target.
+inline bool IsRepeatable(RouteKind kind) {
+  return kind == RouteKind::kRepeatable || kind == RouteKind::kStreamResumable;
+}
+
 // A service that gets a part of a route's requests, by its relative weight.
 struct WeightedService {
   std::string service;
--- a/src/libs/gateway/response_relay.cc
+++ b/src/libs/gateway/response_relay.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/time_until.h"
 
 namespace turmericwinch {
 
@@ -10,11 +11,6 @@
 
 namespace asio = boost::asio;
 
-std::chrono::milliseconds Until(std::chrono::steady_clock::time_point time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      time - std::chrono::steady_clock::now());
-}
-
 }  // namespace
 
 asio::awaitable<std::optional<HttpResponse>> ResponseRelay::ReadResponse(
@@ -24,8 +20,8 @@
   result.status = response.stream.status();
   HttpFailure failure;
   while (!response.stream.done()) {
-    std::optional<std::string> piece =
-        co_await response.stream.ReadSome(Until(response.deadline), &failure);
+    std::optional<std::string> piece = co_await response.stream.ReadSome(
+        TimeUntil(response.deadline), &failure);
     if (!piece) {
       response.connection_closed = !failure.timed_out;
       response.meter.SetOutcome(cancel_.cancelled() ? AttemptOutcome::kNoVerdict
@@ -88,7 +84,7 @@
   HttpFailure failure;
   for (;;) {
     std::optional<std::string> piece =
-        co_await stream.ReadSome(Until(response.deadline), &failure);
+        co_await stream.ReadSome(TimeUntil(response.deadline), &failure);
     if (!piece || cancel_.cancelled()) {
       response.connection_closed = !failure.timed_out;
       break;
--- a/src/libs/http/http_message.cc
+++ b/src/libs/http/http_message.cc
@@ -6,6 +6,13 @@
 
 namespace turmericwinch {
 
+namespace {
+
+constexpr int kFirstSuccessStatus = 200;
+constexpr int kFirstNonSuccessStatus = 300;
+
+}  // namespace
+
 void HttpHeaders::Add(std::string name, std::string value) {
   fields_.emplace_back(std::move(name), std::move(value));
 }
@@ -26,6 +33,10 @@
   return false;
 }
 
+bool IsSuccess(int status) {
+  return status >= kFirstSuccessStatus && status < kFirstNonSuccessStatus;
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/src/libs/http/http_message.h
+++ b/src/libs/http/http_message.h
@@ -40,6 +40,9 @@
   std::string body;
 };
 
+// Whether `status` says that a request succeeded.
+bool IsSuccess(int status);
+
 // The path of `target` without its query.
 std::string_view PathOf(std::string_view target);
 
