--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -1,15 +1,11 @@
 #include "libs/gateway/account_manager.h"
 
 #include <algorithm>
-#include <boost/asio.hpp>
 #include <limits>
-#include <random>
-#include <set>
 
 #include "libs/base/log.h"
-#include "libs/budget/fleet_holder.h"
-#include "libs/gateway/budget_demands.h"
-#include "libs/gateway/peer_loans.h"
+#include "libs/gateway/account_manager_private.h"
+#include "libs/gateway/gateway_constants.h"
 
 namespace turmericwinch {
 
@@ -21,119 +17,12 @@
 
 constexpr LogCategory kLog{"account"};
 
-// Result of a write to the account.
-enum class WriteOutcome { kDone, kConflict, kFailed };
-
 std::int64_t MillisecondsSince(Clock::time_point time) {
   return std::chrono::duration_cast<milliseconds>(Clock::now() - time).count();
 }
 
 }  // namespace
 
-class AccountManager::Private {
- public:
-  Private(GatewayContext& context, PlatformClient& platform)
-      : context(context),
-        platform(platform),
-        timer(context.control),
-        holder(context.ledger_holder(),
-               context.boot.id,
-               context.peers.address(),
-               context.settings.failure_domain),
-        loans(
-            context,
-            [this](const FailedLoanSearch& it) { HandleFailedSearch(it); },
-            [this](const LoanRequestItem& it) { return DrawForBorrower(it); }) {
-  }
-
-  // Reads the account. Returns false if the read failed.
-  asio::awaitable<bool> ReadAccount();
-  asio::awaitable<WriteOutcome> WriteAccount();
-  // Requests and returns tokens until every budget is as planned or the store
-  // fails.
-  asio::awaitable<bool> Sync();
-  // Prepares the next write. Returns whether the account should be written now.
-  bool PlanWrite();
-  // Stops all spending after another process closed this holder.
-  void StopSpending();
-  void LogChangedRows();
-  void SetReachable(bool now);
-  // Opens all tokens that the host holds once the store has been unavailable
-  // for long enough.
-  void OpenAllTokens();
-  // Calls OpenAllTokens() at each sync interval. Sync() alone would be too
-  // late: a call to a store that is cut off may take its whole timeout.
-  asio::awaitable<void> OpenAllTokensPeriodically();
-  // Records the costs of settled requests and removes their bills. No other
-  // code of the gateway reads bills; only the counters have to persist.
-  void ConsumeBills(HostLedger& ledger);
-  // Records how many tokens the waiting requests need in each budget.
-  void RecordWaiting(HostLedger& ledger);
-  // Adds the requests that wait now to `waiting`, and borrows for those that
-  // another host of this failure domain should serve.
-  void CollectWaiting();
-  // What `request` needs beyond the tokens that this host has available.
-  GrantRequest Missing(const GrantRequest& request);
-  void HandleFailedSearch(const FailedLoanSearch& search);
-  // Starts a sync that draws tokens for a borrower. Returns false if the store
-  // is unavailable or if MayDrawForLoan() is false.
-  bool DrawForBorrower(const LoanRequestItem& request);
-  // Starts the next sync now.
-  void SyncSoon();
-  // Gets tokens for `waiting` from the account, or from any other host if the
-  // account does not answer soon.
-  void SyncForWaiting();
-  void LogOutOfReach();
-  // Asks other hosts for the tokens that waiting requests need. Denies the
-  // requests with `reason` if no other host can be asked.
-  void BorrowOrDeny(const Reason& reason);
-  Reason UnreachableReason() const;
-  // Borrows for all requests that wait now.
-  void BorrowForWaiting();
-  // Borrows for waiting requests if a sync has not ended after kBorrowDelay.
-  asio::awaitable<void> BorrowAfterDelay();
-
-  GatewayContext& context;
-  PlatformClient& platform;
-  asio::steady_timer timer;
-  const Clock::time_point start = Clock::now();
-  Clock::time_point synced_at = start;
-  std::minstd_rand random{std::random_device{}()};
-  // Whether the last sync succeeded.
-  bool reachable = true;
-  // Whether a sync was requested since the last sync started.
-  bool sync_requested = false;
-  // Start time of the running sync.
-  std::optional<Clock::time_point> sync_start;
-  // Whether BorrowAfterDelay() is running.
-  bool borrow_scheduled = false;
-  // Whether the account in `holder` is up to date: no write failed since it was
-  // last read.
-  bool is_current = false;
-  // Version of the account object; 0 until the object exists.
-  std::uint64_t version = 0;
-  FleetHolder holder;
-  PeerLoans loans;
-  // This host's rows as last logged, by budget.
-  std::map<std::string, FleetRow> logged_rows;
-  BudgetDemands demands{start};
-  // Tokens that waiting requests need, by budget.
-  std::map<std::string, GrantRequest> waiting;
-  // Budgets of which no host of this failure domain lent enough tokens, so that
-  // the requests in `waiting` draw them from the account.
-  std::set<std::string> drawn_directly;
-  // When another host last requested tokens of a budget that this host had to
-  // draw.
-  std::map<std::string, Clock::time_point> lent_at;
-  // When the account was last read, and the time until it is read again
-  // although nothing has to be written.
-  Clock::time_point read_at = start;
-  milliseconds refresh_pause = kFirstAccountRefresh;
-  // Reason of the last failed call to the store.
-  Reason reason;
-  AccountStats stats;
-};
-
 void AccountManager::Private::ConsumeBills(HostLedger& ledger) {
   const std::vector<Bill> bills =
       ledger.UnconfirmedBills(std::numeric_limits<std::size_t>::max());
@@ -291,91 +180,11 @@
   context.ledger.SetReachable(now || context.peers.enabled());
 }
 
-void AccountManager::Private::CollectWaiting() {
-  context.ledger.With([this](HostLedger& ledger) { RecordWaiting(ledger); });
-  if (!context.peers.enabled())
-    return;
-  // A loan that fails at once changes `waiting`, so loans start after the loop.
-  std::vector<std::pair<GrantRequest, std::vector<LenderEndpoint>>>
-      domain_loans;
-  std::erase_if(waiting, [&](const auto& entry) {
-    const auto& [name, request] = entry;
-    std::vector<LenderEndpoint> lenders = holder.stock_hosts().LendersFor(name);
-    if (lenders.empty() || drawn_directly.contains(name))
-      return false;
-    const GrantRequest missing = Missing(request);
-    if (missing.needed > 0)
-      domain_loans.emplace_back(missing, std::move(lenders));
-    return true;
-  });
-  for (auto& [request, lenders] : domain_loans) {
-    loans.RequestLoan(request, LoanScope::kDomain, std::move(lenders),
-                      {ResultCode::kBudgetUnreachable,
-                       "no host of the failure domain lends the tokens"});
-  }
-}
-
-GrantRequest AccountManager::Private::Missing(const GrantRequest& request) {
-  std::int64_t available = 0;
-  context.ledger.With([&](HostLedger& ledger) {
-    available = ledger.Available(request.budget);
-  });
-  GrantRequest missing = request;
-  missing.needed = std::max<std::int64_t>(request.needed - available, 0);
-  missing.smallest = std::max<std::int64_t>(request.smallest - available, 0);
-  return missing;
-}
-
-void AccountManager::Private::HandleFailedSearch(
-    const FailedLoanSearch& search) {
-  const std::string& budget = search.request.budget;
-  if (search.scope == LoanScope::kFleet) {
-    context.ledger.Deny(budget, search.request.smallest, search.reason);
-    return;
-  }
-  drawn_directly.insert(budget);
-  context.ledger.With([&](HostLedger& ledger) {
-    GrantRequest request = search.request;
-    const std::int64_t available =
-        std::max<std::int64_t>(ledger.Available(budget), 0);
-    request.needed += available;
-    request.smallest += available;
-    waiting[budget] = request;
-  });
-  SyncForWaiting();
-}
-
-bool AccountManager::Private::DrawForBorrower(const LoanRequestItem& request) {
-  const std::shared_ptr<const GatewayConfig> config = context.config.Get();
-  if (!reachable || context.draining || !config)
-    return false;
-  auto budget = config->objects->budgets().find(request.budget);
-  if (budget == config->objects->budgets().end() ||
-      !holder.MayDrawForLoan(request.budget, budget->second.tokens,
-                             request.smallest))
-    return false;
-  lent_at[request.budget] = Clock::now();
-  SyncSoon();
-  return true;
-}
-
 void AccountManager::Private::SyncSoon() {
   sync_requested = true;
   timer.cancel();
 }
 
-void AccountManager::Private::SyncForWaiting() {
-  if (!reachable) {
-    // The store is retried after kStoreRetryPause; other hosts are asked now.
-    OpenAllTokens();
-    BorrowOrDeny(UnreachableReason());
-    return;
-  }
-  if (context.peers.enabled() && !std::exchange(borrow_scheduled, true))
-    asio::co_spawn(context.control, BorrowAfterDelay(), asio::detached);
-  SyncSoon();
-}
-
 void AccountManager::Private::OpenAllTokens() {
   if (reachable)
     return;
@@ -403,56 +212,6 @@
   }
 }
 
-// A budget is reported as exhausted only if no host has enough tokens left for
-// the request, because callers do not retry after that response.
-void AccountManager::Private::BorrowOrDeny(const Reason& why) {
-  const std::shared_ptr<const GatewayConfig> config = context.config.Get();
-  drawn_directly.clear();
-  for (const auto& [name, request] : std::exchange(waiting, {})) {
-    const GrantRequest missing = Missing(request);
-    if (missing.needed == 0)
-      continue;
-    Reason denial = why;
-    auto budget = holder.known_account().budgets.find(name);
-    auto paid = config->objects->budgets().find(name);
-    if (why.code == ResultCode::kBudgetExhausted &&
-        budget != holder.known_account().budgets.end() &&
-        paid != config->objects->budgets().end() &&
-        paid->second.tokens - budget->second.Spent() >= request.smallest) {
-      denial = {ResultCode::kBudgetUnreachable,
-                "other hosts hold the remaining tokens of budget " + name};
-    }
-    if (context.peers.enabled())
-      loans.RequestLoan(
-          missing, LoanScope::kFleet,
-          FindLenders(holder.known_account(), name, context.ledger_holder()),
-          denial);
-    else
-      context.ledger.Deny(name, missing.smallest, denial);
-  }
-}
-
-Reason AccountManager::Private::UnreachableReason() const {
-  return {ResultCode::kBudgetUnreachable,
-          "this host has too few tokens, no other host lends them, and the "
-          "account is unavailable: " +
-              reason.text};
-}
-
-void AccountManager::Private::BorrowForWaiting() {
-  OpenAllTokens();
-  CollectWaiting();
-  BorrowOrDeny(UnreachableReason());
-}
-
-asio::awaitable<void> AccountManager::Private::BorrowAfterDelay() {
-  asio::steady_timer delay_timer(context.control, kBorrowDelay);
-  co_await delay_timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  borrow_scheduled = false;
-  if (sync_start && Clock::now() - *sync_start >= kBorrowDelay)
-    BorrowForWaiting();
-}
-
 asio::awaitable<bool> AccountManager::Private::Sync() {
   OpenAllTokens();
   // Reads first: other hosts have most likely written the account since, and a
--- /dev/null
+++ b/src/libs/routing/target_choice.cc
@@ -0,0 +1,118 @@
+// The choice of a target for one attempt.
+
+#include <algorithm>
+
+#include "libs/routing/routing_constants.h"
+#include "libs/routing/target_table_private.h"
+
+namespace turmericwinch {
+
+bool TargetTable::Private::IsLeftToLonger(const TargetGroup& group,
+                                          const Target& target,
+                                          const RoutingQuery& query) const {
+  if (!target.rate_limit.limit() || target.rate_limit.IsUnderused(query.now))
+    return false;
+  auto mean = mean_prompt_tokens.find(query.request.service);
+  if (mean == mean_prompt_tokens.end() ||
+      static_cast<double>(query.request.prompt_tokens) >= mean->second)
+    return false;
+  return std::any_of(group.targets.begin(), group.targets.end(),
+                     [&](const Target* it) {
+                       return !it->rate_limit.limit() && !it->member.leaving &&
+                              it->health.Weight(query.now) > 0;
+                     });
+}
+
+Candidate TargetTable::Private::FindBest(TargetGroup& group,
+                                         const RoutingQuery& query) {
+  Candidate best;
+  const RoutingRequest& request = query.request;
+  const auto prompt = static_cast<double>(request.prompt_tokens);
+  const auto shared = static_cast<double>(request.prefix_tokens);
+  auto consider = [&](Target* it, double cached) {
+    const double weight = it->Weight(query.now);
+    if (weight == 0 || it->member.leaving ||
+        static_cast<double>(it->load.in_flight()) >=
+            it->AllowedInFlight(query.now) ||
+        query.excluded.contains(it->member.name) ||
+        !it->rate_limit.MayStart(query.now) ||
+        IsLeftToLonger(group, *it, query))
+      return;
+    const double uncached = std::max(prompt - cached, 1.0);
+    const double domain_penalty = it->member.failure_domain == failure_domain
+                                      ? 0
+                                      : kNearDomainPenaltySeconds;
+    const double prefill_again =
+        (shared - cached) * kPrefillAgainSecondsPerToken;
+    const double cost =
+        (it->load.Cost(uncached, query.now) + prefill_again + domain_penalty) /
+        weight;
+    if (!best.target || cost < best.cost)
+      best = {it, cost, uncached};
+  };
+  const bool compare_all = group.subset.size() <= kSampledTargets;
+  const std::size_t compared =
+      compare_all ? group.subset.size() : kSampledTargets;
+  for (std::size_t n = 0; n < compared; ++n) {
+    const std::size_t index = compare_all ? n : random() % group.subset.size();
+    consider(group.subset[index], 0);
+  }
+  if (request.prefix != 0) {
+    for (std::size_t n : group.ring.TargetsFor(request.prefix))
+      consider(group.targets[n], shared * kRingCachedFraction);
+    for (std::uint64_t id : prefixes.RecentTargets(request.prefix, query.now)) {
+      auto it = group.by_id.find(id);
+      if (it != group.by_id.end())
+        consider(it->second, shared);
+    }
+  }
+  return best;
+}
+
+Target* TargetTable::Private::FindLastResort(const RoutingQuery& query,
+                                             const char** obstacle) {
+  Target* ejected = nullptr;
+  auto service = groups.find(query.request.service);
+  if (service == groups.end())
+    return nullptr;
+  for (auto& [tier, group] : service->second) {
+    for (Target* it : group.targets) {
+      const TargetState state = it->health.State(query.now);
+      if (it->member.leaving || state == TargetState::kLeaving ||
+          query.excluded.contains(it->member.name))
+        continue;
+      if (!it->rate_limit.MayStart(query.now))
+        *obstacle = "has reached its rate limit";
+      else if (it->load.in_flight() >= it->max_in_flight)
+        *obstacle = "is full";
+      else if (it->health.Weight(query.now) > 0)
+        return it;
+      else if (!ejected)
+        ejected = it;
+    }
+  }
+  return *obstacle ? nullptr : ejected;
+}
+
+TargetChoice TargetTable::Private::StartAttempt(const RoutingQuery& query,
+                                                Target& target,
+                                                double uncached_tokens) {
+  const RoutingRequest& request = query.request;
+  TargetChoice choice{target.member.name, target.member.address,
+                      target.member.incarnation, target.id, uncached_tokens};
+  choice.share_status = ShareStatusOf(request, query.now);
+  choice.service = request.service;
+  choice.team = request.team;
+  choice.sent_at = query.now;
+  target.load.BeginRequest(uncached_tokens, query.now);
+  target.rate_limit.RecordStart(query.now);
+  if (!request.team.empty())
+    teams[request.service].BeginRequest(request.team);
+  if (request.prefix != 0)
+    prefixes.RecordSent(request.prefix, target.id, query.now);
+  choice.queued_tokens = target.load.pending_prompt_tokens();
+  choice.in_flight = target.load.in_flight();
+  return choice;
+}
+
+}  // namespace turmericwinch
