--- a/tests/gateway/quarantine_store_test.cc
+++ b/tests/gateway/quarantine_store_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include "support/memory_platform.h"
+#include "support/run_until.h"
 
 namespace turmericwinch {
 
@@ -28,13 +29,6 @@
     boost::asio::co_spawn(context, store.Run(), boost::asio::detached);
   }
 
-  // Runs handlers until `is_done` returns true. A test that never gets there is
-  // ended by the timeout of the test runner.
-  void RunUntil(const std::function<bool()>& is_done) {
-    while (!is_done())
-      context.run_one();
-  }
-
   std::size_t StoredParts() {
     Reason reason;
     const auto object = QuarantinedPartsObject::Parse(
@@ -45,7 +39,7 @@
   // Waits until the store has taken the change.
   void Store(QuarantineStore & store, const Parts& changes) {
     const int before = platform.writes;
-    RunUntil([&] {
+    RunUntil(context, [&] {
       store.Store(changes);
       return platform.writes > before;
     });
@@ -54,18 +48,18 @@
 
 TEST(QuarantineStore, AHostThatStartsLaterLearnsTheVerdicts) {
   Start(first);
-  RunUntil([this] { return platform.writes > 0; });
+  RunUntil(context, [this] { return platform.writes > 0; });
   Store(first, {{7, kHold}});
   Start(second);
-  RunUntil([this] { return !learnt.empty(); });
+  RunUntil(context, [this] { return !learnt.empty(); });
   CHECK(learnt[0].part == 7);
 }
 
 TEST(QuarantineStore, WritersAtTheSameTimeLoseNoVerdict) {
   Start(first);
   Start(second);
-  RunUntil([this] { return platform.writes > 0; });
-  RunUntil([this] {
+  RunUntil(context, [this] { return platform.writes > 0; });
+  RunUntil(context, [this] {
     first.Store({{7, kHold}});
     second.Store({{8, kHold}});
     return StoredParts() == 2;
@@ -75,11 +69,11 @@
 TEST(QuarantineStore, AWithdrawnPartIsRemoved) {
   Start(first);
   Start(second);
-  RunUntil([this] { return platform.writes > 0; });
+  RunUntil(context, [this] { return platform.writes > 0; });
   Store(first, {{7, kHold}});
-  RunUntil([this] { return !learnt.empty(); });
+  RunUntil(context, [this] { return !learnt.empty(); });
   Store(first, {{7, std::chrono::milliseconds(0)}});
-  RunUntil([this] { return learnt.empty(); });
+  RunUntil(context, [this] { return learnt.empty(); });
 }
 
 }  // namespace turmericwinch
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -9,6 +9,8 @@
 #include <memory>
 
 #include "libs/http/http_client.h"
+#include "loopback_peers.h"
+#include "support/run_until.h"
 
 namespace turmericwinch {
 
@@ -19,32 +21,13 @@
 
 // A host with its peer connections and its quarantine.
 struct Host {
-  Host(boost::asio::io_context& context, unsigned short port)
-      : settings(SettingsOf(port)),
-        peers(context, settings),
-        quarantine(context, peers) {
-    Reason reason;
-    CHECK(peers.Listen(&reason).has_value());
-  }
-
-  static GatewaySettings SettingsOf(unsigned short port) {
-    GatewaySettings settings;
-    settings.peer_listen = {boost::asio::ip::make_address("127.0.0.1"), port};
-    return settings;
-  }
+  explicit Host(boost::asio::io_context& context)
+      : peers(context), quarantine(context, peers.peers) {}
 
-  GatewaySettings settings;
-  GatewayPeers peers;
+  LoopbackPeers peers;
   RequestQuarantine quarantine;
 };
 
-// Returns a port that no process is using.
-unsigned short FreePort(boost::asio::io_context& context) {
-  boost::asio::ip::tcp::acceptor acceptor(
-      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 }  // namespace
 
 TEST_GROUP(RequestQuarantine) {
@@ -55,14 +38,10 @@
   int crashes_ = 0;
 
   void setup() override {
-    first = std::make_unique<Host>(context, FreePort(context));
-    second = std::make_unique<Host>(context, FreePort(context));
-    FleetAccount account;
-    account.heartbeats["one_1"] = {"boot", BootTime(0), first->peers.address()};
-    account.heartbeats["two_1"] = {"boot", BootTime(0),
-                                   second->peers.address()};
-    first->peers.UpdateAddresses(account);
-    second->peers.UpdateAddresses(account);
+    first = std::make_unique<Host>(context);
+    second = std::make_unique<Host>(context);
+    first->peers.Know({&second->peers});
+    second->peers.Know({&first->peers});
   }
 
   // Lets the host lose requests with the deadly part to `count` new targets.
@@ -73,13 +52,6 @@
       host.quarantine.OnTargetList(no_targets);
     }
   }
-
-  // Runs handlers until `is_done` returns true. A test that never gets there is
-  // ended by the timeout of the test runner.
-  void RunUntil(const std::function<bool()>& is_done) {
-    while (!is_done())
-      context.run_one();
-  }
 };
 
 // A request crashes each target that runs it, and its caller retries it at
@@ -89,11 +61,12 @@
   first->quarantine.OnTargetList(no_targets);
   CHECK(first->quarantine.HasSuspects());
   CHECK(!first->quarantine.IsQuarantined("digest"));
-  RunUntil([this] { return second->quarantine.HasSuspects(); });
+  RunUntil(context, [this] { return second->quarantine.HasSuspects(); });
   second->quarantine.OnLost({"digest", "t2", "1"});
   second->quarantine.OnTargetList(no_targets);
   CHECK(second->quarantine.IsQuarantined("digest"));
-  RunUntil([this] { return first->quarantine.IsQuarantined("digest"); });
+  RunUntil(context,
+           [this] { return first->quarantine.IsQuarantined("digest"); });
 }
 
 TEST(RequestQuarantine, ASecondCrashOfARestartedTargetCountsAgain) {
@@ -108,7 +81,7 @@
 TEST(RequestQuarantine, ATargetThatRefusesConnectionsCountsAsCrashedAtOnce) {
   const std::string closed = "127.0.0.1:" + std::to_string(FreePort(context));
   first->quarantine.OnLost({"digest", "t1", "1", closed, {}});
-  RunUntil([this] { return second->quarantine.HasSuspects(); });
+  RunUntil(context, [this] { return second->quarantine.HasSuspects(); });
   CHECK(first->quarantine.HasSuspects());
 }
 
@@ -119,14 +92,14 @@
       {"digest", "t1", "1", ToText(target.local_endpoint()), {}});
   bool accepted = false;
   target.async_accept([&](auto, auto) { accepted = true; });
-  RunUntil([&] { return accepted; });
+  RunUntil(context, [&] { return accepted; });
   context.poll();
   CHECK(!first->quarantine.HasSuspects());
 }
 
 TEST(RequestQuarantine, APartThatCrashedTargetsOfTwoHostsIsRefusedByBoth) {
   CrashWithPart(*first, 3);
-  RunUntil([this] {
+  RunUntil(context, [this] {
     return second->quarantine.FindQuarantinedPart({kDeadly}).has_value();
   });
   CHECK(first->quarantine.FindQuarantinedPart({kTeam, kDeadly}).has_value());
@@ -145,8 +118,8 @@
   });
   second->quarantine.OnPartsAnswered({kDeadly});
   CrashWithPart(*first, 3);
-  RunUntil([&] { return removed > 0; });
-  RunUntil([this] {
+  RunUntil(context, [&] { return removed > 0; });
+  RunUntil(context, [this] {
     return !first->quarantine.FindQuarantinedPart({kDeadly}).has_value();
   });
   CHECK(!second->quarantine.FindQuarantinedPart({kDeadly}).has_value());
@@ -157,12 +130,11 @@
   boost::asio::co_spawn(context, first->quarantine.Run(),
                         boost::asio::detached);
   CrashWithPart(*first, 3);
-  RunUntil([this] { return first->quarantine.quarantined_parts() > 0; });
-  Host third(context, FreePort(context));
-  FleetAccount account;
-  account.heartbeats["three_1"] = {"boot", BootTime(0), third.peers.address()};
-  first->peers.UpdateAddresses(account);
-  RunUntil([&] {
+  RunUntil(context,
+           [this] { return first->quarantine.quarantined_parts() > 0; });
+  Host third(context);
+  first->peers.Know({&third.peers});
+  RunUntil(context, [&] {
     return third.quarantine.FindQuarantinedPart({kDeadly}).has_value();
   });
 }
@@ -170,9 +142,9 @@
 TEST(RequestQuarantine, AnAnswerClearsTheSuspectAtAllHosts) {
   first->quarantine.OnLost({"digest", "t1", "1"});
   first->quarantine.OnTargetList(no_targets);
-  RunUntil([this] { return second->quarantine.HasSuspects(); });
+  RunUntil(context, [this] { return second->quarantine.HasSuspects(); });
   second->quarantine.OnAnswered("digest");
-  RunUntil([this] { return !first->quarantine.HasSuspects(); });
+  RunUntil(context, [this] { return !first->quarantine.HasSuspects(); });
   CHECK(!second->quarantine.HasSuspects());
 }
 
--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -3,8 +3,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio.hpp>
-#include <boost/json/parse.hpp>
 
+#include "support/routing_config.h"
 #include "support/run_coroutine.h"
 
 namespace turmericwinch {
@@ -15,17 +15,6 @@
 using Clock = std::chrono::steady_clock;
 using Choice = std::optional<TargetChoice>;
 
-ConfigSnapshot Config() {
-  ConfigSet set;
-  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
-  set.Add({ConfigKind::kTargetClass, "any",
-           boost::json::parse(R"({"service":"plain","tokens_per_second":1,
-             "most_in_flight":2})")
-               .as_object(),
-           ""});
-  return {1, "digest", set};
-}
-
 }  // namespace
 
 TEST_GROUP(SharedTargets) {
@@ -35,7 +24,7 @@
 
   void setup() override {
     targets.Update({{}, {{"one", "a", "127.0.0.1:1", "1", "any", false}}},
-                   Config());
+                   SingleClassConfig("plain", 1, 2));
   }
   asio::awaitable<Choice> Wait(const char* team, Clock::duration timeout) {
     RoutingRequest request{"plain"};
--- a/tests/routing/rate_limit_traffic_test.cc
+++ b/tests/routing/rate_limit_traffic_test.cc
@@ -5,7 +5,6 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <boost/json/parse.hpp>
 #include <deque>
 #include <map>
 #include <memory>
@@ -14,6 +13,7 @@
 
 #include "libs/routing/rate_share.h"
 #include "libs/routing/target_table.h"
+#include "support/routing_config.h"
 
 namespace turmericwinch {
 
@@ -48,17 +48,6 @@
   double rate;
 };
 
-ConfigSnapshot Config() {
-  ConfigSet set;
-  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
-  set.Add({ConfigKind::kTargetClass, "any",
-           boost::json::parse(R"({"service":"llm","tokens_per_second":50,
-             "most_in_flight":64})")
-               .as_object(),
-           ""});
-  return {1, "digest", set};
-}
-
 // An attempt that its target answers at `end`.
 struct Attempt {
   std::size_t host;
@@ -77,7 +66,7 @@
     for (int n = 0; n < parameters.hosts; ++n) {
       const std::string name = "host-" + std::to_string(n);
       tables_.push_back(std::make_unique<TargetTable>("a", name));
-      tables_.back()->Update(list, Config(), kStart);
+      tables_.back()->Update(list, SingleClassConfig("llm", 50, 64), kStart);
       tables_.back()->SetFirstRateShare(1.0 / parameters.hosts);
       const double others = parameters.hosts > 1 ? parameters.hosts - 1 : 1;
       const double part =
--- a/tests/routing/target_queue_test.cc
+++ b/tests/routing/target_queue_test.cc
@@ -2,9 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <boost/json/parse.hpp>
 #include <vector>
 
+#include "support/routing_config.h"
+
 namespace turmericwinch {
 
 namespace {
@@ -15,17 +16,6 @@
 const TargetTable::TimePoint kStart{seconds(100)};
 const TargetTable::TimePoint kFarDeadline = kStart + seconds(3'600);
 
-ConfigSnapshot Config() {
-  ConfigSet set;
-  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
-  set.Add({ConfigKind::kTargetClass, "any",
-           boost::json::parse(R"({"service":"llm","tokens_per_second":80,
-             "most_in_flight":8})")
-               .as_object(),
-           ""});
-  return {1, "digest", set};
-}
-
 }  // namespace
 
 TEST_GROUP(TargetQueue) {
@@ -36,7 +26,7 @@
 
   void setup() override {
     table.Update({{}, {{"one", "a", "127.0.0.1:1", "1", "any", false}}},
-                 Config(), kStart);
+                 SingleClassConfig("llm", 80, 8), kStart);
     RaiseLimit();
   }
   // Timely first tokens raise the concurrency limit to the configured one.
@@ -116,7 +106,7 @@
 }
 
 TEST(TargetQueue, UnknownServiceIsRejectedWithoutQueuing) {
-  table.Update({}, Config(), kStart);
+  table.Update({}, SingleClassConfig("llm", 80, 8), kStart);
   CHECK_FALSE(Begin("calm").has_value());
   CHECK_FALSE(ticket.has_value());
   CHECK(reason.code == ResultCode::kNoTarget);
