--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -3,15 +3,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include "endless_target.h"
-#include "libs/http/http_client.h"
-#include "libs/http/http_server.h"
-#include "platform/config_decoder.h"
-#include "platform/edge_dialect.h"
+#include "gateway_call_fixture.h"
 #include "raw_target.h"
-#include "support/run_coroutine.h"
 
 namespace turmericwinch::platform {
 
@@ -20,229 +15,9 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-constexpr char kConfig[] = R"({"version":1,"routes":[
- {"name":"once","host":"h","path_prefix":"/once/","type":"non_idempotent",
-  "service":"app","max_attempts":2,"timeout_ms":60000},
- {"name":"again","host":"h","path_prefix":"/again/","type":"idempotent",
-  "service":"app","max_attempts":2,"timeout_ms":60000},
- {"name":"stream","host":"h","path_prefix":"/stream/","type":"streaming",
-  "service":"app","max_attempts":2,"resumable":true,"timeout_ms":60000},
- {"name":"fixed","host":"h","path_prefix":"/fixed/","type":"streaming",
-  "service":"app","max_attempts":2,"resumable":false,"timeout_ms":60000}],
- "services":[{"name":"app"}],
- "tenants":[{"name":"team","api_keys":["key"],"prepaid":1000}]})";
-
-// What a scripted target does with a request.
-enum class TargetBehavior {
-  kAnswer,
-  kFail,
-  kClose,
-  kNotRun,
-  kOtherTarget,
-  kUnsigned,
-  kOtherAttemptId,
-  kStream,
-  // Sends two events and half of a third, then closes the connection.
-  kCutStream,
-};
-
-// Requests per second that a scripted target with a limit names. So few that a
-// test never lasts until the next one.
-constexpr char kRateLimit[] = "0.0001";
-
-// Id of a prompt part on which a scripted target crashes.
-constexpr char kDeadlyPart[] = "dead";
-
-std::string EventText(int id) {
-  return "id: " + std::to_string(id) + "\ndata: x\n\n";
-}
-
-// A target that handles each request by the next step of a script, and answers
-// it once the script has ended.
-class ScriptedTarget {
- public:
-  ScriptedTarget(asio::io_context& context, std::vector<TargetBehavior>& script)
-      : script_(script),
-        server_({&context},
-                {kHttpMostBodyBytes, 16},
-                [this](const HttpRequest& request, HttpExchange& exchange) {
-                  return Handle(request, exchange);
-                }),
-        endpoint(*server_.Listen({asio::ip::make_address("127.0.0.1"), 0},
-                                 nullptr)) {}
-
-  std::vector<HttpRequest> requests;
-  bool names_limit = false;
-
- private:
-  asio::awaitable<void> Handle(const HttpRequest& request,
-                               HttpExchange& exchange) {
-    requests.push_back(request);
-    TargetBehavior behavior = TargetBehavior::kAnswer;
-    if (!script_.empty()) {
-      behavior = script_.front();
-      script_.erase(script_.begin());
-    }
-    if (request.headers.Get("Turmericwinch-Prefix-Hash").find(kDeadlyPart) !=
-        std::string_view::npos)
-      behavior = TargetBehavior::kClose;
-    HttpResponse response;
-    response.headers.Add(
-        "Turmericwinch-Attempt-Id",
-        behavior == TargetBehavior::kOtherAttemptId
-            ? "another"
-            : std::string(request.headers.Get("Turmericwinch-Attempt-Id")));
-    if (behavior != TargetBehavior::kUnsigned)
-      response.headers.Add("Turmericwinch-Response-Signature", "mac");
-    if (names_limit)
-      response.headers.Add("Server-Limit", kRateLimit);
-    response.body = "whole";
-    switch (behavior) {
-      case TargetBehavior::kClose:
-        exchange.Abort();
-        co_return;
-      case TargetBehavior::kFail:
-        response.status = 500;
-        break;
-      case TargetBehavior::kNotRun:
-        response.status = 503;
-        response.headers.Add("Turmericwinch-Not-Executed", "1");
-        break;
-      case TargetBehavior::kOtherTarget:
-        response.status = 421;
-        break;
-      case TargetBehavior::kStream:
-      case TargetBehavior::kCutStream: {
-        const std::string after(request.headers.Get("Last-Event-Id"));
-        const int first = after.empty() ? 1 : std::stoi(after) + 1;
-        const int last = behavior == TargetBehavior::kCutStream ? first + 1 : 5;
-        exchange.StartStream(200, response.headers);
-        for (int n = first; n <= last; ++n)
-          co_await exchange.Write(EventText(n));
-        if (behavior == TargetBehavior::kStream) {
-          co_await exchange.EndStream();
-        } else {
-          co_await exchange.Write("id: 9\nda");
-          exchange.Abort();
-        }
-        co_return;
-      }
-      default:
-        break;
-    }
-    co_await exchange.Send(response);
-  }
-
-  std::vector<TargetBehavior>& script_;
-  HttpServer server_;
-
- public:
-  asio::ip::tcp::endpoint endpoint;
-};
-
-GatewaySettings Settings() {
-  GatewaySettings settings;
-  settings.host = "host";
-  settings.failure_domain = "a";
-  settings.retry_ratio = 0.2;
-  settings.retry_slack = 500;
-  return settings;
-}
-
 }  // namespace
 
-TEST_GROUP(GatewayCall) {
-  GatewayContext context{Settings(), MakeEdgeDialect()};
-  std::vector<TargetBehavior> script;
-  ScriptedTarget one{context.traffic, script};
-  ScriptedTarget two{context.traffic, script};
-  HttpServer gateway{
-      {&context.traffic},
-      {kHttpMostBodyBytes, 16},
-      [this](const HttpRequest& request, HttpExchange& exchange) {
-        return RunGatewayCall(context, request, exchange);
-      }};
-  asio::ip::tcp::endpoint address =
-      *gateway.Listen({asio::ip::make_address("127.0.0.1"), 0}, nullptr);
-  HttpClient caller{context.traffic};
-  HttpFailure failure;
-
-  // Lists both targets with a new incarnation, so that the gateway knows
-  // nothing about them.
-  void RestartTargets(const GatewayConfig& config) {
-    const std::string incarnation = std::to_string(++incarnation_);
-    HostList list;
-    list.targets = {
-        {"i-1", "a", ToText(one.endpoint), incarnation, "app", false},
-        {"i-2", "a", ToText(two.endpoint), incarnation, "app", false},
-    };
-    context.targets.Update(list, *config.objects);
-  }
-
-  // Lists both targets as restarted after a crash.
-  void ListCrash() {
-    RestartTargets(*context.config.Get());
-    HostList none;
-    context.quarantine.OnTargetList(none);
-  }
-
-  // The response to a request whose prompt has `parts` and a last part of its
-  // own; no two such requests are alike.
-  int StatusOfPrompt(const std::string& parts) {
-    const std::string own = std::to_string(++requests_);
-    HttpRequest request = Request("/fixed/1");
-    request.body = own;
-    request.headers.Add("Turmericwinch-Token-Count", "1,1");
-    request.headers.Add("Turmericwinch-Prefix-Hash", parts + "," + own + ":9");
-    const auto response = Call(request);
-    return response ? response->status : 0;
-  }
-
-  int incarnation_ = 0;
-  int requests_ = 0;
-
-  void setup() override {
-    Reason reason;
-    auto config = DecodeConfig(kConfig, {"a"}, &reason);
-    RestartTargets(*config);
-    context.ledger.Grant("team", 500);
-    context.config.Set(
-        std::make_shared<const GatewayConfig>(std::move(*config)));
-  }
-
-  HttpRequest Request(const std::string& path) {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = path;
-    request.body = "question";
-    request.headers.Add("Host", "h");
-    request.headers.Add("Turmericwinch-Attempt-Id", "id1");
-    request.headers.Add("Authorization", "Token key");
-    return request;
-  }
-
-  std::optional<HttpResponse> Call(const HttpRequest& request) {
-    return RunCoroutine(context.traffic, caller.Call(address, request,
-                                                     HttpTimeouts(), &failure));
-  }
-
-  int StatusOf(const std::string& path) {
-    const auto response = Call(Request(path));
-    return response ? response->status : 0;
-  }
-
-  // Number of requests that the targets have received.
-  std::size_t ReceivedRequests() const {
-    return one.requests.size() + two.requests.size();
-  }
-
-  std::int64_t Available() {
-    std::int64_t available = 0;
-    context.ledger.With(
-        [&](HostLedger& ledger) { available = ledger.Available("team"); });
-    return available;
-  }
-};
+TEST_GROUP_BASE(GatewayCall, GatewayCallFixture){};
 
 // Checks the response and the number of targets that got the request, for each
 // behavior of the first targets.
@@ -365,7 +140,7 @@
   asio::ip::tcp::acceptor silent(context.traffic,
                                  {asio::ip::make_address("127.0.0.1"), 0});
   Reason reason;
-  auto config = DecodeConfig(kConfig, {"a"}, &reason);
+  auto config = DecodeConfig(kGatewayCallConfig, {"a"}, &reason);
   HostList list;
   list.targets = {
       {"i-3", "a", ToText(silent.local_endpoint()), "1", "app", false}};
--- /dev/null
+++ b/tests/adapter/scripted_target.h
@@ -0,0 +1,126 @@
+// A target that follows a script.
+
+#ifndef TESTS_ADAPTER_SCRIPTED_TARGET_H_
+#define TESTS_ADAPTER_SCRIPTED_TARGET_H_
+
+#include <boost/asio.hpp>
+#include <string>
+#include <vector>
+
+#include "libs/http/http_server.h"
+
+namespace turmericwinch::platform {
+
+// What a scripted target does with a request.
+enum class TargetBehavior {
+  kAnswer,
+  kFail,
+  kClose,
+  kNotRun,
+  kOtherTarget,
+  kUnsigned,
+  kOtherAttemptId,
+  kStream,
+  // Sends two events and half of a third, then closes the connection.
+  kCutStream,
+};
+
+// Requests per second that a scripted target with a limit names. So few that a
+// test never lasts until the next one.
+inline constexpr char kNamedRateLimit[] = "0.0001";
+
+// Id of a prompt part on which a scripted target crashes.
+inline constexpr char kDeadlyPart[] = "dead";
+
+inline std::string EventText(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+// A target that handles each request by the next step of a script, and answers
+// it once the script has ended.
+class ScriptedTarget {
+ public:
+  ScriptedTarget(boost::asio::io_context& context,
+                 std::vector<TargetBehavior>& script)
+      : script_(script),
+        server_({&context},
+                {kHttpMostBodyBytes, 16},
+                [this](const HttpRequest& request, HttpExchange& exchange) {
+                  return Handle(request, exchange);
+                }),
+        endpoint(
+            *server_.Listen({boost::asio::ip::make_address("127.0.0.1"), 0},
+                            nullptr)) {}
+
+  std::vector<HttpRequest> requests;
+  bool names_limit = false;
+
+ private:
+  boost::asio::awaitable<void> Handle(const HttpRequest& request,
+                                      HttpExchange& exchange) {
+    requests.push_back(request);
+    TargetBehavior behavior = TargetBehavior::kAnswer;
+    if (!script_.empty()) {
+      behavior = script_.front();
+      script_.erase(script_.begin());
+    }
+    if (request.headers.Get("Turmericwinch-Prefix-Hash").find(kDeadlyPart) !=
+        std::string_view::npos)
+      behavior = TargetBehavior::kClose;
+    HttpResponse response;
+    response.headers.Add(
+        "Turmericwinch-Attempt-Id",
+        behavior == TargetBehavior::kOtherAttemptId
+            ? "another"
+            : std::string(request.headers.Get("Turmericwinch-Attempt-Id")));
+    if (behavior != TargetBehavior::kUnsigned)
+      response.headers.Add("Turmericwinch-Response-Signature", "mac");
+    if (names_limit)
+      response.headers.Add("Server-Limit", kNamedRateLimit);
+    response.body = "whole";
+    switch (behavior) {
+      case TargetBehavior::kClose:
+        exchange.Abort();
+        co_return;
+      case TargetBehavior::kFail:
+        response.status = 500;
+        break;
+      case TargetBehavior::kNotRun:
+        response.status = 503;
+        response.headers.Add("Turmericwinch-Not-Executed", "1");
+        break;
+      case TargetBehavior::kOtherTarget:
+        response.status = 421;
+        break;
+      case TargetBehavior::kStream:
+      case TargetBehavior::kCutStream: {
+        const std::string after(request.headers.Get("Last-Event-Id"));
+        const int first = after.empty() ? 1 : std::stoi(after) + 1;
+        const int last = behavior == TargetBehavior::kCutStream ? first + 1 : 5;
+        exchange.StartStream(200, response.headers);
+        for (int n = first; n <= last; ++n)
+          co_await exchange.Write(EventText(n));
+        if (behavior == TargetBehavior::kStream) {
+          co_await exchange.EndStream();
+        } else {
+          co_await exchange.Write("id: 9\nda");
+          exchange.Abort();
+        }
+        co_return;
+      }
+      default:
+        break;
+    }
+    co_await exchange.Send(response);
+  }
+
+  std::vector<TargetBehavior>& script_;
+  HttpServer server_;
+
+ public:
+  boost::asio::ip::tcp::endpoint endpoint;
+};
+
+}  // namespace turmericwinch::platform
+
+#endif  // TESTS_ADAPTER_SCRIPTED_TARGET_H_
