--- a/tests/budget/fleet_traffic_run.cc
+++ b/tests/budget/fleet_traffic_run.cc
@@ -5,14 +5,10 @@
 #include <functional>
 #include <map>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
-#include "libs/budget/demand_rate.h"
-#include "libs/budget/fleet_holder.h"
-#include "libs/budget/fleet_lender.h"
-#include "libs/budget/loan_search.h"
+#include "fleet_traffic_host.h"
 
 namespace turmericwinch {
 
@@ -32,9 +28,7 @@
 constexpr seconds kEnd{15};
 constexpr milliseconds kSyncInterval{250};
 constexpr milliseconds kRetryPause{300};
-constexpr milliseconds kFirstRefreshPause{1'000};
 constexpr milliseconds kMaxRefreshPause{8'000};
-constexpr seconds kDemandWindow{8};
 constexpr milliseconds kBorrowDelay{30};
 constexpr milliseconds kFirstConflictPause{4};
 constexpr int kMaxConflicts = 12;
@@ -48,50 +42,6 @@
   return "team-" + std::to_string(n);
 }
 
-struct WaitingRequest {
-  std::string team;
-  std::int64_t cost;
-  // Whether no host of the domain lent tokens for it.
-  bool draws_directly = false;
-};
-
-// Tokens of a team that a host's requests and borrowers have used so far.
-struct Demand {
-  DemandRate rate{kDemandWindow};
-  std::int64_t used = 0;
-};
-
-struct Host {
-  Host(int n, std::string domain)
-      : id("host-" + std::to_string(n) + "_1"),
-        address(id + ":1"),
-        domain(std::move(domain)),
-        holder(id, "boot", address, this->domain),
-        ledger(id),
-        lender(id, address),
-        search(id, address) {}
-
-  std::string id;
-  std::string address;
-  std::string domain;
-  FleetHolder holder;
-  HostLedger ledger;
-  FleetLender lender;
-  LoanSearch search;
-  bool is_stopped = false;
-  bool is_syncing = false;
-  bool sync_requested = false;
-  std::uint64_t version = 0;
-  std::map<int, WaitingRequest> waiting;
-  // Requests of other hosts that wait for a draw.
-  std::vector<LoanRequest> deferred;
-  // Teams of which other hosts borrowed tokens that this host had to draw.
-  std::set<std::string> lent_teams;
-  std::map<std::string, Demand> demands;
-  microseconds next_refresh{0};
-  milliseconds refresh_pause = kFirstRefreshPause;
-};
-
 }  // namespace
 
 class FleetTrafficRun::Private {
@@ -99,7 +49,7 @@
   explicit Private(const FleetTrafficOptions& options)
       : options(options), random(options.seed) {
     for (int n = 0; n < options.hosts; ++n) {
-      hosts.push_back(std::make_unique<Host>(
+      hosts.push_back(std::make_unique<FleetTrafficHost>(
           n, "domain-" + std::to_string(n % options.domains)));
     }
   }
@@ -112,35 +62,36 @@
     return std::chrono::duration_cast<BootTime>(now) + BootTime(1'000'000);
   }
   microseconds TransferTime() const;
-  void Tick(Host& host);
-  void RequestSync(Host& host);
-  void Read(Host& host, int conflicts);
-  void Plan(Host& host, int conflicts);
-  void Write(Host& host, int conflicts);
-  void EndSync(Host& host, bool done);
-  bool PlanWrite(Host& host);
-  void Arrive(Host& host);
-  bool Start(Host& host, const WaitingRequest& request);
-  void Wake(Host& host);
-  bool MustDraw(const Host& host, const WaitingRequest& request) const;
-  void BorrowInDomain(Host& host);
-  void BorrowInFleet(Host& host);
-  void StartSearch(Host& host,
+  void Tick(FleetTrafficHost& host);
+  void RequestSync(FleetTrafficHost& host);
+  void Read(FleetTrafficHost& host, int conflicts);
+  void Plan(FleetTrafficHost& host, int conflicts);
+  void Write(FleetTrafficHost& host, int conflicts);
+  void EndSync(FleetTrafficHost& host, bool done);
+  bool PlanWrite(FleetTrafficHost& host);
+  void Arrive(FleetTrafficHost& host);
+  bool Start(FleetTrafficHost& host, const WaitingRequest& request);
+  void Wake(FleetTrafficHost& host);
+  bool MustDraw(const FleetTrafficHost& host,
+                const WaitingRequest& request) const;
+  void BorrowInDomain(FleetTrafficHost& host);
+  void BorrowInFleet(FleetTrafficHost& host);
+  void StartSearch(FleetTrafficHost& host,
                    const WaitingRequest& request,
                    LoanScope scope,
                    std::vector<LenderEndpoint> lenders);
-  void SendLoanRequests(Host& host);
-  Host* FindHost(const std::string& address);
-  void HandleLoanRequest(Host& lender, const LoanRequest& request);
+  void SendLoanRequests(FleetTrafficHost& host);
+  FleetTrafficHost* FindHost(const std::string& address);
+  void HandleLoanRequest(FleetTrafficHost& lender, const LoanRequest& request);
   void SendLoanResponse(const LoanRequest& request,
                         const LoanResponse& response);
-  void ScheduleArrival(Host& host);
+  void ScheduleArrival(FleetTrafficHost& host);
 
   FleetTrafficOptions options;
   std::mt19937_64 random;
   microseconds now{0};
   std::multimap<microseconds, std::function<void()>> events;
-  std::vector<std::unique_ptr<Host>> hosts;
+  std::vector<std::unique_ptr<FleetTrafficHost>> hosts;
   FleetAccount account;
   std::uint64_t version = 1;
   int next_request = 0;
@@ -157,14 +108,14 @@
       std::chrono::duration<double>(bytes / kLinkBytesPerSecond));
 }
 
-void FleetTrafficRun::Private::Tick(Host& host) {
+void FleetTrafficRun::Private::Tick(FleetTrafficHost& host) {
   if (host.is_stopped)
     return;
   At(kSyncInterval, [this, &host] { Tick(host); });
   RequestSync(host);
 }
 
-void FleetTrafficRun::Private::RequestSync(Host& host) {
+void FleetTrafficRun::Private::RequestSync(FleetTrafficHost& host) {
   if (host.is_syncing) {
     host.sync_requested = true;
     return;
@@ -180,7 +131,7 @@
   Read(host, 0);
 }
 
-void FleetTrafficRun::Private::Read(Host& host, int conflicts) {
+void FleetTrafficRun::Private::Read(FleetTrafficHost& host, int conflicts) {
   ++result.store_calls;
   At(kStoreTime + TransferTime(), [this, &host, conflicts] {
     host.holder.LoadAccount(account, Boot());
@@ -189,7 +140,7 @@
   });
 }
 
-void FleetTrafficRun::Private::Plan(Host& host, int conflicts) {
+void FleetTrafficRun::Private::Plan(FleetTrafficHost& host, int conflicts) {
   if (!PlanWrite(host))
     return EndSync(host, true);
   host.holder.BeginWrite(Boot());
@@ -198,7 +149,7 @@
      [this, &host, conflicts] { Write(host, conflicts); });
 }
 
-void FleetTrafficRun::Private::Write(Host& host, int conflicts) {
+void FleetTrafficRun::Private::Write(FleetTrafficHost& host, int conflicts) {
   const bool done = host.version == version;
   if (done) {
     account = host.holder.planned_account();
@@ -224,7 +175,7 @@
   });
 }
 
-void FleetTrafficRun::Private::EndSync(Host& host, bool done) {
+void FleetTrafficRun::Private::EndSync(FleetTrafficHost& host, bool done) {
   At(done ? microseconds(0) : kRetryPause, [this, &host] {
     host.is_syncing = false;
     if (std::exchange(host.sync_requested, false))
@@ -236,7 +187,7 @@
     SendLoanResponse(it, host.lender.HandleRequest(it, host.ledger, Time()));
 }
 
-bool FleetTrafficRun::Private::PlanWrite(Host& host) {
+bool FleetTrafficRun::Private::PlanWrite(FleetTrafficHost& host) {
   const std::vector<Bill> bills = host.ledger.UnconfirmedBills(10'000);
   if (!bills.empty())
     host.ledger.ConfirmBills(bills.back().sequence);
@@ -251,7 +202,7 @@
     const HolderCounters counters = host.ledger.Counters(team);
     const std::int64_t total =
         counters.granted - counters.given_back - host.ledger.Available(team);
-    Demand& demand = host.demands[team];
+    FleetTrafficDemand& demand = host.demands[team];
     demand.rate.AddTokens(total - std::exchange(demand.used, total), Time());
     demands[team] = {kPaid, needed[team], demand.rate.Value(), kMaxCost / 2.0,
                      host.lent_teams.contains(team)};
@@ -259,7 +210,7 @@
   return host.holder.PlanWrite(demands, host.ledger, Boot());
 }
 
-void FleetTrafficRun::Private::ScheduleArrival(Host& host) {
+void FleetTrafficRun::Private::ScheduleArrival(FleetTrafficHost& host) {
   std::exponential_distribution<double> pause(options.request_rate);
   At(std::chrono::duration_cast<microseconds>(
          std::chrono::duration<double>(pause(random))),
@@ -269,7 +220,7 @@
      });
 }
 
-void FleetTrafficRun::Private::Arrive(Host& host) {
+void FleetTrafficRun::Private::Arrive(FleetTrafficHost& host) {
   ++result.requests;
   const WaitingRequest request{
       TeamName(static_cast<int>(random() % kTeams)),
@@ -290,7 +241,7 @@
   });
 }
 
-bool FleetTrafficRun::Private::Start(Host& host,
+bool FleetTrafficRun::Private::Start(FleetTrafficHost& host,
                                      const WaitingRequest& request) {
   const Reservation taken =
       host.ledger.Reserve(request.team, request.cost, Time());
@@ -308,18 +259,18 @@
   return true;
 }
 
-void FleetTrafficRun::Private::Wake(Host& host) {
+void FleetTrafficRun::Private::Wake(FleetTrafficHost& host) {
   std::erase_if(host.waiting,
                 [&](const auto& it) { return Start(host, it.second); });
 }
 
-bool FleetTrafficRun::Private::MustDraw(const Host& host,
+bool FleetTrafficRun::Private::MustDraw(const FleetTrafficHost& host,
                                         const WaitingRequest& request) const {
   return request.draws_directly ||
          host.holder.stock_hosts().LendersFor(request.team).empty();
 }
 
-void FleetTrafficRun::Private::BorrowInDomain(Host& host) {
+void FleetTrafficRun::Private::BorrowInDomain(FleetTrafficHost& host) {
   for (const auto& [id, it] : host.waiting) {
     if (!MustDraw(host, it))
       StartSearch(host, it, LoanScope::kDomain,
@@ -328,7 +279,7 @@
   SendLoanRequests(host);
 }
 
-void FleetTrafficRun::Private::BorrowInFleet(Host& host) {
+void FleetTrafficRun::Private::BorrowInFleet(FleetTrafficHost& host) {
   for (const auto& [id, it] : host.waiting) {
     if (MustDraw(host, it))
       StartSearch(host, it, LoanScope::kFleet,
@@ -338,7 +289,7 @@
 }
 
 void FleetTrafficRun::Private::StartSearch(
-    Host& host,
+    FleetTrafficHost& host,
     const WaitingRequest& request,
     LoanScope scope,
     std::vector<LenderEndpoint> lenders) {
@@ -349,7 +300,8 @@
                     {ResultCode::kBudgetUnreachable, "no lender"}, Time());
 }
 
-Host* FleetTrafficRun::Private::FindHost(const std::string& address) {
+FleetTrafficHost* FleetTrafficRun::Private::FindHost(
+    const std::string& address) {
   for (const auto& it : hosts) {
     if (it->address == address)
       return it->is_stopped ? nullptr : it.get();
@@ -357,7 +309,7 @@
   return nullptr;
 }
 
-void FleetTrafficRun::Private::HandleLoanRequest(Host& lender,
+void FleetTrafficRun::Private::HandleLoanRequest(FleetTrafficHost& lender,
                                                  const LoanRequest& request) {
   LoanResponse response =
       lender.lender.HandleRequest(request, lender.ledger, Time());
@@ -375,7 +327,7 @@
 void FleetTrafficRun::Private::SendLoanResponse(const LoanRequest& request,
                                                 const LoanResponse& response) {
   At(kMessageTime, [this, request, response] {
-    Host* borrower = FindHost(request.reply_to);
+    FleetTrafficHost* borrower = FindHost(request.reply_to);
     if (!borrower)
       return;
     borrower->search.HandleResponse(response, borrower->ledger, Time());
@@ -384,11 +336,11 @@
   });
 }
 
-void FleetTrafficRun::Private::SendLoanRequests(Host& host) {
+void FleetTrafficRun::Private::SendLoanRequests(FleetTrafficHost& host) {
   for (const OutgoingLoanRequest& it :
        host.search.DueRequests(host.ledger, Time())) {
     At(kMessageTime, [this, it] {
-      if (Host* lender = FindHost(it.address))
+      if (FleetTrafficHost* lender = FindHost(it.address))
         HandleLoanRequest(*lender, it.request);
     });
   }
