Failing tests: verdicts on requests that crash targets reach too few hosts

All three fail on the current code: two wait for hosts that never learn of the crash (ended by the timeout of the runner), and Quarantine.EachCrashAfterAnUncertainHoldRefusesForLonger fails at its first renewal.

--- a/tests/delivery/quarantine_test.cc
+++ b/tests/delivery/quarantine_test.cc
@@ -55,6 +55,25 @@
   CHECK(quarantine.IsQuarantined("r", later + kUncertainQuarantineHold));
 }
 
+TEST(Quarantine, EachCrashAfterAnUncertainHoldRefusesForLonger) {
+  Quarantine quarantine;
+  Quarantine::Time now = kStart;
+  std::chrono::milliseconds hold = kUncertainQuarantineHold;
+  for (const char* target : {"a", "b"}) {
+    quarantine.OnLost("bystander", target, now);
+    quarantine.OnLost("r", target, now);
+  }
+  for (const char* target : {"c", "d", "e"}) {
+    now += hold;
+    quarantine.Expire(now);
+    CHECK(!quarantine.IsQuarantined("r", now));
+    quarantine.OnLost("bystander", target, now);
+    quarantine.OnLost("r", target, now);
+    CHECK(quarantine.IsQuarantined("r", now + hold));
+    hold *= 2;
+  }
+}
+
 TEST(Quarantine, RepeatedNoticeOfOneLossCountsOnce) {
   Quarantine quarantine;
   quarantine.OnLost("r", "a", kStart);
--- a/tests/gateway/loopback_peers.h
+++ b/tests/gateway/loopback_peers.h
@@ -7,8 +7,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <initializer_list>
 #include <string>
+#include <vector>
 
 #include "libs/gateway/gateway_peers.h"
 
@@ -30,7 +30,7 @@
   }
 
   // Makes the addresses of `hosts` known to this one.
-  void Know(std::initializer_list<const LoopbackPeers*> hosts) {
+  void Know(const std::vector<const LoopbackPeers*>& hosts) {
     FleetAccount account;
     for (const LoopbackPeers* it : hosts) {
       const std::string& address = it->peers.address();
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -5,8 +5,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <memory>
+#include <vector>
 
 #include "libs/http/http_client.h"
 #include "loopback_peers.h"
@@ -44,6 +46,14 @@
     second->peers.Know({&first->peers});
   }
 
+  // Lets the host lose the same request to `count` new targets.
+  void CrashWithRequest(Host & host, int count) {
+    for (int n = 0; n < count; ++n) {
+      host.quarantine.OnLost({"digest", "t" + std::to_string(++crashes_), "1"});
+      host.quarantine.OnTargetList(no_targets);
+    }
+  }
+
   // Lets the host lose requests with the deadly part to `count` new targets.
   void CrashWithPart(Host & host, int count) {
     for (int n = 0; n < count; ++n) {
@@ -139,6 +149,33 @@
   });
 }
 
+TEST(RequestQuarantine, ACrashIsReportedToEveryHostOfALargeFleet) {
+  constexpr int kHosts = 79;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::vector<const LoopbackPeers*> others;
+  for (int n = 1; n < kHosts; ++n) {
+    hosts.push_back(std::make_unique<Host>(context));
+    others.push_back(&hosts.back()->peers);
+  }
+  first->peers.Know(others);
+  first->quarantine.OnLost({"digest", "t1", "1"});
+  first->quarantine.OnTargetList(no_targets);
+  RunUntil(context, [&] {
+    return std::all_of(hosts.begin(), hosts.end(), [](const auto& it) {
+      return it->quarantine.HasSuspects();
+    });
+  });
+}
+
+TEST(RequestQuarantine, AHostThatStartsLaterLearnsTheQuarantinedRequests) {
+  boost::asio::co_spawn(context, first->quarantine.Run(),
+                        boost::asio::detached);
+  CrashWithRequest(*first, 2);
+  Host third(context);
+  first->peers.Know({&third.peers});
+  RunUntil(context, [&] { return third.quarantine.IsQuarantined("digest"); });
+}
+
 TEST(RequestQuarantine, AnAnswerClearsTheSuspectAtAllHosts) {
   first->quarantine.OnLost({"digest", "t1", "1"});
   first->quarantine.OnTargetList(no_targets);
