Notify every host of crashes and rate limits

Cause: GatewayPeers::SendToAll stopped after 64 addresses in the order of the account, so that in a fleet of 79 the same 14 hosts never learnt of any crash. Each of them sent the request on until it had lost two targets of its own. Class: a fixed bound on a fan-out that every receiver has to get.

Elsewhere: rate limits of targets went through the same function, so the last 14 hosts got no demand of the others; prompt parts only held because their verdicts are sent again to random hosts.

--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -43,10 +43,6 @@
 // Prompt parts of one request that a log line names.
 inline constexpr std::size_t kMaxLoggedPromptParts = 8;
 
-// Maximum number of hosts that are notified of a request that crashes targets.
-// Bounds the traffic in large fleets; current fleets have fewer hosts.
-inline constexpr std::size_t kMaxNotifiedPeers = 64;
-
 // Events of a stream after which the parts of its prompt are known to be sound:
 // a part that crashes targets does so before the first.
 inline constexpr std::int64_t kEventsOfSoundParts = 3;
--- a/src/libs/gateway/gateway_peers.cc
+++ b/src/libs/gateway/gateway_peers.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 
-#include "libs/gateway/gateway_constants.h"
 #include "libs/http/http_client.h"
 
 namespace turmericwinch {
@@ -39,9 +38,8 @@
 }
 
 void GatewayPeers::SendToAll(const PeerFrame& frame) {
-  const std::size_t count = std::min(addresses_.size(), kMaxNotifiedPeers);
-  for (std::size_t n = 0; n < count; ++n)
-    Send(addresses_[n], frame);
+  for (const std::string& it : addresses_)
+    Send(it, frame);
 }
 
 void GatewayPeers::SendToSome(const PeerFrame& frame, std::size_t count) {
