Keep the losses of a request after its quarantine, and refuse for longer

A request that was never alone on a lost target is refused for 30 s. Then its losses were forgotten, so that it could crash two more targets every 30 s. Class: the end of a verdict also ended the evidence for it.

The losses now outlive the verdict, one more crash renews it, and each renewal doubles the time, up to that of a certain verdict. The quarantine also remembers which suspects were answered and lists its verdicts, for the exchange between hosts.

--- a/src/libs/delivery/delivery_constants.h
+++ b/src/libs/delivery/delivery_constants.h
@@ -62,6 +62,12 @@
 // it never was.
 inline constexpr std::chrono::milliseconds kQuarantineHold{600'000};
 inline constexpr std::chrono::milliseconds kUncertainQuarantineHold{30'000};
+// Time for which the losses of a request are kept. Longer than a quarantine, so
+// that one more crash after its end renews it.
+inline constexpr std::chrono::milliseconds kSuspectRetention =
+    2 * kQuarantineHold;
+// Difference between the ends of one verdict as different hosts know it.
+inline constexpr std::chrono::milliseconds kSameVerdictSlack{5'000};
 // Requests that are suspected or refused at the same time.
 inline constexpr std::size_t kMaxSuspects = 4'096;
 
--- a/src/libs/delivery/quarantine.h
+++ b/src/libs/delivery/quarantine.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace turmericwinch {
 
@@ -22,7 +23,8 @@
 
 // A request that was in flight on two lost targets is refused. If it was lost
 // together with other requests both times, it is refused only briefly: one of
-// them is the cause, and the others can be answered when they are retried.
+// them is the cause, and the others can be answered when they are retried. Each
+// crash after that time doubles it.
 class Quarantine {
  public:
   using Time = std::chrono::steady_clock::time_point;
@@ -35,11 +37,19 @@
                                           Time now);
   // Records that a target answered the request, which clears it of suspicion.
   // Returns whether it was a suspect.
-  bool OnAnswered(const std::string& digest);
+  bool OnAnswered(const std::string& digest, Time now);
+  // Whether the request was a suspect that a target answered, and was not lost
+  // with a target since.
+  bool IsCleared(const std::string& digest) const {
+    return cleared_.contains(digest);
+  }
   // Whether the request must be refused.
   bool IsQuarantined(const std::string& digest, Time now) const;
-  // Adds a verdict of another host.
-  void AddVerdict(const QuarantineVerdict& verdict, Time now);
+  // Adds a verdict of another host, unless the request was cleared. Returns
+  // whether the request was not refused until then.
+  bool AddVerdict(const QuarantineVerdict& verdict, Time now);
+  // The requests that are refused, each for the time that is left.
+  std::vector<QuarantineVerdict> Verdicts(Time now) const;
   // Removes suspects and losses that are too old to matter.
   void Expire(Time now);
 
@@ -52,6 +62,11 @@
     int shared_losses = 0;
     Time last_loss;
     std::chrono::milliseconds hold{0};
+    // The hold if other requests may be the cause; 0 before the first one.
+    std::chrono::milliseconds uncertain_hold{0};
+
+    Time End() const { return last_loss + hold; }
+    void RaiseUncertainHold(bool is_renewal);
   };
   struct Loss {
     Time time;
@@ -62,6 +77,8 @@
 
   std::map<std::string, Suspect> suspects_;
   std::map<std::string, Loss> losses_;
+  // Times at which suspects were answered.
+  std::map<std::string, Time> cleared_;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -106,7 +106,7 @@
 void RequestQuarantine::OnAnswered(const std::string& digest) {
   {
     std::lock_guard lock(mutex_);
-    if (!quarantine_.OnAnswered(digest))
+    if (!quarantine_.OnAnswered(digest, Clock::now()))
       return;
     UpdateCounts();
   }
@@ -237,7 +237,7 @@
     return;
   }
   std::lock_guard lock(mutex_);
-  quarantine_.OnAnswered(notice.digest);
+  quarantine_.OnAnswered(notice.digest, Clock::now());
   UpdateCounts();
 }
 
--- a/src/libs/node/quarantine_manager.cc
+++ b/src/libs/node/quarantine_manager.cc
@@ -140,7 +140,7 @@
   else if (!notice.target.empty())
     verdict = quarantine.OnLost(notice.digest, notice.target, now);
   else
-    quarantine.OnAnswered(notice.digest);
+    quarantine.OnAnswered(notice.digest, now);
   UpdateSuspectCount();
   return verdict;
 }
@@ -193,7 +193,7 @@
   bool suspected = false;
   {
     std::lock_guard lock(d_->mutex);
-    suspected = d_->quarantine.OnAnswered(digest);
+    suspected = d_->quarantine.OnAnswered(digest, steady_clock::now());
     d_->UpdateSuspectCount();
   }
   if (suspected)
--- a/tests/delivery/quarantine_test.cc
+++ b/tests/delivery/quarantine_test.cc
@@ -31,7 +31,7 @@
   Quarantine quarantine;
   quarantine.OnLost("r", "a", kStart);
   quarantine.OnLost("bystander", "a", kStart);
-  quarantine.OnAnswered("bystander");
+  quarantine.OnAnswered("bystander", kStart);
   CHECK(!quarantine.OnLost("bystander", "c", kStart + kLater).has_value());
   CHECK(quarantine.OnLost("r", "b", kStart + kLater).has_value());
   CHECK(quarantine.IsQuarantined("r", kStart + kLater));
@@ -50,7 +50,7 @@
   const Quarantine::Time later = kStart + kUncertainQuarantineHold;
   CHECK(!quarantine.IsQuarantined("bystander", later));
   CHECK(!quarantine.IsQuarantined("r", later));
-  quarantine.OnAnswered("bystander");
+  quarantine.OnAnswered("bystander", later);
   CHECK(quarantine.OnLost("r", "c", later).has_value());
   CHECK(quarantine.IsQuarantined("r", later + kUncertainQuarantineHold));
 }
