Send verdicts on requests again, and keep them in the store

A host that started, or was cut off, while the others reached a verdict on a request that crashes targets never learnt it, and sent the request on.

Verdicts on requests now take the same way as those on prompt parts: sent to 8 random hosts each second, kept in quarantine/prompt-parts, learnt from there after a restart of all hosts, and withdrawn by any host that knows the request to be answered.

--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -81,8 +81,8 @@
       quarantine_store(std::make_unique<QuarantineStore>(
           context.control,
           *store,
-          [this](const std::vector<QuarantinedPart>& parts) {
-            context.quarantine.OnStoredParts(parts);
+          [this](const QuarantineVerdicts& verdicts) {
+            context.quarantine.OnStoredVerdicts(verdicts);
           })),
       caller_server({&context.traffic},
                     {kHttpMostBodyBytes, kGatewayMaxCallerConnections},
@@ -103,10 +103,9 @@
       signals(context.control, SIGTERM, SIGINT, SIGHUP) {
   context.ledger.SetGrantRequestHandler(
       [this] { account_manager->RequestTokens(); });
-  context.quarantine.SetStore(
-      [this](const std::vector<QuarantinedPart>& parts) {
-        quarantine_store->Store(parts);
-      });
+  context.quarantine.SetStore([this](const QuarantineVerdicts& verdicts) {
+    quarantine_store->Store(verdicts);
+  });
 }
 
 void Gateway::Private::ApplyConfig(
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -46,10 +46,13 @@
 // Events of a stream after which the parts of its prompt are known to be sound:
 // a part that crashes targets does so before the first.
 inline constexpr std::int64_t kEventsOfSoundParts = 3;
-// Interval at which a host sends its quarantined prompt parts to other hosts,
-// and the number of hosts that it sends them to.
+// Interval at which a host sends its verdicts on requests and prompt parts to
+// other hosts, and the number of hosts that it sends them to.
 inline constexpr std::chrono::milliseconds kQuarantineResendInterval{1'000};
 inline constexpr std::size_t kQuarantineResendPeers = 8;
+// Quarantined requests that are sent in one interval, those with the longest
+// time left first.
+inline constexpr std::size_t kMaxResentRequests = 64;
 
 // Interval at which hosts tell each other of rate limits and their demand, the
 // window over which the demand is averaged, and the time for which that of
--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -27,8 +27,10 @@
 
 QuarantineStore::QuarantineStore(asio::io_context& control,
                                  PlatformClient& platform,
-                                 Sink on_parts)
-    : control_(control), platform_(platform), on_parts_(std::move(on_parts)) {}
+                                 Sink on_verdicts)
+    : control_(control),
+      platform_(platform),
+      on_verdicts_(std::move(on_verdicts)) {}
 
 asio::awaitable<void> QuarantineStore::Run() {
   asio::steady_timer timer(control_);
@@ -66,19 +68,19 @@
 void QuarantineStore::HandleObject(const PlatformObject& object) {
   version_ = std::max(version_, object.version);
   Reason reason;
-  std::optional<QuarantinedPartsObject> parsed =
-      QuarantinedPartsObject::Parse(object.value, &reason);
+  std::optional<StoredQuarantine> parsed =
+      StoredQuarantine::Parse(object.value, &reason);
   if (!parsed) {
-    LogEvent(kLog, Severity::kError, "stored_parts_unreadable",
+    LogEvent(kLog, Severity::kError, "stored_quarantine_unreadable",
              {{"version", object.version}, {"reason", reason.text}});
     return;
   }
   stored_ = std::move(*parsed);
-  on_parts_(stored_.Parts(UnixMs()));
+  on_verdicts_(stored_.Verdicts(UnixMs()));
 }
 
-void QuarantineStore::Store(const std::vector<QuarantinedPart>& changes) {
-  QuarantinedPartsObject next = stored_;
+void QuarantineStore::Store(const QuarantineVerdicts& changes) {
+  StoredQuarantine next = stored_;
   if (version_ == 0 || is_writing_ || !next.Apply(changes, UnixMs()))
     return;
   is_writing_ = true;
@@ -93,11 +95,10 @@
   co_return object.has_value();
 }
 
-asio::awaitable<void> QuarantineStore::Write(
-    std::vector<QuarantinedPart> changes) {
+asio::awaitable<void> QuarantineStore::Write(QuarantineVerdicts changes) {
   Reason reason;
   for (int n = 0; n < kMaxWriteConflicts; ++n) {
-    QuarantinedPartsObject next = stored_;
+    StoredQuarantine next = stored_;
     if (!next.Apply(changes, UnixMs())) {
       reason = {};
       break;
@@ -120,7 +121,7 @@
   is_writing_ = false;
   if (reason.code != ResultCode::kOk) {
     LogEvent(
-        kLog, Severity::kWarning, "parts_not_stored",
+        kLog, Severity::kWarning, "quarantine_not_stored",
         {{"code", static_cast<int>(reason.code)}, {"reason", reason.text}});
   }
 }
--- a/src/libs/gateway/quarantine_store.h
+++ b/src/libs/gateway/quarantine_store.h
@@ -1,4 +1,4 @@
-// Keeps the quarantined prompt parts in the platform's store.
+// Keeps the verdicts of the quarantine in the platform's store.
 
 #ifndef SRC_LIBS_GATEWAY_QUARANTINE_STORE_H_
 #define SRC_LIBS_GATEWAY_QUARANTINE_STORE_H_
@@ -7,9 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
-#include <vector>
 
-#include "libs/gateway/quarantined_parts_object.h"
+#include "libs/gateway/stored_quarantine.h"
 #include "libs/platform/platform_client.h"
 
 namespace turmericwinch {
@@ -18,23 +17,23 @@
 // are cut off from the others. Used on the control thread.
 class QuarantineStore {
  public:
-  // Receives the parts that are quarantined according to the store.
-  using Sink = std::function<void(const std::vector<QuarantinedPart>&)>;
+  // Receives the verdicts that hold according to the store.
+  using Sink = std::function<void(const QuarantineVerdicts&)>;
 
   QuarantineStore(boost::asio::io_context& control,
                   PlatformClient& platform,
-                  Sink on_parts);
+                  Sink on_verdicts);
 
   // Watches the object, and creates it first. Runs until the process ends.
   boost::asio::awaitable<void> Run();
-  // Stores the verdicts that the store does not have, and removes the parts
-  // whose hold is 0. Nothing is stored while the store does not answer.
-  void Store(const std::vector<QuarantinedPart>& changes);
+  // Stores the verdicts that the store does not have, and removes those whose
+  // hold is 0. Nothing is stored while the store does not answer.
+  void Store(const QuarantineVerdicts& changes);
 
  private:
   // Returns whether the store answered.
   boost::asio::awaitable<bool> WatchOnce();
-  boost::asio::awaitable<void> Write(std::vector<QuarantinedPart> changes);
+  boost::asio::awaitable<void> Write(QuarantineVerdicts changes);
   // Reads the object anew, as another host has changed it. Returns false and
   // sets `reason` if that fails.
   boost::asio::awaitable<bool> Refresh(Reason* reason);
@@ -42,8 +41,8 @@
 
   boost::asio::io_context& control_;
   PlatformClient& platform_;
-  Sink on_parts_;
-  QuarantinedPartsObject stored_;
+  Sink on_verdicts_;
+  StoredQuarantine stored_;
   // Version of the object; 0 until it was read or created.
   std::uint64_t version_ = 0;
   bool is_writing_ = false;
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -1,5 +1,6 @@
 #include "libs/gateway/request_quarantine.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <map>
 #include <utility>
@@ -44,17 +45,35 @@
   for (;;) {
     timer.expires_after(kQuarantineResendInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    PromptPartNotice notice;
-    {
-      std::lock_guard lock(mutex_);
-      parts_.Expire(Clock::now());
-      notice.quarantined = parts_.Verdicts(Clock::now());
-      UpdateCounts();
-    }
-    if (notice.quarantined.empty())
+    const QuarantineVerdicts verdicts = CurrentVerdicts();
+    if (verdicts.empty())
       continue;
-    store_(notice.quarantined);
-    peers_.SendToSome(notice, kQuarantineResendPeers);
+    store_(verdicts);
+    SendVerdicts(verdicts);
+  }
+}
+
+QuarantineVerdicts RequestQuarantine::CurrentVerdicts() {
+  std::lock_guard lock(mutex_);
+  const Clock::time_point now = Clock::now();
+  parts_.Expire(now);
+  QuarantineVerdicts verdicts{parts_.Verdicts(now), quarantine_.Verdicts(now)};
+  std::sort(verdicts.requests.begin(), verdicts.requests.end(),
+            [](const auto& a, const auto& b) { return a.hold > b.hold; });
+  if (verdicts.requests.size() > kMaxResentRequests)
+    verdicts.requests.resize(kMaxResentRequests);
+  UpdateCounts();
+  return verdicts;
+}
+
+void RequestQuarantine::SendVerdicts(const QuarantineVerdicts& verdicts) {
+  if (!verdicts.parts.empty()) {
+    peers_.SendToSome(PromptPartNotice{verdicts.parts, {}},
+                      kQuarantineResendPeers);
+  }
+  for (const QuarantineVerdict& it : verdicts.requests) {
+    peers_.SendToSome(QuarantineNotice{it.digest, "", it.hold},
+                      kQuarantineResendPeers);
   }
 }
 
@@ -111,8 +130,12 @@
     UpdateCounts();
   }
   LogEvent(kLog, Severity::kInfo, "suspect_cleared", {{"digest", digest}});
-  asio::post(control_,
-             [this, digest] { peers_.SendToAll(QuarantineNotice{digest}); });
+  asio::post(control_, [this, digest] { WithdrawEverywhere(digest); });
+}
+
+void RequestQuarantine::WithdrawEverywhere(const std::string& digest) {
+  store_({{}, {{digest, std::chrono::milliseconds(0)}}});
+  peers_.SendToAll(QuarantineNotice{digest});
 }
 
 void RequestQuarantine::OnPartsAnswered(
@@ -131,16 +154,17 @@
 }
 
 void RequestQuarantine::WithdrawEverywhere(std::vector<PromptPartId> parts) {
-  std::vector<QuarantinedPart> removed;
+  QuarantineVerdicts removed;
   for (PromptPartId it : parts)
-    removed.push_back({it, std::chrono::milliseconds(0)});
+    removed.parts.push_back({it, std::chrono::milliseconds(0)});
   store_(removed);
   peers_.SendToAll(PromptPartNotice{{}, std::move(parts)});
 }
 
-void RequestQuarantine::OnStoredParts(
-    const std::vector<QuarantinedPart>& parts) {
-  HandleNotice(PromptPartNotice{parts, {}});
+void RequestQuarantine::OnStoredVerdicts(const QuarantineVerdicts& verdicts) {
+  HandleNotice(PromptPartNotice{verdicts.parts, {}});
+  for (const QuarantineVerdict& it : verdicts.requests)
+    HandleNotice(QuarantineNotice{it.digest, "", it.hold});
 }
 
 void RequestQuarantine::OnTargetList(const HostList& list) {
@@ -212,7 +236,7 @@
   for (PromptPartId it : causes)
     notice.quarantined.push_back({it, kFirstPartHold});
   peers_.SendToAll(notice);
-  store_(notice.quarantined);
+  store_({notice.quarantined, {}});
 }
 
 bool RequestQuarantine::HandleFrame(const PeerFrame& frame) {
@@ -231,14 +255,32 @@
   return false;
 }
 
+// A verdict on a request that this host knows to be answered is withdrawn at
+// all hosts.
 void RequestQuarantine::HandleNotice(const QuarantineNotice& notice) {
   if (!notice.target.empty()) {
     RecordLoss(notice.digest, notice.target, false);
     return;
   }
-  std::lock_guard lock(mutex_);
-  quarantine_.OnAnswered(notice.digest, Clock::now());
-  UpdateCounts();
+  bool is_added = false;
+  bool is_cleared = false;
+  {
+    std::lock_guard lock(mutex_);
+    const Clock::time_point now = Clock::now();
+    if (notice.hold.count() == 0) {
+      quarantine_.OnAnswered(notice.digest, now);
+    } else {
+      is_added = quarantine_.AddVerdict({notice.digest, notice.hold}, now);
+      is_cleared = quarantine_.IsCleared(notice.digest);
+    }
+    UpdateCounts();
+  }
+  if (is_added) {
+    LogEvent(kLog, Severity::kWarning, "quarantine_learnt",
+             {{"digest", notice.digest}, {"hold_ms", notice.hold.count()}});
+  }
+  if (is_cleared)
+    WithdrawEverywhere(notice.digest);
 }
 
 // A verdict on a part that this host knows to be sound is withdrawn at all
--- a/src/libs/gateway/request_quarantine.h
+++ b/src/libs/gateway/request_quarantine.h
@@ -12,8 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "libs/delivery/prompt_part_quarantine.h"
-#include "libs/delivery/quarantine.h"
+#include "libs/delivery/quarantine_verdicts.h"
 #include "libs/gateway/gateway_peers.h"
 #include "libs/gateway/pending_losses.h"
 
@@ -26,17 +25,16 @@
 // control thread only.
 class RequestQuarantine {
  public:
-  // Stores quarantined parts where other hosts find them. A hold of 0 means
-  // that the part is no longer quarantined. Called on the control thread.
-  using StoreParts = std::function<void(const std::vector<QuarantinedPart>&)>;
+  // Stores verdicts where other hosts find them. Called on the control thread.
+  using StoreVerdicts = std::function<void(const QuarantineVerdicts&)>;
 
   RequestQuarantine(boost::asio::io_context& control, GatewayPeers& peers);
 
   // Called on the control thread, before Run().
-  void SetStore(StoreParts store) { store_ = std::move(store); }
-  // Sends the quarantined parts to the store and to some other hosts at
-  // intervals, as notices are lost in cuts and hosts start later. Runs on the
-  // control thread until the process ends.
+  void SetStore(StoreVerdicts store) { store_ = std::move(store); }
+  // Sends the verdicts to the store and to some other hosts at intervals, as
+  // notices are lost in cuts and hosts start later. Runs on the control thread
+  // until the process ends.
   boost::asio::awaitable<void> Run();
 
   // Whether any request is suspected. If not, no digest has to be computed.
@@ -54,7 +52,7 @@
   void OnPartsAnswered(const std::vector<PromptPartId>& shared_parts);
   // Called with verdicts that other hosts have stored. Called on the control
   // thread.
-  void OnStoredParts(const std::vector<QuarantinedPart>& parts);
+  void OnStoredVerdicts(const QuarantineVerdicts& verdicts);
   // Counts the losses of targets that have ended, and notifies the other hosts.
   // Called on the control thread.
   void OnTargetList(const HostList& list);
@@ -77,6 +75,10 @@
   bool HandleFrame(const PeerFrame& frame);
   void HandleNotice(const QuarantineNotice& notice);
   void HandleNotice(const PromptPartNotice& notice);
+  QuarantineVerdicts CurrentVerdicts();
+  void SendVerdicts(const QuarantineVerdicts& verdicts);
+  // Withdraws the quarantine of the request at all hosts and in the store.
+  void WithdrawEverywhere(const std::string& digest);
   // Withdraws the quarantine of these parts at all hosts and in the store.
   void WithdrawEverywhere(std::vector<PromptPartId> parts);
   void RecordLoss(const std::string& digest,
@@ -87,7 +89,7 @@
 
   boost::asio::io_context& control_;
   GatewayPeers& peers_;
-  StoreParts store_ = [](const std::vector<QuarantinedPart>&) {};
+  StoreVerdicts store_ = [](const QuarantineVerdicts&) {};
   mutable std::mutex mutex_;
   PendingLosses pending_;
   Quarantine quarantine_;
--- a/tests/gateway/quarantine_store_test.cc
+++ b/tests/gateway/quarantine_store_test.cc
@@ -21,9 +21,10 @@
   boost::asio::io_context context;
   MemoryPlatform platform;
   Parts learnt;
-  QuarantineStore first{context, platform, [](const Parts&) {}};
-  QuarantineStore second{context, platform,
-                         [this](const Parts& parts) { learnt = parts; }};
+  QuarantineStore first{context, platform, [](const QuarantineVerdicts&) {}};
+  QuarantineStore second{
+      context, platform,
+      [this](const QuarantineVerdicts& it) { learnt = it.parts; }};
 
   void Start(QuarantineStore & store) {
     boost::asio::co_spawn(context, store.Run(), boost::asio::detached);
@@ -31,16 +32,16 @@
 
   std::size_t StoredParts() {
     Reason reason;
-    const auto object = QuarantinedPartsObject::Parse(
+    const auto object = StoredQuarantine::Parse(
         platform.store.Find("quarantine/prompt-parts")->value, &reason);
-    return object->Parts(0).size();
+    return object->Verdicts(0).parts.size();
   }
 
   // Waits until the store has taken the change.
   void Store(QuarantineStore & store, const Parts& changes) {
     const int before = platform.writes;
     RunUntil(context, [&] {
-      store.Store(changes);
+      store.Store({changes, {}});
       return platform.writes > before;
     });
   }
@@ -60,8 +61,8 @@
   Start(second);
   RunUntil(context, [this] { return platform.writes > 0; });
   RunUntil(context, [this] {
-    first.Store({{7, kHold}});
-    second.Store({{8, kHold}});
+    first.Store({{{7, kHold}}, {}});
+    second.Store({{{8, kHold}}, {}});
     return StoredParts() == 2;
   });
 }
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -120,11 +120,11 @@
 TEST(RequestQuarantine, AHostThatKnowsAPartToBeSoundWithdrawsItsQuarantine) {
   std::size_t stored = 0;
   std::size_t removed = 0;
-  first->quarantine.SetStore([&](const std::vector<QuarantinedPart>& parts) {
-    ++(parts[0].hold.count() > 0 ? stored : removed);
+  first->quarantine.SetStore([&](const QuarantineVerdicts& verdicts) {
+    ++(verdicts.parts[0].hold.count() > 0 ? stored : removed);
   });
-  second->quarantine.SetStore([&](const std::vector<QuarantinedPart>& parts) {
-    ++(parts[0].hold.count() > 0 ? stored : removed);
+  second->quarantine.SetStore([&](const QuarantineVerdicts& verdicts) {
+    ++(verdicts.parts[0].hold.count() > 0 ? stored : removed);
   });
   second->quarantine.OnPartsAnswered({kDeadly});
   CrashWithPart(*first, 3);
@@ -176,6 +176,20 @@
   RunUntil(context, [&] { return third.quarantine.IsQuarantined("digest"); });
 }
 
+TEST(RequestQuarantine, AHostThatSawAnAnswerWithdrawsAVerdictOfAnEarlierTime) {
+  CrashWithRequest(*first, 1);
+  RunUntil(context, [this] { return second->quarantine.HasSuspects(); });
+  second->quarantine.OnAnswered("digest");
+  RunUntil(context, [this] { return !first->quarantine.HasSuspects(); });
+  Host third(context);
+  CrashWithRequest(third, 2);
+  third.peers.Know({&second->peers});
+  second->peers.Know({&third.peers});
+  boost::asio::co_spawn(context, third.quarantine.Run(), boost::asio::detached);
+  RunUntil(context, [&] { return !third.quarantine.IsQuarantined("digest"); });
+  CHECK(!second->quarantine.IsQuarantined("digest"));
+}
+
 TEST(RequestQuarantine, AnAnswerClearsTheSuspectAtAllHosts) {
   first->quarantine.OnLost({"digest", "t1", "1"});
   first->quarantine.OnTargetList(no_targets);
