--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -34,6 +34,8 @@
     script_.emplace_back(status, std::move(body));
   }
 
+  // Rises each time the store comes back from an old copy; 0 if it says none.
+  int era = 0;
   std::vector<std::string> calls;
   std::vector<std::string> bodies;
 
@@ -51,7 +53,9 @@
       exchange.Abort();
       co_return;
     }
-    const HttpResponse response = JsonResponse(next.first, next.second);
+    HttpResponse response = JsonResponse(next.first, next.second);
+    if (era > 0)
+      response.headers.Add("Store-Era", std::to_string(era));
     co_await exchange.Send(response);
   }
 
@@ -181,6 +185,71 @@
   LONGS_EQUAL(3, store.calls.size());
 }
 
+// Revisions go back, and the object's new revision was given out before.
+TEST(StoreClient, AWatchReportsAChangeAfterTheStoreLostItsNewestWrites) {
+  store.era = 1;
+  store.AddResponse(200, R"({"items":[)" + Object("main", 35, "1") +
+                             R"(],"has_more":false,"at":39})");
+  const milliseconds wait(10);
+  const auto first =
+      Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
+  store.era = 2;
+  store.AddResponse(410, "{}");
+  store.AddResponse(200, R"({"items":[)" + Object("main", 20, "2") +
+                             R"(],"has_more":false,"at":25})");
+  const auto second = Run(client.Watch(PlatformDuty::kConfig, "config/main",
+                                       first->version, wait, &reason));
+  CHECK(second.has_value());
+  STRCMP_EQUAL("2", second->value.c_str());
+  CHECK(second->version > first->version);
+}
+
+// The store has given out the revision of the watch again, so it answers.
+TEST(StoreClient, AWatchThatOutlastsARestoreListsAgain) {
+  store.era = 1;
+  store.AddResponse(200, R"({"items":[)" + Object("main", 35, "1") +
+                             R"(],"has_more":false,"at":39})");
+  const milliseconds wait(10);
+  const auto first =
+      Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
+  store.era = 2;
+  store.AddResponse(200, R"({"events":[],"at":45})");
+  store.AddResponse(200, R"({"items":[)" + Object("main", 30, "2") +
+                             R"(],"has_more":false,"at":45})");
+  const auto second = Run(client.Watch(PlatformDuty::kConfig, "config/main",
+                                       first->version, wait, &reason));
+  CHECK(second.has_value());
+  STRCMP_EQUAL("2", second->value.c_str());
+}
+
+TEST(StoreClient, AWriteConditionalOnALostRevisionIsNotSent) {
+  store.era = 1;
+  store.AddResponse(200, Object("account", 12, "1"));
+  const auto object =
+      Run(client.Get(PlatformDuty::kBudget, "account", &reason));
+  store.era = 2;
+  store.AddResponse(200, Object("other", 3, "1"));
+  Run(client.Get(PlatformDuty::kBudget, "other", &reason));
+  CHECK(!Run(client.Update(PlatformDuty::kBudget, *object, &reason)));
+  CHECK(reason.code == ResultCode::kPlatformConflict);
+  LONGS_EQUAL(2, store.calls.size());
+}
+
+TEST(StoreClient, TargetsAreListedAnewAfterTheStoreLostItsNewestWrites) {
+  store.era = 1;
+  store.AddResponse(200, R"({"items":[)" + Object("i-1", 5, Target("a")) +
+                             R"(],"has_more":false,"at":9})");
+  const auto before = Run(client.HostsSince(0, milliseconds(0), &reason));
+  store.era = 2;
+  store.AddResponse(200, R"({"events":[],"at":12})");
+  store.AddResponse(200, R"({"items":[)" + Object("i-2", 4, Target("a")) +
+                             R"(],"has_more":false,"at":12})");
+  const auto after =
+      Run(client.HostsSince(before->version, milliseconds(10), &reason));
+  CHECK(after->is_whole);
+  CHECK(after->version > before->version);
+}
+
 TEST(StoreClient, TargetsAreListedOverAllPagesAndThenWatched) {
   store.AddResponse(200, R"({"items":[)" + Object("i-1", 5, Target("a")) + "," +
                              Object("odd", 6, R"("other")") + "," +
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -2,10 +2,13 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <deque>
 #include <memory>
 #include <random>
+#include <utility>
+#include <vector>
 
 #include "libs/budget/fleet_lender.h"
 
@@ -17,8 +20,13 @@
 constexpr int kHosts = 4;
 constexpr int kEvents = 2'500;
 constexpr int kSeeds = 60;
+constexpr int kStepsPerRestore = 250;
 constexpr std::int64_t kMaxCost = 600;
 constexpr std::int64_t kPaid = 30'000;
+// Writes that a store which comes back from an old copy has lost at most.
+constexpr std::size_t kMaxLostWrites = 40;
+// Attempts of a host to write its account after the store came back.
+constexpr int kSyncsAfterRestore = 12;
 // Chance in percent that a killed host also reboots, which changes its boot id.
 // A reboot strands tokens, which would hide tokens that are spent twice, so
 // most runs have no reboots.
@@ -30,18 +38,32 @@
   return text ? std::strtoull(text, nullptr, 10) : kSeeds;
 }
 
-// A store with one versioned object.
+// A store with one versioned object. It may come back from an old copy, and
+// then gives out versions again.
 struct Store {
   FleetAccount account;
   std::uint64_t version = 1;
+  std::uint64_t era = 1;
+  std::deque<FleetAccount> past;
 
   bool Write(const FleetAccount& next, std::uint64_t expected) {
     if (expected != version)
       return false;
-    account = next;
+    past.push_back(std::exchange(account, next));
+    if (past.size() > kMaxLostWrites)
+      past.pop_front();
     ++version;
     return true;
   }
+
+  void Restore(std::uint64_t lost_writes) {
+    for (; lost_writes > 0 && !past.empty(); --lost_writes) {
+      account = past.back();
+      past.pop_back();
+      --version;
+    }
+    ++era;
+  }
 };
 
 // A write that reaches the store later than its sender expects.
@@ -74,6 +96,7 @@
   std::vector<std::pair<std::uint64_t, std::int64_t>> open;
   bool known = false;
   std::uint64_t version = 0;
+  std::uint64_t era = 0;
   bool is_disconnected = false;
 };
 
@@ -81,8 +104,9 @@
 // killed, in random order.
 class FleetRun {
  public:
-  explicit FleetRun(std::uint64_t seed)
+  FleetRun(std::uint64_t seed, bool has_restores)
       : random_(seed),
+        has_restores_(has_restores),
         reboot_percent_(seed % kRunsPerRunWithReboots == 0 ? kRebootPercent
                                                            : 0) {
     for (int n = 0; n < kHosts; ++n) {
@@ -113,6 +137,8 @@
 
   void Step() {
     now_ += BootTime(random_() % 300);
+    if (has_restores_ && random_() % kStepsPerRestore == 0)
+      Restore();
     FleetHost& host = hosts_[random_() % hosts_.size()];
     const int event = static_cast<int>(random_() % 1'000);
     if (event < 520)
@@ -193,9 +219,32 @@
   void Read(FleetHost& host) {
     host.holder->LoadAccount(store_.account, Now(host));
     host.version = store_.version;
+    host.era = store_.era;
     host.known = true;
   }
 
+  // Whether a host that reaches the store knows all that it has acknowledged.
+  bool IsNewestKnown() const {
+    return std::any_of(hosts_.begin(), hosts_.end(), [this](const auto& it) {
+      return it.known && !it.is_disconnected && it.era == store_.era &&
+             it.version == store_.version;
+    });
+  }
+
+  // The hosts that reach the store notice its return within a moment.
+  void Restore() {
+    if (!IsNewestKnown())
+      return;
+    store_.Restore(random_() % kMaxLostWrites);
+    for (int n = 0; n < kSyncsAfterRestore; ++n) {
+      for (FleetHost& it : hosts_) {
+        it.known = false;
+        if (!it.is_disconnected)
+          Sync(it);
+      }
+    }
+  }
+
   void Sync(FleetHost& host) {
     if (host.is_disconnected) {
       host.known = false;
@@ -274,6 +323,7 @@
   }
 
   std::mt19937_64 random_;
+  bool has_restores_;
   int reboot_percent_;
   Store store_;
   std::deque<DelayedWrite> delayed_writes_;
@@ -284,6 +334,21 @@
   std::int64_t used_ = 0;
 };
 
+// Returns the tokens used in all runs. Fails the test if a run overspends.
+std::int64_t RunSeeds(std::uint64_t seeds, bool has_restores) {
+  std::int64_t used = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    FleetRun run(seed, has_restores);
+    const std::int64_t excess = run.Run();
+    if (excess > 0)
+      FAIL(("seed " + std::to_string(seed) + " overspent by " +
+            std::to_string(excess))
+               .c_str());
+    used += run.used();
+  }
+  return used;
+}
+
 }  // namespace
 
 TEST_GROUP(FleetHolder) {
@@ -311,21 +376,18 @@
 
 TEST(FleetHolder, InvariantsNoTeamSpendsMoreThanItPaid) {
   const std::uint64_t seeds = SeedsToRun();
-  std::int64_t used = 0;
-  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    FleetRun run(seed);
-    const std::int64_t excess = run.Run();
-    if (excess > 0)
-      FAIL(("seed " + std::to_string(seed) + " overspent by " +
-            std::to_string(excess))
-               .c_str());
-    used += run.used();
-  }
+  const std::int64_t used = RunSeeds(seeds, false);
   // The runs must use a large part of the paid tokens; otherwise the check
   // above would prove nothing.
   CHECK(used / static_cast<std::int64_t>(seeds) > kPaid / 2);
 }
 
+TEST(FleetHolder, NoTokensAreSpentTwiceAfterTheStoreLostWrites) {
+  const std::uint64_t seeds = SeedsToRun();
+  const std::int64_t used = RunSeeds(seeds, true);
+  CHECK(used / static_cast<std::int64_t>(seeds) > kPaid / 2);
+}
+
 TEST(FleetHolder, OnlyOpenTokensAreAvailableWhileTheStoreAnswers) {
   Grant(BootTime(1'000));
   const FleetRow row =
