Tell the revisions of a restored store from those that it lost

After the store came back from an old copy, changes of the configuration were not applied at any host (CONFIG, and DENIED for routes that were added).

Cause: the store gives out its revisions again, and the client compared them with those of the lost history: the configuration's watch waited for a revision above 358 in a store at 256. Class: one counter taken to identify a history that may branch.

The store's era, a header in all its answers, is now the upper part of every version, so that each comparison orders the two histories.

Elsewhere: the same comparison stood in the watches of targets and verdicts and in the account's writes, all through this client.

--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -83,6 +83,10 @@
                                        std::uint64_t after,
                                        std::chrono::milliseconds wait,
                                        Reason* reason) = 0;
+  // Era of the store according to its last response; see store_version.h. It is
+  // part of all versions above. Writes with a version of an earlier era fail
+  // with kPlatformConflict.
+  virtual std::uint64_t Era() const { return 0; }
   // Returns the platform's list of hosts and targets as JSON text.
   virtual Answer<std::string> Hosts(Reason* reason) = 0;
   // Waits at most `wait` for changes of the list since version `after` and
--- a/src/libs/platform/platform_object.h
+++ b/src/libs/platform/platform_object.h
@@ -8,8 +8,8 @@
 
 namespace turmericwinch {
 
-// `version` increases with each write of any object. `value` is JSON text of
-// at most one megabyte.
+// `version` increases with each write of any object, see store_version.h.
+// `value` is JSON text of at most one megabyte.
 struct PlatformObject {
   std::string name;
   std::uint64_t version = 0;
--- a/src/libs/platform/platform_transport.cc
+++ b/src/libs/platform/platform_transport.cc
@@ -1,6 +1,7 @@
 #include "libs/platform/platform_transport.h"
 
 #include <boost/asio.hpp>
+#include <utility>
 
 #include "libs/http/http_client.h"
 
@@ -46,6 +47,8 @@
   asio::ip::tcp::endpoint endpoint;
   CallCounter counter;
   std::unique_ptr<PlatformGate> gate;
+  std::function<void(const HttpHeaders&)> observe_headers =
+      [](const HttpHeaders&) {};
 };
 
 PlatformTransport::PlatformTransport(asio::io_context& context,
@@ -68,6 +71,11 @@
   d_->client.SetUnresponsivePeerTimeout(time);
 }
 
+void PlatformTransport::SetHeadersObserver(
+    std::function<void(const HttpHeaders&)> observer) {
+  d_->observe_headers = std::move(observer);
+}
+
 asio::awaitable<std::optional<HttpResponse>> PlatformTransport::Send(
     PlatformDuty duty,
     PlatformCallKind kind,
@@ -97,6 +105,7 @@
                                    : ResultCode::kPlatformUnavailable,
                    "no response from the platform: " + failure.text);
   }
+  d_->observe_headers(response->headers);
   if (response->status == kStatusOk || response->status == kStatusCreated ||
       response->status == kStatusNoContent)
     co_return response;
--- a/src/libs/platform/platform_transport.h
+++ b/src/libs/platform/platform_transport.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -32,6 +33,9 @@
   // See HttpClient::SetUnresponsivePeerTimeout().
   void SetUnresponsivePeerTimeout(std::chrono::milliseconds time);
 
+  // Calls `observer` with the headers of each response, before Send() returns.
+  void SetHeadersObserver(std::function<void(const HttpHeaders&)> observer);
+
   // Sends `request` and returns the response if its status is 200, 201 or 204.
   // Reasons are those of PlatformClient: the outcome of a write is unknown if
   // the request may have arrived and no response came. The body of a response
