Add what hosts remember to the account of a restored store

After the store came back from a copy 9 s old, a team got 637,525 of 632,964 paid tokens (BUDGET).

Cause: the account lost the rows written since the copy. Holders took the old rows for their own, and tokens that were granted before were granted again. Class: state that several hosts hold and only one place records.

The account now names the store's era and keeps the last 32 holders that ended with their charges. A host that reads an account of an earlier era merges the one that it remembers into it: the newer row of each holder, closings of either side, more rather than less charged in doubt. Until the hosts have had 2 s for that, nobody draws; requests live on what hosts hold and lend, and others get 503, not 402. A write of the old history that takes effect in the new one is known by its era, and the account counts as unsettled again.

--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <functional>
 #include <set>
 #include <vector>
 
@@ -56,6 +57,74 @@
                         StringField(*object, "domain").value_or("")};
 }
 
+std::optional<FleetClosing> ParseClosing(const json::value& value) {
+  const json::object* object = value.if_object();
+  const std::optional<std::string> holder =
+      object ? StringField(*object, "holder") : std::nullopt;
+  const json::object* charges =
+      object ? ObjectField(*object, "charges") : nullptr;
+  if (!holder || !charges)
+    return std::nullopt;
+  FleetClosing closing{*holder, {}};
+  for (const auto& it : *charges) {
+    const json::array* numbers = it.value().if_array();
+    if (!numbers || numbers->size() != 2 || !(*numbers)[0].is_int64() ||
+        !(*numbers)[1].is_int64())
+      return std::nullopt;
+    closing.charges[it.key()] = {(*numbers)[0].as_int64(),
+                                 (*numbers)[1].as_int64()};
+  }
+  return closing;
+}
+
+// Accounts of an earlier version have neither closings nor an era.
+bool ParseHistory(const json::object& top, FleetAccount* account) {
+  account->era = static_cast<std::uint64_t>(IntField(top, "era").value_or(0));
+  account->is_settled = BoolField(top, "settled").value_or(false);
+  const json::array* closings = ArrayField(top, "closings");
+  if (!closings)
+    return true;
+  for (const json::value& it : *closings) {
+    std::optional<FleetClosing> closing = ParseClosing(it);
+    if (!closing)
+      return false;
+    account->closings.push_back(std::move(*closing));
+  }
+  return true;
+}
+
+json::array ClosingsToJson(const std::vector<FleetClosing>& closings) {
+  json::array rows;
+  for (const FleetClosing& it : closings) {
+    json::object charges;
+    for (const auto& [budget, charge] : it.charges)
+      charges[budget] = json::array{charge.charged, charge.granted};
+    rows.push_back({{"holder", it.holder}, {"charges", std::move(charges)}});
+  }
+  return rows;
+}
+
+// Closes `holder`, whose spent tokens of a row are given by `charge_of`.
+void CloseRows(FleetAccount& account,
+               const std::string& holder,
+               const std::function<std::int64_t(const std::string&,
+                                                const FleetRow&)>& charge_of) {
+  FleetClosing closing{holder, {}};
+  for (auto& [name, budget] : account.budgets) {
+    auto row = budget.rows.find(holder);
+    if (row == budget.rows.end())
+      continue;
+    const std::int64_t charged = charge_of(name, row->second);
+    budget.closed += charged;
+    closing.charges[name] = {charged, row->second.granted};
+    budget.rows.erase(row);
+  }
+  account.heartbeats.erase(holder);
+  account.closings.push_back(std::move(closing));
+  if (account.closings.size() > kMaxFleetClosings)
+    account.closings.erase(account.closings.begin());
+}
+
 // Whether `last`, the last heartbeat of a holder that ended, proves that the
 // holder spent no more than it opened. `now` is the time at which the host's
 // next process checks this.
@@ -105,8 +174,14 @@
                           {"ms", heartbeat.time.count()},
                           {"address", heartbeat.address},
                           {"domain", heartbeat.domain}};
-  return json::serialize(json::object{{"budgets", std::move(budgets)},
-                                      {"marks", std::move(heartbeats)}});
+  json::object top{{"budgets", std::move(budgets)},
+                   {"marks", std::move(heartbeats)},
+                   {"closings", ClosingsToJson(account.closings)}};
+  if (account.era > 0) {
+    top["era"] = account.era;
+    top["settled"] = account.is_settled;
+  }
+  return json::serialize(top);
 }
 
 std::optional<FleetAccount> ParseFleetAccount(std::string_view text,
@@ -139,46 +214,46 @@
     }
     account.heartbeats.emplace(it.key(), std::move(*heartbeat));
   }
+  if (!ParseHistory(*top, &account)) {
+    return Fail(reason, ResultCode::kPlatformRejected,
+                "\"closings\" of the fleet account is malformed");
+  }
   return account;
 }
 
 void CloseEarlierIncarnations(FleetAccount& account,
                               const std::string& holder,
                               const FleetHeartbeat& now) {
-  const auto is_earlier = [&](const std::string& other) {
-    return other != holder && HostOfHolder(other) == HostOfHolder(holder);
+  std::set<std::string> earlier;
+  const auto add_if_earlier = [&](const std::string& other) {
+    if (other != holder && HostOfHolder(other) == HostOfHolder(holder))
+      earlier.insert(other);
   };
-  for (auto& [name, budget] : account.budgets) {
-    for (const auto& [other, row] : budget.rows) {
-      if (!is_earlier(other))
-        continue;
-      auto heartbeat = account.heartbeats.find(other);
-      const bool is_recent = heartbeat != account.heartbeats.end() &&
-                             IsRecent(heartbeat->second, now);
-      budget.closed +=
-          is_recent ? std::min(row.opened, row.Held()) : row.Held();
-    }
-    std::erase_if(budget.rows,
-                  [&](const auto& it) { return is_earlier(it.first); });
+  for (const auto& [name, budget] : account.budgets) {
+    for (const auto& [other, row] : budget.rows)
+      add_if_earlier(other);
+  }
+  for (const auto& [other, heartbeat] : account.heartbeats)
+    add_if_earlier(other);
+  for (const std::string& other : earlier) {
+    auto heartbeat = account.heartbeats.find(other);
+    const bool is_recent = heartbeat != account.heartbeats.end() &&
+                           IsRecent(heartbeat->second, now);
+    CloseRows(account, other, [&](const std::string&, const FleetRow& row) {
+      return is_recent ? std::min(row.opened, row.Held()) : row.Held();
+    });
   }
-  std::erase_if(account.heartbeats,
-                [&](const auto& it) { return is_earlier(it.first); });
 }
 
 void CloseHolder(FleetAccount& account,
                  const std::string& holder,
                  const std::map<std::string, std::int64_t>& spent) {
-  for (auto& [name, budget] : account.budgets) {
-    auto row = budget.rows.find(holder);
-    if (row == budget.rows.end())
-      continue;
+  CloseRows(account, holder, [&](const std::string& name, const FleetRow&) {
     auto it = spent.find(name);
     // A budget without an entry in `spent` was never opened, so nothing of it
     // was spent.
-    budget.closed += it == spent.end() ? 0 : it->second;
-    budget.rows.erase(row);
-  }
-  account.heartbeats.erase(holder);
+    return it == spent.end() ? 0 : it->second;
+  });
 }
 
 }  // namespace turmericwinch
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -5,11 +5,13 @@
 #define SRC_LIBS_BUDGET_FLEET_ACCOUNT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libs/base/reason.h"
 
@@ -62,12 +64,40 @@
   std::int64_t Spent() const;
 };
 
+// What a holder that has ended was charged, of the tokens that were `granted`
+// to it in all.
+struct FleetCharge {
+  std::int64_t charged = 0;
+  std::int64_t granted = 0;
+
+  bool operator==(const FleetCharge&) const = default;
+};
+
+// A holder that has ended, with its charges by budget.
+struct FleetClosing {
+  std::string holder;
+  std::map<std::string, FleetCharge> charges;
+
+  bool operator==(const FleetClosing&) const = default;
+};
+
+// Closings that the account keeps. They matter only if the store comes back
+// from a copy that is older than the closing.
+inline constexpr std::size_t kMaxFleetClosings = 32;
+
 // Host of the holder HOST_INCARNATION.
 std::string_view HostOfHolder(std::string_view holder);
 
 struct FleetAccount {
   std::map<std::string, FleetBudget> budgets;
   std::map<std::string, FleetHeartbeat> heartbeats;
+  // The last holders that have ended, oldest first. Their charges are part of
+  // FleetBudget::closed.
+  std::vector<FleetClosing> closings;
+  // Era of the store in which the account was written, see store_version.h, and
+  // whether the hosts have added what they remembered of earlier eras.
+  std::uint64_t era = 0;
+  bool is_settled = false;
 
   // Number of distinct hosts with a heartbeat. Holders are named
   // HOST_INCARNATION.
@@ -83,6 +113,10 @@
 // bridged by all tokens that the host holds, shorter ones by the open tokens.
 inline constexpr BootTime kOpenAllDelay{2'500};
 
+// Time after the return of a store from an old copy in which the hosts that
+// reach it add what they remember. They call it at least every 300 ms.
+inline constexpr BootTime kSettleTime{2'000};
+
 // Removes the rows of earlier incarnations of `holder`'s host. A host runs one
 // process, so they have ended once `holder` has started. `now` is a time after
 // that start. An earlier incarnation is charged with the tokens that it opened
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "libs/budget/fleet_account_merge.h"
+
 namespace turmericwinch {
 
 FleetHolder::FleetHolder(std::string holder,
@@ -14,7 +16,24 @@
       address_(std::move(address)),
       domain_(std::move(domain)) {}
 
-void FleetHolder::LoadAccount(FleetAccount account, BootTime now) {
+void FleetHolder::LoadAccount(FleetAccount account,
+                              BootTime now,
+                              std::uint64_t era) {
+  // An account of an earlier era stems from the copy, or from a write that was
+  // on its way when the store came back.
+  if (account.era != era || era != era_) {
+    remembered_ =
+        remembered_ ? MergeFleetAccounts(*remembered_, known_) : known_;
+  }
+  era_ = era;
+  if (remembered_)
+    account = MergeFleetAccounts(account, *remembered_);
+  const bool is_settled =
+      era == 0 || (account.era == era && account.is_settled);
+  if (is_settled)
+    unsettled_since_.reset();
+  else if (!unsettled_since_)
+    unsettled_since_ = now;
   is_closed_ =
       is_closed_ || (is_written_ && !account.heartbeats.contains(holder_));
   CloseEarlierIncarnations(account, holder_,
@@ -43,7 +62,7 @@
                             BootTime now) {
   planned_ = known_;
   planned_grants_.clear();
-  bool is_due = false;
+  bool is_due = PlanEra(now);
   bool holds_unopened = false;
   const int hosts = stock_hosts_.CountPerBudget();
   // Before the first write took effect, other hosts may be starting as well, so
@@ -53,7 +72,7 @@
     FleetBudget& budget = planned_.budgets[name];
     FleetDemand demand;
     demand.unspent = holder_demand.paid - budget.Spent();
-    demand.free = budget.Free(holder_demand.paid);
+    demand.free = planned_.is_settled ? budget.Free(holder_demand.paid) : 0;
     demand.available = ledger.Available(name);
     demand.unopened = Unopened(name, ledger.Counters(name));
     demand.needed = holder_demand.needed;
@@ -92,10 +111,17 @@
          (holds_unopened && now - last_issued_ >= kFleetHeartbeatInterval);
 }
 
+bool FleetHolder::PlanEra(BootTime now) {
+  planned_.era = era_;
+  planned_.is_settled =
+      !unsettled_since_ || now - *unsettled_since_ >= kSettleTime;
+  return remembered_ || (unsettled_since_ && planned_.is_settled);
+}
+
 bool FleetHolder::MayDrawForLoan(const std::string& budget,
                                  std::int64_t paid,
                                  std::int64_t tokens) const {
-  if (stock_hosts_.HostsServed() == 1)
+  if (stock_hosts_.HostsServed() == 1 || !is_settled())
     return false;
   auto found = known_.budgets.find(budget);
   const std::int64_t free =
@@ -105,6 +131,8 @@
 
 bool FleetHolder::PlanClose(const HostLedger& ledger) {
   planned_ = known_;
+  planned_.is_settled = is_settled();
+  planned_.era = era_;
   planned_grants_.clear();
   std::map<std::string, std::int64_t> spent;
   for (const auto& [name, it] : ledger.Snapshot())
@@ -123,6 +151,9 @@
 
 std::map<std::string, std::int64_t> FleetHolder::ConfirmWrite() {
   known_ = planned_;
+  remembered_.reset();
+  if (known_.is_settled)
+    unsettled_since_.reset();
   is_written_ = known_.heartbeats.contains(holder_);
   return std::exchange(planned_grants_, {});
 }
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "libs/budget/fleet_account.h"
@@ -48,8 +49,13 @@
               std::string domain = "");
 
   // Sets the account as read from the store, and closes the earlier
-  // incarnations of this host in the copy that is written next.
-  void LoadAccount(FleetAccount account, BootTime now);
+  // incarnations of this host in the copy that is written next. `era` is that
+  // of the store. If the account is of an earlier era, adds what this host
+  // remembers of it.
+  void LoadAccount(FleetAccount account, BootTime now, std::uint64_t era = 0);
+  // Whether tokens may be drawn: the account holds what the hosts remembered
+  // when the store came back from an old copy.
+  bool is_settled() const { return !unsettled_since_; }
   // Prepares the next write according to `demands`, by budget. Returns whether
   // the write should be made now. Tokens that the ledger gives back leave it at
   // once; new grants reach it through ConfirmWrite().
@@ -89,6 +95,9 @@
   BootTime last_issued() const { return last_issued_; }
 
  private:
+  // Sets the era of planned_. Returns whether the account has to be written for
+  // it.
+  bool PlanEra(BootTime now);
   // Tokens of `budget` that this host holds and has not opened.
   std::int64_t Unopened(const std::string& budget,
                         const HolderCounters& ledger) const;
@@ -100,6 +109,13 @@
   StockHosts stock_hosts_;
   FleetAccount known_;
   FleetAccount planned_;
+  // Era of the store.
+  std::uint64_t era_ = 0;
+  // The account as this host knew it in earlier eras, until a write in the
+  // store's era has added it.
+  std::optional<FleetAccount> remembered_;
+  // When this host first read an account that is not settled.
+  std::optional<BootTime> unsettled_since_;
   // Total of the tokens given back unopened, by budget. Counts from PlanWrite()
   // on, whether or not the write reaches the store.
   std::map<std::string, std::int64_t> given_back_;
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -6,6 +6,7 @@
 #include "libs/base/log.h"
 #include "libs/gateway/account_manager_private.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/platform/store_version.h"
 
 namespace turmericwinch {
 
@@ -55,7 +56,14 @@
     account = std::move(*read);
     version = object->version;
   }
-  holder.LoadAccount(std::move(account), context.boot.now());
+  const bool was_settled = holder.is_settled();
+  era = object ? EraOf(object->version) : platform.Era();
+  holder.LoadAccount(std::move(account), context.boot.now(), era);
+  if (holder.is_settled() != was_settled) {
+    LogEvent(kLog, Severity::kWarning,
+             was_settled ? "account_unsettled" : "account_settled",
+             {{"era", era}, {"version", version}});
+  }
   is_current = true;
   context.retries.SetHostCount(holder.known_account().HostCount());
   context.peers.UpdateAddresses(holder.known_account());
@@ -133,6 +141,16 @@
   co_return WriteOutcome::kDone;
 }
 
+Reason AccountManager::Private::UnmetReason() const {
+  if (!holder.is_settled()) {
+    return {ResultCode::kBudgetUnreachable,
+            "the store came back from an old copy, and the hosts have not yet "
+            "added what they hold to the account"};
+  }
+  return {ResultCode::kBudgetExhausted,
+          "the remaining tokens of the budget do not cover the request"};
+}
+
 void AccountManager::Private::StopSpending() {
   SetReachable(false);
   context.ledger.With([this](HostLedger& ledger) {
@@ -218,7 +236,7 @@
   // write to a store that is cut off would delay the use of the stock.
   if (PlanWrite()) {
     is_current = false;
-  } else if (Clock::now() - read_at >= refresh_pause) {
+  } else if (Clock::now() - read_at >= refresh_pause || platform.Era() != era) {
     refresh_pause = std::min(refresh_pause * 2, kMaxAccountRefresh);
     // Nothing has to be written, so the account as last read will do.
     const bool is_read = co_await ReadAccount();
@@ -241,9 +259,7 @@
       outcome = co_await WriteAccount();
     if (outcome == WriteOutcome::kDone) {
       SetReachable(true);
-      BorrowOrDeny(
-          {ResultCode::kBudgetExhausted,
-           "the remaining tokens of the budget do not cover the request"});
+      BorrowOrDeny(UnmetReason());
       co_return true;
     }
     if (outcome == WriteOutcome::kFailed)
--- a/src/libs/gateway/account_manager_private.h
+++ b/src/libs/gateway/account_manager_private.h
@@ -82,6 +82,8 @@
   // requests with `reason` if no other host can be asked.
   void BorrowOrDeny(const Reason& reason);
   Reason UnreachableReason() const;
+  // Why a request still waits after a sync.
+  Reason UnmetReason() const;
   // Borrows for all requests that wait now.
   void BorrowForWaiting();
   // Borrows for waiting requests if a sync has not ended after kBorrowDelay.
@@ -106,6 +108,8 @@
   bool is_current = false;
   // Version of the account object; 0 until the object exists.
   std::uint64_t version = 0;
+  // Era of the store in which the account was last read.
+  std::uint64_t era = 0;
   FleetHolder holder;
   PeerLoans loans;
   // This host's rows as last logged, by budget.
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -217,7 +217,7 @@
   }
 
   void Read(FleetHost& host) {
-    host.holder->LoadAccount(store_.account, Now(host));
+    host.holder->LoadAccount(store_.account, Now(host), store_.era);
     host.version = store_.version;
     host.era = store_.era;
     host.known = true;
