Store verdicts again if a restored store has lost their object

If the copy from which the store came back was older than the object of the verdicts, a host kept watching and writing a version that no longer existed, and stored nothing from then on: a restart of all hosts would have forgotten what crashes targets.

QuarantineStore.VerdictsAreStoredAgainIfTheStoreComesBackWithoutThem waits until its timeout without the change.

--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -6,6 +6,7 @@
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/watch_pacer.h"
+#include "libs/platform/store_version.h"
 
 namespace turmericwinch {
 
@@ -56,6 +57,9 @@
   }
   if (reason.code != ResultCode::kPlatformNotFound)
     co_return false;
+  // A store that came back from an old copy may not have the object.
+  if (EraOf(version_) != platform_.Era())
+    version_ = 0;
   if (version_ > 0)
     co_return true;
   const std::optional<std::uint64_t> created = co_await platform_.Create(
--- a/tests/gateway/quarantine_store_test.cc
+++ b/tests/gateway/quarantine_store_test.cc
@@ -77,4 +77,16 @@
   RunUntil(context, [this] { return learnt.empty(); });
 }
 
+TEST(QuarantineStore, VerdictsAreStoredAgainIfTheStoreComesBackWithoutThem) {
+  Start(first);
+  RunUntil(context, [this] { return platform.writes > 0; });
+  Store(first, {{7, kHold}});
+  platform.store = ObjectStore();
+  ++platform.era;
+  RunUntil(context, [this] {
+    return platform.store.Find("quarantine/prompt-parts") != nullptr;
+  });
+  LONGS_EQUAL(1, StoredParts());
+}
+
 }  // namespace turmericwinch
--- a/tests/support/memory_platform.h
+++ b/tests/support/memory_platform.h
@@ -18,6 +18,8 @@
   ObjectStore store;
   std::string hosts = "{}";
   bool down = false;
+  // Rises when the store comes back from an old copy; not part of the versions.
+  std::uint64_t era = 0;
   // Writes that take effect although their answer is lost.
   int lose_answers = 0;
   // Runs once, before the next write.
@@ -47,6 +49,7 @@
                                std::uint64_t after,
                                std::chrono::milliseconds wait,
                                Reason* reason) override;
+  std::uint64_t Era() const override { return era; }
   Answer<std::string> Hosts(Reason* reason) override;
 
  private:
