Correct the list of targets of a restored store by what was known

A store that came back from an old copy lists targets that have left since as ready, until they write again or miss three heartbeats.

A target that is known to leave stays leaving under the same incarnation, and one that was removed comes back only if it is still listed 5 s later.

ListedTargets.ARestoredStoreDoesNotBringALeavingTargetBack and ARestoredStoreBringsARemovedTargetBackOnlyIfItLives fail without the change.

--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -95,6 +95,12 @@
 // Time for which a target stays usable after its entry expired during an outage
 // of the store. Live targets register again within 2 s of the store's return.
 inline constexpr std::chrono::milliseconds kExpiredTargetGracePeriod{2'000};
+// Time for which a removed target is remembered. Copies from which the store
+// comes back are some seconds old.
+inline constexpr std::chrono::seconds kRemovedTargetMemory{120};
+// Time after which a target that a restored store lists is known to live: the
+// store removes entries after three missed heartbeats of 1.2 s.
+inline constexpr std::chrono::milliseconds kRestoredEntryTime{5'000};
 
 // Time after SIGTERM in which new connections are still accepted. The load
 // balancer probes every second and removes a host after two failed probes.
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -5,6 +5,7 @@
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/watch_pacer.h"
+#include "libs/platform/store_version.h"
 #include "libs/routing/host_list_change.h"
 
 namespace turmericwinch {
@@ -20,20 +21,29 @@
 TargetSource::TargetSource(PlatformClient& platform, Sink on_list)
     : platform_(platform), on_list_(std::move(on_list)) {}
 
-void TargetSource::HandleHosts(const PlatformHosts& hosts, bool after_outage) {
+ListOrigin TargetSource::OriginOf(std::uint64_t version,
+                                  bool after_outage) const {
+  if (era_ > 0 && EraOf(version) != era_)
+    return ListOrigin::kRestoredStore;
+  return after_outage ? ListOrigin::kOutage : ListOrigin::kAvailableStore;
+}
+
+void TargetSource::HandleHosts(const PlatformHosts& hosts, ListOrigin origin) {
   Reason reason;
   version_ = hosts.version;
+  era_ = EraOf(version_);
   if (hosts.is_whole) {
     std::optional<HostList> whole = ParseHostList(hosts.text, &reason);
     if (whole) {
-      Publish(targets_.UpdateFromList(std::move(*whole), after_outage,
+      Publish(targets_.UpdateFromList(std::move(*whole), origin,
                                       std::chrono::steady_clock::now()));
     }
   } else if (!hosts.text.empty()) {
     std::optional<std::vector<HostListChange>> changes =
         ParseHostListChanges(hosts.text, &reason);
     if (changes)
-      Publish(targets_.UpdateFromChanges(*changes));
+      Publish(targets_.UpdateFromChanges(*changes,
+                                         std::chrono::steady_clock::now()));
   }
   if (reason.code != ResultCode::kOk) {
     LogEvent(kLog, Severity::kError, "list_unreadable",
@@ -63,16 +73,16 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     Reason reason;
     const std::chrono::milliseconds wait =
-        targets_.has_expired_entries() ? kStoreRetryPause : kMaxWatchWait;
+        targets_.has_timed_entries() ? kStoreRetryPause : kMaxWatchWait;
     std::optional<PlatformHosts> hosts =
         co_await platform_.HostsSince(version_, wait, &reason);
     if (hosts) {
       last_contact_ = std::chrono::steady_clock::now();
-      HandleHosts(*hosts, outage);
-      const std::vector<HostListChange> dropped =
-          targets_.RemoveExpired(std::chrono::steady_clock::now());
-      if (!dropped.empty())
-        Publish(dropped);
+      HandleHosts(*hosts, OriginOf(hosts->version, outage));
+      const std::vector<HostListChange> timed =
+          targets_.UpdateTimed(std::chrono::steady_clock::now());
+      if (!timed.empty())
+        Publish(timed);
       if (outage) {
         LogEvent(kLog, Severity::kInfo, "store_regained",
                  {{"targets", targets_.list().targets.size()},
--- a/src/libs/gateway/target_source.h
+++ b/src/libs/gateway/target_source.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -29,9 +30,10 @@
   }
 
  private:
-  // Applies an answer of the store. `after_outage` says whether the store was
-  // unavailable before it.
-  void HandleHosts(const PlatformHosts& hosts, bool after_outage);
+  // Applies an answer of the store.
+  void HandleHosts(const PlatformHosts& hosts, ListOrigin origin);
+  // What a list of this version follows.
+  ListOrigin OriginOf(std::uint64_t version, bool after_outage) const;
   // Logs the changes and passes the new list to `on_list_`.
   void Publish(const std::vector<HostListChange>& changes);
 
@@ -39,6 +41,8 @@
   Sink on_list_;
   ListedTargets targets_;
   std::uint64_t version_ = 0;
+  // Era of the last answer of the store.
+  std::uint64_t era_ = 0;
   std::chrono::steady_clock::time_point last_contact_ =
       std::chrono::steady_clock::now();
 };
--- a/tests/gateway/listed_targets_test.cc
+++ b/tests/gateway/listed_targets_test.cc
@@ -43,21 +43,24 @@
 };
 
 TEST(ListedTargets, AMissingEntryIsRemovedAtOnceWhileTheStoreIsAvailable) {
-  targets.UpdateFromList(ListOf({one, two}), false, start);
-  LONGS_EQUAL(1, targets.UpdateFromList(ListOf({one}), false, start).size());
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kAvailableStore,
+                         start);
+  LONGS_EQUAL(
+      1,
+      targets.UpdateFromList(ListOf({one}), ListOrigin::kAvailableStore, start)
+          .size());
   CHECK(!Has("i-2"));
 }
 
 TEST(ListedTargets, AnEntryThatExpiredInAnOutageStaysForTheGracePeriod) {
-  targets.UpdateFromList(ListOf({one, two}), false, start);
-  targets.UpdateFromList(ListOf({one}), true, start);
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kAvailableStore,
+                         start);
+  targets.UpdateFromList(ListOf({one}), ListOrigin::kOutage, start);
   CHECK(Has("i-2"));
-  CHECK(
-      targets.RemoveExpired(start + kExpiredTargetGracePeriod - milliseconds(1))
-          .empty());
+  CHECK(targets.UpdateTimed(start + kExpiredTargetGracePeriod - milliseconds(1))
+            .empty());
   CHECK(Has("i-2"));
-  LONGS_EQUAL(1,
-              targets.RemoveExpired(start + kExpiredTargetGracePeriod).size());
+  LONGS_EQUAL(1, targets.UpdateTimed(start + kExpiredTargetGracePeriod).size());
   CHECK(!Has("i-2"));
   CHECK(!targets.has_expired_entries());
 }
@@ -66,43 +69,79 @@
 // fresh-74f3): a change of another entry made an expired entry permanent, so
 // the target got requests after it had left.
 TEST(ListedTargets, ChangesOfOtherEntriesDoNotAffectTheGracePeriod) {
-  targets.UpdateFromList(ListOf({one, two}), false, start);
-  targets.UpdateFromList(ListOf({one}), true, start);
-  targets.UpdateFromChanges({Added(three)});
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kAvailableStore,
+                         start);
+  targets.UpdateFromList(ListOf({one}), ListOrigin::kOutage, start);
+  targets.UpdateFromChanges({Added(three)}, start);
   CHECK(Has("i-2"));
-  targets.RemoveExpired(start + kExpiredTargetGracePeriod);
+  targets.UpdateTimed(start + kExpiredTargetGracePeriod);
   CHECK(!Has("i-2"));
 }
 
 TEST(ListedTargets, ASecondOutageDoesNotExtendTheGracePeriod) {
-  targets.UpdateFromList(ListOf({one, two}), false, start);
-  targets.UpdateFromList(ListOf({one}), true, start);
-  targets.UpdateFromList(ListOf({one}), true,
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kAvailableStore,
+                         start);
+  targets.UpdateFromList(ListOf({one}), ListOrigin::kOutage, start);
+  targets.UpdateFromList(ListOf({one}), ListOrigin::kOutage,
                          start + kExpiredTargetGracePeriod / 2);
-  targets.RemoveExpired(start + kExpiredTargetGracePeriod);
+  targets.UpdateTimed(start + kExpiredTargetGracePeriod);
   CHECK(!Has("i-2"));
 }
 
 TEST(ListedTargets, AnEntryThatIsListedAgainStays) {
-  targets.UpdateFromList(ListOf({one, two}), false, start);
-  targets.UpdateFromList(ListOf({one}), true, start);
-  targets.UpdateFromChanges({Added(two)});
-  targets.RemoveExpired(start + kExpiredTargetGracePeriod);
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kAvailableStore,
+                         start);
+  targets.UpdateFromList(ListOf({one}), ListOrigin::kOutage, start);
+  targets.UpdateFromChanges({Added(two)}, start);
+  targets.UpdateTimed(start + kExpiredTargetGracePeriod);
   CHECK(Has("i-2"));
 }
 
 TEST(ListedTargets, AnAddressTakenOverByANewTargetRemovesTheExpiredEntry) {
-  targets.UpdateFromList(ListOf({one, two}), false, start);
-  targets.UpdateFromList(ListOf({one}), true, start);
-  targets.UpdateFromChanges({Added(Target("i-9", two.address))});
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kAvailableStore,
+                         start);
+  targets.UpdateFromList(ListOf({one}), ListOrigin::kOutage, start);
+  targets.UpdateFromChanges({Added(Target("i-9", two.address))}, start);
   CHECK(!Has("i-2"));
   CHECK(Has("i-9"));
 }
 
 TEST(ListedTargets, AnEntryDeletedByAChangeIsRemoved) {
-  targets.UpdateFromList(ListOf({one, two}), true, start);
-  targets.UpdateFromChanges({{true, true, two}});
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kOutage, start);
+  targets.UpdateFromChanges({{true, true, two}}, start);
+  CHECK(!Has("i-2"));
+}
+
+// The copy is of a time before the target reported that it leaves.
+TEST(ListedTargets, ARestoredStoreDoesNotBringALeavingTargetBack) {
+  ListedMember leaving = two;
+  leaving.leaving = true;
+  targets.UpdateFromList(ListOf({one, leaving}), ListOrigin::kAvailableStore,
+                         start);
+  CHECK(
+      targets
+          .UpdateFromList(ListOf({one, two}), ListOrigin::kRestoredStore, start)
+          .empty());
+  CHECK(targets.list().targets[1].leaving);
+  two.incarnation = "2";
+  targets.UpdateFromList(ListOf({one, two}), ListOrigin::kRestoredStore, start);
+  CHECK(!targets.list().targets[1].leaving);
+}
+
+TEST(ListedTargets, ARestoredStoreBringsARemovedTargetBackOnlyIfItLives) {
+  targets.UpdateFromList(ListOf({one, two, three}), ListOrigin::kAvailableStore,
+                         start);
+  targets.UpdateFromList(ListOf({one}), ListOrigin::kAvailableStore, start);
+  targets.UpdateFromList(ListOf({one, two, three}), ListOrigin::kRestoredStore,
+                         start);
+  CHECK(!Has("i-2"));
+  CHECK(targets.has_timed_entries());
+  // The store has missed its heartbeats.
+  HostListChange removal{true, true, two};
+  targets.UpdateFromChanges({removal}, start);
+  targets.UpdateTimed(start + kRestoredEntryTime);
   CHECK(!Has("i-2"));
+  CHECK(Has("i-3"));
 }
 
 }  // namespace turmericwinch
