--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -185,6 +185,41 @@
   LONGS_EQUAL(3, store.calls.size());
 }
 
+// Another writer stores them under names of its own, and under that of a
+// target.
+TEST(StoreClient, AnOddEntryHidesNoOtherTarget) {
+  const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+  const std::string odd_specs[] = {
+      deep,
+      R"({"service":"llm","slots":1e99999999999})",
+      R"({"service":"llm","address":"10.0.0.1:99999","zone":"a","state":"ready"})",
+      R"({"service":"llm","address":"10.0.0.1:0","zone":"a","state":"ready"})",
+      R"({"a":")" + std::string("\xff\xfe") + R"("})",
+      R"({"service":7})",
+      "[]",
+  };
+  for (const std::string& spec : odd_specs) {
+    store.AddResponse(200, R"({"items":[)" + Object("i-1", 5, Target("a")) +
+                               "," + Object("odd", 6, spec) + "," +
+                               Object("i-2", 7, Target("b")) +
+                               R"(],"has_more":false,"at":9})");
+    store.AddResponse(
+        200, R"({"events":[{"deleted":false,"object":)" +
+                 Object("i-2", 12, spec) + R"(},{"deleted":false,"object":)" +
+                 Object("i-3", 13, Target("a")) + R"(}],"at":13})");
+    const auto whole = Run(client.HostsSince(0, milliseconds(0), &reason));
+    CHECK_TEXT(whole.has_value(), spec.substr(0, 60).c_str());
+    LONGS_EQUAL(2, ParseHostList(whole->text, &reason)->targets.size());
+    const auto next = Run(client.HostsSince(9, milliseconds(10), &reason));
+    CHECK_TEXT(next.has_value(), spec.substr(0, 60).c_str());
+    const auto changes = ParseHostListChanges(next->text, &reason);
+    LONGS_EQUAL(2, changes->size());
+    CHECK((*changes)[0].removed);
+    STRCMP_EQUAL("i-2", (*changes)[0].member.name.c_str());
+    CHECK(!(*changes)[1].removed);
+  }
+}
+
 // Revisions go back, and the object's new revision was given out before.
 TEST(StoreClient, AWatchReportsAChangeAfterTheStoreLostItsNewestWrites) {
   store.era = 1;
