Send no error of the next target inside a stream

A stream had begun and broke off, and the target that was to continue it answered with an error, 400 for example: the caller's client found the head of that error in the middle of the stream (bad chunk).

Cause: a response that is no stream was sent without asking whether the caller already had the head of one. Class: a step that is right only at the start is taken in the middle. The attempt now counts as a broken stream, which may go on at a further target and else closes the caller's connection.

GatewayCall.AnErrorOfTheNextTargetIsNotSentInsideAStream failed with "bad chunk" before, and passes now.

--- a/src/libs/gateway/target_attempt.cc
+++ b/src/libs/gateway/target_attempt.cc
@@ -108,6 +108,16 @@
   co_return AttemptResult::kDone;
 }
 
+AttemptResult TargetAttempt::RejectErrorInStream(const HttpStream& stream,
+                                                 Reason* reason) {
+  meter_.SetOutcome(OutcomeOfStatus(stream.status(), stream.headers()));
+  *reason = {ResultCode::kTargetFailed,
+             "target " + choice_.name + " responded with status " +
+                 std::to_string(stream.status()) +
+                 " to a stream that another target began"};
+  return AttemptResult::kStreamBroken;
+}
+
 asio::awaitable<void> TargetAttempt::HandleResponse(HttpStream& stream,
                                                     HttpExchange& exchange,
                                                     ResponseRelay& relay,
@@ -139,6 +149,8 @@
   RelayedResponse relayed{stream, meter_, choice_.name, resolved_.deadline};
   if (IsStream(resolved_.route->kind) && IsSuccess(stream.status()))
     report_.result = co_await relay.RelayStream(relayed, reason);
+  else if (relay.head_sent())
+    report_.result = RejectErrorInStream(stream, reason);
   else
     report_.result = co_await RelayResponse(relayed, exchange, relay, reason);
   report_.connection_closed = relayed.connection_closed;
--- a/src/libs/gateway/target_attempt.h
+++ b/src/libs/gateway/target_attempt.h
@@ -56,6 +56,9 @@
                                               HttpExchange& exchange,
                                               ResponseRelay& relay,
                                               Reason* reason);
+  // Ends an attempt to continue a stream that the target answered with an
+  // error. The caller has the head of the stream, so it gets none of the error.
+  AttemptResult RejectErrorInStream(const HttpStream& stream, Reason* reason);
   // Relays a response that is no stream. A server error is kept for the caller
   // and not sent yet if the request may be retried at another target.
   boost::asio::awaitable<AttemptResult> RelayResponse(RelayedResponse& relayed,
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -69,6 +69,19 @@
   LONGS_EQUAL(1, two.requests.size());
 }
 
+TEST(GatewayCall, AnErrorOfTheNextTargetIsNotSentInsideAStream) {
+  for (TargetBehavior behavior :
+       {TargetBehavior::kReject, TargetBehavior::kFail, TargetBehavior::kNotRun,
+        TargetBehavior::kOtherTarget, TargetBehavior::kUnsigned,
+        TargetBehavior::kAnswer}) {
+    script = {TargetBehavior::kCutStream, behavior};
+    RestartTargets(*context.config.Get());
+    CHECK(!Call(Request("/stream/1")).has_value());
+    // The caller's client would find the head of an error here.
+    CHECK(failure.text.find("bad chunk") == std::string::npos);
+  }
+}
+
 TEST(GatewayCall, ABrokenStreamThatIsNotResumableDoesNotLookComplete) {
   script = {TargetBehavior::kCutStream, TargetBehavior::kStream};
   CHECK(!Call(Request("/fixed/1")).has_value());
--- a/tests/adapter/scripted_target.h
+++ b/tests/adapter/scripted_target.h
@@ -19,6 +19,10 @@
   kNotRun,
   kOtherTarget,
   kUnsigned,
+  // Fails the request with status 400.
+  kReject,
+  // A refusal that does not say to which request it belongs.
+  kNotRunWithoutId,
   kOtherAttemptId,
   kStream,
   // Sends two events and half of a third, then closes the connection.
@@ -68,11 +72,13 @@
         std::string_view::npos)
       behavior = TargetBehavior::kClose;
     HttpResponse response;
-    response.headers.Add(
-        "Turmericwinch-Attempt-Id",
-        behavior == TargetBehavior::kOtherAttemptId
-            ? "another"
-            : std::string(request.headers.Get("Turmericwinch-Attempt-Id")));
+    if (behavior != TargetBehavior::kNotRunWithoutId) {
+      response.headers.Add(
+          "Turmericwinch-Attempt-Id",
+          behavior == TargetBehavior::kOtherAttemptId
+              ? "another"
+              : std::string(request.headers.Get("Turmericwinch-Attempt-Id")));
+    }
     if (behavior != TargetBehavior::kUnsigned)
       response.headers.Add("Turmericwinch-Response-Signature", "mac");
     if (names_limit)
@@ -85,7 +91,11 @@
       case TargetBehavior::kFail:
         response.status = 500;
         break;
+      case TargetBehavior::kReject:
+        response.status = 400;
+        break;
       case TargetBehavior::kNotRun:
+      case TargetBehavior::kNotRunWithoutId:
         response.status = 503;
         response.headers.Add("Turmericwinch-Not-Executed", "1");
         break;
