Trust a refusal only if it names the request

A target may write an earlier refusal once more on a connection that is kept. One without an id, such as the refusal of a probe, was taken for the answer to the request that waited, which was then sent to a second target or reported as not run.

Such a refusal now proves nothing: the request may have run. The cases of EdgeDialect.OnlyASignedResponseIsASuccess that took a refusal without an id for one of this request were wrong for that reason; they now expect that it proves nothing, and the same cases with an id were added.

--- a/tests/adapter/edge_dialect_test.cc
+++ b/tests/adapter/edge_dialect_test.cc
@@ -136,6 +136,8 @@
   const std::pair<std::string, std::string> id{"Turmericwinch-Attempt-Id", "x"};
   const std::pair<std::string, std::string> mac{
       "Turmericwinch-Response-Signature", "s"};
+  const std::pair<std::string, std::string> not_run{
+      "Turmericwinch-Not-Executed", "1"};
   const Case cases[] = {
       {200, Headers({id, mac}), HeadVerdict::kAnswer},
       {200, Headers({id}), HeadVerdict::kUnverified},
@@ -145,11 +147,12 @@
       {500, Headers({id, mac}), HeadVerdict::kAnswer},
       {500, Headers({}), HeadVerdict::kAnswer},
       {503, Headers({id}), HeadVerdict::kAnswer},
-      {503, Headers({{"Turmericwinch-Not-Executed", "1"}}),
-       HeadVerdict::kNotRun},
-      {400, Headers({{"Turmericwinch-Not-Executed", "1"}}),
-       HeadVerdict::kNotRun},
-      {421, Headers({}), HeadVerdict::kOtherTarget},
+      {503, Headers({id, not_run}), HeadVerdict::kNotRun},
+      {400, Headers({id, not_run}), HeadVerdict::kNotRun},
+      {421, Headers({id}), HeadVerdict::kOtherTarget},
+      {503, Headers({not_run}), HeadVerdict::kUnverified},
+      {400, Headers({not_run}), HeadVerdict::kUnverified},
+      {421, Headers({}), HeadVerdict::kUnverified},
   };
   for (const Case& it : cases)
     CHECK(it.verdict == dialect.classify_head(it.status, it.headers));
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -7,6 +7,7 @@
 #include "endless_target.h"
 #include "gateway_call_fixture.h"
 #include "raw_target.h"
+#include "repeating_target.h"
 
 namespace turmericwinch::platform {
 
@@ -82,6 +83,34 @@
   }
 }
 
+TEST(GatewayCall, ARepeatedRefusalIsNotTakenForTheResponseToTheNextRequest) {
+  RepeatingTarget target(context.traffic);
+  HostList list;
+  list.targets = {{"i-9", "a", ToText(target.endpoint()), "1", "app", false}};
+  context.targets.Update(list, *context.config.Get()->objects);
+  LONGS_EQUAL(503, StatusOf("/once/1"));
+  // The target counts as failing for a moment after its refusal.
+  context.targets.Update(HostList(), *context.config.Get()->objects);
+  list.targets[0].incarnation = "2";
+  context.targets.Update(list, *context.config.Get()->objects);
+  HttpRequest second = Request("/once/1");
+  second.headers = {};
+  second.headers.Add("Host", "h");
+  second.headers.Add("Turmericwinch-Attempt-Id", "id2");
+  second.headers.Add("Authorization", "Token key");
+  const auto response = Call(second);
+  CHECK(response.has_value());
+  LONGS_EQUAL(200, response->status);
+  LONGS_EQUAL(2, target.requests());
+}
+
+// A faulty target repeats an earlier refusal.
+TEST(GatewayCall, ARefusalThatNamesNoRequestDoesNotProveThatItDidNotRun) {
+  script = {TargetBehavior::kNotRunWithoutId};
+  LONGS_EQUAL(502, StatusOf("/once/1"));
+  LONGS_EQUAL(1, ReceivedRequests());
+}
+
 TEST(GatewayCall, ABrokenStreamThatIsNotResumableDoesNotLookComplete) {
   script = {TargetBehavior::kCutStream, TargetBehavior::kStream};
   CHECK(!Call(Request("/fixed/1")).has_value());
