Charge draws that nobody remembers after a restored store

The account now holds the highest rate at which holders drew from each budget, and whether a host remembered an earlier era. A host that settles an account that nobody remembered charges 15 s of 1.5 times that rate.

--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -35,6 +35,7 @@
     return std::nullopt;
   FleetBudget budget;
   budget.closed = *closed;
+  budget.peak_rate = IntField(*object, "peak_rate").value_or(0);
   for (const auto& it : *rows) {
     std::optional<FleetRow> row = ParseRow(it.value());
     if (!row)
@@ -81,6 +82,7 @@
 bool ParseHistory(const json::object& top, FleetAccount* account) {
   account->era = static_cast<std::uint64_t>(IntField(top, "era").value_or(0));
   account->is_settled = BoolField(top, "settled").value_or(false);
+  account->is_remembered = BoolField(top, "remembered").value_or(false);
   const json::array* closings = ArrayField(top, "closings");
   if (!closings)
     return true;
@@ -166,7 +168,10 @@
     json::object rows;
     for (const auto& [holder, row] : budget.rows)
       rows[holder] = json::array{row.granted, row.given_back, row.opened};
-    budgets[name] = {{"closed", budget.closed}, {"rows", std::move(rows)}};
+    json::object entry{{"closed", budget.closed}, {"rows", std::move(rows)}};
+    if (account.era > 0)
+      entry["peak_rate"] = budget.peak_rate;
+    budgets[name] = std::move(entry);
   }
   json::object heartbeats;
   for (const auto& [holder, heartbeat] : account.heartbeats)
@@ -180,6 +185,7 @@
   if (account.era > 0) {
     top["era"] = account.era;
     top["settled"] = account.is_settled;
+    top["remembered"] = account.is_remembered;
   }
   return json::serialize(top);
 }
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -52,8 +52,11 @@
 };
 
 // One budget. `closed` is the total charged to holders that have ended.
+// `peak_rate` is the highest rate, in tokens per second, at which the holders
+// drew tokens, not counting their first draws.
 struct FleetBudget {
   std::int64_t closed = 0;
+  std::int64_t peak_rate = 0;
   std::map<std::string, FleetRow> rows;
 
   // Tokens of `paid` that no holder holds. Negative if `paid` was lowered below
@@ -98,6 +101,9 @@
   // whether the hosts have added what they remembered of earlier eras.
   std::uint64_t era = 0;
   bool is_settled = false;
+  // Whether some host remembered an earlier era when the account was first
+  // written in this one.
+  bool is_remembered = false;
 
   // Number of distinct hosts with a heartbeat. Holders are named
   // HOST_INCARNATION.
@@ -117,6 +123,13 @@
 // reach it add what they remember. They call it at least every 300 ms.
 inline constexpr BootTime kSettleTime{2'000};
 
+// Maximum age of a copy from which the store comes back, and the factor by
+// which draws since then may exceed the peak rate.
+inline constexpr std::chrono::seconds kMaxCopyAge{15};
+inline constexpr double kUnknownDrawFactor = 1.5;
+// Shortest time over which the rate of draws is measured.
+inline constexpr BootTime kDrawRateWindow{4'000};
+
 // Removes the rows of earlier incarnations of `holder`'s host. A host runs one
 // process, so they have ended once `holder` has started. `now` is a time after
 // that start. An earlier incarnation is charged with the tokens that it opened
--- a/src/libs/budget/fleet_account_merge.cc
+++ b/src/libs/budget/fleet_account_merge.cc
@@ -15,6 +15,7 @@
 }
 
 void MergeRows(const FleetBudget& from, FleetBudget& into) {
+  into.peak_rate = std::max(into.peak_rate, from.peak_rate);
   for (const auto& [holder, row] : from.rows) {
     auto [known, is_new] = into.rows.try_emplace(holder, row);
     if (!is_new && IsNewer(row, known->second))
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -7,6 +7,12 @@
 
 namespace turmericwinch {
 
+namespace {
+
+constexpr std::int64_t kMillisecondsPerSecond = 1'000;
+
+}  // namespace
+
 FleetHolder::FleetHolder(std::string holder,
                          std::string boot_id,
                          std::string address,
@@ -39,6 +45,7 @@
   CloseEarlierIncarnations(account, holder_,
                            {boot_id_, now, address_, domain_});
   known_ = std::move(account);
+  MeasureDraws(now);
   stock_hosts_ = StockHosts(known_, holder_, domain_);
 }
 
@@ -63,6 +70,8 @@
   planned_ = known_;
   planned_grants_.clear();
   bool is_due = PlanEra(now);
+  const bool charges_unknown =
+      unsettled_since_ && planned_.is_settled && !planned_.is_remembered;
   bool holds_unopened = false;
   const int hosts = stock_hosts_.CountPerBudget();
   // Before the first write took effect, other hosts may be starting as well, so
@@ -70,6 +79,9 @@
   const bool is_first = !known_.heartbeats.contains(holder_);
   for (const auto& [name, holder_demand] : demands) {
     FleetBudget& budget = planned_.budgets[name];
+    budget.peak_rate = std::max(budget.peak_rate, peak_rates_[name]);
+    if (charges_unknown)
+      budget.closed += UnknownDraws(budget, holder_demand.paid);
     FleetDemand demand;
     demand.unspent = holder_demand.paid - budget.Spent();
     demand.free = planned_.is_settled ? budget.Free(holder_demand.paid) : 0;
@@ -111,7 +123,39 @@
          (holds_unopened && now - last_issued_ >= kFleetHeartbeatInterval);
 }
 
+void FleetHolder::MeasureDraws(BootTime now) {
+  const BootTime elapsed = now - draws_base_time_;
+  if (draws_base_ && elapsed < kDrawRateWindow)
+    return;
+  if (draws_base_) {
+    for (const auto& [name, budget] : known_.budgets) {
+      std::int64_t drawn = 0;
+      const std::map<std::string, FleetRow>& base =
+          draws_base_->budgets[name].rows;
+      for (const auto& [holder, row] : budget.rows) {
+        if (auto it = base.find(holder); it != base.end())
+          drawn += row.Held() - it->second.Held();
+      }
+      std::int64_t& peak = peak_rates_[name];
+      peak = std::max(peak, drawn * kMillisecondsPerSecond / elapsed.count());
+    }
+  }
+  draws_base_ = known_;
+  draws_base_time_ = now;
+}
+
+std::int64_t FleetHolder::UnknownDraws(const FleetBudget& budget,
+                                       std::int64_t paid) const {
+  const double drawn = static_cast<double>(budget.peak_rate) *
+                       static_cast<double>(kMaxCopyAge.count()) *
+                       kUnknownDrawFactor;
+  return std::min(static_cast<std::int64_t>(drawn),
+                  std::max<std::int64_t>(budget.Free(paid), 0));
+}
+
 bool FleetHolder::PlanEra(BootTime now) {
+  planned_.is_remembered = (planned_.era == era_ && planned_.is_remembered) ||
+                           (remembered_ && !remembered_->heartbeats.empty());
   planned_.era = era_;
   planned_.is_settled =
       !unsettled_since_ || now - *unsettled_since_ >= kSettleTime;
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -95,6 +95,11 @@
   BootTime last_issued() const { return last_issued_; }
 
  private:
+  // Measures the rate at which holders draw tokens.
+  void MeasureDraws(BootTime now);
+  // Tokens that holders may have drawn although neither the store nor a host
+  // knows of it, as the store lost the writes and all hosts ended.
+  std::int64_t UnknownDraws(const FleetBudget& budget, std::int64_t paid) const;
   // Sets the era of planned_. Returns whether the account has to be written for
   // it.
   bool PlanEra(BootTime now);
@@ -114,6 +119,11 @@
   // The account as this host knew it in earlier eras, until a write in the
   // store's era has added it.
   std::optional<FleetAccount> remembered_;
+  // The account at the start of the current measurement, its time, and the
+  // highest rates measured, by budget.
+  std::optional<FleetAccount> draws_base_;
+  BootTime draws_base_time_{0};
+  std::map<std::string, std::int64_t> peak_rates_;
   // When this host first read an account that is not settled.
   std::optional<BootTime> unsettled_since_;
   // Total of the tokens given back unopened, by budget. Counts from PlanWrite()
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -388,6 +388,58 @@
   CHECK(used / static_cast<std::int64_t>(seeds) > kPaid / 2);
 }
 
+// All hosts ended as the store came back, so that nobody knows what was drawn
+// since the copy.
+TEST(FleetHolder, DrawsThatNobodyRemembersAreCharged) {
+  constexpr std::int64_t kPeakRate = 100;
+  constexpr auto kUnknown = static_cast<std::int64_t>(
+      kPeakRate * kMaxCopyAge.count() * kUnknownDrawFactor);
+  FleetAccount copy;
+  copy.era = 1;
+  copy.is_settled = true;
+  copy.budgets[kTeam].peak_rate = kPeakRate;
+  BootTime now(1'000);
+  holder.LoadAccount(copy, now, 2);
+  Register(now);
+  LONGS_EQUAL(0, holder.known_account().budgets.at(kTeam).closed);
+  now += kSettleTime;
+  CHECK(holder.PlanWrite(demands, ledger, now));
+  CHECK(holder.planned_account().is_settled);
+  LONGS_EQUAL(kUnknown, holder.planned_account().budgets.at(kTeam).closed);
+}
+
+TEST(FleetHolder, NothingIsChargedForDrawsIfAHostRemembersTheEarlierEra) {
+  FleetAccount account;
+  account.era = 1;
+  account.is_settled = true;
+  account.budgets[kTeam].peak_rate = 100;
+  BootTime now(1'000);
+  holder.LoadAccount(account, now, 1);
+  Register(now);
+  holder.LoadAccount(account, now, 2);
+  Register(now);
+  // Another host settles the account and remembers nothing itself.
+  FleetHolder other{"host_b", "boot", ""};
+  other.LoadAccount(holder.known_account(), now, 2);
+  now += kSettleTime;
+  CHECK(other.PlanWrite(demands, ledger, now));
+  CHECK(other.planned_account().is_settled);
+  LONGS_EQUAL(0, other.planned_account().budgets.at(kTeam).closed);
+}
+
+TEST(FleetHolder, ThePeakRateOfDrawsIsPartOfTheAccount) {
+  BootTime now(1'000);
+  FleetAccount account;
+  account.budgets[kTeam].rows["host-2_1"] = {1'000, 0, 0};
+  holder.LoadAccount(account, now);
+  account.budgets[kTeam].rows["host-2_1"] = {2'400, 200, 0};
+  account.budgets[kTeam].rows["host-3_1"] = {5'000, 0, 0};
+  now += kDrawRateWindow;
+  holder.LoadAccount(account, now);
+  CHECK(holder.PlanWrite(demands, ledger, now));
+  LONGS_EQUAL(300, holder.planned_account().budgets.at(kTeam).peak_rate);
+}
+
 TEST(FleetHolder, OnlyOpenTokensAreAvailableWhileTheStoreAnswers) {
   Grant(BootTime(1'000));
   const FleetRow row =
