--- a/src/libs/gateway/gateway_dialect.h
+++ b/src/libs/gateway/gateway_dialect.h
@@ -12,6 +12,7 @@
 #include "libs/base/reason.h"
 #include "libs/gateway/gateway_call.h"
 #include "libs/http/http_message.h"
+#include "libs/routing/target_notice.h"
 
 namespace turmericwinch {
 
@@ -63,6 +64,8 @@
   // Requests per second that the target takes from all hosts together, if its
   // response names a limit.
   std::function<std::optional<double>(const HttpHeaders&)> parse_rate_limit;
+  // What the target says of itself in a response.
+  std::function<TargetNotice(int status, const HttpHeaders&)> parse_notice;
   // Selects the headers of a target's response that the caller gets.
   std::function<HttpHeaders(const HttpHeaders&)> caller_headers;
   // Makes the response to a refused request. `may_have_run` is false only if no
--- a/src/libs/gateway/target_attempt.cc
+++ b/src/libs/gateway/target_attempt.cc
@@ -86,6 +86,17 @@
             {"per_second", limit ? std::to_string(*limit) : "none"}});
 }
 
+void TargetAttempt::RecordNotice(int status, const HttpHeaders& headers) {
+  const TargetNotice notice = context_.dialect.parse_notice(status, headers);
+  if (!context_.targets.RecordNotice(choice_, notice))
+    return;
+  LogEvent(kLog, Severity::kInfo, "target_notice",
+           {{"request", resolved_.call->id},
+            {"target", choice_.name},
+            {"leaving", notice.leaving},
+            {"pause_ms", notice.pause.count()}});
+}
+
 asio::awaitable<AttemptResult> TargetAttempt::RelayResponse(
     RelayedResponse& relayed,
     HttpExchange& exchange,
@@ -125,8 +136,10 @@
   report_.arrived = true;
   const HeadVerdict verdict =
       context_.dialect.classify_head(stream.status(), stream.headers());
-  if (verdict == HeadVerdict::kAnswer || verdict == HeadVerdict::kNotRun)
+  if (verdict == HeadVerdict::kAnswer || verdict == HeadVerdict::kNotRun) {
     RecordRateLimit(stream.headers());
+    RecordNotice(stream.status(), stream.headers());
+  }
   if (verdict == HeadVerdict::kNotRun || verdict == HeadVerdict::kOtherTarget) {
     meter_.SetOutcome(verdict == HeadVerdict::kOtherTarget
                           ? AttemptOutcome::kLeaving
--- a/src/libs/gateway/target_attempt.h
+++ b/src/libs/gateway/target_attempt.h
@@ -65,6 +65,8 @@
                                                       HttpExchange& exchange,
                                                       ResponseRelay& relay,
                                                       Reason* reason);
+  // Records what the target says of itself in its response.
+  void RecordNotice(int status, const HttpHeaders& headers);
   // Records the rate limit that the target names in its response.
   void RecordRateLimit(const HttpHeaders& headers);
 
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -54,6 +54,12 @@
   return table_.RecordRateLimit(choice, limit, Clock::now());
 }
 
+bool SharedTargets::RecordNotice(const TargetChoice& choice,
+                                 const TargetNotice& notice) {
+  std::lock_guard lock(mutex_);
+  return table_.RecordNotice(choice, notice, Clock::now());
+}
+
 bool SharedTargets::RecordRateLimitNotice(const RateLimitStatus& status) {
   std::lock_guard lock(mutex_);
   return table_.RecordRateLimitNotice(status, Clock::now());
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -45,6 +45,9 @@
   // Records the rate limit that the response to the attempt named, or that it
   // named none. Returns whether the target's limit changed.
   bool RecordRateLimit(const TargetChoice& choice, std::optional<double> limit);
+  // Records what the target said of itself in the response to the attempt.
+  // Returns whether that is news.
+  bool RecordNotice(const TargetChoice& choice, const TargetNotice& notice);
   // See the functions of TargetTable.
   bool RecordRateLimitNotice(const RateLimitStatus& status);
   void SetRateShare(const std::string& target, double share);
--- a/src/libs/routing/target_choice.cc
+++ b/src/libs/routing/target_choice.cc
@@ -16,11 +16,11 @@
   if (mean == mean_prompt_tokens.end() ||
       static_cast<double>(query.request.prompt_tokens) >= mean->second)
     return false;
-  return std::any_of(group.targets.begin(), group.targets.end(),
-                     [&](const Target* it) {
-                       return !it->rate_limit.limit() && !it->member.leaving &&
-                              it->health.Weight(query.now) > 0;
-                     });
+  return std::any_of(
+      group.targets.begin(), group.targets.end(), [&](const Target* it) {
+        return !it->rate_limit.limit() && !it->IsClosed(query.now) &&
+               it->health.Weight(query.now) > 0;
+      });
 }
 
 Candidate TargetTable::Private::FindBest(TargetGroup& group,
@@ -31,7 +31,7 @@
   const auto shared = static_cast<double>(request.prefix_tokens);
   auto consider = [&](Target* it, double cached) {
     const double weight = it->Weight(query.now);
-    if (weight == 0 || it->member.leaving ||
+    if (weight == 0 || it->IsClosed(query.now) ||
         static_cast<double>(it->load.in_flight()) >=
             it->AllowedInFlight(query.now) ||
         query.excluded.contains(it->member.name) ||
@@ -78,10 +78,12 @@
   for (auto& [tier, group] : service->second) {
     for (Target* it : group.targets) {
       const TargetState state = it->health.State(query.now);
-      if (it->member.leaving || state == TargetState::kLeaving ||
+      if (it->IsLeaving() || state == TargetState::kLeaving ||
           query.excluded.contains(it->member.name))
         continue;
-      if (!it->rate_limit.MayStart(query.now))
+      if (it->IsClosed(query.now))
+        *obstacle = "wants no request for now";
+      else if (!it->rate_limit.MayStart(query.now))
         *obstacle = "has reached its rate limit";
       else if (it->load.in_flight() >= it->max_in_flight)
         *obstacle = "is full";
--- a/src/libs/routing/target_group.cc
+++ b/src/libs/routing/target_group.cc
@@ -28,7 +28,7 @@
 double TargetGroup::SubsetLimit(TargetHealth::TimePoint now) const {
   double sum = 0;
   for (const Target* it : subset) {
-    if (!it->member.leaving)
+    if (!it->IsClosed(now))
       sum += it->limit.limit() * it->health.Weight(now);
   }
   return sum;
@@ -60,7 +60,7 @@
 bool TargetGroup::MayEject(TargetHealth::TimePoint now) const {
   const auto kept = static_cast<std::size_t>(
       std::count_if(targets.begin(), targets.end(), [&](const Target* it) {
-        return !it->member.leaving && it->health.Weight(now) > 0;
+        return !it->IsClosed(now) && it->health.Weight(now) > 0;
       }));
   return kept > 1 && (kept - 1) * 100 >= targets.size() * kMinKeptPercent;
 }
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -32,7 +32,15 @@
   ConcurrencyLimit limit;
   TargetHealth health;
   TargetRateLimit rate_limit;
+  // Whether the target said that it leaves, and until when it wants no request.
+  bool says_leaving = false;
+  TargetHealth::TimePoint paused_until;
 
+  bool IsLeaving() const { return member.leaving || says_leaving; }
+  // Whether the target may get no new request, whatever its load.
+  bool IsClosed(TargetHealth::TimePoint now) const {
+    return IsLeaving() || now < paused_until;
+  }
   // Requests that this host may have in flight at the target. Few at a new
   // target that has not answered yet: its speed is unknown, and all hosts start
   // to use it at the same time.
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -218,6 +218,18 @@
     target->health.Eject(now);
 }
 
+bool TargetTable::RecordNotice(const TargetChoice& choice,
+                               const TargetNotice& notice,
+                               TimePoint now) {
+  Target* target = d_->Find(choice);
+  if (!target)
+    return false;
+  const bool starts_leaving = notice.leaving && !target->says_leaving;
+  target->says_leaving = target->says_leaving || notice.leaving;
+  target->paused_until = std::max(target->paused_until, now + notice.pause);
+  return starts_leaving || notice.pause.count() > 0;
+}
+
 void TargetTable::RecordLoadReport(const std::string& name,
                                    const LoadReport& report) {
   auto it = d_->targets.find(name);
@@ -230,7 +242,7 @@
   for (const auto& [name, it] : d_->targets) {
     stats.push_back(
         {name, it.member.failure_domain, it.service, it.member.address,
-         it.load.in_flight(), it.member.leaving, it.health.State(now),
+         it.load.in_flight(), it.IsLeaving(), it.health.State(now),
          it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
          it.load.seconds_per_token(), it.load.seconds_per_prompt_token(),
          it.rate_limit.limit().value_or(0)});
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -17,6 +17,7 @@
 #include "libs/routing/host_list.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
+#include "libs/routing/target_notice.h"
 
 namespace turmericwinch {
 
@@ -146,6 +147,11 @@
   // nullopt if no target has named one, or if none ever does.
   std::optional<TimePoint> NextRateStart(const std::string& service,
                                          TimePoint now) const;
+  // Records what the target said of itself in the response to the attempt.
+  // Holds for this incarnation of the target. Returns whether that is news.
+  bool RecordNotice(const TargetChoice& choice,
+                    const TargetNotice& notice,
+                    TimePoint now);
   // Records the load that the target `name` reported.
   void RecordLoadReport(const std::string& name, const LoadReport& report);
 
--- a/src/libs/routing/target_table_rate_limits.cc
+++ b/src/libs/routing/target_table_rate_limits.cc
@@ -61,8 +61,7 @@
                                                TimePoint now) const {
   std::optional<double> rate;
   for (const auto& [name, it] : d_->targets) {
-    if (it.service != service || it.member.leaving ||
-        it.health.Weight(now) == 0)
+    if (it.service != service || it.IsClosed(now) || it.health.Weight(now) == 0)
       continue;
     if (!it.rate_limit.limit())
       return std::nullopt;
@@ -76,7 +75,7 @@
     TimePoint now) const {
   std::optional<TimePoint> next;
   for (const auto& [name, it] : d_->targets) {
-    if (it.service != service || it.member.leaving || !it.rate_limit.limit())
+    if (it.service != service || it.IsClosed(now) || !it.rate_limit.limit())
       continue;
     const std::optional<TimePoint> start = it.rate_limit.NextStart(now);
     if (start && (!next || *start < *next))
--- a/tests/adapter/edge_dialect_test.cc
+++ b/tests/adapter/edge_dialect_test.cc
@@ -213,4 +213,28 @@
   CHECK(!dialect.parse_rate_limit(HttpHeaders()));
 }
 
+TEST(EdgeDialect, APauseIsReadOnlyFromARefusalAndIsBounded) {
+  struct Case {
+    int status;
+    const char* text;
+    std::int64_t pause_ms;
+  };
+  const Case cases[] = {
+      {503, "2", 2'000},      {503, " 0.25 ", 250},
+      {503, "1e300", 30'000}, {503, "-1", 0},
+      {503, "0", 0},          {503, "nan", 0},
+      {503, "inf", 0},        {503, "", 0},
+      {503, "2 s", 0},        {503, "Sat, 05 Dec 2026 04:00:00 GMT", 0},
+      {200, "2", 0},          {429, "2", 0},
+  };
+  for (const Case& it : cases) {
+    const TargetNotice notice =
+        dialect.parse_notice(it.status, Headers({{"Retry-After", it.text}}));
+    LONGS_EQUAL_TEXT(it.pause_ms, notice.pause.count(), it.text);
+    CHECK(!notice.leaving);
+  }
+  CHECK(dialect.parse_notice(200, Headers({{"Server-Leaving", "1"}})).leaving);
+  CHECK(!dialect.parse_notice(200, Headers({{"Server-Leaving", "0"}})).leaving);
+}
+
 }  // namespace turmericwinch::platform
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -111,6 +111,22 @@
   LONGS_EQUAL(1, ReceivedRequests());
 }
 
+TEST(GatewayCall, ATargetThatSaysThatItLeavesGetsNoNewRequest) {
+  one.says_leaving = two.says_leaving = true;
+  LONGS_EQUAL(200, StatusOf("/again/1"));
+  LONGS_EQUAL(200, StatusOf("/again/1"));
+  LONGS_EQUAL(1, one.requests.size());
+  LONGS_EQUAL(1, two.requests.size());
+}
+
+TEST(GatewayCall, ATargetThatAsksForAPauseGetsNoRequestMeanwhile) {
+  one.retry_after = two.retry_after = "25";
+  script = {TargetBehavior::kNotRun, TargetBehavior::kNotRun};
+  LONGS_EQUAL(503, StatusOf("/again/1"));
+  Reason reason;
+  CHECK(!context.targets.BeginAttempt({"app"}, {}, &reason).has_value());
+}
+
 TEST(GatewayCall, ABrokenStreamThatIsNotResumableDoesNotLookComplete) {
   script = {TargetBehavior::kCutStream, TargetBehavior::kStream};
   CHECK(!Call(Request("/fixed/1")).has_value());
--- a/tests/adapter/scripted_target.h
+++ b/tests/adapter/scripted_target.h
@@ -58,6 +58,9 @@
 
   std::vector<HttpRequest> requests;
   bool names_limit = false;
+  bool says_leaving = false;
+  // Seconds that its refusals name; empty for none.
+  std::string retry_after;
 
  private:
   boost::asio::awaitable<void> Handle(const HttpRequest& request,
@@ -83,6 +86,10 @@
       response.headers.Add("Turmericwinch-Response-Signature", "mac");
     if (names_limit)
       response.headers.Add("Server-Limit", kNamedRateLimit);
+    if (says_leaving)
+      response.headers.Add("Server-Leaving", "1");
+    if (!retry_after.empty())
+      response.headers.Add("Retry-After", retry_after);
     response.body = "whole";
     switch (behavior) {
       case TargetBehavior::kClose:
--- a/tests/routing/target_table_test.cc
+++ b/tests/routing/target_table_test.cc
@@ -278,4 +278,37 @@
   STRCMP_EQUAL("limited", choice->name.c_str());
 }
 
+TEST(TargetTable, ATargetThatSaysThatItLeavesGetsNoNewRequest) {
+  list.targets = {Member("one")};
+  Update();
+  const auto choice = table.BeginAttempt(request, {}, kStart, &reason);
+  CHECK(table.RecordNotice(*choice, {true, milliseconds(0)}, kStart));
+  CHECK(!table.RecordNotice(*choice, {true, milliseconds(0)}, kStart));
+  table.EndAttempt(*choice, AttemptOutcome::kGood, {}, kStart);
+  Update();
+  STRCMP_EQUAL("", Choose().c_str());
+  list.targets = {Member("one"), Member("two")};
+  Update();
+  for (int n = 0; n < 3; ++n)
+    STRCMP_EQUAL("two", Choose().c_str());
+  // It has started anew under its name.
+  list.targets = {Member("one", "a", "fast", "2")};
+  Update();
+  STRCMP_EQUAL("one", Choose().c_str());
+}
+
+TEST(TargetTable, ATargetThatAsksForAPauseGetsNoRequestBeforeItsEnd) {
+  list.targets = {Member("one")};
+  Update();
+  const auto choice = table.BeginAttempt(request, {}, kStart, &reason);
+  const milliseconds pause(3'000);
+  CHECK(table.RecordNotice(*choice, {false, pause}, kStart));
+  // An earlier end that comes later does not shorten the pause.
+  table.RecordNotice(*choice, {false, milliseconds(10)}, kStart);
+  table.EndAttempt(*choice, AttemptOutcome::kGood, {}, kStart);
+  STRCMP_EQUAL("", Choose(kStart + pause - milliseconds(1)).c_str());
+  CHECK(reason.code == ResultCode::kOverloaded);
+  STRCMP_EQUAL("one", Choose(kStart + pause).c_str());
+}
+
 }  // namespace turmericwinch
