Take the copy of a restored store for no memory of its own

Found by reading the change again. A host that started after the store had come back, and read the account twice before its first write took effect (the write failed, or was lost to another host), kept the copy of its first read as something that it remembered. The account then counted as remembered, and draws that nobody knew of were not charged.

Cause: whatever was known was kept whenever the account was of an earlier era. Now only what was known before the era changed is kept, or what a write of an earlier era has overwritten.

--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -25,12 +25,7 @@
 void FleetHolder::LoadAccount(FleetAccount account,
                               BootTime now,
                               std::uint64_t era) {
-  // An account of an earlier era stems from the copy, or from a write that was
-  // on its way when the store came back.
-  if (account.era != era || era != era_) {
-    remembered_ =
-        remembered_ ? MergeFleetAccounts(*remembered_, known_) : known_;
-  }
+  RememberKnown(account.era, era);
   era_ = era;
   if (remembered_)
     account = MergeFleetAccounts(account, *remembered_);
@@ -123,6 +118,17 @@
          (holds_unopened && now - last_issued_ >= kFleetHeartbeatInterval);
 }
 
+// An account that the store lost was known before the era changed. One that was
+// overwritten by a write of an earlier era is of this era. Any other account of
+// an earlier era is a copy, which the store has anyway.
+void FleetHolder::RememberKnown(std::uint64_t account_era, std::uint64_t era) {
+  const bool is_lost = era != era_ && !known_.heartbeats.empty();
+  const bool is_overwritten = account_era != era && known_.era == era;
+  if (!is_lost && !is_overwritten)
+    return;
+  remembered_ = remembered_ ? MergeFleetAccounts(*remembered_, known_) : known_;
+}
+
 void FleetHolder::MeasureDraws(BootTime now) {
   const BootTime elapsed = now - draws_base_time_;
   if (draws_base_ && elapsed < kDrawRateWindow)
@@ -155,7 +161,7 @@
 
 bool FleetHolder::PlanEra(BootTime now) {
   planned_.is_remembered = (planned_.era == era_ && planned_.is_remembered) ||
-                           (remembered_ && !remembered_->heartbeats.empty());
+                           remembered_.has_value();
   planned_.era = era_;
   planned_.is_settled =
       !unsettled_since_ || now - *unsettled_since_ >= kSettleTime;
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -95,6 +95,9 @@
   BootTime last_issued() const { return last_issued_; }
 
  private:
+  // Keeps the known account if the account that is read now, of `account_era`
+  // in a store of `era`, may lack what it holds.
+  void RememberKnown(std::uint64_t account_era, std::uint64_t era);
   // Measures the rate at which holders draw tokens.
   void MeasureDraws(BootTime now);
   // Tokens that holders may have drawn although neither the store nor a host
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -408,6 +408,23 @@
   LONGS_EQUAL(kUnknown, holder.planned_account().budgets.at(kTeam).closed);
 }
 
+// A write that failed between the two reads.
+TEST(FleetHolder, ReadingTheCopyTwiceIsNoMemoryOfTheEarlierEra) {
+  FleetAccount copy;
+  copy.era = 1;
+  copy.is_settled = true;
+  copy.heartbeats["host-2_1"] = {"boot", BootTime(1), "", ""};
+  copy.budgets[kTeam].peak_rate = 100;
+  BootTime now(1'000);
+  holder.LoadAccount(copy, now, 2);
+  now += kSettleTime;
+  holder.LoadAccount(copy, now, 2);
+  CHECK(holder.PlanWrite(demands, ledger, now));
+  CHECK(holder.planned_account().is_settled);
+  CHECK(!holder.planned_account().is_remembered);
+  CHECK(holder.planned_account().budgets.at(kTeam).closed > 0);
+}
+
 TEST(FleetHolder, NothingIsChargedForDrawsIfAHostRemembersTheEarlierEra) {
   FleetAccount account;
   account.era = 1;
