--- a/src/libs/base/settings_table.cc
+++ b/src/libs/base/settings_table.cc
@@ -9,7 +9,8 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <cctype>
-#include <charconv>
+
+#include "libs/base/parse_number.h"
 
 namespace turmericwinch {
 
@@ -26,22 +27,14 @@
   return variable;
 }
 
-std::optional<std::int64_t> ParseInteger(std::string_view text) {
-  std::int64_t n = 0;
-  const char* end = text.data() + text.size();
-  auto [last, ec] = std::from_chars(text.data(), end, n);
-  if (ec != std::errc() || last != end)
-    return std::nullopt;
-  return n;
-}
-
 bool IsEndpoint(std::string_view text) {
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos)
     return false;
   boost::system::error_code ec;
   boost::asio::ip::make_address(std::string(text.substr(0, colon)), ec);
-  std::optional<std::int64_t> port = ParseInteger(text.substr(colon + 1));
+  std::optional<std::int64_t> port =
+      ParseNumber<std::int64_t>(text.substr(colon + 1));
   return !ec && port && *port >= 0 && *port <= kMaxPort;
 }
 
@@ -70,7 +63,7 @@
     case SettingType::kText:
       return FindChoiceError(spec, text);
     case SettingType::kInteger: {
-      std::optional<std::int64_t> n = ParseInteger(text);
+      std::optional<std::int64_t> n = ParseNumber<std::int64_t>(text);
       if (!n)
         return "is not an integer: '" + text + "'";
       if (*n < spec.least || *n > spec.most) {
@@ -174,7 +167,7 @@
 }
 
 std::int64_t SettingsTable::Integer(std::string_view name) const {
-  return ParseInteger(Text(name)).value_or(0);
+  return ParseNumber<std::int64_t>(Text(name)).value_or(0);
 }
 
 bool SettingsTable::Flag(std::string_view name) const {
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -11,6 +11,16 @@
 
 constexpr std::int64_t kMillisecondsPerSecond = 1'000;
 
+// Tokens that holders may have drawn although neither the store nor a host
+// knows of it, as the store lost the writes and all hosts ended.
+std::int64_t UnknownDraws(const FleetBudget& budget, std::int64_t paid) {
+  const double drawn = static_cast<double>(budget.peak_rate) *
+                       static_cast<double>(kMaxCopyAge.count()) *
+                       kUnknownDrawFactor;
+  return std::min(static_cast<std::int64_t>(drawn),
+                  std::max<std::int64_t>(budget.Free(paid), 0));
+}
+
 }  // namespace
 
 FleetHolder::FleetHolder(std::string holder,
@@ -150,15 +160,6 @@
   draws_base_time_ = now;
 }
 
-std::int64_t FleetHolder::UnknownDraws(const FleetBudget& budget,
-                                       std::int64_t paid) const {
-  const double drawn = static_cast<double>(budget.peak_rate) *
-                       static_cast<double>(kMaxCopyAge.count()) *
-                       kUnknownDrawFactor;
-  return std::min(static_cast<std::int64_t>(drawn),
-                  std::max<std::int64_t>(budget.Free(paid), 0));
-}
-
 bool FleetHolder::PlanEra(BootTime now) {
   planned_.is_remembered = (planned_.era == era_ && planned_.is_remembered) ||
                            remembered_.has_value();
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -53,6 +53,8 @@
   // of the store. If the account is of an earlier era, adds what this host
   // remembers of it.
   void LoadAccount(FleetAccount account, BootTime now, std::uint64_t era = 0);
+  // Era of the store in which the account was last read.
+  std::uint64_t era() const { return era_; }
   // Whether tokens may be drawn: the account holds what the hosts remembered
   // when the store came back from an old copy.
   bool is_settled() const { return !unsettled_since_; }
@@ -100,9 +102,6 @@
   void RememberKnown(std::uint64_t account_era, std::uint64_t era);
   // Measures the rate at which holders draw tokens.
   void MeasureDraws(BootTime now);
-  // Tokens that holders may have drawn although neither the store nor a host
-  // knows of it, as the store lost the writes and all hosts ended.
-  std::int64_t UnknownDraws(const FleetBudget& budget, std::int64_t paid) const;
   // Sets the era of planned_. Returns whether the account has to be written for
   // it.
   bool PlanEra(BootTime now);
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -57,7 +57,7 @@
     version = object->version;
   }
   const bool was_settled = holder.is_settled();
-  era = object ? EraOf(object->version) : platform.Era();
+  const std::uint64_t era = object ? EraOf(object->version) : platform.Era();
   holder.LoadAccount(std::move(account), context.boot.now(), era);
   if (holder.is_settled() != was_settled) {
     LogEvent(kLog, Severity::kWarning,
@@ -236,7 +236,8 @@
   // write to a store that is cut off would delay the use of the stock.
   if (PlanWrite()) {
     is_current = false;
-  } else if (Clock::now() - read_at >= refresh_pause || platform.Era() != era) {
+  } else if (Clock::now() - read_at >= refresh_pause ||
+             platform.Era() != holder.era()) {
     refresh_pause = std::min(refresh_pause * 2, kMaxAccountRefresh);
     // Nothing has to be written, so the account as last read will do.
     const bool is_read = co_await ReadAccount();
--- a/src/libs/gateway/account_manager_private.h
+++ b/src/libs/gateway/account_manager_private.h
@@ -108,8 +108,6 @@
   bool is_current = false;
   // Version of the account object; 0 until the object exists.
   std::uint64_t version = 0;
-  // Era of the store in which the account was last read.
-  std::uint64_t era = 0;
   FleetHolder holder;
   PeerLoans loans;
   // This host's rows as last logged, by budget.
--- a/src/libs/gateway/stored_quarantine.cc
+++ b/src/libs/gateway/stored_quarantine.cc
@@ -1,9 +1,9 @@
 #include "libs/gateway/stored_quarantine.h"
 
 #include <boost/json.hpp>
-#include <charconv>
 
 #include "libs/base/json_fields.h"
+#include "libs/base/parse_number.h"
 #include "libs/gateway/gateway_call.h"
 #include "libs/gateway/gateway_constants.h"
 
@@ -15,15 +15,6 @@
 
 constexpr int kHexBase = 16;
 
-std::optional<PromptPartId> ParsePartId(std::string_view text) {
-  PromptPartId part = 0;
-  const auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), part, kHexBase);
-  if (ec != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return part;
-}
-
 // Changes the end of one quarantine. Returns whether that changed anything.
 template <typename Key>
 bool ApplyHold(std::map<Key, std::int64_t>& until_ms,
@@ -62,7 +53,8 @@
   }
   StoredQuarantine result;
   for (const auto& [name, until] : *rows) {
-    const std::optional<PromptPartId> part = ParsePartId(name);
+    const std::optional<PromptPartId> part =
+        ParseNumber<PromptPartId>(name, kHexBase);
     const std::int64_t* until_ms = until.if_int64();
     if (!part || !until_ms) {
       return Fail(reason, ResultCode::kPlatformRejected,
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -56,6 +56,8 @@
 
 bool SharedTargets::RecordNotice(const TargetChoice& choice,
                                  const TargetNotice& notice) {
+  if (notice.empty())
+    return false;
   std::lock_guard lock(mutex_);
   return table_.RecordNotice(choice, notice, Clock::now());
 }
--- a/src/libs/operations/winch_commands.cc
+++ b/src/libs/operations/winch_commands.cc
@@ -2,10 +2,10 @@
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
-#include <charconv>
 
 #include "libs/base/digest.h"
 #include "libs/base/json_fields.h"
+#include "libs/base/parse_number.h"
 #include "libs/config/config_error.h"
 #include "libs/operations/budget_report.h"
 #include "libs/operations/budget_store.h"
@@ -53,10 +53,8 @@
 
 asio::awaitable<Reason> TopUpVerb(WinchContext& context) {
   const std::string& text = context.arguments[1];
-  std::int64_t tokens = 0;
-  auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), tokens);
-  if (ec != std::errc() || end != text.data() + text.size() || tokens <= 0) {
+  const std::optional<std::int64_t> tokens = ParseNumber<std::int64_t>(text);
+  if (!tokens || *tokens <= 0) {
     co_return Reason{ResultCode::kBadRequest,
                      "'" + text + "' is not a positive number of tokens"};
   }
@@ -65,7 +63,7 @@
     id = RandomHex(kTopUpIdBytes);
   Reason reason;
   std::optional<std::int64_t> total = co_await TopUpBudget(
-      *context.platform, context.arguments[0], tokens, id, &reason);
+      *context.platform, context.arguments[0], *tokens, id, &reason);
   if (!total) {
     reason.text += "; to retry without counting it twice, pass --id " + id;
     co_return reason;
--- a/src/libs/routing/target_notice.h
+++ b/src/libs/routing/target_notice.h
@@ -12,6 +12,8 @@
 struct TargetNotice {
   bool leaving = false;
   std::chrono::milliseconds pause{0};
+
+  bool empty() const { return !leaving && pause.count() == 0; }
 };
 
 }  // namespace turmericwinch
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -91,6 +91,27 @@
   T Run(asio::awaitable<T> coroutine) {
     return RunCoroutine(context, std::move(coroutine));
   }
+
+  void AddListOfMain(int revision, const std::string& spec, int at) {
+    store.AddResponse(200, R"({"items":[)" + Object("main", revision, spec) +
+                               R"(],"has_more":false,"at":)" +
+                               std::to_string(at) + "}");
+  }
+
+  std::optional<PlatformObject> WatchMain(std::uint64_t after) {
+    return Run(client.Watch(PlatformDuty::kConfig, "config/main", after,
+                            milliseconds(10), &reason));
+  }
+
+  // Returns the version of the object; the store's next responses are of a
+  // later era.
+  std::uint64_t ListMainBeforeRestore() {
+    store.era = 1;
+    AddListOfMain(35, "1", 39);
+    const std::uint64_t version = WatchMain(0)->version;
+    store.era = 2;
+    return version;
+  }
 };
 
 TEST(StoreClient, ANameWithoutAKindGetsTheDefaultKind) {
@@ -222,39 +243,23 @@
 
 // Revisions go back, and the object's new revision was given out before.
 TEST(StoreClient, AWatchReportsAChangeAfterTheStoreLostItsNewestWrites) {
-  store.era = 1;
-  store.AddResponse(200, R"({"items":[)" + Object("main", 35, "1") +
-                             R"(],"has_more":false,"at":39})");
-  const milliseconds wait(10);
-  const auto first =
-      Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
-  store.era = 2;
+  const std::uint64_t before = ListMainBeforeRestore();
   store.AddResponse(410, "{}");
-  store.AddResponse(200, R"({"items":[)" + Object("main", 20, "2") +
-                             R"(],"has_more":false,"at":25})");
-  const auto second = Run(client.Watch(PlatformDuty::kConfig, "config/main",
-                                       first->version, wait, &reason));
-  CHECK(second.has_value());
-  STRCMP_EQUAL("2", second->value.c_str());
-  CHECK(second->version > first->version);
+  AddListOfMain(20, "2", 25);
+  const auto after = WatchMain(before);
+  CHECK(after.has_value());
+  STRCMP_EQUAL("2", after->value.c_str());
+  CHECK(after->version > before);
 }
 
 // The store has given out the revision of the watch again, so it answers.
 TEST(StoreClient, AWatchThatOutlastsARestoreListsAgain) {
-  store.era = 1;
-  store.AddResponse(200, R"({"items":[)" + Object("main", 35, "1") +
-                             R"(],"has_more":false,"at":39})");
-  const milliseconds wait(10);
-  const auto first =
-      Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
-  store.era = 2;
+  const std::uint64_t before = ListMainBeforeRestore();
   store.AddResponse(200, R"({"events":[],"at":45})");
-  store.AddResponse(200, R"({"items":[)" + Object("main", 30, "2") +
-                             R"(],"has_more":false,"at":45})");
-  const auto second = Run(client.Watch(PlatformDuty::kConfig, "config/main",
-                                       first->version, wait, &reason));
-  CHECK(second.has_value());
-  STRCMP_EQUAL("2", second->value.c_str());
+  AddListOfMain(30, "2", 45);
+  const auto after = WatchMain(before);
+  CHECK(after.has_value());
+  STRCMP_EQUAL("2", after->value.c_str());
 }
 
 TEST(StoreClient, AWriteConditionalOnALostRevisionIsNotSent) {
