Keep no more closings than stated after a merge of accounts

A merge can double the list of ended holders, and each further closing then added one and removed one, so that it stayed above kMaxFleetClosings for good. Found by reading the change again; no play showed it. The bound is now restored with the next closing.

FleetAccountMerge.FurtherClosingsBoundTheListThatAMergeMadeLonger got 64 for 32 before, and passes now.

--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -123,8 +123,10 @@
   }
   account.heartbeats.erase(holder);
   account.closings.push_back(std::move(closing));
-  if (account.closings.size() > kMaxFleetClosings)
-    account.closings.erase(account.closings.begin());
+  if (account.closings.size() > kMaxFleetClosings) {
+    account.closings.erase(account.closings.begin(),
+                           account.closings.end() - kMaxFleetClosings);
+  }
 }
 
 // Whether `last`, the last heartbeat of a holder that ended, proves that the
--- a/tests/budget/fleet_account_merge_test.cc
+++ b/tests/budget/fleet_account_merge_test.cc
@@ -58,6 +58,17 @@
                ToJson(MergeFleetAccounts(merged, remembered)).c_str());
 }
 
+TEST(FleetAccountMerge, FurtherClosingsBoundTheListThatAMergeMadeLonger) {
+  for (std::size_t n = 0; n < kMaxFleetClosings; ++n) {
+    CloseHolder(stored, "s_" + std::to_string(n), {});
+    CloseHolder(remembered, "r_" + std::to_string(n), {});
+  }
+  FleetAccount merged = MergeFleetAccounts(stored, remembered);
+  LONGS_EQUAL(2 * kMaxFleetClosings, merged.closings.size());
+  CloseHolder(merged, "a_1", {});
+  LONGS_EQUAL(kMaxFleetClosings, merged.closings.size());
+}
+
 TEST(FleetAccountMerge, ClosingsAndTheEraSurviveTheirText) {
   CloseHolder(stored, "a_1", {{kTeam, 60}});
   stored.era = 3;
