Log at every host that the account is settled again

The host whose write settles the account logged nothing, as its state changed in ConfirmWrite() and only reads were looked at; docs/operations/store-restored.md tells operators to look for account_settled at every host. The state that was last logged is now kept, and compared after reads and writes. Log lines only; no decision depends on it.

--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -56,14 +56,9 @@
     account = std::move(*read);
     version = object->version;
   }
-  const bool was_settled = holder.is_settled();
   const std::uint64_t era = object ? EraOf(object->version) : platform.Era();
   holder.LoadAccount(std::move(account), context.boot.now(), era);
-  if (holder.is_settled() != was_settled) {
-    LogEvent(kLog, Severity::kWarning,
-             was_settled ? "account_unsettled" : "account_settled",
-             {{"era", era}, {"version", version}});
-  }
+  LogSettledChange();
   is_current = true;
   context.retries.SetHostCount(holder.known_account().HostCount());
   context.peers.UpdateAddresses(holder.known_account());
@@ -135,12 +130,22 @@
   }
   version = *answer;
   const std::map<std::string, std::int64_t> granted = holder.ConfirmWrite();
+  LogSettledChange();
   for (const auto& [name, total] : granted)
     context.ledger.Grant(name, total);
   LogChangedRows();
   co_return WriteOutcome::kDone;
 }
 
+void AccountManager::Private::LogSettledChange() {
+  if (holder.is_settled() == logged_settled)
+    return;
+  logged_settled = holder.is_settled();
+  LogEvent(kLog, Severity::kWarning,
+           logged_settled ? "account_settled" : "account_unsettled",
+           {{"era", holder.era()}, {"version", version}});
+}
+
 Reason AccountManager::Private::UnmetReason() const {
   if (!holder.is_settled()) {
     return {ResultCode::kBudgetUnreachable,
--- a/src/libs/gateway/account_manager_private.h
+++ b/src/libs/gateway/account_manager_private.h
@@ -51,6 +51,8 @@
   // Stops all spending after another process closed this holder.
   void StopSpending();
   void LogChangedRows();
+  // Logs that the account is settled, or no longer, if it was not so before.
+  void LogSettledChange();
   void SetReachable(bool now);
   // Opens all tokens that the host holds once the store has been unavailable
   // for long enough.
@@ -110,6 +112,8 @@
   std::uint64_t version = 0;
   FleetHolder holder;
   PeerLoans loans;
+  // Whether the account was settled when that was last logged.
+  bool logged_settled = true;
   // This host's rows as last logged, by budget.
   std::map<std::string, FleetRow> logged_rows;
   BudgetDemands demands{start};
