Read bounds of a deployment as numbers that may have a fraction

All five numbers that deploy/system.toml fills in are decimals with bounds now, and a flag or variable without a value counts as not given.

Test: adapter_test -sg DeploySettings fills deploy/system.toml from a table of deployments; before, fractions and absent values failed.

--- a/src/libs/base/settings_table.cc
+++ b/src/libs/base/settings_table.cc
@@ -45,6 +45,16 @@
   return parts;
 }
 
+std::string FindRangeError(const SettingSpec& spec,
+                           const std::string& text,
+                           double number) {
+  if (number >= static_cast<double>(spec.least) &&
+      number <= static_cast<double>(spec.most))
+    return "";
+  return "is " + text + ", outside " + std::to_string(spec.least) + ".." +
+         std::to_string(spec.most);
+}
+
 std::string FindChoiceError(const SettingSpec& spec, const std::string& text) {
   const auto& choices = spec.choices;
   if (choices.empty() ||
@@ -66,11 +76,13 @@
       std::optional<std::int64_t> n = ParseNumber<std::int64_t>(text);
       if (!n)
         return "is not an integer: '" + text + "'";
-      if (*n < spec.least || *n > spec.most) {
-        return "is " + text + ", outside " + std::to_string(spec.least) + ".." +
-               std::to_string(spec.most);
-      }
-      return "";
+      return FindRangeError(spec, text, static_cast<double>(*n));
+    }
+    case SettingType::kDecimal: {
+      std::optional<double> n = ParseNumber<double>(text);
+      if (!n)
+        return "is not a number: '" + text + "'";
+      return FindRangeError(spec, text, *n);
     }
     case SettingType::kFlag:
       return text == "true" || text == "false"
@@ -140,12 +152,12 @@
   for (const SettingSpec& spec : specs) {
     Value value{spec, spec.default_value, SettingSource::kDefault};
     auto variable = environment.find(VariableName(spec.name));
-    if (variable != environment.end()) {
+    if (variable != environment.end() && !variable->second.empty()) {
       value.text = variable->second;
       value.source = SettingSource::kEnvironment;
     }
     auto flag = flags.find(spec.name);
-    if (flag != flags.end()) {
+    if (flag != flags.end() && !flag->second.empty()) {
       value.text = flag->second;
       value.source = SettingSource::kFlag;
     }
@@ -170,6 +182,10 @@
   return ParseNumber<std::int64_t>(Text(name)).value_or(0);
 }
 
+double SettingsTable::Decimal(std::string_view name) const {
+  return ParseNumber<double>(Text(name)).value_or(0);
+}
+
 bool SettingsTable::Flag(std::string_view name) const {
   return Text(name) == "true";
 }
@@ -199,7 +215,7 @@
             it.label;
     if (!it.unit.empty())
       text += "; unit: " + it.unit;
-    if (it.type == SettingType::kInteger) {
+    if (it.type == SettingType::kInteger || it.type == SettingType::kDecimal) {
       text += "; range: " + std::to_string(it.least) + ".." +
               std::to_string(it.most);
     }
--- a/src/libs/base/settings_table.h
+++ b/src/libs/base/settings_table.h
@@ -14,10 +14,20 @@
 
 namespace turmericwinch {
 
-enum class SettingType { kText, kInteger, kFlag, kEndpoint, kEndpointList };
+enum class SettingType {
+  kText,
+  kInteger,
+  // A number that may have a fraction.
+  kDecimal,
+  kFlag,
+  kEndpoint,
+  kEndpointList
+};
 
 // Declaration of one setting. The flag is `--name`, the environment variable
-// TURMERICWINCH_NAME with '_' for '-'. The flag overrides the variable.
+// TURMERICWINCH_NAME with '_' for '-'. The flag overrides the variable; a flag
+// or variable without a value counts as not given. `least` and `most` bound
+// kInteger and kDecimal.
 struct SettingSpec {
   std::string name;
   SettingType type = SettingType::kText;
@@ -50,6 +60,7 @@
 
   std::string Text(std::string_view name) const;
   std::int64_t Integer(std::string_view name) const;
+  double Decimal(std::string_view name) const;
   bool Flag(std::string_view name) const;
   // The comma-separated parts of a kEndpointList.
   std::vector<std::string> List(std::string_view name) const;
--- a/src/libs/gateway/gateway_settings.cc
+++ b/src/libs/gateway/gateway_settings.cc
@@ -2,7 +2,6 @@
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
-#include <cstdlib>
 
 #include "libs/http/http_client.h"
 
@@ -10,7 +9,8 @@
 
 namespace {
 
-constexpr std::int64_t kMaxRate = 1'000'000;
+constexpr std::int64_t kMaxRate = 1'000'000'000;
+constexpr std::int64_t kMaxRetryRatio = 1'000;
 
 boost::asio::ip::tcp::endpoint EndpointSetting(const SettingsTable& table,
                                                std::string_view name) {
@@ -54,28 +54,34 @@
        .label = "address of the store",
        .required = true},
       {.name = "store-reads",
-       .type = kInteger,
+       .type = kDecimal,
        .label = "limit of read calls to the store, for all hosts together",
        .unit = "calls/s",
        .default_value = "2000",
        .least = 1,
        .most = kMaxRate},
       {.name = "store-writes",
-       .type = kInteger,
+       .type = kDecimal,
        .label = "limit of write calls to the store, for all hosts together",
        .unit = "calls/s",
        .default_value = "400",
        .least = 1,
        .most = kMaxRate},
       {.name = "link-mbps",
+       .type = kDecimal,
        .label = "bandwidth of this host's network link in each direction, in "
                 "Mbit/s; 0 if unknown",
-       .default_value = "0"},
+       .default_value = "0",
+       .least = 0,
+       .most = kMaxRate},
       {.name = "retry-ratio",
+       .type = kDecimal,
        .label = "retries that all hosts may make, per request of a service",
-       .default_value = "0.2"},
+       .default_value = "0.2",
+       .least = 0,
+       .most = kMaxRetryRatio},
       {.name = "retry-slack",
-       .type = kInteger,
+       .type = kDecimal,
        .label = "retries that all hosts may make beyond the retry ratio",
        .default_value = "50",
        .least = 0,
@@ -103,18 +109,20 @@
   const std::string domains = table.Text("failure-domains");
   boost::algorithm::split(settings.failure_domains, domains,
                           boost::algorithm::is_any_of(","));
+  std::erase(settings.failure_domains, "");
+  if (settings.failure_domains.empty())
+    settings.failure_domains.push_back(settings.failure_domain);
   settings.listen = EndpointSetting(table, "listen");
   settings.health_listen = EndpointSetting(table, "health-listen");
   settings.metrics_listen = EndpointSetting(table, "metrics-listen");
   settings.peer_listen = EndpointSetting(table, "peer-listen");
   settings.fleet_key = table.Text("fleet-key");
   settings.store = EndpointSetting(table, "store");
-  settings.store_rates = {static_cast<double>(table.Integer("store-reads")),
-                          static_cast<double>(table.Integer("store-writes"))};
-  settings.link_mbps = std::strtod(table.Text("link-mbps").c_str(), nullptr);
-  settings.retry_ratio =
-      std::strtod(table.Text("retry-ratio").c_str(), nullptr);
-  settings.retry_slack = static_cast<double>(table.Integer("retry-slack"));
+  settings.store_rates = {table.Decimal("store-reads"),
+                          table.Decimal("store-writes")};
+  settings.link_mbps = table.Decimal("link-mbps");
+  settings.retry_ratio = table.Decimal("retry-ratio");
+  settings.retry_slack = table.Decimal("retry-slack");
   settings.log_level = table.Text("log-level");
   return settings;
 }
