End a request whose caller has left wherever it waits

Both waits end now, and a host looks at the caller's connection before it reserves tokens and before each attempt.

Tests: node_test -sg SharedTargets, -sg SharedLedger; adapter_test -sg GatewayCall (ARequestWhoseCallerHasLeftReachesNoTarget, AHostThatIsAboutToStopRefusesNewRequestsAsNotRun, AnAnswerThatEndsEarlyIsNeverRelayedAsASuccess).

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -40,6 +40,9 @@
   void ReportLoss(const TargetChoice& choice, bool connection_closed);
   // Reserves the request's tokens. Returns false if there are too few.
   asio::awaitable<bool> Reserve();
+  // Whether the caller has closed its connection, also if the event loop has
+  // not yet handled that. The call is then cancelled.
+  bool HasCallerLeft();
   asio::awaitable<void> RunAttempts();
   asio::awaitable<std::optional<TargetChoice>> ChooseTarget(bool is_first);
   // Runs an attempt, and reports its outcome to the quarantine.
@@ -118,7 +121,7 @@
     co_return true;
   const std::int64_t tokens = resolved_.call->tokens->Sum();
   reservation_ = co_await context_.ledger.Reserve(
-      budgets.front()->name, tokens, kGatewayGrantTimeout, &reason_);
+      budgets.front()->name, tokens, kGatewayGrantTimeout, &reason_, &cancel_);
   co_return reservation_.has_value();
 }
 
@@ -151,7 +154,7 @@
     bool is_first) {
   if (is_first)
     co_return co_await context_.targets.WaitForTarget(
-        resolved_.routing_request, resolved_.deadline, &reason_);
+        resolved_.routing_request, resolved_.deadline, &reason_, &cancel_);
   co_return context_.targets.BeginAttempt(resolved_.routing_request,
                                           tried_targets_, &reason_);
 }
@@ -191,6 +194,12 @@
   return context_.retries.TakeRetry(resolved_.service);
 }
 
+bool CallRunner::HasCallerLeft() {
+  if (!cancel_.cancelled() && exchange_.CallerGone())
+    cancel_.Cancel();
+  return cancel_.cancelled();
+}
+
 asio::awaitable<void> CallRunner::RunAttempts() {
   context_.retries.OnRequest(resolved_.service);
   context_.demand.RecordRequest(resolved_.service, Clock::now());
@@ -200,8 +209,8 @@
       co_await EndUnanswered();
       co_return;
     }
-    // The verdict may have come while the request waited.
-    if (!quarantine_.Passes(&reason_)) {
+    // The verdict may have come, and the caller left, while the request waited.
+    if (!quarantine_.Passes(&reason_) || HasCallerLeft()) {
       context_.targets.EndAttempt(*choice);
       co_await EndUnanswered();
       co_return;
@@ -292,9 +301,15 @@
   // this host's health probes fail meanwhile.
   if (context_.IsLinkSaturated())
     exchange_.CloseAfterResponse();
-  const bool is_resolved = ResolveCall(context_, request_, resolved_, &reason_);
+  bool is_resolved = ResolveCall(context_, request_, resolved_, &reason_);
   if (is_resolved)
     quarantine_.SetCall(resolved_);
+  // Connections that were accepted before the host stopped accepting may still
+  // deliver requests.
+  if (is_resolved && context_.refuses_requests) {
+    reason_ = {ResultCode::kOverloaded, "this host is about to stop"};
+    is_resolved = false;
+  }
   if (!is_resolved || !quarantine_.Passes(&reason_)) {
     co_await Refuse();
     LogRequestDone();
@@ -302,8 +317,11 @@
   }
   relay_.StartAfter(resolved_.call->after_event.value_or(0));
   exchange_.WatchCaller([this] { cancel_.Cancel(); });
-  const bool reserved = co_await Reserve();
-  if (!reserved)
+  // A busy host may read a request after its caller has given up.
+  bool may_run = !HasCallerLeft();
+  if (may_run)
+    may_run = co_await Reserve();
+  if (!may_run)
     co_await Refuse();
   else
     co_await RunAttempts();
--- a/src/libs/http/http_cancel.h
+++ b/src/libs/http/http_cancel.h
@@ -3,6 +3,8 @@
 #ifndef SRC_LIBS_HTTP_HTTP_CANCEL_H_
 #define SRC_LIBS_HTTP_HTTP_CANCEL_H_
 
+#include <functional>
+
 namespace turmericwinch {
 
 class SocketDeadline;
@@ -19,8 +21,13 @@
   // uses now; null if it uses none.
   void Attach(SocketDeadline* deadline);
 
+  // Calls `wake` when Cancel() is called, so that a wait that is no call ends
+  // too; at once if it was called before. An empty function removes it.
+  void SetWaiter(std::function<void()> wake);
+
  private:
   SocketDeadline* deadline_ = nullptr;
+  std::function<void()> wake_;
   bool cancelled_ = false;
 };
 
--- a/src/libs/node/shared_ledger.cc
+++ b/src/libs/node/shared_ledger.cc
@@ -80,7 +80,8 @@
     std::string budget,
     std::int64_t tokens,
     std::chrono::milliseconds max_wait,
-    Reason* reason) {
+    Reason* reason,
+    HttpCancel* cancel) {
   auto executor = co_await asio::this_coro::executor;
   const Clock::time_point deadline = Clock::now() + max_wait;
   for (;;) {
@@ -131,7 +132,20 @@
     }
     if (on_grant_request)
       on_grant_request();
+    if (cancel) {
+      cancel->SetWaiter(
+          [waiter] { waiter->timer.expires_at(Clock::time_point::min()); });
+    }
     co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (cancel) {
+      cancel->SetWaiter({});
+      if (cancel->cancelled()) {
+        co_return Fail(reason, ResultCode::kCallerGone,
+                       "the caller closed its connection while its request "
+                       "waited for tokens of budget " +
+                           budget);
+      }
+    }
     std::lock_guard lock(d_->mutex);
     if (waiter->denial) {
       *reason = *waiter->denial;
--- a/src/libs/node/shared_ledger.h
+++ b/src/libs/node/shared_ledger.h
@@ -13,6 +13,7 @@
 
 #include "libs/base/reason.h"
 #include "libs/budget/host_ledger.h"
+#include "libs/http/http_cancel.h"
 
 namespace turmericwinch {
 
@@ -28,12 +29,14 @@
   void SetGrantRequestHandler(std::function<void()> on_grant_request);
 
   // Reserves `tokens` of `budget`, and waits for a grant if needed. Reasons:
-  // kBudgetExhausted, kBudgetUnreachable, kOverloaded.
+  // kBudgetExhausted, kBudgetUnreachable, kOverloaded, and kCallerGone as soon
+  // as `cancel`, which may be null, is cancelled during the wait.
   boost::asio::awaitable<std::optional<std::uint64_t>> Reserve(
       std::string budget,
       std::int64_t tokens,
       std::chrono::milliseconds max_wait,
-      Reason* reason);
+      Reason* reason,
+      HttpCancel* cancel = nullptr);
 
   // Settles or releases a reservation, at most once; see HostLedger.
   std::optional<Bill> Settle(std::uint64_t reservation, Bill bill);
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -22,6 +22,8 @@
   asio::steady_timer timer;
   QueueTicket ticket;
   std::optional<TargetChoice> choice;
+  // Used on the executor of the timer only.
+  bool cancelled = false;
 };
 
 SharedTargets::SharedTargets(std::string failure_domain,
@@ -104,6 +106,16 @@
   }
 }
 
+void SharedTargets::StopWaiting() {
+  std::lock_guard lock(mutex_);
+  may_wait_ = false;
+  for (const auto& [ticket, waiter] : waiters_) {
+    asio::post(waiter->timer.get_executor(), [waiter = waiter] {
+      waiter->timer.expires_at(Clock::time_point::min());
+    });
+  }
+}
+
 bool SharedTargets::IsRateQueueFull(const std::string& service,
                                     Clock::time_point now,
                                     Reason* reason) const {
@@ -130,7 +142,7 @@
     {
       std::lock_guard lock(mutex_);
       const Clock::time_point now = Clock::now();
-      if (waiter->choice || now >= deadline)
+      if (waiter->choice || waiter->cancelled || !may_wait_ || now >= deadline)
         co_return;
       const auto next = table_.NextRateStart(waiter->ticket.service, now);
       waiter->timer.expires_at(
@@ -156,6 +168,13 @@
   choice = queue_.BeginOrEnqueue(request, deadline, now, &ticket, reason);
   if (!ticket)
     return nullptr;
+  if (!may_wait_) {
+    *reason = {ResultCode::kOverloaded,
+               "no target of " + request.service +
+                   " has free capacity, and this host stops soon"};
+    queue_.Remove(*ticket);
+    return nullptr;
+  }
   if (IsRateQueueFull(request.service, now, reason)) {
     queue_.Remove(*ticket);
     return nullptr;
@@ -168,7 +187,8 @@
 asio::awaitable<std::optional<TargetChoice>> SharedTargets::WaitForTarget(
     RoutingRequest request,
     Clock::time_point deadline,
-    Reason* reason) {
+    Reason* reason,
+    HttpCancel* cancel) {
   request.limited = true;
   deadline = std::min(deadline, Clock::now() + kMaxTargetWait);
   auto executor = co_await asio::this_coro::executor;
@@ -177,15 +197,31 @@
       BeginOrEnqueue(request, deadline, executor, choice, reason);
   if (!waiter)
     co_return choice;
+  if (cancel) {
+    cancel->SetWaiter([waiter] {
+      waiter->cancelled = true;
+      waiter->timer.expires_at(Clock::time_point::min());
+    });
+  }
   co_await WaitForStart(waiter, deadline);
+  if (cancel)
+    cancel->SetWaiter({});
   std::lock_guard lock(mutex_);
   if (waiter->choice)
     co_return std::move(waiter->choice);
   queue_.Remove(waiter->ticket);
   waiters_.erase(waiter->ticket);
-  co_return Fail(reason, ResultCode::kOverloaded,
-                 "no target of " + request.service +
-                     " had free capacity before the deadline");
+  if (waiter->cancelled) {
+    co_return Fail(reason, ResultCode::kCallerGone,
+                   "the caller closed its connection while its request waited "
+                   "for a target of " +
+                       request.service);
+  }
+  co_return Fail(
+      reason, ResultCode::kOverloaded,
+      "no target of " + request.service +
+          " had free capacity before the deadline or the stop of this "
+          "host");
 }
 
 std::map<std::string, std::size_t> SharedTargets::QueueSizes() const {
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/http/http_cancel.h"
 #include "libs/routing/target_queue.h"
 #include "libs/routing/target_table.h"
 
@@ -34,11 +35,16 @@
   // order by team, while every target is full, or while the request's team
   // already has its share in flight and the targets have reached their limits.
   // If all targets have named rate limits, waits only behind as many requests
-  // as start within kMaxRateLimitQueue. Fails with kOverloaded or kNoTarget.
+  // as start within kMaxRateLimitQueue. Fails with kOverloaded or kNoTarget, or
+  // with kCallerGone as soon as `cancel`, which may be null, is cancelled.
   boost::asio::awaitable<std::optional<TargetChoice>> WaitForTarget(
       RoutingRequest request,
       std::chrono::steady_clock::time_point deadline,
-      Reason* reason);
+      Reason* reason,
+      HttpCancel* cancel = nullptr);
+  // Ends all waits with kOverloaded, and lets no further request wait: the host
+  // stops soon.
+  void StopWaiting();
   // Must be called when the first token of an attempt has arrived.
   void RecordFirstToken(TargetChoice& choice,
                         std::chrono::duration<double> elapsed);
@@ -88,6 +94,7 @@
   TargetTable table_;
   TargetQueue queue_{table_};
   std::map<QueueTicket, std::shared_ptr<Waiter>> waiters_;
+  bool may_wait_ = true;
 };
 
 }  // namespace turmericwinch
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -228,6 +228,85 @@
   CHECK(ended);
 }
 
+// A request that comes late in a planned stop might be cut off with its target
+// at work on it.
+TEST(GatewayCall, AHostThatIsAboutToStopRefusesNewRequestsAsNotRun) {
+  context.refuses_requests = true;
+  for (const char* path : {"/once/1", "/again/1", "/stream/1"}) {
+    const auto response = Call(Request(path));
+    CHECK(response.has_value());
+    LONGS_EQUAL(503, response->status);
+    CHECK(response->headers.Has("Retry-After"));
+  }
+  LONGS_EQUAL(0, ReceivedRequests());
+}
+
+// A target stops within the head of its answer, or within the body that the
+// head announces.
+TEST(GatewayCall, AnAnswerThatEndsEarlyIsNeverRelayedAsASuccess) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
+      "Turmericwinch-Response-Signature: mac\r\n";
+  const std::string answers[] = {
+      head + "Content-Length: 5\r\n\r\nwhole",
+      head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"};
+  for (const std::string& answer : answers) {
+    for (const char* path : {"/once/1", "/fixed/1"}) {
+      for (std::size_t n = 0; n < answer.size(); ++n) {
+        RawTarget target(
+            context.traffic, answer.substr(0, n),
+            n % 2 == 0 ? ConnectionEnd::kClose : ConnectionEnd::kReset);
+        HostList list;
+        list.targets = {{"i-9", "a", ToText(target.endpoint()),
+                         std::to_string(++incarnation_), "app", false}};
+        context.targets.Update(list, *context.config.Get()->objects);
+        const auto response = Call(Request(path));
+        CHECK(!response || response->status == 502);
+      }
+    }
+  }
+}
+
+// Without a length and chunks, the end of the connection ends the answer. Until
+// the head has ended, it is no answer.
+TEST(GatewayCall, AnAnswerWithoutALengthNeedsItsWholeHead) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
+      "Turmericwinch-Response-Signature: mac\r\n\r\n";
+  for (std::size_t n = 0; n <= head.size(); ++n) {
+    RawTarget target(context.traffic,
+                     n < head.size() ? head.substr(0, n) : head + "whole",
+                     ConnectionEnd::kClose);
+    HostList list;
+    list.targets = {{"i-9", "a", ToText(target.endpoint()),
+                     std::to_string(++incarnation_), "app", false}};
+    context.targets.Update(list, *context.config.Get()->objects);
+    const auto response = Call(Request("/once/1"));
+    CHECK(response.has_value());
+    LONGS_EQUAL(n < head.size() ? 502 : 200, response->status);
+    if (n == head.size())
+      STRCMP_EQUAL("whole", response->body.c_str());
+  }
+}
+
+// A busy host reads a request only after its caller has given up.
+TEST(GatewayCall, ARequestWhoseCallerHasLeftReachesNoTarget) {
+  for (const char* method : {"GET /again/1", "POST /once/1"}) {
+    asio::io_context other;
+    asio::ip::tcp::socket socket(other);
+    socket.connect(address);
+    const std::string text =
+        std::string(method) +
+        " HTTP/1.1\r\nHost: h\r\nTurmericwinch-Attempt-Id: x\r\n"
+        "Authorization: Token key\r\nContent-Length: 0\r\n\r\n";
+    asio::write(socket, asio::buffer(text));
+    socket.close();
+    const std::size_t before = ReceivedRequests();
+    LONGS_EQUAL(200, StatusOf("/again/1"));
+    LONGS_EQUAL(before + 1, ReceivedRequests());
+  }
+}
+
 TEST(GatewayCall, ATargetGetsNoMoreRequestsThanTheRateLimitThatItNamed) {
   // The bound of the users' platform: one and a half times the limit, and 5.
   constexpr std::size_t kMaxAfterLimit = 5;
--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -110,4 +110,51 @@
   CHECK(calm.has_value());
 }
 
+TEST(SharedTargets, AWaitingRequestOfACallerThatLeavesEndsAtOnce) {
+  Choice first;
+  Choice second;
+  Spawn("one", first);
+  Spawn("one", second);
+  HttpCancel cancel;
+  bool ended = false;
+  Choice third;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        RoutingRequest request{"plain"};
+        request.team = "one";
+        third = co_await targets.WaitForTarget(
+            request, Clock::now() + std::chrono::hours(1), &reason, &cancel);
+        ended = true;
+      },
+      asio::detached);
+  context.restart();
+  context.poll();
+  UNSIGNED_LONGS_EQUAL(1, targets.QueueSizes()["plain"]);
+  cancel.Cancel();
+  context.restart();
+  context.poll();
+  CHECK(ended);
+  CHECK_FALSE(third.has_value());
+  LONGS_EQUAL(static_cast<int>(ResultCode::kCallerGone),
+              static_cast<int>(reason.code));
+  UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+}
+
+TEST(SharedTargets, NoRequestWaitsAtAHostThatStopsSoon) {
+  Choice choices[4];
+  for (int n = 0; n < 3; ++n)
+    Spawn("one", choices[n]);
+  UNSIGNED_LONGS_EQUAL(1, targets.QueueSizes()["plain"]);
+  targets.StopWaiting();
+  context.restart();
+  context.poll();
+  UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+  reason = {};
+  Spawn("one", choices[3]);
+  LONGS_EQUAL(static_cast<int>(ResultCode::kOverloaded),
+              static_cast<int>(reason.code));
+  CHECK_FALSE(choices[2].has_value() || choices[3].has_value());
+}
+
 }  // namespace turmericwinch
