--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -55,7 +55,8 @@
     return std::nullopt;
   return FleetHeartbeat{*boot_id, BootTime(*ms),
                         StringField(*object, "address").value_or(""),
-                        StringField(*object, "domain").value_or("")};
+                        StringField(*object, "domain").value_or(""),
+                        IntField(*object, "link_mbps").value_or(0)};
 }
 
 std::optional<FleetClosing> ParseClosing(const json::value& value) {
@@ -180,7 +181,8 @@
     heartbeats[holder] = {{"boot_id", heartbeat.boot_id},
                           {"ms", heartbeat.time.count()},
                           {"address", heartbeat.address},
-                          {"domain", heartbeat.domain}};
+                          {"domain", heartbeat.domain},
+                          {"link_mbps", heartbeat.link_mbps}};
   json::object top{{"budgets", std::move(budgets)},
                    {"marks", std::move(heartbeats)},
                    {"closings", ClosingsToJson(account.closings)}};
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -27,12 +27,14 @@
 // The time, on the host's own boot clock, at which a holder issued its last
 // write. `boot_id` identifies one boot of the host. `address` (IP:PORT) is
 // where other hosts reach the holder; empty if it neither lends nor borrows.
-// `domain` is the host's failure domain, empty if unknown.
+// `domain` is the host's failure domain, empty if unknown, and `link_mbps` the
+// bandwidth of its network link, 0 if unknown.
 struct FleetHeartbeat {
   std::string boot_id;
   BootTime time{0};
   std::string address;
   std::string domain;
+  std::int64_t link_mbps = 0;
 
   bool operator==(const FleetHeartbeat&) const = default;
 };
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::int64_t kMillisecondsPerSecond = 1'000;
+// Holders that one write lists for others.
+constexpr std::size_t kMaxIntroductions = 1'024;
 
 // Tokens that holders may have drawn although neither the store nor a host
 // knows of it, as the store lost the writes and all hosts ended.
@@ -26,11 +28,13 @@
 FleetHolder::FleetHolder(std::string holder,
                          std::string boot_id,
                          std::string address,
-                         std::string domain)
+                         std::string domain,
+                         std::int64_t link_mbps)
     : holder_(std::move(holder)),
       boot_id_(std::move(boot_id)),
       address_(std::move(address)),
-      domain_(std::move(domain)) {}
+      domain_(std::move(domain)),
+      link_mbps_(link_mbps) {}
 
 void FleetHolder::LoadAccount(FleetAccount account,
                               BootTime now,
@@ -47,8 +51,10 @@
     unsettled_since_ = now;
   is_closed_ =
       is_closed_ || (is_written_ && !account.heartbeats.contains(holder_));
+  const std::size_t listed = account.heartbeats.size();
   CloseEarlierIncarnations(account, holder_,
-                           {boot_id_, now, address_, domain_});
+                           {boot_id_, now, address_, domain_, link_mbps_});
+  closes_earlier_incarnation_ = account.heartbeats.size() < listed;
   known_ = std::move(account);
   MeasureDraws(now);
   stock_hosts_ = StockHosts(known_, holder_, domain_);
@@ -123,8 +129,10 @@
     budget.rows[holder_] = row;
     planned_grants_[name] = granted;
   }
-  planned_.heartbeats[holder_] = {boot_id_, now, address_, domain_};
-  return is_due || is_first ||
+  planned_.heartbeats[holder_] = OwnHeartbeat(now);
+  for (const auto& [holder, heartbeat] : introductions_)
+    is_due = planned_.heartbeats.emplace(holder, heartbeat).second || is_due;
+  return is_due || is_first || closes_earlier_incarnation_ ||
          (holds_unopened && now - last_issued_ >= kFleetHeartbeatInterval);
 }
 
@@ -180,6 +188,16 @@
   return free >= tokens;
 }
 
+void FleetHolder::Introduce(const std::string& holder,
+                            const FleetHeartbeat& heartbeat) {
+  if (holder != holder_ && introductions_.size() < kMaxIntroductions)
+    introductions_.insert_or_assign(holder, heartbeat);
+}
+
+FleetHeartbeat FleetHolder::OwnHeartbeat(BootTime now) const {
+  return {boot_id_, now, address_, domain_, link_mbps_};
+}
+
 bool FleetHolder::PlanClose(const HostLedger& ledger) {
   planned_ = known_;
   planned_.is_settled = is_settled();
@@ -203,6 +221,11 @@
 std::map<std::string, std::int64_t> FleetHolder::ConfirmWrite() {
   known_ = planned_;
   remembered_.reset();
+  closes_earlier_incarnation_ = false;
+  // Others may have been added while the write was on its way.
+  std::erase_if(introductions_, [this](const auto& it) {
+    return known_.heartbeats.contains(it.first);
+  });
   if (known_.is_settled)
     unsettled_since_.reset();
   is_written_ = known_.heartbeats.contains(holder_);
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -42,11 +42,13 @@
  public:
   // `holder` names this incarnation, and `boot_id` the current boot of the host
   // (empty if unknown). `address` is where other hosts reach it, or empty.
-  // `domain` is its failure domain, or empty.
+  // `domain` is its failure domain, or empty, and `link_mbps` the bandwidth of
+  // its network link, 0 if unknown.
   FleetHolder(std::string holder,
               std::string boot_id,
               std::string address,
-              std::string domain = "");
+              std::string domain = "",
+              std::int64_t link_mbps = 0);
 
   // Sets the account as read from the store, and closes the earlier
   // incarnations of this host in the copy that is written next. `era` is that
@@ -64,6 +66,19 @@
   bool PlanWrite(const std::map<std::string, HolderDemand>& demands,
                  HostLedger& ledger,
                  BootTime now);
+  // Lists `holder`, which holds no tokens yet, in the next write.
+  void Introduce(const std::string& holder, const FleetHeartbeat& heartbeat);
+  // Whether the next write lists other holders.
+  bool has_introductions() const { return !introductions_.empty(); }
+  // This holder's entry for another host's write.
+  FleetHeartbeat OwnHeartbeat(BootTime now) const;
+  // Whether the account lists this holder.
+  bool is_registered() const { return known_.heartbeats.contains(holder_); }
+  // Whether another host may list this holder in the account: nothing else has
+  // to be written for it.
+  bool MayBeIntroduced() const {
+    return !is_registered() && !closes_earlier_incarnation_;
+  }
   // Prepares the last write, after which the host spends only what the ledger
   // has already reserved. Returns false if there is nothing to close.
   bool PlanClose(const HostLedger& ledger);
@@ -113,6 +128,7 @@
   std::string boot_id_;
   std::string address_;
   std::string domain_;
+  std::int64_t link_mbps_;
   StockHosts stock_hosts_;
   FleetAccount known_;
   FleetAccount planned_;
@@ -126,6 +142,10 @@
   std::optional<FleetAccount> draws_base_;
   BootTime draws_base_time_{0};
   std::map<std::string, std::int64_t> peak_rates_;
+  // Holders that the next write lists.
+  std::map<std::string, FleetHeartbeat> introductions_;
+  // Whether the account as last read lists an earlier incarnation of this host.
+  bool closes_earlier_incarnation_ = false;
   // When this host first read an account that is not settled.
   std::optional<BootTime> unsettled_since_;
   // Total of the tokens given back unopened, by budget. Counts from PlanWrite()
--- a/src/libs/budget/stock_hosts.cc
+++ b/src/libs/budget/stock_hosts.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <map>
-#include <tuple>
 
 #include "libs/base/digest.h"
+#include "libs/budget/ranked_hosts.h"
 
 namespace turmericwinch {
 
@@ -13,28 +13,31 @@
                        const std::string& domain)
     : holder_(holder) {
   std::map<std::string, std::size_t> domain_sizes;
-  std::vector<std::tuple<std::uint64_t, std::string, std::string>> ranked;
   for (const auto& [other, heartbeat] : account.heartbeats) {
-    if (heartbeat.address.empty() || heartbeat.domain.empty())
-      continue;
-    ++domain_sizes[heartbeat.domain];
-    // The rank of a host must not change when its process restarts.
-    if (heartbeat.domain == domain)
-      ranked.emplace_back(Hash64(HostOfHolder(other)), other,
-                          heartbeat.address);
+    if (!heartbeat.address.empty() && !heartbeat.domain.empty())
+      ++domain_sizes[heartbeat.domain];
   }
   if (domain_sizes.empty()) {
     count_per_budget_ = account.HostCount();
     return;
   }
-  stock_hosts_ = std::max<std::size_t>(kMaxStockHosts / domain_sizes.size(), 1);
+  stock_hosts_ =
+      std::max(kMaxStockHosts / domain_sizes.size(), kMinStockHostsOfDomain);
   for (const auto& [name, size] : domain_sizes)
     count_per_budget_ += size <= stock_hosts_ ? static_cast<int>(size) : 1;
-  if (ranked.size() <= stock_hosts_)
+  if (domain.empty() || domain_sizes[domain] <= stock_hosts_)
     return;
-  std::sort(ranked.begin(), ranked.end());
-  for (const auto& [rank, other, address] : ranked)
-    members_.push_back({other, address});
+  for (RankedHost& it : RankHosts(account, domain))
+    members_.push_back({std::move(it.holder), std::move(it.address)});
+}
+
+bool StockHosts::KeepsStock() const {
+  const auto end = members_.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                          stock_hosts_, members_.size()));
+  return members_.empty() ||
+         std::any_of(members_.begin(), end, [this](const LenderEndpoint& it) {
+           return it.holder == holder_;
+         });
 }
 
 std::vector<LenderEndpoint> StockHosts::LendersFor(
--- a/src/libs/budget/stock_hosts.h
+++ b/src/libs/budget/stock_hosts.h
@@ -19,6 +19,8 @@
 // write fails if another host wrote since the read, so the share of lost writes
 // grows with the number of writers.
 inline constexpr std::size_t kMaxStockHosts = 12;
+// Minimum number of hosts of a large failure domain that keep stocks.
+inline constexpr std::size_t kMinStockHostsOfDomain = 2;
 // Maximum number of hosts that a host asks before it draws from the account
 // itself.
 inline constexpr std::size_t kMaxDomainLenders = 3;
@@ -38,6 +40,8 @@
   // draws from the account, in this order. Empty if this host keeps the stock
   // itself.
   std::vector<LenderEndpoint> LendersFor(const std::string& budget) const;
+  // Whether this host keeps the stock of some budgets.
+  bool KeepsStock() const;
   // Number of hosts of this domain that one stock serves.
   std::size_t HostsServed() const {
     return members_.empty() ? 1 : members_.size();
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "libs/base/log.h"
+#include "libs/budget/ranked_hosts.h"
 #include "libs/gateway/account_manager_private.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/platform/store_version.h"
@@ -60,7 +61,14 @@
   holder.LoadAccount(std::move(account), context.boot.now(), era);
   LogSettledChange();
   is_current = true;
-  context.retries.SetHostCount(holder.known_account().HostCount());
+  const int hosts = holder.known_account().HostCount();
+  context.retries.SetHostCount(hosts);
+  platform.SetProbingHosts(std::clamp(static_cast<std::size_t>(hosts),
+                                      kMinProbingHosts, kMaxProbingHosts));
+  context.news.SetHosts(holder.known_account());
+  writes.SetFleet(
+      static_cast<std::size_t>(hosts),
+      holder.stock_hosts().KeepsStock() || holder.has_introductions());
   context.peers.UpdateAddresses(holder.known_account());
   co_return true;
 }
@@ -105,7 +113,11 @@
     }
     is_due = holder.PlanWrite(demands_by_budget, ledger, context.boot.now());
   });
-  return is_due;
+  // Only the entry of this host would be written.
+  const bool waits_for_introduction = introduced_until &&
+                                      Clock::now() < *introduced_until &&
+                                      holder.MayBeIntroduced();
+  return is_due && !(waits_for_introduction && waiting.empty());
 }
 
 asio::awaitable<WriteOutcome> AccountManager::Private::WriteAccount() {
@@ -270,8 +282,11 @@
     }
     if (outcome == WriteOutcome::kFailed)
       break;
-    const milliseconds max_pause =
-        kInitialConflictPause * (1 << std::min(n, 6));
+    if (n + 1 >= kMaxRegistrationConflicts && RequestIntroduction()) {
+      BorrowOrDeny(UnmetReason());
+      co_return true;
+    }
+    const milliseconds max_pause = writes.MaxConflictPause(n);
     // Not `timer`, which SyncSoon() cancels: a sync that is requested meanwhile
     // must not shorten the pause.
     asio::steady_timer pause(context.control,
@@ -285,6 +300,30 @@
   co_return false;
 }
 
+bool AccountManager::Private::RequestIntroduction() {
+  const FleetAccount& account = holder.known_account();
+  const std::string address = FindIntroducer(account, context.ledger_holder(),
+                                             context.settings.failure_domain);
+  if (!context.peers.enabled() || !holder.MayBeIntroduced() || address.empty())
+    return false;
+  introduced_until = Clock::now() + kIntroductionTime;
+  context.peers.Send(address,
+                     HostIntroduction{context.ledger_holder(),
+                                      holder.OwnHeartbeat(context.boot.now())});
+  LogEvent(kLog, Severity::kInfo, "introduction_requested",
+           {{"peer", address}, {"version", version}});
+  return true;
+}
+
+bool AccountManager::Private::HandleFrame(const PeerFrame& frame) {
+  const auto* introduction = std::get_if<HostIntroduction>(&frame);
+  if (!introduction)
+    return false;
+  holder.Introduce(introduction->holder, introduction->heartbeat);
+  SyncSoon();
+  return true;
+}
+
 void AccountManager::Private::LogOutOfReach() {
   LogEvent(kLog, Severity::kWarning, "account_out_of_reach",
            {{"code", static_cast<int>(reason.code)},
--- a/src/libs/gateway/account_manager_loans.cc
+++ b/src/libs/gateway/account_manager_loans.cc
@@ -59,6 +59,13 @@
     context.ledger.Deny(budget, search.request.smallest, search.reason);
     return;
   }
+  if (!writes.MayDrawDirectly(Clock::now())) {
+    loans.RequestLoan(
+        search.request, LoanScope::kFleet,
+        FindLenders(holder.known_account(), budget, context.ledger_holder()),
+        search.reason);
+    return;
+  }
   drawn_directly.insert(budget);
   context.ledger.With([&](HostLedger& ledger) {
     GrantRequest request = search.request;
--- a/src/libs/gateway/account_manager_private.h
+++ b/src/libs/gateway/account_manager_private.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 
+#include "libs/budget/account_writes.h"
 #include "libs/budget/fleet_holder.h"
 #include "libs/gateway/account_manager.h"
 #include "libs/gateway/budget_demands.h"
@@ -33,11 +34,14 @@
         holder(context.ledger_holder(),
                context.boot.id,
                context.peers.address(),
-               context.settings.failure_domain),
+               context.settings.failure_domain,
+               static_cast<std::int64_t>(context.settings.link_mbps)),
         loans(
             context,
             [this](const FailedLoanSearch& it) { HandleFailedSearch(it); },
             [this](const LoanRequestItem& it) { return DrawForBorrower(it); }) {
+    context.peers.AddHandler(
+        [this](const PeerFrame& frame) { return HandleFrame(frame); });
   }
 
   // Reads the account. Returns false if the read failed.
@@ -63,6 +67,11 @@
   // Records the costs of settled requests and removes their bills. No other
   // code of the gateway reads bills; only the counters have to persist.
   void ConsumeBills(HostLedger& ledger);
+  // Asks another host to list this one in the account, unless something else
+  // has to be written for it. Returns whether one was asked.
+  bool RequestIntroduction();
+  // Returns whether the frame was an introduction.
+  bool HandleFrame(const PeerFrame& frame);
   // Records how many tokens the waiting requests need in each budget.
   void RecordWaiting(HostLedger& ledger);
   // Adds the requests that wait now to `waiting`, and borrows for those that
@@ -112,6 +121,9 @@
   std::uint64_t version = 0;
   FleetHolder holder;
   PeerLoans loans;
+  AccountWrites writes;
+  // Until when this host waits to be listed in the account by another one.
+  std::optional<Clock::time_point> introduced_until;
   // Whether the account was settled when that was last logged.
   bool logged_settled = true;
   // This host's rows as last logged, by budget.
--- a/src/libs/gateway/config_source.cc
+++ b/src/libs/gateway/config_source.cc
@@ -4,6 +4,7 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/watch_pacer.h"
 
 namespace turmericwinch {
 
@@ -16,10 +17,12 @@
 }  // namespace
 
 ConfigSource::ConfigSource(PlatformClient& platform,
+                           StoreNewsExchange& news,
                            std::string name,
                            Decoder decode,
                            Sink on_config)
     : platform_(platform),
+      news_(news),
       name_(std::move(name)),
       decode_(std::move(decode)),
       on_config_(std::move(on_config)) {}
@@ -45,10 +48,17 @@
 
 asio::awaitable<void> ConfigSource::Run() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
+  WatchPacer pacer(kMinWatchInterval);
   for (;;) {
+    const bool is_due = co_await news_.WaitUntilReadIsDue(
+        StoreTopic::kConfig, revision_, kMaxWatchWait);
+    if (!is_due)
+      continue;
+    timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     Reason reason;
     std::optional<PlatformObject> object = co_await platform_.Watch(
-        PlatformDuty::kConfig, name_, revision_, kMaxWatchWait, &reason);
+        PlatformDuty::kConfig, name_, revision_, news_.WatchWait(), &reason);
     const bool answered =
         object || reason.code == ResultCode::kPlatformNotFound;
     if (answered != store_available_) {
@@ -61,6 +71,8 @@
     }
     if (object)
       HandleObject(*object);
+    if (answered)
+      news_.RecordAnswer(StoreTopic::kConfig, revision_);
     if (answered && (object || revision_ > 0))
       continue;
     timer.expires_after(kStoreRetryPause);
--- a/src/libs/gateway/config_source.h
+++ b/src/libs/gateway/config_source.h
@@ -10,6 +10,7 @@
 
 #include "libs/base/reason.h"
 #include "libs/gateway/gateway_config.h"
+#include "libs/gateway/store_news_exchange.h"
 #include "libs/platform/platform_client.h"
 
 namespace turmericwinch {
@@ -25,6 +26,7 @@
 
   // Watches the object `name` and calls `on_config` with each newer version.
   ConfigSource(PlatformClient& platform,
+               StoreNewsExchange& news,
                std::string name,
                Decoder decode,
                Sink on_config);
@@ -36,6 +38,7 @@
   void HandleObject(const PlatformObject& object);
 
   PlatformClient& platform_;
+  StoreNewsExchange& news_;
   std::string name_;
   Decoder decode_;
   Sink on_config_;
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -11,6 +11,8 @@
 #include "libs/gateway/gateway_state.h"
 #include "libs/gateway/quarantine_store.h"
 #include "libs/gateway/target_source.h"
+#include "libs/node/platform_metrics.h"
+#include "libs/platform/call_counter.h"
 
 namespace turmericwinch {
 
@@ -46,6 +48,8 @@
                                               HttpExchange& exchange);
   asio::awaitable<void> WaitForSignals();
   asio::awaitable<void> Drain();
+  // Logs the calls made to the store, each kCallLogInterval.
+  asio::awaitable<void> LogStoreCalls();
 
   GatewayContext context;
   GatewayDeployment deployment;
@@ -71,16 +75,19 @@
       store(deployment.make_store(context.control, context.settings)),
       config_source(std::make_unique<ConfigSource>(
           *store,
+          context.news,
           deployment.config_name,
           deployment.decode_config,
           [this](auto config) { ApplyConfig(std::move(config)); })),
       target_source(std::make_unique<TargetSource>(
           *store,
+          context.news,
           [this](const HostList& targets) { ApplyTargets(targets); })),
       account_manager(std::make_unique<AccountManager>(context, *store)),
       quarantine_store(std::make_unique<QuarantineStore>(
           context.control,
           *store,
+          context.news,
           [this](const QuarantineVerdicts& verdicts) {
             context.quarantine.OnStoredVerdicts(verdicts);
           })),
@@ -157,9 +164,11 @@
     const HttpRequest& request,
     HttpExchange& exchange) {
   HttpResponse response;
-  if (PathOf(request.target) == kMetricsPath)
+  if (PathOf(request.target) == kMetricsPath) {
     response.body = MetricsText(context, Stats());
-  else if (PathOf(request.target) == kStatePath)
+    if (const CallCounter* counter = store->call_counter())
+      response.body += CallMetricsText(*counter);
+  } else if (PathOf(request.target) == kStatePath)
     response = JsonResponse(kStatusOk, StateText(context, Stats()));
   else
     response.status = InfoOf(ResultCode::kNotFound).http_status;
@@ -183,6 +192,17 @@
   }
 }
 
+asio::awaitable<void> Gateway::Private::LogStoreCalls() {
+  const CallCounter* counter = store->call_counter();
+  asio::steady_timer timer(context.control);
+  while (counter) {
+    timer.expires_after(kCallLogInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    LogEvent(kLog, Severity::kInfo, "store_calls",
+             {{"calls", ToText(*counter)}});
+  }
+}
+
 asio::awaitable<void> Gateway::Private::Drain() {
   const Clock::time_point start = Clock::now();
   LogEvent(kLog, Severity::kInfo, "drain_started",
@@ -192,10 +212,13 @@
   asio::steady_timer timer(context.control);
   timer.expires_at(start + kDrainAcceptTime);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  context.refuses_requests = true;
   caller_server.StopAccepting();
   asio::post(context.traffic, [this] { caller_server.CloseIdle(); });
   while (caller_server.ActiveRequests() > 0 &&
          Clock::now() < start + kMaxDrainTime) {
+    if (Clock::now() >= start + kDrainWaitTime)
+      context.targets.StopWaiting();
     timer.expires_after(kDrainPollInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
@@ -236,12 +259,14 @@
   GatewayContext& context = d_->context;
   d_->traffic_thread = std::thread([&context] { context.traffic.run(); });
   asio::co_spawn(context.control, d_->WaitForSignals(), asio::detached);
+  asio::co_spawn(context.control, d_->LogStoreCalls(), asio::detached);
   asio::co_spawn(context.control, d_->config_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->target_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->account_manager->Run(), asio::detached);
   asio::co_spawn(context.control, d_->quarantine_store->Run(), asio::detached);
   asio::co_spawn(context.control, context.quarantine.Run(), asio::detached);
   asio::co_spawn(context.control, context.rate_limits.Run(), asio::detached);
+  asio::co_spawn(context.control, context.news.Run(), asio::detached);
   context.control.run();
   return d_->exit_code;
 }
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -71,8 +71,34 @@
 // the quarantined prompt parts. A target that leaves serves for 2 s more, and
 // the list is that much older at most.
 inline constexpr std::chrono::milliseconds kMinWatchInterval{200};
+// The same for each host of the fleet, and its upper bound, for a host that
+// reads for itself only.
+inline constexpr std::chrono::milliseconds kWatchIntervalPerHost{8};
+inline constexpr std::chrono::milliseconds kMaxWatchInterval{800};
+// Smallest number of hosts in a failure domain that read the store through each
+// other's news.
+inline constexpr std::size_t kMinHostsForReaders = 5;
+// Interval at which a host that reads the store for others sends them news.
+inline constexpr std::chrono::milliseconds kNewsInterval{600};
+// Maximum duration of the watches of such a host. Their answers show that
+// nothing has changed.
+inline constexpr std::chrono::milliseconds kReaderWatchWait{800};
+// Time after an answer of the store for which news of it are valid. Changes of
+// the configuration and leaving targets must be known within 3 s.
+inline constexpr std::chrono::milliseconds kMaxNewsAge{2'000};
+// Time for which a host waits for news, for each host before it in rank, before
+// it reads for the others.
+inline constexpr std::chrono::milliseconds kTakeOverDelay{600};
+// Hosts after the first in rank that are ready to take over at once.
+inline constexpr std::size_t kNextReaders = 2;
+// Bounds of the number of hosts by which the pauses between calls to a store
+// that does not answer are chosen.
+inline constexpr std::size_t kMinProbingHosts = 10;
+inline constexpr std::size_t kMaxProbingHosts = 100;
 // Pause before the store is called again after a failed call.
 inline constexpr std::chrono::milliseconds kStoreRetryPause{300};
+// Interval at which a host logs the number of its calls to the store.
+inline constexpr std::chrono::seconds kCallLogInterval{10};
 // Interval at which a host compares its grants with its demand.
 inline constexpr std::chrono::milliseconds kAccountSyncInterval{250};
 // Interval at which a host that has nothing to write reads the account, to
@@ -88,10 +114,6 @@
 // Write conflicts after which a host stops writing an object of the store for
 // now.
 inline constexpr int kMaxWriteConflicts = 12;
-// Upper bound of the random pause after the first write conflict. Doubles with
-// each further conflict.
-inline constexpr std::chrono::milliseconds kInitialConflictPause{4};
-
 // Time for which a target stays usable after its entry expired during an outage
 // of the store. Live targets register again within 2 s of the store's return.
 inline constexpr std::chrono::milliseconds kExpiredTargetGracePeriod{2'000};
@@ -105,6 +127,9 @@
 // Time after SIGTERM in which new connections are still accepted. The load
 // balancer probes every second and removes a host after two failed probes.
 inline constexpr std::chrono::milliseconds kDrainAcceptTime{3'000};
+// Time after SIGTERM from which on no request waits for a target any more: the
+// answer to it might not come before the process ends.
+inline constexpr std::chrono::milliseconds kDrainWaitTime{6'000};
 // Time after SIGTERM at which the process ends even if requests are active.
 // Operators kill it after 8 s.
 inline constexpr std::chrono::milliseconds kMaxDrainTime{7'600};
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -20,6 +20,7 @@
 #include "libs/gateway/request_quarantine.h"
 #include "libs/gateway/service_demand.h"
 #include "libs/gateway/service_retries.h"
+#include "libs/gateway/store_news_exchange.h"
 #include "libs/http/http_client.h"
 #include "libs/node/node_metrics.h"
 #include "libs/node/shared_ledger.h"
@@ -85,9 +86,14 @@
   GatewayPeers peers{control, settings};
   RequestQuarantine quarantine{control, peers};
   RateLimitSharing rate_limits{control, peers, targets, demand};
+  StoreNewsExchange news{control, peers, settings.host, settings.failure_domain,
+                         boot.now};
   // Whether the list of targets was received once.
   std::atomic<bool> targets_known{false};
   std::atomic<bool> draining{false};
+  // Whether requests that arrive now are refused: what is left until the host
+  // stops may be too short for them.
+  std::atomic<bool> refuses_requests{false};
 };
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -28,20 +28,28 @@
 
 QuarantineStore::QuarantineStore(asio::io_context& control,
                                  PlatformClient& platform,
+                                 StoreNewsExchange& news,
                                  Sink on_verdicts)
     : control_(control),
       platform_(platform),
+      news_(news),
       on_verdicts_(std::move(on_verdicts)) {}
 
 asio::awaitable<void> QuarantineStore::Run() {
   asio::steady_timer timer(control_);
   WatchPacer pacer(kMinWatchInterval);
   for (;;) {
+    const bool is_due = co_await news_.WaitUntilReadIsDue(
+        StoreTopic::kQuarantine, version_, kMaxWatchWait);
+    if (!is_due)
+      continue;
     timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     const bool answered = co_await WatchOnce();
-    if (answered)
+    if (answered) {
+      news_.RecordAnswer(StoreTopic::kQuarantine, version_);
       continue;
+    }
     timer.expires_after(kStoreRetryPause);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
--- a/src/libs/gateway/quarantine_store.h
+++ b/src/libs/gateway/quarantine_store.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 
+#include "libs/gateway/store_news_exchange.h"
 #include "libs/gateway/stored_quarantine.h"
 #include "libs/platform/platform_client.h"
 
@@ -22,6 +23,7 @@
 
   QuarantineStore(boost::asio::io_context& control,
                   PlatformClient& platform,
+                  StoreNewsExchange& news,
                   Sink on_verdicts);
 
   // Watches the object, and creates it first. Runs until the process ends.
@@ -41,6 +43,7 @@
 
   boost::asio::io_context& control_;
   PlatformClient& platform_;
+  StoreNewsExchange& news_;
   Sink on_verdicts_;
   StoredQuarantine stored_;
   // Version of the object; 0 until it was read or created.
--- /dev/null
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -0,0 +1,196 @@
+#include "libs/gateway/store_news_exchange.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "libs/base/log.h"
+#include "libs/gateway/gateway_constants.h"
+#include "libs/platform/store_version.h"
+
+namespace turmericwinch {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr LogCategory kLog{"news"};
+
+}  // namespace
+
+StoreNewsExchange::StoreNewsExchange(asio::io_context& control,
+                                     GatewayPeers& peers,
+                                     std::string host,
+                                     std::string domain,
+                                     BootNow now)
+    : control_(control),
+      peers_(peers),
+      readers_(host),
+      host_(std::move(host)),
+      domain_(std::move(domain)),
+      boot_now_(std::move(now)),
+      waiters_{Waiter{asio::steady_timer(control)},
+               Waiter{asio::steady_timer(control)},
+               Waiter{asio::steady_timer(control)}} {
+  peers_.AddHandler(
+      [this](const PeerFrame& frame) { return HandleFrame(frame); });
+}
+
+StoreNewsExchange::Waiter& StoreNewsExchange::WaiterOf(StoreTopic topic) {
+  return waiters_[static_cast<std::size_t>(topic)];
+}
+
+void StoreNewsExchange::SetTargetsHandler(TargetsHandler handler) {
+  on_targets_ = std::move(handler);
+}
+
+void StoreNewsExchange::SetHosts(const FleetAccount& account) {
+  fleet_hosts_ = account.HostCount();
+  if (peers_.enabled())
+    readers_.SetHosts(account, domain_);
+}
+
+void StoreNewsExchange::Update() {
+  const bool was_sender = readers_.is_sender();
+  const bool is_sender = readers_.UpdateRole(Clock::now());
+  SendNews("", own_.targets_changed);
+  if (is_sender == was_sender)
+    return;
+  LogEvent(kLog, Severity::kInfo,
+           was_sender ? "reader_role_ended" : "reader_role_started",
+           {{"listeners", readers_.Listeners().size()}});
+  // A sender reads for itself, so its waits end.
+  for (Waiter& it : waiters_)
+    it.timer.cancel();
+}
+
+asio::awaitable<void> StoreNewsExchange::Run() {
+  asio::steady_timer timer(control_);
+  for (;;) {
+    timer.expires_after(kNewsInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    Update();
+  }
+}
+
+void StoreNewsExchange::SendNews(std::string changes,
+                                 std::uint64_t changes_from) {
+  if (!readers_.is_sender())
+    return;
+  const Clock::time_point answered =
+      std::min(answered_at_[static_cast<std::size_t>(StoreTopic::kConfig)],
+               answered_at_[static_cast<std::size_t>(StoreTopic::kTargets)]);
+  StoreNews news = own_;
+  news.host = host_;
+  news.sent = boot_now_();
+  news.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() - answered);
+  news.changes = std::move(changes);
+  news.changes_from = changes_from;
+  // News this old would not be used.
+  if (news.age >= kMaxNewsAge)
+    return;
+  for (const std::string& it : readers_.Listeners())
+    peers_.Send(it, news);
+}
+
+std::chrono::milliseconds StoreNewsExchange::WatchInterval() const {
+  if (readers_.is_sender())
+    return kMinWatchInterval;
+  return std::clamp(kWatchIntervalPerHost * fleet_hosts_, kMinWatchInterval,
+                    kMaxWatchInterval);
+}
+
+void StoreNewsExchange::RecordAnswer(StoreTopic topic, std::uint64_t version) {
+  answered_at_[static_cast<std::size_t>(topic)] = Clock::now();
+  std::uint64_t& known =
+      topic == StoreTopic::kConfig ? own_.config : own_.quarantine;
+  if (version <= known)
+    return;
+  known = version;
+  SendNews("", own_.targets_changed);
+}
+
+void StoreNewsExchange::RecordTargets(const PlatformHosts& hosts,
+                                      bool after_outage) {
+  answered_at_[static_cast<std::size_t>(StoreTopic::kTargets)] = Clock::now();
+  own_.targets = hosts.version;
+  if (after_outage)
+    own_.outage = hosts.version;
+  if (!hosts.is_whole && hosts.text.empty())
+    return;
+  const std::uint64_t from = std::exchange(own_.targets_changed, hosts.version);
+  // Changes in an earlier era do not lead to this list.
+  const bool follows = !hosts.is_whole && EraOf(from) == EraOf(hosts.version);
+  SendNews(follows ? hosts.text : "", follows ? from : hosts.version);
+}
+
+bool StoreNewsExchange::HandleFrame(const PeerFrame& frame) {
+  const auto* news = std::get_if<StoreNews>(&frame);
+  if (!news)
+    return false;
+  const Clock::time_point now = Clock::now();
+  if (!readers_.RecordNews(*news, now)) {
+    LogEvent(kLog, Severity::kDebug, "news_ignored", {{"peer", news->host}});
+    return true;
+  }
+  if (!news->changes.empty() && on_targets_ && !readers_.is_sender())
+    on_targets_({news->changes_from, news->targets_changed, news->changes});
+  // Without later changes, the list known here is that of the news.
+  Waiter& targets = WaiterOf(StoreTopic::kTargets);
+  if (news->targets_changed <= targets.version &&
+      EraOf(news->targets) == EraOf(targets.version))
+    targets.version = std::max(targets.version, news->targets);
+  confirmed_targets_ = targets.version;
+  for (std::size_t n = 0; n < kStoreTopics; ++n) {
+    Waiter& it = waiters_[n];
+    if (it.is_waiting &&
+        readers_.NewestVersion(static_cast<StoreTopic>(n), now) > it.version)
+      it.timer.cancel();
+  }
+  return true;
+}
+
+asio::awaitable<bool> StoreNewsExchange::WaitUntilReadIsDue(
+    StoreTopic topic,
+    std::uint64_t version,
+    std::chrono::milliseconds max_wait) {
+  Waiter& waiter = WaiterOf(topic);
+  waiter.version = version;
+  const Clock::time_point end = Clock::now() + max_wait;
+  for (;;) {
+    const Clock::time_point now = Clock::now();
+    const auto until = readers_.NewsValidUntil(now);
+    if (version == 0 || !until ||
+        readers_.NewestVersion(topic, now) > waiter.version)
+      co_return true;
+    if (now >= end)
+      co_return false;
+    waiter.timer.expires_at(std::min(*until, end));
+    waiter.is_waiting = true;
+    co_await waiter.timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    waiter.is_waiting = false;
+  }
+}
+
+std::uint64_t StoreNewsExchange::ConfirmedTargets(std::uint64_t version) const {
+  return std::max(version, confirmed_targets_);
+}
+
+void StoreNewsExchange::RecordAppliedTargets(std::uint64_t version) {
+  Waiter& waiter = WaiterOf(StoreTopic::kTargets);
+  waiter.version = std::max(waiter.version, version);
+  own_.targets = std::max(own_.targets, version);
+  own_.targets_changed = std::max(own_.targets_changed, version);
+}
+
+bool StoreNewsExchange::HadOutageSince(std::uint64_t version) const {
+  return readers_.LastOutage(Clock::now()) > version;
+}
+
+std::chrono::milliseconds StoreNewsExchange::WatchWait() const {
+  return readers_.is_sender() || readers_.IsNextInRank(Clock::now())
+             ? kReaderWatchWait
+             : kMaxWatchWait;
+}
+
+}  // namespace turmericwinch
--- /dev/null
+++ b/src/libs/gateway/store_news_exchange.h
@@ -0,0 +1,107 @@
+// Sends and receives news of the store, and tells the readers of the store's
+// objects when to call it.
+
+#ifndef SRC_LIBS_GATEWAY_STORE_NEWS_EXCHANGE_H_
+#define SRC_LIBS_GATEWAY_STORE_NEWS_EXCHANGE_H_
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "libs/gateway/gateway_peers.h"
+#include "libs/gateway/store_readers.h"
+#include "libs/platform/platform_client.h"
+
+namespace turmericwinch {
+
+// Changes of the list of targets that another host has read: those after
+// version `from`, up to version `to`. `text` is that of PlatformHosts.
+struct TargetListNews {
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+  std::string text;
+};
+
+// Used on the control thread. `now` is the time since the host booted, with
+// suspended periods.
+class StoreNewsExchange {
+ public:
+  using Clock = std::chrono::steady_clock;
+  using BootNow = std::function<BootTime()>;
+  using TargetsHandler = std::function<void(const TargetListNews&)>;
+
+  StoreNewsExchange(boost::asio::io_context& control,
+                    GatewayPeers& peers,
+                    std::string host,
+                    std::string domain,
+                    BootNow now);
+
+  // Calls Update() at an interval.
+  boost::asio::awaitable<void> Run();
+  // Decides whether this host reads for others now, and sends them news if so.
+  void Update();
+  // Sets the hosts of the fleet.
+  void SetHosts(const FleetAccount& account);
+  // Calls `handler` with changes of the list of targets that come with news.
+  void SetTargetsHandler(TargetsHandler handler);
+
+  // Waits, at most `max_wait`, while news of other hosts show that the store
+  // has nothing newer than `version`. Returns whether this host should read
+  // now: it has no valid news, or they name a newer version.
+  boost::asio::awaitable<bool> WaitUntilReadIsDue(
+      StoreTopic topic,
+      std::uint64_t version,
+      std::chrono::milliseconds max_wait);
+  // Version of the list of targets that this host has according to news: at
+  // least `version`, higher if the list has not changed since.
+  std::uint64_t ConfirmedTargets(std::uint64_t version) const;
+  // Records that this host applied news up to `version` of the list of targets.
+  void RecordAppliedTargets(std::uint64_t version);
+  // Whether the store had an outage after `version` of the list of targets.
+  bool HadOutageSince(std::uint64_t version) const;
+  // Longest time that a watch should last.
+  std::chrono::milliseconds WatchWait() const;
+  // Shortest time between the starts of two watches.
+  std::chrono::milliseconds WatchInterval() const;
+  // Records that the store answered, and that it has no newer version of
+  // `topic` than `version`.
+  void RecordAnswer(StoreTopic topic, std::uint64_t version);
+  // Records an answer with the list of targets, and sends its changes to the
+  // listeners. `after_outage`: it is the first after an outage of the store.
+  void RecordTargets(const PlatformHosts& hosts, bool after_outage);
+
+ private:
+  struct Waiter {
+    boost::asio::steady_timer timer;
+    std::uint64_t version = 0;
+    bool is_waiting = false;
+  };
+
+  bool HandleFrame(const PeerFrame& frame);
+  void SendNews(std::string changes, std::uint64_t changes_from);
+  Waiter& WaiterOf(StoreTopic topic);
+
+  boost::asio::io_context& control_;
+  GatewayPeers& peers_;
+  StoreReaders readers_;
+  std::string host_;
+  std::string domain_;
+  BootNow boot_now_;
+  TargetsHandler on_targets_;
+  std::array<Waiter, kStoreTopics> waiters_;
+  std::uint64_t confirmed_targets_ = 0;
+  // Number of hosts of the fleet.
+  int fleet_hosts_ = 0;
+  // What this host has read itself, and when the store last answered.
+  StoreNews own_;
+  std::array<Clock::time_point, kStoreTopics> answered_at_{};
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_GATEWAY_STORE_NEWS_EXCHANGE_H_
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -18,8 +18,12 @@
 
 }  // namespace
 
-TargetSource::TargetSource(PlatformClient& platform, Sink on_list)
-    : platform_(platform), on_list_(std::move(on_list)) {}
+TargetSource::TargetSource(PlatformClient& platform,
+                           StoreNewsExchange& news,
+                           Sink on_list)
+    : platform_(platform), news_(news), on_list_(std::move(on_list)) {
+  news_.SetTargetsHandler([this](const TargetListNews& it) { HandleNews(it); });
+}
 
 ListOrigin TargetSource::OriginOf(std::uint64_t version,
                                   bool after_outage) const {
@@ -29,6 +33,9 @@
 }
 
 void TargetSource::HandleHosts(const PlatformHosts& hosts, ListOrigin origin) {
+  // News may have come while the store was called.
+  if (!hosts.is_whole && hosts.version < version_)
+    return;
   Reason reason;
   version_ = hosts.version;
   era_ = EraOf(version_);
@@ -39,11 +46,7 @@
                                       std::chrono::steady_clock::now()));
     }
   } else if (!hosts.text.empty()) {
-    std::optional<std::vector<HostListChange>> changes =
-        ParseHostListChanges(hosts.text, &reason);
-    if (changes)
-      Publish(targets_.UpdateFromChanges(*changes,
-                                         std::chrono::steady_clock::now()));
+    ApplyChanges(hosts.text, &reason);
   }
   if (reason.code != ResultCode::kOk) {
     LogEvent(kLog, Severity::kError, "list_unreadable",
@@ -51,6 +54,38 @@
   }
 }
 
+void TargetSource::ApplyChanges(const std::string& text, Reason* reason) {
+  std::optional<std::vector<HostListChange>> changes =
+      ParseHostListChanges(text, reason);
+  if (changes)
+    Publish(
+        targets_.UpdateFromChanges(*changes, std::chrono::steady_clock::now()));
+}
+
+void TargetSource::HandleNews(const TargetListNews& news) {
+  version_ = outage_ ? 0 : news_.ConfirmedTargets(version_);
+  if (version_ == 0 || EraOf(news.to) != era_ || news.from > version_ ||
+      news.to <= version_)
+    return;
+  Reason reason;
+  version_ = news.to;
+  news_.RecordAppliedTargets(version_);
+  ApplyChanges(news.text, &reason);
+  if (reason.code == ResultCode::kOk)
+    return;
+  // The store is called for the whole list.
+  version_ = 0;
+  LogEvent(kLog, Severity::kError, "list_unreadable",
+           {{"version", news.to}, {"reason", reason.text}});
+}
+
+void TargetSource::PublishTimed() {
+  const std::vector<HostListChange> timed =
+      targets_.UpdateTimed(std::chrono::steady_clock::now());
+  if (!timed.empty())
+    Publish(timed);
+}
+
 void TargetSource::Publish(const std::vector<HostListChange>& changes) {
   for (const HostListChange& it : changes) {
     LogEvent(kLog, Severity::kInfo,
@@ -64,47 +99,63 @@
   on_list_(targets_.list());
 }
 
+asio::awaitable<void> TargetSource::WaitUntilReadIsDue() {
+  for (bool is_due = outage_; !is_due;) {
+    is_due = co_await news_.WaitUntilReadIsDue(
+        StoreTopic::kTargets, version_,
+        targets_.has_timed_entries() ? kStoreRetryPause : kMaxWatchWait);
+    version_ = version_ == 0 ? 0 : news_.ConfirmedTargets(version_);
+    PublishTimed();
+  }
+  // Entries may be missing from the list although their targets live.
+  if (version_ > 0 && news_.HadOutageSince(version_))
+    outage_ = true;
+  // Only the whole list shows which targets were removed during the outage.
+  if (outage_)
+    version_ = 0;
+}
+
+void TargetSource::HandleFailedCall(const Reason& reason) {
+  if (!outage_) {
+    LogEvent(kLog, Severity::kWarning, "store_lost",
+             {{"targets", targets_.list().targets.size()},
+              {"version", version_},
+              {"code", static_cast<int>(reason.code)},
+              {"reason", reason.text}});
+  }
+  outage_ = true;
+}
+
 asio::awaitable<void> TargetSource::Run() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  bool outage = false;
   WatchPacer pacer(kMinWatchInterval);
   for (;;) {
+    co_await WaitUntilReadIsDue();
+    pacer.SetInterval(news_.WatchInterval());
     timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     Reason reason;
     const std::chrono::milliseconds wait =
-        targets_.has_timed_entries() ? kStoreRetryPause : kMaxWatchWait;
+        targets_.has_timed_entries() ? kStoreRetryPause : news_.WatchWait();
     std::optional<PlatformHosts> hosts =
         co_await platform_.HostsSince(version_, wait, &reason);
-    if (hosts) {
-      last_contact_ = std::chrono::steady_clock::now();
-      HandleHosts(*hosts, OriginOf(hosts->version, outage));
-      const std::vector<HostListChange> timed =
-          targets_.UpdateTimed(std::chrono::steady_clock::now());
-      if (!timed.empty())
-        Publish(timed);
-      if (outage) {
-        LogEvent(kLog, Severity::kInfo, "store_regained",
-                 {{"targets", targets_.list().targets.size()},
-                  {"lapsed", targets_.has_expired_entries()},
-                  {"version", version_}});
-      }
-      outage = false;
+    if (!hosts) {
+      HandleFailedCall(reason);
+      timer.expires_after(kStoreRetryPause);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
       continue;
     }
-    if (!outage) {
-      LogEvent(kLog, Severity::kWarning, "store_lost",
+    last_contact_ = std::chrono::steady_clock::now();
+    const bool was_outage = std::exchange(outage_, false);
+    HandleHosts(*hosts, OriginOf(hosts->version, was_outage));
+    news_.RecordTargets(*hosts, was_outage);
+    PublishTimed();
+    if (was_outage) {
+      LogEvent(kLog, Severity::kInfo, "store_regained",
                {{"targets", targets_.list().targets.size()},
-                {"version", version_},
-                {"code", static_cast<int>(reason.code)},
-                {"reason", reason.text}});
+                {"lapsed", targets_.has_expired_entries()},
+                {"version", version_}});
     }
-    outage = true;
-    // Version 0 requests the whole list; only it shows which targets were
-    // removed during the outage.
-    version_ = 0;
-    timer.expires_after(kStoreRetryPause);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
 
--- a/src/libs/gateway/watch_pacer.h
+++ b/src/libs/gateway/watch_pacer.h
@@ -18,6 +18,7 @@
   explicit WatchPacer(std::chrono::milliseconds interval)
       : interval_(interval) {}
 
+  void SetInterval(std::chrono::milliseconds interval) { interval_ = interval; }
   // Returns when the next call may start, `now` at the earliest, and counts it
   // as started then.
   TimePoint NextStart(TimePoint now) {
--- a/src/libs/node/platform_metrics.cc
+++ b/src/libs/node/platform_metrics.cc
@@ -12,8 +12,12 @@
   return "# TYPE " + name + " " + type + "\n";
 }
 
-std::string CallMetric(const CallCounter& counter) {
-  const std::string name = "turmericwinch_platform_calls_total";
+using CallCount = std::uint64_t (CallCounter::*)(PlatformDuty,
+                                                 PlatformCallKind) const;
+
+std::string CallMetric(const CallCounter& counter,
+                       const std::string& name,
+                       CallCount count) {
   std::string text = TypeLine(name, "counter");
   for (int duty = 0; duty < kPlatformDuties; ++duty) {
     for (int kind = 0; kind < kPlatformCallKinds; ++kind) {
@@ -21,7 +25,7 @@
       const auto call_kind = static_cast<PlatformCallKind>(kind);
       text += name + "{duty=\"" + std::string(NameOf(call_duty)) +
               "\",kind=\"" + std::string(NameOf(call_kind)) + "\"} " +
-              std::to_string(counter.Count(call_duty, call_kind)) + "\n";
+              std::to_string((counter.*count)(call_duty, call_kind)) + "\n";
     }
   }
   return text;
@@ -42,8 +46,15 @@
 
 }  // namespace
 
+std::string CallMetricsText(const CallCounter& counter) {
+  return CallMetric(counter, "turmericwinch_platform_calls_total",
+                    &CallCounter::Count) +
+         CallMetric(counter, "turmericwinch_platform_calls_unanswered_total",
+                    &CallCounter::CountUnanswered);
+}
+
 std::string PlatformMetricsText(const HttpPlatformClient& platform) {
-  std::string text = CallMetric(platform.counter());
+  std::string text = CallMetricsText(platform.counter());
   const PlatformLimiter* limiter = platform.limiter();
   if (!limiter)
     return text;
--- a/src/libs/node/platform_metrics.h
+++ b/src/libs/node/platform_metrics.h
@@ -9,6 +9,10 @@
 
 namespace turmericwinch {
 
+// Calls made by duty and kind, and those without an answer, in the text
+// exposition format. Safe from any thread.
+std::string CallMetricsText(const CallCounter& counter);
+
 // Calls made, waiting and refused for each duty, and this host's share of the
 // call rate, in the text exposition format. Called on the client's thread.
 std::string PlatformMetricsText(const HttpPlatformClient& platform);
--- a/src/libs/peer/budget_wire.cc
+++ b/src/libs/peer/budget_wire.cc
@@ -78,4 +78,25 @@
   return response;
 }
 
+wire::HostIntroduction ToWire(const HostIntroduction& introduction) {
+  wire::HostIntroduction result;
+  result.holder = introduction.holder;
+  result.boot_id = introduction.heartbeat.boot_id;
+  result.boot_ms = introduction.heartbeat.time.count();
+  result.address = introduction.heartbeat.address;
+  result.domain = introduction.heartbeat.domain;
+  result.link_mbps = introduction.heartbeat.link_mbps;
+  return result;
+}
+
+std::optional<HostIntroduction> HostIntroductionOf(
+    const wire::HostIntroduction& wire) {
+  if (wire.holder.empty() || wire.address.empty() || wire.boot_ms < 0 ||
+      wire.link_mbps < 0)
+    return std::nullopt;
+  return HostIntroduction{wire.holder,
+                          {wire.boot_id, BootTime(wire.boot_ms), wire.address,
+                           wire.domain, wire.link_mbps}};
+}
+
 }  // namespace turmericwinch
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -2862,6 +2862,278 @@
 }
 
 
+StoreNews::~StoreNews() noexcept {
+}
+
+
+void StoreNews::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void StoreNews::__set_sent_ms(const int64_t val) {
+  this->sent_ms = val;
+}
+
+void StoreNews::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void StoreNews::__set_config(const int64_t val) {
+  this->config = val;
+}
+
+void StoreNews::__set_quarantine(const int64_t val) {
+  this->quarantine = val;
+}
+
+void StoreNews::__set_targets(const int64_t val) {
+  this->targets = val;
+}
+
+void StoreNews::__set_targets_changed(const int64_t val) {
+  this->targets_changed = val;
+}
+
+void StoreNews::__set_changes_from(const int64_t val) {
+  this->changes_from = val;
+}
+
+void StoreNews::__set_changes(const std::string& val) {
+  this->changes = val;
+}
+
+void StoreNews::__set_outage(const int64_t val) {
+  this->outage = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_ms);
+          this->__isset.sent_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config);
+          this->__isset.config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->quarantine);
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targets);
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targets_changed);
+          this->__isset.targets_changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changes_from);
+          this->__isset.changes_from = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changes);
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->outage);
+          this->__isset.outage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNews");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sent_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->config);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->quarantine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->targets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets_changed", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->targets_changed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes_from", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->changes_from);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->changes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outage", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->outage);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNews &a, StoreNews &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.sent_ms, b.sent_ms);
+  swap(a.age_ms, b.age_ms);
+  swap(a.config, b.config);
+  swap(a.quarantine, b.quarantine);
+  swap(a.targets, b.targets);
+  swap(a.targets_changed, b.targets_changed);
+  swap(a.changes_from, b.changes_from);
+  swap(a.changes, b.changes);
+  swap(a.outage, b.outage);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNews::StoreNews(const StoreNews& other92) {
+  host = other92.host;
+  sent_ms = other92.sent_ms;
+  age_ms = other92.age_ms;
+  config = other92.config;
+  quarantine = other92.quarantine;
+  targets = other92.targets;
+  targets_changed = other92.targets_changed;
+  changes_from = other92.changes_from;
+  changes = other92.changes;
+  outage = other92.outage;
+  __isset = other92.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other93) {
+  host = other93.host;
+  sent_ms = other93.sent_ms;
+  age_ms = other93.age_ms;
+  config = other93.config;
+  quarantine = other93.quarantine;
+  targets = other93.targets;
+  targets_changed = other93.targets_changed;
+  changes_from = other93.changes_from;
+  changes = other93.changes;
+  outage = other93.outage;
+  __isset = other93.__isset;
+  return *this;
+}
+void StoreNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNews(";
+  out << "host=" << to_string(host);
+  out << ", " << "sent_ms=" << to_string(sent_ms);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "config=" << to_string(config);
+  out << ", " << "quarantine=" << to_string(quarantine);
+  out << ", " << "targets=" << to_string(targets);
+  out << ", " << "targets_changed=" << to_string(targets_changed);
+  out << ", " << "changes_from=" << to_string(changes_from);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "outage=" << to_string(outage);
+  out << ")";
+}
+
+
 HostListAsk::~HostListAsk() noexcept {
 }
 
@@ -2988,19 +3260,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListAsk::HostListAsk(const HostListAsk& other92) {
-  digest = other92.digest;
-  part_of = other92.part_of;
-  offset = other92.offset;
-  peer = other92.peer;
-  __isset = other92.__isset;
+HostListAsk::HostListAsk(const HostListAsk& other94) {
+  digest = other94.digest;
+  part_of = other94.part_of;
+  offset = other94.offset;
+  peer = other94.peer;
+  __isset = other94.__isset;
 }
-HostListAsk& HostListAsk::operator=(const HostListAsk& other93) {
-  digest = other93.digest;
-  part_of = other93.part_of;
-  offset = other93.offset;
-  peer = other93.peer;
-  __isset = other93.__isset;
+HostListAsk& HostListAsk::operator=(const HostListAsk& other95) {
+  digest = other95.digest;
+  part_of = other95.part_of;
+  offset = other95.offset;
+  peer = other95.peer;
+  __isset = other95.__isset;
   return *this;
 }
 void HostListAsk::printTo(std::ostream& out) const {
@@ -3208,27 +3480,27 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListPart::HostListPart(const HostListPart& other94) {
-  version = other94.version;
-  age_ms = other94.age_ms;
-  base = other94.base;
-  digest = other94.digest;
-  offset = other94.offset;
-  total = other94.total;
-  text = other94.text;
-  peer = other94.peer;
-  __isset = other94.__isset;
+HostListPart::HostListPart(const HostListPart& other96) {
+  version = other96.version;
+  age_ms = other96.age_ms;
+  base = other96.base;
+  digest = other96.digest;
+  offset = other96.offset;
+  total = other96.total;
+  text = other96.text;
+  peer = other96.peer;
+  __isset = other96.__isset;
 }
-HostListPart& HostListPart::operator=(const HostListPart& other95) {
-  version = other95.version;
-  age_ms = other95.age_ms;
-  base = other95.base;
-  digest = other95.digest;
-  offset = other95.offset;
-  total = other95.total;
-  text = other95.text;
-  peer = other95.peer;
-  __isset = other95.__isset;
+HostListPart& HostListPart::operator=(const HostListPart& other97) {
+  version = other97.version;
+  age_ms = other97.age_ms;
+  base = other97.base;
+  digest = other97.digest;
+  offset = other97.offset;
+  total = other97.total;
+  text = other97.text;
+  peer = other97.peer;
+  __isset = other97.__isset;
   return *this;
 }
 void HostListPart::printTo(std::ostream& out) const {
@@ -3246,6 +3518,198 @@
 }
 
 
+HostIntroduction::~HostIntroduction() noexcept {
+}
+
+
+void HostIntroduction::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void HostIntroduction::__set_boot_id(const std::string& val) {
+  this->boot_id = val;
+}
+
+void HostIntroduction::__set_boot_ms(const int64_t val) {
+  this->boot_ms = val;
+}
+
+void HostIntroduction::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void HostIntroduction::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void HostIntroduction::__set_link_mbps(const int64_t val) {
+  this->link_mbps = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostIntroduction& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostIntroduction::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->boot_id);
+          this->__isset.boot_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->boot_ms);
+          this->__isset.boot_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->link_mbps);
+          this->__isset.link_mbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostIntroduction::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostIntroduction");
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot_id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->boot_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->boot_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("link_mbps", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->link_mbps);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostIntroduction &a, HostIntroduction &b) {
+  using ::std::swap;
+  swap(a.holder, b.holder);
+  swap(a.boot_id, b.boot_id);
+  swap(a.boot_ms, b.boot_ms);
+  swap(a.address, b.address);
+  swap(a.domain, b.domain);
+  swap(a.link_mbps, b.link_mbps);
+  swap(a.__isset, b.__isset);
+}
+
+HostIntroduction::HostIntroduction(const HostIntroduction& other98) {
+  holder = other98.holder;
+  boot_id = other98.boot_id;
+  boot_ms = other98.boot_ms;
+  address = other98.address;
+  domain = other98.domain;
+  link_mbps = other98.link_mbps;
+  __isset = other98.__isset;
+}
+HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other99) {
+  holder = other99.holder;
+  boot_id = other99.boot_id;
+  boot_ms = other99.boot_ms;
+  address = other99.address;
+  domain = other99.domain;
+  link_mbps = other99.link_mbps;
+  __isset = other99.__isset;
+  return *this;
+}
+void HostIntroduction::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostIntroduction(";
+  out << "holder=" << to_string(holder);
+  out << ", " << "boot_id=" << to_string(boot_id);
+  out << ", " << "boot_ms=" << to_string(boot_ms);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "link_mbps=" << to_string(link_mbps);
+  out << ")";
+}
+
+
 Frame::~Frame() noexcept {
 }
 
@@ -3323,6 +3787,16 @@
   this->rate_limit_notice = val;
 __isset.rate_limit_notice = true;
 }
+
+void Frame::__set_store_news(const StoreNews& val) {
+  this->store_news = val;
+__isset.store_news = true;
+}
+
+void Frame::__set_host_introduction(const HostIntroduction& val) {
+  this->host_introduction = val;
+__isset.host_introduction = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -3471,6 +3945,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_news.read(iprot);
+          this->__isset.store_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->host_introduction.read(iprot);
+          this->__isset.host_introduction = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3562,6 +4052,16 @@
     xfer += this->rate_limit_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_news) {
+    xfer += oprot->writeFieldBegin("store_news", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->store_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.host_introduction) {
+    xfer += oprot->writeFieldBegin("host_introduction", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->host_introduction.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3584,44 +4084,50 @@
   swap(a.crash_notice, b.crash_notice);
   swap(a.prompt_part_notice, b.prompt_part_notice);
   swap(a.rate_limit_notice, b.rate_limit_notice);
+  swap(a.store_news, b.store_news);
+  swap(a.host_introduction, b.host_introduction);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other96) {
-  version = other96.version;
-  hello = other96.hello;
-  proof = other96.proof;
-  membership = other96.membership;
-  config_notice = other96.config_notice;
-  config_request = other96.config_request;
-  config_part = other96.config_part;
-  budget_ask = other96.budget_ask;
-  budget_answer = other96.budget_answer;
-  quarantine_notice = other96.quarantine_notice;
-  host_list_ask = other96.host_list_ask;
-  host_list_part = other96.host_list_part;
-  crash_notice = other96.crash_notice;
-  prompt_part_notice = other96.prompt_part_notice;
-  rate_limit_notice = other96.rate_limit_notice;
-  __isset = other96.__isset;
-}
-Frame& Frame::operator=(const Frame& other97) {
-  version = other97.version;
-  hello = other97.hello;
-  proof = other97.proof;
-  membership = other97.membership;
-  config_notice = other97.config_notice;
-  config_request = other97.config_request;
-  config_part = other97.config_part;
-  budget_ask = other97.budget_ask;
-  budget_answer = other97.budget_answer;
-  quarantine_notice = other97.quarantine_notice;
-  host_list_ask = other97.host_list_ask;
-  host_list_part = other97.host_list_part;
-  crash_notice = other97.crash_notice;
-  prompt_part_notice = other97.prompt_part_notice;
-  rate_limit_notice = other97.rate_limit_notice;
-  __isset = other97.__isset;
+Frame::Frame(const Frame& other100) {
+  version = other100.version;
+  hello = other100.hello;
+  proof = other100.proof;
+  membership = other100.membership;
+  config_notice = other100.config_notice;
+  config_request = other100.config_request;
+  config_part = other100.config_part;
+  budget_ask = other100.budget_ask;
+  budget_answer = other100.budget_answer;
+  quarantine_notice = other100.quarantine_notice;
+  host_list_ask = other100.host_list_ask;
+  host_list_part = other100.host_list_part;
+  crash_notice = other100.crash_notice;
+  prompt_part_notice = other100.prompt_part_notice;
+  rate_limit_notice = other100.rate_limit_notice;
+  store_news = other100.store_news;
+  host_introduction = other100.host_introduction;
+  __isset = other100.__isset;
+}
+Frame& Frame::operator=(const Frame& other101) {
+  version = other101.version;
+  hello = other101.hello;
+  proof = other101.proof;
+  membership = other101.membership;
+  config_notice = other101.config_notice;
+  config_request = other101.config_request;
+  config_part = other101.config_part;
+  budget_ask = other101.budget_ask;
+  budget_answer = other101.budget_answer;
+  quarantine_notice = other101.quarantine_notice;
+  host_list_ask = other101.host_list_ask;
+  host_list_part = other101.host_list_part;
+  crash_notice = other101.crash_notice;
+  prompt_part_notice = other101.prompt_part_notice;
+  rate_limit_notice = other101.rate_limit_notice;
+  store_news = other101.store_news;
+  host_introduction = other101.host_introduction;
+  __isset = other101.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -3642,6 +4148,8 @@
   out << ", " << "crash_notice="; (__isset.crash_notice ? (out << to_string(crash_notice)) : (out << "<null>"));
   out << ", " << "prompt_part_notice="; (__isset.prompt_part_notice ? (out << to_string(prompt_part_notice)) : (out << "<null>"));
   out << ", " << "rate_limit_notice="; (__isset.rate_limit_notice ? (out << to_string(rate_limit_notice)) : (out << "<null>"));
+  out << ", " << "store_news="; (__isset.store_news ? (out << to_string(store_news)) : (out << "<null>"));
+  out << ", " << "host_introduction="; (__isset.host_introduction ? (out << to_string(host_introduction)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -59,10 +59,14 @@
 
 class RateLimitNotice;
 
+class StoreNews;
+
 class HostListAsk;
 
 class HostListPart;
 
+class HostIntroduction;
+
 class Frame;
 
 typedef struct _Member__isset {
@@ -1194,6 +1198,112 @@
 
 std::ostream& operator<<(std::ostream& out, const RateLimitNotice& obj);
 
+typedef struct _StoreNews__isset {
+  _StoreNews__isset() : host(false), sent_ms(false), age_ms(false), config(false), quarantine(false), targets(false), targets_changed(false), changes_from(false), changes(false), outage(false) {}
+  bool host :1;
+  bool sent_ms :1;
+  bool age_ms :1;
+  bool config :1;
+  bool quarantine :1;
+  bool targets :1;
+  bool targets_changed :1;
+  bool changes_from :1;
+  bool changes :1;
+  bool outage :1;
+} _StoreNews__isset;
+
+class StoreNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreNews(const StoreNews&);
+  StoreNews& operator=(const StoreNews&);
+  StoreNews() noexcept
+            : host(),
+              sent_ms(0),
+              age_ms(0),
+              config(0),
+              quarantine(0),
+              targets(0),
+              targets_changed(0),
+              changes_from(0),
+              changes(),
+              outage(0) {
+  }
+
+  virtual ~StoreNews() noexcept;
+  std::string host;
+  int64_t sent_ms;
+  int64_t age_ms;
+  int64_t config;
+  int64_t quarantine;
+  int64_t targets;
+  int64_t targets_changed;
+  int64_t changes_from;
+  std::string changes;
+  int64_t outage;
+
+  _StoreNews__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_sent_ms(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_config(const int64_t val);
+
+  void __set_quarantine(const int64_t val);
+
+  void __set_targets(const int64_t val);
+
+  void __set_targets_changed(const int64_t val);
+
+  void __set_changes_from(const int64_t val);
+
+  void __set_changes(const std::string& val);
+
+  void __set_outage(const int64_t val);
+
+  bool operator == (const StoreNews & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(sent_ms == rhs.sent_ms))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(config == rhs.config))
+      return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(targets_changed == rhs.targets_changed))
+      return false;
+    if (!(changes_from == rhs.changes_from))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    if (!(outage == rhs.outage))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreNews &a, StoreNews &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj);
+
 typedef struct _HostListAsk__isset {
   _HostListAsk__isset() : digest(false), part_of(false), offset(false), peer(false) {}
   bool digest :1;
@@ -1350,8 +1460,86 @@
 
 std::ostream& operator<<(std::ostream& out, const HostListPart& obj);
 
+typedef struct _HostIntroduction__isset {
+  _HostIntroduction__isset() : holder(false), boot_id(false), boot_ms(false), address(false), domain(false), link_mbps(false) {}
+  bool holder :1;
+  bool boot_id :1;
+  bool boot_ms :1;
+  bool address :1;
+  bool domain :1;
+  bool link_mbps :1;
+} _HostIntroduction__isset;
+
+class HostIntroduction : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostIntroduction(const HostIntroduction&);
+  HostIntroduction& operator=(const HostIntroduction&);
+  HostIntroduction() noexcept
+                   : holder(),
+                     boot_id(),
+                     boot_ms(0),
+                     address(),
+                     domain(),
+                     link_mbps(0) {
+  }
+
+  virtual ~HostIntroduction() noexcept;
+  std::string holder;
+  std::string boot_id;
+  int64_t boot_ms;
+  std::string address;
+  std::string domain;
+  int64_t link_mbps;
+
+  _HostIntroduction__isset __isset;
+
+  void __set_holder(const std::string& val);
+
+  void __set_boot_id(const std::string& val);
+
+  void __set_boot_ms(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_domain(const std::string& val);
+
+  void __set_link_mbps(const int64_t val);
+
+  bool operator == (const HostIntroduction & rhs) const
+  {
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(boot_id == rhs.boot_id))
+      return false;
+    if (!(boot_ms == rhs.boot_ms))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(link_mbps == rhs.link_mbps))
+      return false;
+    return true;
+  }
+  bool operator != (const HostIntroduction &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostIntroduction & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostIntroduction &a, HostIntroduction &b);
+
+std::ostream& operator<<(std::ostream& out, const HostIntroduction& obj);
+
 typedef struct _Frame__isset {
-  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), budget_ask(false), budget_answer(false), quarantine_notice(false), host_list_ask(false), host_list_part(false), crash_notice(false), prompt_part_notice(false), rate_limit_notice(false) {}
+  _Frame__isset() : version(false), hello(false), proof(false), membership(false), config_notice(false), config_request(false), config_part(false), budget_ask(false), budget_answer(false), quarantine_notice(false), host_list_ask(false), host_list_part(false), crash_notice(false), prompt_part_notice(false), rate_limit_notice(false), store_news(false), host_introduction(false) {}
   bool version :1;
   bool hello :1;
   bool proof :1;
@@ -1367,6 +1555,8 @@
   bool crash_notice :1;
   bool prompt_part_notice :1;
   bool rate_limit_notice :1;
+  bool store_news :1;
+  bool host_introduction :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -1394,6 +1584,8 @@
   CrashNotice crash_notice;
   PromptPartNotice prompt_part_notice;
   RateLimitNotice rate_limit_notice;
+  StoreNews store_news;
+  HostIntroduction host_introduction;
 
   _Frame__isset __isset;
 
@@ -1427,6 +1619,10 @@
 
   void __set_rate_limit_notice(const RateLimitNotice& val);
 
+  void __set_store_news(const StoreNews& val);
+
+  void __set_host_introduction(const HostIntroduction& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(version == rhs.version))
@@ -1487,6 +1683,14 @@
       return false;
     else if (__isset.rate_limit_notice && !(rate_limit_notice == rhs.rate_limit_notice))
       return false;
+    if (__isset.store_news != rhs.__isset.store_news)
+      return false;
+    else if (__isset.store_news && !(store_news == rhs.store_news))
+      return false;
+    if (__isset.host_introduction != rhs.__isset.host_introduction)
+      return false;
+    else if (__isset.host_introduction && !(host_introduction == rhs.host_introduction))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -154,6 +154,25 @@
   3: list<NamedRateLimit> limits
 }
 
+// What the sender, a host of the same failure domain, knows of the store. The
+// versions are those of the configuration, of the quarantine and of the list of
+// targets. The list last changed at version `targets_changed`; with `changes`,
+// these are its changes since version `changes_from`. `outage` is the version of
+// the first list after the store's last outage. `age_ms` is the time since the
+// store last answered, `sent_ms` the time since the sender booted.
+struct StoreNews {
+  1: string host
+  2: i64 sent_ms
+  3: i64 age_ms
+  4: i64 config
+  5: i64 quarantine
+  6: i64 targets
+  7: i64 targets_changed
+  8: i64 changes_from
+  9: string changes
+  10: i64 outage
+}
+
 // Requests the host list unless its digest is `digest`. `offset` is the
 // position from which the text with digest `part_of` is to be continued.
 struct HostListAsk {
@@ -178,6 +197,18 @@
   8: string peer
 }
 
+// Asks the receiver to list the sender, the process `holder` of a host, in the
+// fleet account with its next write. `boot_ms` is the time since the host of
+// `boot_id` booted.
+struct HostIntroduction {
+  1: string holder
+  2: string boot_id
+  3: i64 boot_ms
+  4: string address
+  5: string domain
+  6: i64 link_mbps
+}
+
 // A frame carries exactly one of the optional fields.
 struct Frame {
   1: i32 version
@@ -195,4 +226,6 @@
   14: optional CrashNotice crash_notice
   15: optional PromptPartNotice prompt_part_notice
   16: optional RateLimitNotice rate_limit_notice
+  17: optional StoreNews store_news
+  18: optional HostIntroduction host_introduction
 }
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -8,6 +8,7 @@
 #include "libs/peer/crash_wire.h"
 #include "libs/peer/peer_constants.h"
 #include "libs/peer/rate_limit_wire.h"
+#include "libs/peer/store_news_wire.h"
 
 namespace turmericwinch {
 
@@ -113,6 +114,12 @@
   void operator()(const RateLimitNotice& notice) const {
     frame_->__set_rate_limit_notice(ToWire(notice));
   }
+  void operator()(const StoreNews& news) const {
+    frame_->__set_store_news(ToWire(news));
+  }
+  void operator()(const HostIntroduction& introduction) const {
+    frame_->__set_host_introduction(ToWire(introduction));
+  }
   void operator()(const HostListRequest& request) const {
     wire::HostListAsk result;
     result.digest = request.digest;
@@ -217,6 +224,10 @@
     return PromptPartNoticeOf(wire.prompt_part_notice);
   if (wire.__isset.rate_limit_notice)
     return RateLimitNoticeOf(wire.rate_limit_notice);
+  if (wire.__isset.store_news)
+    return StoreNewsOf(wire.store_news);
+  if (wire.__isset.host_introduction)
+    return HostIntroductionOf(wire.host_introduction);
   if (wire.__isset.host_list_ask)
     return HostListRequestOf(wire.host_list_ask);
   if (wire.__isset.host_list_part)
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "libs/budget/fleet_account.h"
 #include "libs/budget/loan_message.h"
 #include "libs/delivery/prompt_part_quarantine.h"
 #include "libs/delivery/target_crash.h"
@@ -91,6 +92,33 @@
   std::vector<NamedRateLimit> limits;
 };
 
+// Asks the receiver to list the process `holder` in the fleet account with its
+// next write.
+struct HostIntroduction {
+  std::string holder;
+  FleetHeartbeat heartbeat;
+};
+
+// What the host `host`, of the same failure domain, knows of the store. The
+// versions are those of the configuration, of the quarantine and of the list of
+// targets; the list last changed at `targets_changed`. `changes` are its
+// changes since `changes_from` (see PlatformHosts::text), or empty. `outage` is
+// the version of the first list after the store's last outage, 0 if there was
+// none. `age` is the time since the store last answered the sender, `sent` the
+// time since it booted.
+struct StoreNews {
+  std::string host;
+  std::chrono::milliseconds sent{0};
+  std::chrono::milliseconds age{0};
+  std::uint64_t config = 0;
+  std::uint64_t quarantine = 0;
+  std::uint64_t targets = 0;
+  std::uint64_t targets_changed = 0;
+  std::uint64_t changes_from = 0;
+  std::string changes;
+  std::uint64_t outage = 0;
+};
+
 // Requests the receiver's host list unless its digest is `digest`; the response
 // goes to `peer`. `offset` is the position from which the text with digest
 // `part_of` is to be continued.
@@ -127,6 +155,8 @@
                                CrashNotice,
                                PromptPartNotice,
                                RateLimitNotice,
+                               StoreNews,
+                               HostIntroduction,
                                HostListRequest,
                                HostListPart,
                                LoanRequest,
--- a/src/libs/platform/call_counter.cc
+++ b/src/libs/platform/call_counter.cc
@@ -31,4 +31,29 @@
   return counts_[IndexOf(duty, kind)];
 }
 
+void CallCounter::AddUnanswered(PlatformDuty duty, PlatformCallKind kind) {
+  ++unanswered_[IndexOf(duty, kind)];
+}
+
+std::uint64_t CallCounter::CountUnanswered(PlatformDuty duty,
+                                           PlatformCallKind kind) const {
+  return unanswered_[IndexOf(duty, kind)];
+}
+
+std::string ToText(const CallCounter& counter) {
+  std::string text;
+  for (int n = 0; n < kPlatformDuties * kPlatformCallKinds; ++n) {
+    const auto duty = static_cast<PlatformDuty>(n / kPlatformCallKinds);
+    const auto kind = static_cast<PlatformCallKind>(n % kPlatformCallKinds);
+    const std::uint64_t calls = counter.Count(duty, kind);
+    if (calls == 0)
+      continue;
+    text += text.empty() ? "" : ",";
+    text += std::string(NameOf(duty)) + "_" + std::string(NameOf(kind)) + ":" +
+            std::to_string(calls) + "/" +
+            std::to_string(counter.CountUnanswered(duty, kind));
+  }
+  return text;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/platform/http_platform_client.h
+++ b/src/libs/platform/http_platform_client.h
@@ -53,6 +53,7 @@
                                    Reason* reason) override;
 
   const CallCounter& counter() const;
+  const CallCounter* call_counter() const override { return &counter(); }
   // Null before Limit() is called.
   const PlatformLimiter* limiter() const;
 
--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -16,6 +16,8 @@
 
 namespace turmericwinch {
 
+class CallCounter;
+
 // Purpose of a call. Each duty has its own counters and its own queue.
 enum class PlatformDuty {
   kConfig,
@@ -87,6 +89,11 @@
   // part of all versions above. Writes with a version of an earlier era fail
   // with kPlatformConflict.
   virtual std::uint64_t Era() const { return 0; }
+  // Sets the number of hosts that call the platform while it does not answer.
+  // The pauses between the calls of each grow with it.
+  virtual void SetProbingHosts(std::size_t) {}
+  // The calls made so far; null if the client does not count them.
+  virtual const CallCounter* call_counter() const { return nullptr; }
   // Returns the platform's list of hosts and targets as JSON text.
   virtual Answer<std::string> Hosts(Reason* reason) = 0;
   // Waits at most `wait` for changes of the list since version `after` and
--- a/src/libs/platform/platform_gate.cc
+++ b/src/libs/platform/platform_gate.cc
@@ -91,6 +91,10 @@
   d_->ProcessDecisions();
 }
 
+void PlatformGate::SetProbingHosts(std::size_t hosts) {
+  d_->limiter.SetProbingHosts(hosts);
+}
+
 void PlatformGate::SetHosts(std::size_t hosts) {
   d_->limiter.SetHosts(hosts, SteadyNow());
   d_->ProcessDecisions();
--- a/src/libs/platform/platform_gate.h
+++ b/src/libs/platform/platform_gate.h
@@ -28,6 +28,7 @@
                                      Reason* reason);
   void Leave(bool answered);
   void SetHosts(std::size_t hosts);
+  void SetProbingHosts(std::size_t hosts);
   const PlatformLimiter& limiter() const;
 
  private:
--- a/src/libs/platform/platform_limiter.cc
+++ b/src/libs/platform/platform_limiter.cc
@@ -64,6 +64,7 @@
 
   PlatformRates fleet;
   std::int64_t hosts = 1;
+  std::int64_t probing_hosts = 1;
   std::array<Lane, 2> lanes;
   std::array<PlatformDutyStats, kPlatformDuties> stats{};
   std::vector<PlatformDecision> decisions;
@@ -153,13 +154,13 @@
 Time PlatformLimiter::Private::FirstProbePause() const {
   return std::max(kPlatformMinProbePause,
                   std::min(kPlatformFirstProbePause,
-                           hosts * kPlatformMaxProbePausePerHost / 8));
+                           probing_hosts * kPlatformMaxProbePausePerHost / 8));
 }
 
 Time PlatformLimiter::Private::MaxProbePause() const {
-  return std::max(
-      kPlatformMinProbePause,
-      std::min(kPlatformMaxProbePause, hosts * kPlatformMaxProbePausePerHost));
+  return std::max(kPlatformMinProbePause,
+                  std::min(kPlatformMaxProbePause,
+                           probing_hosts * kPlatformMaxProbePausePerHost));
 }
 
 std::size_t PlatformLimiter::Private::WaitingCalls(int duty) const {
@@ -183,11 +184,17 @@
 void PlatformLimiter::SetHosts(std::size_t hosts, Time now) {
   d_->Refill(now);
   d_->hosts = std::max<std::int64_t>(1, static_cast<std::int64_t>(hosts));
+  d_->probing_hosts = d_->hosts;
   const auto n = static_cast<double>(d_->hosts);
   d_->lanes[0].rate = d_->fleet.reads / n;
   d_->lanes[1].rate = d_->fleet.writes / n;
 }
 
+void PlatformLimiter::SetProbingHosts(std::size_t hosts) {
+  d_->probing_hosts =
+      std::max<std::int64_t>(1, static_cast<std::int64_t>(hosts));
+}
+
 std::uint64_t PlatformLimiter::Enqueue(PlatformDuty duty,
                                        PlatformCallKind kind,
                                        Time now) {
--- a/src/libs/platform/platform_limiter.h
+++ b/src/libs/platform/platform_limiter.h
@@ -54,6 +54,9 @@
 
   // Sets how many hosts share the fleet's rates.
   void SetHosts(std::size_t hosts, Time now);
+  // Sets how many hosts probe an unavailable platform, if that is not the
+  // number of hosts that share the rates.
+  void SetProbingHosts(std::size_t hosts);
   // Queues a call and returns its ticket; TakeDecisions() returns the decision
   // on it.
   std::uint64_t Enqueue(PlatformDuty duty, PlatformCallKind kind, Time now);
--- a/src/libs/platform/platform_transport.cc
+++ b/src/libs/platform/platform_transport.cc
@@ -66,6 +66,11 @@
     d_->gate->SetHosts(hosts);
 }
 
+void PlatformTransport::SetProbingHosts(std::size_t hosts) {
+  if (d_->gate)
+    d_->gate->SetProbingHosts(hosts);
+}
+
 void PlatformTransport::SetUnresponsivePeerTimeout(
     std::chrono::milliseconds time) {
   d_->client.SetUnresponsivePeerTimeout(time);
@@ -93,10 +98,13 @@
   const HttpTimeouts timeouts{kConnectTimeout, timeout, timeout};
   std::optional<HttpResponse> response =
       co_await d_->client.Call(d_->endpoint, request, timeouts, &failure);
-  if (d_->gate) {
-    d_->gate->Leave(response && response->status < kFirstServerErrorStatus &&
-                    response->status != kStatusTooManyRequests);
-  }
+  const bool answered = response &&
+                        response->status < kFirstServerErrorStatus &&
+                        response->status != kStatusTooManyRequests;
+  if (!answered)
+    d_->counter.AddUnanswered(duty, kind);
+  if (d_->gate)
+    d_->gate->Leave(answered);
   const bool writes = kind == PlatformCallKind::kWrite;
   if (!response) {
     const bool outcome_unknown = writes && failure.may_have_arrived;
--- a/src/libs/platform/platform_transport.h
+++ b/src/libs/platform/platform_transport.h
@@ -30,6 +30,8 @@
   // See HttpPlatformClient.
   void Limit(PlatformRates fleet, std::size_t hosts);
   void SetHosts(std::size_t hosts);
+  // See PlatformLimiter.
+  void SetProbingHosts(std::size_t hosts);
   // See HttpClient::SetUnresponsivePeerTimeout().
   void SetUnresponsivePeerTimeout(std::chrono::milliseconds time);
 
--- a/tests/budget/fleet_traffic_host.h
+++ b/tests/budget/fleet_traffic_host.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "libs/budget/account_writes.h"
 #include "libs/budget/demand_rate.h"
 #include "libs/budget/fleet_holder.h"
 #include "libs/budget/fleet_lender.h"
@@ -37,11 +38,12 @@
 
 // One host of the simulated fleet.
 struct FleetTrafficHost {
-  FleetTrafficHost(int n, std::string domain)
+  FleetTrafficHost(int n, std::string domain, std::int64_t link_mbps)
       : id("host-" + std::to_string(n) + "_1"),
         address(id + ":1"),
         domain(std::move(domain)),
-        holder(id, "boot", address, this->domain),
+        link_mbps(link_mbps),
+        holder(id, "boot", address, this->domain, link_mbps),
         ledger(id),
         lender(id, address),
         search(id, address) {}
@@ -49,11 +51,15 @@
   std::string id;
   std::string address;
   std::string domain;
+  std::int64_t link_mbps;
   FleetHolder holder;
   HostLedger ledger;
   FleetLender lender;
   LoanSearch search;
+  AccountWrites writes;
   bool is_stopped = false;
+  // Whether the store answered this host's last call.
+  bool is_reachable = true;
   bool is_syncing = false;
   bool sync_requested = false;
   std::uint64_t version = 0;
@@ -63,6 +69,7 @@
   // Teams of which other hosts borrowed tokens that this host had to draw.
   std::set<std::string> lent_teams;
   std::map<std::string, FleetTrafficDemand> demands;
+  std::chrono::microseconds introduced_until{0};
   std::chrono::microseconds next_refresh{0};
   std::chrono::milliseconds refresh_pause = kFleetTrafficRefreshPause;
 };
--- a/tests/budget/fleet_traffic_run.cc
+++ b/tests/budget/fleet_traffic_run.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fleet_traffic_host.h"
+#include "libs/budget/ranked_hosts.h"
 
 namespace turmericwinch {
 
@@ -19,22 +20,28 @@
 using std::chrono::seconds;
 
 constexpr int kTeams = 24;
-constexpr std::int64_t kPaid = 20'000'000;
 constexpr std::int64_t kMaxCost = 10'000;
 constexpr milliseconds kGrantWait{100};
 constexpr milliseconds kRequestTime{400};
 // Hosts run for some time before the first request.
 constexpr seconds kTrafficStart{5};
 constexpr seconds kEnd{15};
+constexpr seconds kOutageStart{8};
+constexpr seconds kTimeAfterOutage{6};
+// Time after an outage from which on requests should find tokens.
+constexpr seconds kRecoveryTime{1};
+// Time after which a call that the store does not answer has failed.
+constexpr seconds kCallTimeout{1};
 constexpr milliseconds kSyncInterval{250};
 constexpr milliseconds kRetryPause{300};
 constexpr milliseconds kMaxRefreshPause{8'000};
 constexpr milliseconds kBorrowDelay{30};
-constexpr milliseconds kFirstConflictPause{4};
 constexpr int kMaxConflicts = 12;
 constexpr milliseconds kMessageTime{1};
 constexpr milliseconds kStoreTime{4};
-constexpr double kLinkBytesPerSecond = 1.25e6;
+constexpr std::int64_t kLinkMbps = 10;
+constexpr std::int64_t kStrongLinkMbps = 200;
+constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr std::int64_t kBytesPerRow = 60;
 constexpr std::int64_t kBytesPerHeartbeat = 100;
 
@@ -50,7 +57,8 @@
       : options(options), random(options.seed) {
     for (int n = 0; n < options.hosts; ++n) {
       hosts.push_back(std::make_unique<FleetTrafficHost>(
-          n, "domain-" + std::to_string(n % options.domains)));
+          n, "domain-" + std::to_string(n % options.domains),
+          n < options.strong_hosts ? kStrongLinkMbps : kLinkMbps));
     }
   }
 
@@ -61,7 +69,21 @@
   BootTime Boot() const {
     return std::chrono::duration_cast<BootTime>(now) + BootTime(1'000'000);
   }
-  microseconds TransferTime() const;
+  bool IsStoreAway() const {
+    return now >= kOutageStart && now < kOutageStart + options.outage;
+  }
+  microseconds End() const {
+    return options.outage.count() == 0
+               ? microseconds(kEnd)
+               : kOutageStart + options.outage + kTimeAfterOutage;
+  }
+  microseconds TransferTime(const FleetTrafficHost& host) const;
+  // Ends a sync whose call the store does not answer.
+  void FailCall(FleetTrafficHost& host);
+  // Asks another host to list `host` in the account. Returns whether one was
+  // asked.
+  bool RequestIntroduction(FleetTrafficHost& host);
+  void OpenAll(FleetTrafficHost& host);
   void Tick(FleetTrafficHost& host);
   void RequestSync(FleetTrafficHost& host);
   void Read(FleetTrafficHost& host, int conflicts);
@@ -99,19 +121,23 @@
   FleetTrafficResult result;
 };
 
-microseconds FleetTrafficRun::Private::TransferTime() const {
+microseconds FleetTrafficRun::Private::TransferTime(
+    const FleetTrafficHost& host) const {
   std::int64_t bytes =
       kBytesPerHeartbeat * static_cast<std::int64_t>(account.heartbeats.size());
   for (const auto& [name, budget] : account.budgets)
     bytes += kBytesPerRow * static_cast<std::int64_t>(budget.rows.size());
-  return std::chrono::duration_cast<microseconds>(
-      std::chrono::duration<double>(bytes / kLinkBytesPerSecond));
+  return std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(
+      static_cast<double>(bytes) /
+      (static_cast<double>(host.link_mbps) * kBytesPerMegabit)));
 }
 
 void FleetTrafficRun::Private::Tick(FleetTrafficHost& host) {
   if (host.is_stopped)
     return;
   At(kSyncInterval, [this, &host] { Tick(host); });
+  if (!host.is_reachable)
+    OpenAll(host);
   RequestSync(host);
 }
 
@@ -131,10 +157,45 @@
   Read(host, 0);
 }
 
+void FleetTrafficRun::Private::FailCall(FleetTrafficHost& host) {
+  At(kCallTimeout, [this, &host] {
+    host.is_reachable = false;
+    EndSync(host, false);
+  });
+}
+
+bool FleetTrafficRun::Private::RequestIntroduction(FleetTrafficHost& host) {
+  const std::string address =
+      FindIntroducer(host.holder.known_account(), host.id, host.domain);
+  if (!host.holder.MayBeIntroduced() || address.empty())
+    return false;
+  host.introduced_until = now + kIntroductionTime;
+  At(kMessageTime, [this, address, id = host.id,
+                    heartbeat = host.holder.OwnHeartbeat(Boot())] {
+    if (FleetTrafficHost* introducer = FindHost(address)) {
+      introducer->holder.Introduce(id, heartbeat);
+      RequestSync(*introducer);
+    }
+  });
+  return true;
+}
+
+void FleetTrafficRun::Private::OpenAll(FleetTrafficHost& host) {
+  for (const auto& [name, total] : host.holder.OpenAll(host.ledger, Boot()))
+    host.ledger.ApplyGrant(name, total);
+  Wake(host);
+}
+
 void FleetTrafficRun::Private::Read(FleetTrafficHost& host, int conflicts) {
   ++result.store_calls;
-  At(kStoreTime + TransferTime(), [this, &host, conflicts] {
+  if (IsStoreAway())
+    return FailCall(host);
+  At(kStoreTime + TransferTime(host), [this, &host, conflicts] {
+    host.is_reachable = true;
     host.holder.LoadAccount(account, Boot());
+    host.writes.SetFleet(static_cast<std::size_t>(account.HostCount()),
+                         host.holder.stock_hosts().KeepsStock() ||
+                             host.holder.has_introductions());
     host.version = version;
     Plan(host, conflicts);
   });
@@ -145,7 +206,9 @@
     return EndSync(host, true);
   host.holder.BeginWrite(Boot());
   ++result.store_calls;
-  At(kStoreTime / 2 + TransferTime(),
+  if (IsStoreAway())
+    return FailCall(host);
+  At(kStoreTime / 2 + TransferTime(host),
      [this, &host, conflicts] { Write(host, conflicts); });
 }
 
@@ -157,7 +220,7 @@
   }
   const FleetAccount seen = account;
   const std::uint64_t seen_version = version;
-  At(kStoreTime / 2 + TransferTime(), [=, this, &host] {
+  At(kStoreTime / 2 + TransferTime(host), [=, this, &host] {
     host.version = seen_version;
     if (done) {
       for (const auto& [name, total] : host.holder.ConfirmWrite())
@@ -166,10 +229,11 @@
     }
     ++result.conflicts;
     host.holder.LoadAccount(seen, Boot());
+    if (conflicts + 1 >= kMaxRegistrationConflicts && RequestIntroduction(host))
+      return EndSync(host, true);
     if (conflicts + 1 >= kMaxConflicts)
       return EndSync(host, false);
-    const milliseconds max_pause =
-        kFirstConflictPause * (1 << std::min(conflicts, 6));
+    const milliseconds max_pause = host.writes.MaxConflictPause(conflicts);
     At(milliseconds(random() % (max_pause.count() + 1)),
        [this, &host, conflicts] { Plan(host, conflicts + 1); });
   });
@@ -204,10 +268,13 @@
         counters.granted - counters.given_back - host.ledger.Available(team);
     FleetTrafficDemand& demand = host.demands[team];
     demand.rate.AddTokens(total - std::exchange(demand.used, total), Time());
-    demands[team] = {kPaid, needed[team], demand.rate.Value(), kMaxCost / 2.0,
-                     host.lent_teams.contains(team)};
+    demands[team] = {options.paid, needed[team], demand.rate.Value(),
+                     kMaxCost / 2.0, host.lent_teams.contains(team)};
   }
-  return host.holder.PlanWrite(demands, host.ledger, Boot());
+  const bool is_due = host.holder.PlanWrite(demands, host.ledger, Boot());
+  const bool waits_for_introduction =
+      now < host.introduced_until && host.holder.MayBeIntroduced();
+  return is_due && !waits_for_introduction;
 }
 
 void FleetTrafficRun::Private::ScheduleArrival(FleetTrafficHost& host) {
@@ -222,6 +289,9 @@
 
 void FleetTrafficRun::Private::Arrive(FleetTrafficHost& host) {
   ++result.requests;
+  const bool is_after = options.outage.count() > 0 &&
+                        now >= kOutageStart + options.outage + kRecoveryTime;
+  result.requests_after_outage += is_after ? 1 : 0;
   const WaitingRequest request{
       TeamName(static_cast<int>(random() % kTeams)),
       1 + static_cast<std::int64_t>(random() % kMaxCost)};
@@ -229,8 +299,11 @@
     return;
   const int id = next_request++;
   host.waiting.emplace(id, request);
-  At(kGrantWait,
-     [this, &host, id] { result.refused += host.waiting.erase(id); });
+  At(kGrantWait, [this, &host, id, is_after] {
+    const int refused = static_cast<int>(host.waiting.erase(id));
+    result.refused += refused;
+    result.refused_after_outage += is_after ? refused : 0;
+  });
   if (MustDraw(host, request))
     RequestSync(host);
   else
@@ -249,7 +322,7 @@
     return false;
   std::int64_t& total = used[request.team];
   total += request.cost;
-  result.overspent = std::max(result.overspent, total - kPaid);
+  result.overspent = std::max(result.overspent, total - options.paid);
   At(kRequestTime, [this, &host, request, id = taken.id] {
     Bill bill;
     bill.tokens = request.cost / 2 + 1;
@@ -314,7 +387,7 @@
   LoanResponse response =
       lender.lender.HandleRequest(request, lender.ledger, Time());
   for (LoanGrant& it : response.grants) {
-    if (it.outcome != LoanOutcome::kShort)
+    if (it.outcome != LoanOutcome::kShort || !lender.is_reachable)
       continue;
     it.outcome = LoanOutcome::kDrawing;
     lender.lent_teams.insert(it.budget);
@@ -347,6 +420,13 @@
   for (const FailedLoanSearch& failed : host.search.TakeFailed()) {
     if (failed.scope == LoanScope::kFleet)
       continue;
+    if (!host.writes.MayDrawDirectly(Time())) {
+      host.search.Start(failed.request, LoanScope::kFleet,
+                        FindLenders(host.holder.known_account(),
+                                    failed.request.budget, host.id),
+                        failed.reason, Time());
+      continue;
+    }
     for (auto& [id, it] : host.waiting)
       it.draws_directly |= it.team == failed.request.budget;
     RequestSync(host);
@@ -368,6 +448,8 @@
            [this, &host = *host] { d_->Tick(host); });
   }
   d_->At(kTrafficStart, [this] {
+    d_->result.registered_at_start = d_->account.HostCount();
+    d_->result.calls_at_start = d_->result.store_calls;
     int stopped = 0;
     for (const auto& host : d_->hosts) {
       host->is_stopped = stopped++ < d_->options.stopped_hosts;
@@ -375,7 +457,7 @@
         d_->ScheduleArrival(*host);
     }
   });
-  while (!d_->events.empty() && d_->events.begin()->first <= kEnd) {
+  while (!d_->events.empty() && d_->events.begin()->first <= d_->End()) {
     auto event = d_->events.extract(d_->events.begin());
     d_->now = event.key();
     event.mapped()();
--- a/tests/gateway/quarantine_store_test.cc
+++ b/tests/gateway/quarantine_store_test.cc
@@ -21,9 +21,14 @@
   boost::asio::io_context context;
   MemoryPlatform platform;
   Parts learnt;
-  QuarantineStore first{context, platform, [](const QuarantineVerdicts&) {}};
+  GatewaySettings settings;
+  GatewayPeers peers{context, settings};
+  StoreNewsExchange news{context, peers, "host", "a",
+                         [] { return BootTime(0); }};
+  QuarantineStore first{context, platform, news,
+                        [](const QuarantineVerdicts&) {}};
   QuarantineStore second{
-      context, platform,
+      context, platform, news,
       [this](const QuarantineVerdicts& it) { learnt = it.parts; }};
 
   void Start(QuarantineStore & store) {
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -193,6 +193,55 @@
   }
 }
 
+TEST(PeerCodec, NewsOfTheStoreKeepTheirValues) {
+  StoreNews news;
+  news.host = "edge-1";
+  news.sent = std::chrono::milliseconds(12);
+  news.age = std::chrono::milliseconds(34);
+  news.config = 5;
+  news.quarantine = 6;
+  news.targets = 9;
+  news.targets_changed = 8;
+  news.changes_from = 7;
+  news.changes = "[]";
+  news.outage = 4;
+  const auto frame = DecodePayload(Payload(news), &reason);
+  CHECK(frame.has_value());
+  const auto& read = std::get<StoreNews>(*frame);
+  STRCMP_EQUAL("edge-1", read.host.c_str());
+  LONGS_EQUAL(12, read.sent.count());
+  LONGS_EQUAL(34, read.age.count());
+  LONGS_EQUAL(5, read.config);
+  LONGS_EQUAL(6, read.quarantine);
+  LONGS_EQUAL(9, read.targets);
+  LONGS_EQUAL(8, read.targets_changed);
+  LONGS_EQUAL(7, read.changes_from);
+  STRCMP_EQUAL("[]", read.changes.c_str());
+  LONGS_EQUAL(4, read.outage);
+}
+
+TEST(PeerCodec, NewsAndIntroductionsWithValuesOutOfRangeAreErrors) {
+  StoreNews nameless;
+  StoreNews reversed;
+  reversed.host = "edge-1";
+  reversed.targets = 3;
+  reversed.targets_changed = 4;
+  StoreNews negative;
+  negative.host = "edge-1";
+  negative.age = std::chrono::milliseconds(-1);
+  const PeerFrame frames[] = {
+      nameless,
+      reversed,
+      negative,
+      HostIntroduction{"", {"boot", BootTime(1), "a:1", "a"}},
+      HostIntroduction{"edge_1", {"boot", BootTime(1), "", "a"}},
+      HostIntroduction{"edge_1", {"boot", BootTime(-1), "a:1", "a"}}};
+  for (const PeerFrame& it : frames) {
+    CHECK(!DecodePayload(Payload(it), &reason));
+    CHECK(reason.code == ResultCode::kPeerProtocol);
+  }
+}
+
 TEST(PeerCodec, EveryTruncationIsAnError) {
   const std::string payload = Payload(SampleFrame());
   for (std::size_t n = 0; n < payload.size(); ++n) {
