Drop an introduction once any host has listed the holder

Cause, found on reading the change again: introductions were removed only when this host's own write took effect. Where another host was faster they stayed, so a later write could list a holder that had ended meanwhile, and the host went on writing as one for which others wait.

Test: Introduction.AnIntroductionEndsWhenAnotherHostListsTheHolder, seen to fail before; budget_test -sg FleetHolder, FleetAccount, FleetAccountMerge pass.

--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -52,10 +52,10 @@
   is_closed_ =
       is_closed_ || (is_written_ && !account.heartbeats.contains(holder_));
   const std::size_t listed = account.heartbeats.size();
-  CloseEarlierIncarnations(account, holder_,
-                           {boot_id_, now, address_, domain_, link_mbps_});
+  CloseEarlierIncarnations(account, holder_, OwnHeartbeat(now));
   closes_earlier_incarnation_ = account.heartbeats.size() < listed;
   known_ = std::move(account);
+  DropListedIntroductions();
   MeasureDraws(now);
   stock_hosts_ = StockHosts(known_, holder_, domain_);
 }
@@ -194,6 +194,12 @@
     introductions_.insert_or_assign(holder, heartbeat);
 }
 
+void FleetHolder::DropListedIntroductions() {
+  std::erase_if(introductions_, [this](const auto& it) {
+    return known_.heartbeats.contains(it.first);
+  });
+}
+
 FleetHeartbeat FleetHolder::OwnHeartbeat(BootTime now) const {
   return {boot_id_, now, address_, domain_, link_mbps_};
 }
@@ -223,9 +229,7 @@
   remembered_.reset();
   closes_earlier_incarnation_ = false;
   // Others may have been added while the write was on its way.
-  std::erase_if(introductions_, [this](const auto& it) {
-    return known_.heartbeats.contains(it.first);
-  });
+  DropListedIntroductions();
   if (known_.is_settled)
     unsettled_since_.reset();
   is_written_ = known_.heartbeats.contains(holder_);
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -120,6 +120,8 @@
   // Sets the era of planned_. Returns whether the account has to be written for
   // it.
   bool PlanEra(BootTime now);
+  // Removes the introductions of holders that the known account lists.
+  void DropListedIntroductions();
   // Tokens of `budget` that this host holds and has not opened.
   std::int64_t Unopened(const std::string& budget,
                         const HolderCounters& ledger) const;
--- a/tests/budget/introduction_test.cc
+++ b/tests/budget/introduction_test.cc
@@ -52,6 +52,18 @@
   CHECK(account.heartbeats.contains("host_1"));
 }
 
+// A host that ended meanwhile must not be listed again.
+TEST(Introduction, AnIntroductionEndsWhenAnotherHostListsTheHolder) {
+  CHECK(Write());
+  lister.Introduce("host_1", holder.OwnHeartbeat(BootTime(20)));
+  account.heartbeats["host_1"] = holder.OwnHeartbeat(BootTime(20));
+  lister.LoadAccount(account, BootTime(30));
+  CHECK(!lister.has_introductions());
+  account.heartbeats.erase("host_1");
+  CHECK(!Write());
+  CHECK(!account.heartbeats.contains("host_1"));
+}
+
 // The tokens of the earlier incarnation would stay out of use otherwise.
 TEST(Introduction, AHostThatRestartedWritesTheAccountItself) {
   account.heartbeats["host_0"] = {"boot", BootTime(1), "host:1", "a"};
