--- a/tests/adapter/gateway_call_fixture.h
+++ b/tests/adapter/gateway_call_fixture.h
@@ -70,6 +70,14 @@
     context.targets.Update(list, *config.objects);
   }
 
+  // Lists one target at `endpoint`, with a new incarnation, and no other.
+  void ListOnly(const boost::asio::ip::tcp::endpoint& endpoint) {
+    HostList list;
+    list.targets = {{"i-3", "a", ToText(endpoint),
+                     std::to_string(++incarnation_), "app", false}};
+    context.targets.Update(list, *context.config.Get()->objects);
+  }
+
   // Lists both targets as restarted after a crash.
   void ListCrash() {
     RestartTargets(*context.config.Get());
