--- a/src/libs/base/settings_table.cc
+++ b/src/libs/base/settings_table.cc
@@ -45,11 +45,12 @@
   return parts;
 }
 
+template <typename T>
 std::string FindRangeError(const SettingSpec& spec,
                            const std::string& text,
-                           double number) {
-  if (number >= static_cast<double>(spec.least) &&
-      number <= static_cast<double>(spec.most))
+                           T number) {
+  if (number >= static_cast<T>(spec.least) &&
+      number <= static_cast<T>(spec.most))
     return "";
   return "is " + text + ", outside " + std::to_string(spec.least) + ".." +
          std::to_string(spec.most);
@@ -76,7 +77,7 @@
       std::optional<std::int64_t> n = ParseNumber<std::int64_t>(text);
       if (!n)
         return "is not an integer: '" + text + "'";
-      return FindRangeError(spec, text, static_cast<double>(*n));
+      return FindRangeError(spec, text, *n);
     }
     case SettingType::kDecimal: {
       std::optional<double> n = ParseNumber<double>(text);
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -4,9 +4,9 @@
 #include <limits>
 
 #include "libs/base/log.h"
-#include "libs/budget/ranked_hosts.h"
 #include "libs/gateway/account_manager_private.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/run_periodically.h"
 #include "libs/platform/store_version.h"
 
 namespace turmericwinch {
@@ -113,11 +113,7 @@
     }
     is_due = holder.PlanWrite(demands_by_budget, ledger, context.boot.now());
   });
-  // Only the entry of this host would be written.
-  const bool waits_for_introduction = introduced_until &&
-                                      Clock::now() < *introduced_until &&
-                                      holder.MayBeIntroduced();
-  return is_due && !(waits_for_introduction && waiting.empty());
+  return is_due && !(WaitsForIntroduction() && waiting.empty());
 }
 
 asio::awaitable<WriteOutcome> AccountManager::Private::WriteAccount() {
@@ -238,15 +234,6 @@
   }
 }
 
-asio::awaitable<void> AccountManager::Private::OpenAllTokensPeriodically() {
-  asio::steady_timer sync_timer(context.control);
-  for (;;) {
-    sync_timer.expires_after(kAccountSyncInterval);
-    co_await sync_timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    OpenAllTokens();
-  }
-}
-
 asio::awaitable<bool> AccountManager::Private::Sync() {
   OpenAllTokens();
   // Reads first: other hosts have most likely written the account since, and a
@@ -300,30 +287,6 @@
   co_return false;
 }
 
-bool AccountManager::Private::RequestIntroduction() {
-  const FleetAccount& account = holder.known_account();
-  const std::string address = FindIntroducer(account, context.ledger_holder(),
-                                             context.settings.failure_domain);
-  if (!context.peers.enabled() || !holder.MayBeIntroduced() || address.empty())
-    return false;
-  introduced_until = Clock::now() + kIntroductionTime;
-  context.peers.Send(address,
-                     HostIntroduction{context.ledger_holder(),
-                                      holder.OwnHeartbeat(context.boot.now())});
-  LogEvent(kLog, Severity::kInfo, "introduction_requested",
-           {{"peer", address}, {"version", version}});
-  return true;
-}
-
-bool AccountManager::Private::HandleFrame(const PeerFrame& frame) {
-  const auto* introduction = std::get_if<HostIntroduction>(&frame);
-  if (!introduction)
-    return false;
-  holder.Introduce(introduction->holder, introduction->heartbeat);
-  SyncSoon();
-  return true;
-}
-
 void AccountManager::Private::LogOutOfReach() {
   LogEvent(kLog, Severity::kWarning, "account_out_of_reach",
            {{"code", static_cast<int>(reason.code)},
@@ -342,7 +305,11 @@
 AccountManager::~AccountManager() = default;
 
 asio::awaitable<void> AccountManager::Run() {
-  asio::co_spawn(d_->context.control, d_->OpenAllTokensPeriodically(),
+  // Sync() alone would open the tokens too late: a call to a store that is cut
+  // off may take its whole timeout.
+  asio::co_spawn(d_->context.control,
+                 RunPeriodically(d_->context.control, kAccountSyncInterval,
+                                 [d = d_.get()] { d->OpenAllTokens(); }),
                  asio::detached);
   for (;;) {
     milliseconds pause = kAccountSyncInterval;
--- a/src/libs/gateway/account_manager_private.h
+++ b/src/libs/gateway/account_manager_private.h
@@ -61,15 +61,15 @@
   // Opens all tokens that the host holds once the store has been unavailable
   // for long enough.
   void OpenAllTokens();
-  // Calls OpenAllTokens() at each sync interval. Sync() alone would be too
-  // late: a call to a store that is cut off may take its whole timeout.
-  boost::asio::awaitable<void> OpenAllTokensPeriodically();
   // Records the costs of settled requests and removes their bills. No other
   // code of the gateway reads bills; only the counters have to persist.
   void ConsumeBills(HostLedger& ledger);
   // Asks another host to list this one in the account, unless something else
   // has to be written for it. Returns whether one was asked.
   bool RequestIntroduction();
+  // Whether another host was asked, so that only the entry of this one would be
+  // written now.
+  bool WaitsForIntroduction() const;
   // Returns whether the frame was an introduction.
   bool HandleFrame(const PeerFrame& frame);
   // Records how many tokens the waiting requests need in each budget.
--- a/src/libs/gateway/config_source.cc
+++ b/src/libs/gateway/config_source.cc
@@ -4,7 +4,6 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
-#include "libs/gateway/watch_pacer.h"
 
 namespace turmericwinch {
 
@@ -48,14 +47,8 @@
 
 asio::awaitable<void> ConfigSource::Run() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  WatchPacer pacer(kMinWatchInterval);
   for (;;) {
-    const bool is_due = co_await news_.WaitUntilReadIsDue(
-        StoreTopic::kConfig, revision_, kMaxWatchWait);
-    if (!is_due)
-      continue;
-    timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await news_.WaitUntilRead(StoreTopic::kConfig, revision_);
     Reason reason;
     std::optional<PlatformObject> object = co_await platform_.Watch(
         PlatformDuty::kConfig, name_, revision_, news_.WatchWait(), &reason);
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "libs/gateway/gateway_context.h"
 #include "libs/gateway/gateway_state.h"
 #include "libs/gateway/quarantine_store.h"
+#include "libs/gateway/run_periodically.h"
 #include "libs/gateway/target_source.h"
 #include "libs/node/platform_metrics.h"
 #include "libs/platform/call_counter.h"
@@ -48,8 +49,12 @@
                                               HttpExchange& exchange);
   asio::awaitable<void> WaitForSignals();
   asio::awaitable<void> Drain();
-  // Logs the calls made to the store, each kCallLogInterval.
-  asio::awaitable<void> LogStoreCalls();
+  // Waits until no request is active, or until `end`.
+  asio::awaitable<void> WaitUntilIdle(Clock::time_point end);
+  // Metrics of requests, account and calls to the store.
+  std::string Metrics();
+  // Logs the calls made to the store.
+  void LogStoreCalls() const;
 
   GatewayContext context;
   GatewayDeployment deployment;
@@ -164,11 +169,9 @@
     const HttpRequest& request,
     HttpExchange& exchange) {
   HttpResponse response;
-  if (PathOf(request.target) == kMetricsPath) {
-    response.body = MetricsText(context, Stats());
-    if (const CallCounter* counter = store->call_counter())
-      response.body += CallMetricsText(*counter);
-  } else if (PathOf(request.target) == kStatePath)
+  if (PathOf(request.target) == kMetricsPath)
+    response.body = Metrics();
+  else if (PathOf(request.target) == kStatePath)
     response = JsonResponse(kStatusOk, StateText(context, Stats()));
   else
     response.status = InfoOf(ResultCode::kNotFound).http_status;
@@ -192,17 +195,28 @@
   }
 }
 
-asio::awaitable<void> Gateway::Private::LogStoreCalls() {
-  const CallCounter* counter = store->call_counter();
-  asio::steady_timer timer(context.control);
-  while (counter) {
-    timer.expires_after(kCallLogInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+std::string Gateway::Private::Metrics() {
+  std::string text = MetricsText(context, Stats());
+  if (const CallCounter* counter = store->call_counter())
+    text += CallMetricsText(*counter);
+  return text;
+}
+
+void Gateway::Private::LogStoreCalls() const {
+  if (const CallCounter* counter = store->call_counter()) {
     LogEvent(kLog, Severity::kInfo, "store_calls",
              {{"calls", ToText(*counter)}});
   }
 }
 
+asio::awaitable<void> Gateway::Private::WaitUntilIdle(Clock::time_point end) {
+  asio::steady_timer timer(context.control);
+  while (caller_server.ActiveRequests() > 0 && Clock::now() < end) {
+    timer.expires_after(kDrainPollInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 asio::awaitable<void> Gateway::Private::Drain() {
   const Clock::time_point start = Clock::now();
   LogEvent(kLog, Severity::kInfo, "drain_started",
@@ -215,13 +229,9 @@
   context.refuses_requests = true;
   caller_server.StopAccepting();
   asio::post(context.traffic, [this] { caller_server.CloseIdle(); });
-  while (caller_server.ActiveRequests() > 0 &&
-         Clock::now() < start + kMaxDrainTime) {
-    if (Clock::now() >= start + kDrainWaitTime)
-      context.targets.StopWaiting();
-    timer.expires_after(kDrainPollInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
+  co_await WaitUntilIdle(start + kDrainWaitTime);
+  context.targets.StopWaiting();
+  co_await WaitUntilIdle(start + kMaxDrainTime);
   const bool closed = co_await account_manager->Close();
   LogEvent(
       kLog, closed ? Severity::kInfo : Severity::kWarning, "drain_ended",
@@ -259,7 +269,10 @@
   GatewayContext& context = d_->context;
   d_->traffic_thread = std::thread([&context] { context.traffic.run(); });
   asio::co_spawn(context.control, d_->WaitForSignals(), asio::detached);
-  asio::co_spawn(context.control, d_->LogStoreCalls(), asio::detached);
+  asio::co_spawn(context.control,
+                 RunPeriodically(context.control, kCallLogInterval,
+                                 [d = d_.get()] { d->LogStoreCalls(); }),
+                 asio::detached);
   asio::co_spawn(context.control, d_->config_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->target_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->account_manager->Run(), asio::detached);
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -210,6 +210,7 @@
       co_return;
     }
     // The verdict may have come, and the caller left, while the request waited.
+    // A busy host may also read a request after its caller has given up.
     if (!quarantine_.Passes(&reason_) || HasCallerLeft()) {
       context_.targets.EndAttempt(*choice);
       co_await EndUnanswered();
@@ -317,11 +318,8 @@
   }
   relay_.StartAfter(resolved_.call->after_event.value_or(0));
   exchange_.WatchCaller([this] { cancel_.Cancel(); });
-  // A busy host may read a request after its caller has given up.
-  bool may_run = !HasCallerLeft();
-  if (may_run)
-    may_run = co_await Reserve();
-  if (!may_run)
+  const bool reserved = co_await Reserve();
+  if (!reserved)
     co_await Refuse();
   else
     co_await RunAttempts();
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -114,6 +114,7 @@
 // Write conflicts after which a host stops writing an object of the store for
 // now.
 inline constexpr int kMaxWriteConflicts = 12;
+
 // Time for which a target stays usable after its entry expired during an outage
 // of the store. Live targets register again within 2 s of the store's return.
 inline constexpr std::chrono::milliseconds kExpiredTargetGracePeriod{2'000};
--- a/src/libs/gateway/gateway_peers.cc
+++ b/src/libs/gateway/gateway_peers.cc
@@ -37,17 +37,21 @@
     network_.Send(address, frame);
 }
 
+void GatewayPeers::SendToEach(const std::vector<std::string>& addresses,
+                              const PeerFrame& frame) {
+  if (enabled())
+    network_.SendToEach(addresses, frame);
+}
+
 void GatewayPeers::SendToAll(const PeerFrame& frame) {
-  for (const std::string& it : addresses_)
-    Send(it, frame);
+  SendToEach(addresses_, frame);
 }
 
 void GatewayPeers::SendToSome(const PeerFrame& frame, std::size_t count) {
   std::vector<std::string> chosen;
   std::sample(addresses_.begin(), addresses_.end(), std::back_inserter(chosen),
               count, random_);
-  for (const std::string& it : chosen)
-    Send(it, frame);
+  SendToEach(chosen, frame);
 }
 
 void GatewayPeers::HandleFrame(const PeerFrame& frame) {
--- a/src/libs/gateway/gateway_peers.h
+++ b/src/libs/gateway/gateway_peers.h
@@ -37,6 +37,9 @@
   // Replaces the addresses of the other hosts by those in `account`.
   void UpdateAddresses(const FleetAccount& account);
   void Send(const std::string& address, const PeerFrame& frame);
+  // Sends to the hosts at these addresses.
+  void SendToEach(const std::vector<std::string>& addresses,
+                  const PeerFrame& frame);
   void SendToAll(const PeerFrame& frame);
   // Sends to `count` hosts, chosen at random, or to all if there are fewer.
   void SendToSome(const PeerFrame& frame, std::size_t count);
--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -5,7 +5,6 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
-#include "libs/gateway/watch_pacer.h"
 #include "libs/platform/store_version.h"
 
 namespace turmericwinch {
@@ -37,14 +36,8 @@
 
 asio::awaitable<void> QuarantineStore::Run() {
   asio::steady_timer timer(control_);
-  WatchPacer pacer(kMinWatchInterval);
   for (;;) {
-    const bool is_due = co_await news_.WaitUntilReadIsDue(
-        StoreTopic::kQuarantine, version_, kMaxWatchWait);
-    if (!is_due)
-      continue;
-    timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await news_.WaitUntilRead(StoreTopic::kQuarantine, version_);
     const bool answered = co_await WatchOnce();
     if (answered) {
       news_.RecordAnswer(StoreTopic::kQuarantine, version_);
--- a/src/libs/gateway/rate_limit_sharing.cc
+++ b/src/libs/gateway/rate_limit_sharing.cc
@@ -4,6 +4,7 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/run_periodically.h"
 #include "libs/routing/routing_constants.h"
 
 namespace turmericwinch {
@@ -26,12 +27,7 @@
 }
 
 asio::awaitable<void> RateLimitSharing::Run() {
-  asio::steady_timer timer(control_);
-  for (;;) {
-    timer.expires_after(kRateShareInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    Update();
-  }
+  return RunPeriodically(control_, kRateShareInterval, [this] { Update(); });
 }
 
 void RateLimitSharing::Update() {
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -10,6 +10,7 @@
 #include "libs/gateway/connect_probe.h"
 #include "libs/gateway/gateway_call.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/run_periodically.h"
 #include "libs/http/http_client.h"
 
 namespace turmericwinch {
@@ -41,16 +42,16 @@
 }
 
 asio::awaitable<void> RequestQuarantine::Run() {
-  asio::steady_timer timer(control_);
-  for (;;) {
-    timer.expires_after(kQuarantineResendInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    const QuarantineVerdicts verdicts = CurrentVerdicts();
-    if (verdicts.empty())
-      continue;
-    store_(verdicts);
-    SendVerdicts(verdicts);
-  }
+  return RunPeriodically(control_, kQuarantineResendInterval,
+                         [this] { ResendVerdicts(); });
+}
+
+void RequestQuarantine::ResendVerdicts() {
+  const QuarantineVerdicts verdicts = CurrentVerdicts();
+  if (verdicts.empty())
+    return;
+  store_(verdicts);
+  SendVerdicts(verdicts);
 }
 
 QuarantineVerdicts RequestQuarantine::CurrentVerdicts() {
--- a/src/libs/gateway/request_quarantine.h
+++ b/src/libs/gateway/request_quarantine.h
@@ -76,6 +76,8 @@
   void HandleNotice(const QuarantineNotice& notice);
   void HandleNotice(const PromptPartNotice& notice);
   QuarantineVerdicts CurrentVerdicts();
+  // Stores the verdicts that hold now and sends them to some hosts.
+  void ResendVerdicts();
   void SendVerdicts(const QuarantineVerdicts& verdicts);
   // Withdraws the quarantine of the request at all hosts and in the store.
   void WithdrawEverywhere(const std::string& digest);
--- a/src/libs/gateway/store_news_exchange.cc
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
+#include "libs/gateway/run_periodically.h"
 #include "libs/platform/store_version.h"
 
 namespace turmericwinch {
@@ -64,12 +65,7 @@
 }
 
 asio::awaitable<void> StoreNewsExchange::Run() {
-  asio::steady_timer timer(control_);
-  for (;;) {
-    timer.expires_after(kNewsInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    Update();
-  }
+  return RunPeriodically(control_, kNewsInterval, [this] { Update(); });
 }
 
 void StoreNewsExchange::SendNews(std::string changes,
@@ -89,12 +85,12 @@
   // News this old would not be used.
   if (news.age >= kMaxNewsAge)
     return;
-  for (const std::string& it : readers_.Listeners())
-    peers_.Send(it, news);
+  peers_.SendToEach(readers_.Listeners(), news);
 }
 
-std::chrono::milliseconds StoreNewsExchange::WatchInterval() const {
-  if (readers_.is_sender())
+std::chrono::milliseconds StoreNewsExchange::WatchInterval(
+    StoreTopic topic) const {
+  if (topic != StoreTopic::kTargets || readers_.is_sender())
     return kMinWatchInterval;
   return std::clamp(kWatchIntervalPerHost * fleet_hosts_, kMinWatchInterval,
                     kMaxWatchInterval);
@@ -140,7 +136,6 @@
   if (news->targets_changed <= targets.version &&
       EraOf(news->targets) == EraOf(targets.version))
     targets.version = std::max(targets.version, news->targets);
-  confirmed_targets_ = targets.version;
   for (std::size_t n = 0; n < kStoreTopics; ++n) {
     Waiter& it = waiters_[n];
     if (it.is_waiting &&
@@ -172,8 +167,25 @@
   }
 }
 
+asio::awaitable<void> StoreNewsExchange::WaitUntilRead(StoreTopic topic,
+                                                       std::uint64_t version) {
+  bool is_due = false;
+  while (!is_due)
+    is_due = co_await WaitUntilReadIsDue(topic, version, kMaxWatchWait);
+  co_await PaceRead(topic);
+}
+
+asio::awaitable<void> StoreNewsExchange::PaceRead(StoreTopic topic) {
+  WatchPacer& pacer = WaiterOf(topic).pacer;
+  pacer.SetInterval(WatchInterval(topic));
+  asio::steady_timer timer(control_, pacer.NextStart(Clock::now()));
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 std::uint64_t StoreNewsExchange::ConfirmedTargets(std::uint64_t version) const {
-  return std::max(version, confirmed_targets_);
+  return std::max(
+      version,
+      waiters_[static_cast<std::size_t>(StoreTopic::kTargets)].version);
 }
 
 void StoreNewsExchange::RecordAppliedTargets(std::uint64_t version) {
--- a/src/libs/gateway/store_news_exchange.h
+++ b/src/libs/gateway/store_news_exchange.h
@@ -13,8 +13,10 @@
 #include <functional>
 #include <string>
 
+#include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/gateway_peers.h"
 #include "libs/gateway/store_readers.h"
+#include "libs/gateway/watch_pacer.h"
 #include "libs/platform/platform_client.h"
 
 namespace turmericwinch {
@@ -57,6 +59,12 @@
       StoreTopic topic,
       std::uint64_t version,
       std::chrono::milliseconds max_wait);
+  // Waits like WaitUntilReadIsDue(), without an end, and then PaceRead().
+  boost::asio::awaitable<void> WaitUntilRead(StoreTopic topic,
+                                             std::uint64_t version);
+  // Waits until a watch of `topic` may start, so that a change that follows
+  // others at once does not cost a call of its own.
+  boost::asio::awaitable<void> PaceRead(StoreTopic topic);
   // Version of the list of targets that this host has according to news: at
   // least `version`, higher if the list has not changed since.
   std::uint64_t ConfirmedTargets(std::uint64_t version) const;
@@ -66,8 +74,6 @@
   bool HadOutageSince(std::uint64_t version) const;
   // Longest time that a watch should last.
   std::chrono::milliseconds WatchWait() const;
-  // Shortest time between the starts of two watches.
-  std::chrono::milliseconds WatchInterval() const;
   // Records that the store answered, and that it has no newer version of
   // `topic` than `version`.
   void RecordAnswer(StoreTopic topic, std::uint64_t version);
@@ -78,12 +84,15 @@
  private:
   struct Waiter {
     boost::asio::steady_timer timer;
+    WatchPacer pacer{kMinWatchInterval};
     std::uint64_t version = 0;
     bool is_waiting = false;
   };
 
   bool HandleFrame(const PeerFrame& frame);
   void SendNews(std::string changes, std::uint64_t changes_from);
+  // Shortest time between the starts of two watches.
+  std::chrono::milliseconds WatchInterval(StoreTopic topic) const;
   Waiter& WaiterOf(StoreTopic topic);
 
   boost::asio::io_context& control_;
@@ -94,7 +103,6 @@
   BootNow boot_now_;
   TargetsHandler on_targets_;
   std::array<Waiter, kStoreTopics> waiters_;
-  std::uint64_t confirmed_targets_ = 0;
   // Number of hosts of the fleet.
   int fleet_hosts_ = 0;
   // What this host has read itself, and when the store last answered.
--- a/src/libs/gateway/store_readers.cc
+++ b/src/libs/gateway/store_readers.cc
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view kTopicNames[] = {"config", "quarantine", "targets"};
-
 std::uint64_t VersionIn(const StoreNews& news, StoreTopic topic) {
   switch (topic) {
     case StoreTopic::kConfig:
@@ -27,10 +25,6 @@
 
 }  // namespace
 
-std::string_view NameOf(StoreTopic topic) {
-  return kTopicNames[static_cast<std::size_t>(topic)];
-}
-
 void StoreReaders::SetHosts(const FleetAccount& account,
                             const std::string& domain) {
   members_.clear();
--- a/src/libs/gateway/store_readers.h
+++ b/src/libs/gateway/store_readers.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "libs/budget/fleet_account.h"
@@ -23,8 +22,6 @@
 enum class StoreTopic { kConfig, kQuarantine, kTargets };
 inline constexpr std::size_t kStoreTopics = 3;
 
-std::string_view NameOf(StoreTopic topic);
-
 // Hosts of one failure domain are ranked, see RankHosts(). The first
 // reads the store and sends its news to the others, which read only what the
 // news say is newer. News are valid for kMaxNewsAge after the store's answer
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -4,7 +4,6 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/gateway_constants.h"
-#include "libs/gateway/watch_pacer.h"
 #include "libs/platform/store_version.h"
 #include "libs/routing/host_list_change.h"
 
@@ -128,12 +127,9 @@
 
 asio::awaitable<void> TargetSource::Run() {
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  WatchPacer pacer(kMinWatchInterval);
   for (;;) {
     co_await WaitUntilReadIsDue();
-    pacer.SetInterval(news_.WatchInterval());
-    timer.expires_at(pacer.NextStart(std::chrono::steady_clock::now()));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await news_.PaceRead(StoreTopic::kTargets);
     Reason reason;
     const std::chrono::milliseconds wait =
         targets_.has_timed_entries() ? kStoreRetryPause : news_.WatchWait();
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -92,28 +92,28 @@
   StartQueuedRequests();
 }
 
-// A waiter's timer is set to expire, on its own executor, rather than
-// cancelled: a cancellation before the wait has begun would be lost.
+// The timer is set to expire, on its own executor, rather than cancelled: a
+// cancellation before the wait has begun would be lost.
+void SharedTargets::Wake(const std::shared_ptr<Waiter>& waiter) {
+  asio::post(waiter->timer.get_executor(),
+             [waiter] { waiter->timer.expires_at(Clock::time_point::min()); });
+}
+
 void SharedTargets::StartQueuedRequests() {
   for (DequeuedRequest& it : queue_.DequeueReady(Clock::now())) {
     auto found = waiters_.find(it.ticket);
     std::shared_ptr<Waiter> waiter = std::move(found->second);
     waiters_.erase(found);
     waiter->choice = std::move(it.choice);
-    asio::post(waiter->timer.get_executor(), [waiter] {
-      waiter->timer.expires_at(Clock::time_point::min());
-    });
+    Wake(waiter);
   }
 }
 
 void SharedTargets::StopWaiting() {
   std::lock_guard lock(mutex_);
   may_wait_ = false;
-  for (const auto& [ticket, waiter] : waiters_) {
-    asio::post(waiter->timer.get_executor(), [waiter = waiter] {
-      waiter->timer.expires_at(Clock::time_point::min());
-    });
-  }
+  for (const auto& [ticket, waiter] : waiters_)
+    Wake(waiter);
 }
 
 bool SharedTargets::IsRateQueueFull(const std::string& service,
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -70,6 +70,8 @@
  private:
   struct Waiter;
 
+  // Ends the waiter's current wait. Safe from any thread.
+  static void Wake(const std::shared_ptr<Waiter>& waiter);
   // Starts waiting requests while targets have capacity. The mutex must be
   // held.
   void StartQueuedRequests();
--- a/src/libs/peer/peer_network.cc
+++ b/src/libs/peer/peer_network.cc
@@ -53,6 +53,8 @@
   asio::awaitable<bool> SendQueued(std::string address, SocketPointer socket);
   asio::awaitable<bool> WaitForFrame(std::string address);
   void RecordFailure(const Reason& reason, const std::string& peer);
+  // Queues an encoded frame, and starts to send if nothing is being sent.
+  void Queue(const std::string& address, std::string bytes);
   void Stop();
 
   asio::io_context& context;
@@ -214,6 +216,24 @@
   send_queues.erase(address);
 }
 
+void PeerNetwork::Private::Queue(const std::string& address,
+                                 std::string bytes) {
+  auto [it, added] = send_queues.try_emplace(address);
+  SendQueue& queue = it->second;
+  if (queue.bytes + bytes.size() > kPeerMaxQueuedBytes) {
+    ++counters.dropped;
+    return;
+  }
+  queue.bytes += bytes.size();
+  queue.frames.push_back(std::move(bytes));
+  if (!added) {
+    queue.wake->cancel();
+    return;
+  }
+  queue.wake = std::make_shared<asio::steady_timer>(context);
+  asio::co_spawn(context, RunSender(address), asio::detached);
+}
+
 PeerNetwork::PeerNetwork(asio::io_context& context,
                          std::string key,
                          FrameHandler on_frame)
@@ -244,21 +264,14 @@
 }
 
 void PeerNetwork::Send(const std::string& address, const PeerFrame& frame) {
-  std::string bytes = EncodeFrame(frame);
-  auto [it, added] = d_->send_queues.try_emplace(address);
-  SendQueue& queue = it->second;
-  if (queue.bytes + bytes.size() > kPeerMaxQueuedBytes) {
-    ++d_->counters.dropped;
-    return;
-  }
-  queue.bytes += bytes.size();
-  queue.frames.push_back(std::move(bytes));
-  if (!added) {
-    queue.wake->cancel();
-    return;
-  }
-  queue.wake = std::make_shared<asio::steady_timer>(d_->context);
-  asio::co_spawn(d_->context, d_->RunSender(address), asio::detached);
+  d_->Queue(address, EncodeFrame(frame));
+}
+
+void PeerNetwork::SendToEach(const std::vector<std::string>& addresses,
+                             const PeerFrame& frame) {
+  const std::string bytes = EncodeFrame(frame);
+  for (const std::string& it : addresses)
+    d_->Queue(it, bytes);
 }
 
 const PeerCounters& PeerNetwork::counters() const {
--- a/src/libs/peer/peer_network.h
+++ b/src/libs/peer/peer_network.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libs/base/reason.h"
 #include "libs/peer/peer_frame.h"
@@ -49,6 +50,9 @@
   // Queues `frame` for the host at `address`, IP:PORT, and connects to it if
   // there is no connection.
   void Send(const std::string& address, const PeerFrame& frame);
+  // The same for several hosts; the frame is encoded once.
+  void SendToEach(const std::vector<std::string>& addresses,
+                  const PeerFrame& frame);
 
   const PeerCounters& counters() const;
 
