Log which crashes a host reports, and what it has seen answered

The logs show each lost answer and its parts, but not why no part is blamed: it may count as sound, the crash may not be counted, or its report may not reach the other hosts. crash_reported names the target, the requests that were lost and those of their parts that count as answered.

--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -184,17 +184,25 @@
 void RequestQuarantine::ReportCrash(const std::string& target,
                                     const std::vector<TargetLoss>& losses) {
   TargetCrash crash{target, {}};
+  std::set<PromptPartId> answered;
   {
     std::lock_guard lock(mutex_);
     for (const TargetLoss& loss : losses) {
       LostRequest request{loss.digest, {}};
       for (PromptPartId it : loss.shared_parts) {
-        if (!parts_.IsSound(it, Clock::now()))
+        if (parts_.IsSound(it, Clock::now()))
+          answered.insert(it);
+        else
           request.shared_parts.push_back(it);
       }
       crash.requests.push_back(std::move(request));
     }
   }
+  LogEvent(
+      kLog, Severity::kWarning, "crash_reported",
+      {{"target", target},
+       {"requests", losses.size()},
+       {"answered_parts", PartIdsText({answered.begin(), answered.end()})}});
   peers_.SendToAll(CrashNotice{crash});
   has_reported_ = true;
   RecordCrash(crash, true);
