--- a/src/libs/delivery/answered_parts.h
+++ b/src/libs/delivery/answered_parts.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <list>
+#include <optional>
 #include <unordered_map>
 
 #include "libs/delivery/target_crash.h"
@@ -16,9 +17,11 @@
  public:
   using Time = std::chrono::steady_clock::time_point;
 
-  void Add(PromptPartId part, Time now);
-  // Whether a request with the part was answered within kAnsweredPartHold.
-  bool Contains(PromptPartId part, Time now) const;
+  // Records an answer at `time`, which may be in the past.
+  void Add(PromptPartId part, Time time);
+  // Time of the newest answer to a request with the part; nullopt if there was
+  // none within kAnsweredPartHold.
+  std::optional<Time> LastAnswer(PromptPartId part, Time now) const;
   std::size_t size() const { return entries_.size(); }
 
  private:
--- a/src/libs/delivery/delivery_constants.h
+++ b/src/libs/delivery/delivery_constants.h
@@ -89,8 +89,8 @@
     2 * kQuarantineHold;
 // Parts that are quarantined at the same time.
 inline constexpr std::size_t kMaxQuarantinedParts = 256;
-// Answered parts that a host remembers, and the time for which an answer shows
-// that a part is sound.
+// Answered parts that a host remembers, and the time for which it remembers an
+// answer.
 inline constexpr std::size_t kMaxAnsweredParts = 16'384;
 inline constexpr std::chrono::milliseconds kAnsweredPartHold{600'000};
 
--- a/src/libs/delivery/prompt_part_quarantine.cc
+++ b/src/libs/delivery/prompt_part_quarantine.cc
@@ -1,8 +1,8 @@
 #include "libs/delivery/prompt_part_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 
-#include "libs/delivery/crash_causes.h"
 #include "libs/delivery/delivery_constants.h"
 
 namespace turmericwinch {
@@ -11,33 +11,43 @@
   Expire(now);
   auto found = std::find_if(
       crashes_.begin(), crashes_.end(),
-      [&crash](const Crash& it) { return it.crash.target == crash.target; });
+      [&crash](const RecordedCrash& it) { return it.target == crash.target; });
   if (found == crashes_.end()) {
     if (crashes_.size() >= kMaxRecordedCrashes)
       crashes_.pop_front();
-    crashes_.push_back({now, {crash.target, {}}});
+    crashes_.push_back({crash.target, now, {}});
     found = std::prev(crashes_.end());
   }
-  std::vector<LostRequest>& requests = found->crash.requests;
   for (const LostRequest& it : crash.requests) {
-    if (!it.shared_parts.empty() && requests.size() < kMaxLostRequests)
-      requests.push_back(it);
+    if (!it.shared_parts.empty() && found->losses.size() < kMaxLostRequests)
+      found->losses.push_back({it, now - it.age});
   }
 }
 
+PartAnswers PromptPartQuarantine::AnswersAt(Time now) const {
+  return {[this, now](PromptPartId part) {
+            return answered_.LastAnswer(part, now);
+          },
+          [this, now](PromptPartId part) {
+            return begun_.LastAnswer(part, now).has_value();
+          }};
+}
+
+std::vector<RecordedCrash> PromptPartQuarantine::CrashesUntil(Time end) const {
+  std::vector<RecordedCrash> crashes;
+  std::copy_if(crashes_.begin(), crashes_.end(), std::back_inserter(crashes),
+               [end](const RecordedCrash& it) { return it.time <= end; });
+  return crashes;
+}
+
 std::vector<PromptPartId> PromptPartQuarantine::QuarantineCauses(Time now) {
-  std::vector<TargetCrash> crashes;
-  for (const Crash& it : crashes_) {
-    if (now - it.time >= kCrashReportTime)
-      crashes.push_back(it.crash);
-  }
   std::set<PromptPartId> known;
   for (const auto& [part, it] : verdicts_) {
     if (now < it.end)
       known.insert(part);
   }
   std::vector<PromptPartId> causes = FindCrashCauses(
-      crashes, known, [&](PromptPartId part) { return IsSound(part, now); });
+      CrashesUntil(now - kCrashReportTime), known, AnswersAt(now));
   for (PromptPartId it : causes)
     Quarantine(it, now);
   return causes;
@@ -55,20 +65,52 @@
 }
 
 std::vector<PromptPartId> PromptPartQuarantine::OnAnswered(
-    const std::vector<PromptPartId>& parts,
+    const std::vector<AnsweredPart>& parts,
     Time now) {
   std::vector<PromptPartId> cleared;
-  for (PromptPartId it : parts) {
-    answered_.Add(it, now);
-    if (verdicts_.erase(it) > 0)
-      cleared.push_back(it);
+  for (const AnsweredPart& it : parts) {
+    answered_.Add(it.part, now - it.age);
+    if (verdicts_.contains(it.part) &&
+        !IsBlamed(it.part, CrashesUntil(now), AnswersAt(now))) {
+      verdicts_.erase(it.part);
+      cleared.push_back(it.part);
+    }
   }
   return cleared;
 }
 
+void PromptPartQuarantine::OnAnswerBegun(const std::vector<PromptPartId>& parts,
+                                         Time now) {
+  for (PromptPartId it : parts)
+    begun_.Add(it, now);
+}
+
+std::optional<std::chrono::milliseconds> PromptPartQuarantine::Disproof(
+    PromptPartId part,
+    Time now) const {
+  const std::optional<Time> answered = answered_.LastAnswer(part, now);
+  if (!answered)
+    return std::nullopt;
+  const bool knows_crash = std::any_of(
+      crashes_.begin(), crashes_.end(), [part](const RecordedCrash& crash) {
+        return std::any_of(
+            crash.losses.begin(), crash.losses.end(), [part](const auto& it) {
+              const auto& parts = it.request.shared_parts;
+              return std::find(parts.begin(), parts.end(), part) != parts.end();
+            });
+      });
+  if (!knows_crash || IsBlamed(part, CrashesUntil(now), AnswersAt(now)))
+    return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now - *answered);
+}
+
+bool PromptPartQuarantine::HasWorked(PromptPartId part, Time now) const {
+  return answered_.LastAnswer(part, now) || begun_.LastAnswer(part, now);
+}
+
 bool PromptPartQuarantine::AddVerdict(const QuarantinedPart& verdict,
                                       Time now) {
-  if (IsSound(verdict.part, now))
+  if (Disproof(verdict.part, now))
     return false;
   if (verdicts_.size() >= kMaxQuarantinedParts &&
       !verdicts_.contains(verdict.part))
--- a/src/libs/delivery/prompt_part_quarantine.h
+++ b/src/libs/delivery/prompt_part_quarantine.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libs/delivery/answered_parts.h"
+#include "libs/delivery/crash_causes.h"
 #include "libs/delivery/target_crash.h"
 
 namespace turmericwinch {
@@ -22,11 +23,17 @@
   std::chrono::milliseconds hold{0};
 };
 
+// Time that has passed since a whole answer to a request with the part.
+struct AnsweredPart {
+  PromptPartId part = 0;
+  std::chrono::milliseconds age{0};
+};
+
 // Every host reports crashes with the requests that it lost, and learns those
-// of the others, so that each reaches the same verdicts. An answer shows that
-// the parts of its request are sound, whatever was lost before. A quarantine
-// ends after a time, and lasts twice as long if further crashes renew it, so
-// that a wrong verdict does not last.
+// of the others, so that each reaches the same verdicts. A whole answer shows
+// that the parts of its request did not cause the crashes before it; it says
+// nothing about later ones. A quarantine ends after a time, and lasts twice as
+// long if further crashes renew it, so that a wrong verdict does not last.
 class PromptPartQuarantine {
  public:
   using Time = std::chrono::steady_clock::time_point;
@@ -39,21 +46,27 @@
   std::vector<PromptPartId> QuarantineCauses(Time now);
   // Whether some crash does not count yet.
   bool HasNewCrashes(Time now) const;
-  // Records that a target answered a request with these parts. Returns the
-  // parts that were quarantined until then, wrongly.
-  std::vector<PromptPartId> OnAnswered(const std::vector<PromptPartId>& parts,
+  // Records that a target answered a request with these parts, or that another
+  // host said so. Ends the quarantines that the crashes since then do not
+  // justify, and returns their parts.
+  std::vector<PromptPartId> OnAnswered(const std::vector<AnsweredPart>& parts,
                                        Time now);
+  // Records that a target began to answer a request with these parts.
+  void OnAnswerBegun(const std::vector<PromptPartId>& parts, Time now);
   // Adds a verdict of another host. Returns whether the part was not
-  // quarantined until then. Ignored if a request with the part was answered.
+  // quarantined until then. Ignored if this host can disprove it.
   bool AddVerdict(const QuarantinedPart& verdict, Time now);
   // A part of `parts` for which a request must be refused.
   std::optional<PromptPartId> FindQuarantined(
       const std::vector<PromptPartId>& parts,
       Time now) const;
-  // Whether a request with the part was answered.
-  bool IsSound(PromptPartId part, Time now) const {
-    return answered_.Contains(part, now);
-  }
+  // If this host has seen a whole answer to a request with the part, and knows
+  // of crashes with it but not of enough to blame it: the time since that
+  // answer.
+  std::optional<std::chrono::milliseconds> Disproof(PromptPartId part,
+                                                    Time now) const;
+  // Whether an answer to a request with the part has begun.
+  bool HasWorked(PromptPartId part, Time now) const;
   std::vector<QuarantinedPart> Verdicts(Time now) const;
   // Number of verdicts since the last Expire(), ended quarantines included.
   std::size_t verdicts() const { return verdicts_.size(); }
@@ -61,11 +74,6 @@
   void Expire(Time now);
 
  private:
-  struct Crash {
-    Time time;
-    TargetCrash crash;
-  };
-
   // A verdict is kept after `end`, for the length of the next quarantine.
   struct Verdict {
     Time end;
@@ -73,10 +81,16 @@
   };
 
   void Quarantine(PromptPartId part, Time now);
+  PartAnswers AnswersAt(Time now) const;
+  // The crashes that were first reported by `end`.
+  std::vector<RecordedCrash> CrashesUntil(Time end) const;
 
+  // Parts of requests that were answered whole, and of those whose answer
+  // began.
   AnsweredParts answered_;
+  AnsweredParts begun_;
   // Oldest first.
-  std::deque<Crash> crashes_;
+  std::deque<RecordedCrash> crashes_;
   std::map<PromptPartId, Verdict> verdicts_;
 };
 
--- a/src/libs/gateway/call_quarantine.cc
+++ b/src/libs/gateway/call_quarantine.cc
@@ -36,10 +36,11 @@
 }
 
 void CallQuarantine::RecordLoss(const TargetChoice& choice,
-                                bool connection_closed) {
+                                bool connection_closed,
+                                std::chrono::steady_clock::time_point sent) {
   quarantine_.OnLost({Digest(), choice.name, choice.incarnation,
                       connection_closed ? choice.address : std::string(),
-                      shared_parts_});
+                      shared_parts_, sent});
 }
 
 void CallQuarantine::RecordAnswer() {
@@ -47,8 +48,12 @@
     quarantine_.OnAnswered(Digest());
 }
 
-void CallQuarantine::RecordSoundParts() {
+void CallQuarantine::RecordAnsweredParts() {
   quarantine_.OnPartsAnswered(shared_parts_);
 }
 
+void CallQuarantine::RecordBegunParts() {
+  quarantine_.OnPartsBegun(shared_parts_);
+}
+
 }  // namespace turmericwinch
--- a/src/libs/gateway/call_quarantine.h
+++ b/src/libs/gateway/call_quarantine.h
@@ -3,6 +3,7 @@
 #ifndef SRC_LIBS_GATEWAY_CALL_QUARANTINE_H_
 #define SRC_LIBS_GATEWAY_CALL_QUARANTINE_H_
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -26,12 +27,16 @@
   // with a part of its prompt, crashed targets.
   bool Passes(Reason* reason);
   // Records that the answer of the target was lost. `connection_closed` is
-  // whether the target closed the connection.
-  void RecordLoss(const TargetChoice& choice, bool connection_closed);
+  // whether the target closed the connection, `sent` when the request was sent.
+  void RecordLoss(const TargetChoice& choice,
+                  bool connection_closed,
+                  std::chrono::steady_clock::time_point sent);
   // Records that a target answered the request.
   void RecordAnswer();
-  // Records that the parts of the prompt crash no target.
-  void RecordSoundParts();
+  // Records that a target answered the parts of the prompt: whole, or only the
+  // first events.
+  void RecordAnsweredParts();
+  void RecordBegunParts();
 
  private:
   // Digest of the request's team and content, computed once: only requests that
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -32,12 +32,16 @@
   asio::awaitable<void> Run();
 
  private:
-  // Reports a failed or successful attempt to the quarantine.
+  // Reports a failed or successful attempt to the quarantine. `sent` is when it
+  // began.
   void ReportToQuarantine(const AttemptReport& report,
-                          const TargetChoice& choice);
-  // Whether the answer shows that the parts of the prompt crash no target.
-  bool ArePartsSound(AttemptResult result) const;
-  void ReportLoss(const TargetChoice& choice, bool connection_closed);
+                          const TargetChoice& choice,
+                          Clock::time_point sent);
+  // Whether the caller got a whole answer.
+  bool IsAnswered(AttemptResult result) const;
+  void ReportLoss(const TargetChoice& choice,
+                  bool connection_closed,
+                  Clock::time_point sent);
   // Reserves the request's tokens. Returns false if there are too few.
   asio::awaitable<bool> Reserve();
   // Whether the caller has closed its connection, also if the event loop has
@@ -80,27 +84,29 @@
 };
 
 void CallRunner::ReportToQuarantine(const AttemptReport& report,
-                                    const TargetChoice& choice) {
-  if (ArePartsSound(report.result))
-    quarantine_.RecordSoundParts();
+                                    const TargetChoice& choice,
+                                    Clock::time_point sent) {
+  if (IsAnswered(report.result))
+    quarantine_.RecordAnsweredParts();
+  else if (relay_.order().passed() >= kEventsOfBegunAnswer)
+    quarantine_.RecordBegunParts();
   if (cancel_.cancelled())
     return;
   if (report.result == AttemptResult::kFailed ||
       report.result == AttemptResult::kStreamBroken)
-    ReportLoss(choice, report.connection_closed);
+    ReportLoss(choice, report.connection_closed, sent);
   else if (report.result == AttemptResult::kDone)
     quarantine_.RecordAnswer();
 }
 
-bool CallRunner::ArePartsSound(AttemptResult result) const {
-  if (relay_.order().passed() >= kEventsOfSoundParts)
-    return true;
+bool CallRunner::IsAnswered(AttemptResult result) const {
   const int status = status_ != 0 ? status_ : relay_.status();
   return result == AttemptResult::kDone && IsSuccess(status);
 }
 
 void CallRunner::ReportLoss(const TargetChoice& choice,
-                            bool connection_closed) {
+                            bool connection_closed,
+                            Clock::time_point sent) {
   LogEvent(kLog, Severity::kWarning, "response_lost",
            {{"request", resolved_.call->id},
             {"target", choice.name},
@@ -108,7 +114,7 @@
             {"events", relay_.order().passed()},
             {"parts", PartIdsText(PartIds(*resolved_.call))},
             {"reason", reason_.text}});
-  quarantine_.RecordLoss(choice, connection_closed);
+  quarantine_.RecordLoss(choice, connection_closed, sent);
 }
 
 asio::awaitable<bool> CallRunner::Reserve() {
@@ -163,6 +169,7 @@
     const TargetChoice& choice) {
   last_target_ = choice.name;
   tried_targets_.insert(choice.name);
+  const Clock::time_point sent = Clock::now();
   AttemptReport report;
   {
     TargetAttempt attempt(context_, resolved_, choice);
@@ -176,7 +183,7 @@
     failed_response_ = std::move(report.failed_response);
   if (report.status != 0)
     status_ = report.status;
-  ReportToQuarantine(report, choice);
+  ReportToQuarantine(report, choice, sent);
   co_return report.result;
 }
 
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -43,9 +43,9 @@
 // Prompt parts of one request that a log line names.
 inline constexpr std::size_t kMaxLoggedPromptParts = 8;
 
-// Events of a stream after which the parts of its prompt are known to be sound:
-// a part that crashes targets does so before the first.
-inline constexpr std::int64_t kEventsOfSoundParts = 3;
+// Events of a stream after which its answer counts as begun in the quarantine
+// of prompt parts.
+inline constexpr std::int64_t kEventsOfBegunAnswer = 3;
 // Interval at which a host sends its verdicts on requests and prompt parts to
 // other hosts, and the number of hosts that it sends them to.
 inline constexpr std::chrono::milliseconds kQuarantineResendInterval{1'000};
--- a/src/libs/gateway/pending_losses.h
+++ b/src/libs/gateway/pending_losses.h
@@ -23,13 +23,15 @@
 
 // A request that was in flight on a target when its response was lost.
 // `address` is that of the target, IP:PORT; empty if the target closed no
-// connection, for example after a timeout.
+// connection, for example after a timeout. `sent` is when the request was sent
+// to the target.
 struct TargetLoss {
   std::string digest;
   std::string target;
   std::string incarnation;
   std::string address;
   std::vector<PromptPartId> shared_parts;
+  std::chrono::steady_clock::time_point sent = {};
 
   // Each incarnation counts as a target of its own, so that a second crash of
   // a restarted target counts again.
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -32,6 +32,18 @@
            {{"parts", PartIdsText(parts)}});
 }
 
+std::vector<AnsweredPart> AnsweredNow(const std::vector<PromptPartId>& parts) {
+  std::vector<AnsweredPart> answered;
+  for (PromptPartId it : parts)
+    answered.push_back({it, std::chrono::milliseconds(0)});
+  return answered;
+}
+
+std::chrono::milliseconds AgeOf(Clock::time_point time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                               time);
+}
+
 }  // namespace
 
 RequestQuarantine::RequestQuarantine(asio::io_context& control,
@@ -141,23 +153,30 @@
 
 void RequestQuarantine::OnPartsAnswered(
     const std::vector<PromptPartId>& shared_parts) {
-  PromptPartNotice notice;
+  std::vector<PromptPartId> cleared;
   {
     std::lock_guard lock(mutex_);
-    notice.answered = parts_.OnAnswered(shared_parts, Clock::now());
-    if (notice.answered.empty())
+    cleared = parts_.OnAnswered(AnsweredNow(shared_parts), Clock::now());
+    if (cleared.empty())
       return;
     UpdateCounts();
   }
-  LogCleared(notice.answered);
-  asio::post(control_,
-             [this, parts = notice.answered] { WithdrawEverywhere(parts); });
+  LogCleared(cleared);
+  asio::post(control_, [this, parts = AnsweredNow(cleared)] {
+    WithdrawEverywhere(parts);
+  });
 }
 
-void RequestQuarantine::WithdrawEverywhere(std::vector<PromptPartId> parts) {
+void RequestQuarantine::OnPartsBegun(
+    const std::vector<PromptPartId>& shared_parts) {
+  std::lock_guard lock(mutex_);
+  parts_.OnAnswerBegun(shared_parts, Clock::now());
+}
+
+void RequestQuarantine::WithdrawEverywhere(std::vector<AnsweredPart> parts) {
   QuarantineVerdicts removed;
-  for (PromptPartId it : parts)
-    removed.parts.push_back({it, std::chrono::milliseconds(0)});
+  for (const AnsweredPart& it : parts)
+    removed.parts.push_back({it.part, std::chrono::milliseconds(0)});
   store_(removed);
   peers_.SendToAll(PromptPartNotice{{}, std::move(parts)});
 }
@@ -188,12 +207,12 @@
   {
     std::lock_guard lock(mutex_);
     for (const TargetLoss& loss : losses) {
-      LostRequest request{loss.digest, {}};
+      LostRequest request{loss.digest, loss.shared_parts, {}, AgeOf(loss.sent)};
       for (PromptPartId it : loss.shared_parts) {
-        if (parts_.IsSound(it, Clock::now()))
-          answered.insert(it);
-        else
-          request.shared_parts.push_back(it);
+        if (!parts_.HasWorked(it, Clock::now()))
+          continue;
+        request.working_parts.push_back(it);
+        answered.insert(it);
       }
       crash.requests.push_back(std::move(request));
     }
@@ -215,6 +234,10 @@
     std::lock_guard lock(mutex_);
     parts_.OnCrash(crash, Clock::now());
   }
+  StartEvaluation();
+}
+
+void RequestQuarantine::StartEvaluation() {
   if (!std::exchange(is_evaluating_, true))
     asio::co_spawn(control_, EvaluateCrashes(), asio::detached);
 }
@@ -292,26 +315,28 @@
     WithdrawEverywhere(notice.digest);
 }
 
-// A verdict on a part that this host knows to be sound is withdrawn at all
-// hosts.
+// A verdict on a part that this host can disprove is withdrawn at all hosts.
 void RequestQuarantine::HandleNotice(const PromptPartNotice& notice) {
   std::vector<PromptPartId> added;
   std::vector<PromptPartId> cleared;
-  std::vector<PromptPartId> objections;
+  std::vector<AnsweredPart> objections;
   {
     std::lock_guard lock(mutex_);
     const Clock::time_point now = Clock::now();
     cleared = parts_.OnAnswered(notice.answered, now);
     for (const QuarantinedPart& it : notice.quarantined) {
-      if (parts_.IsSound(it.part, now))
-        objections.push_back(it.part);
+      if (const auto age = parts_.Disproof(it.part, now))
+        objections.push_back({it.part, *age});
       else if (parts_.AddVerdict(it, now))
         added.push_back(it.part);
     }
     UpdateCounts();
   }
-  if (!cleared.empty())
+  if (!cleared.empty()) {
     LogCleared(cleared);
+    // Another part may explain the crashes that this one no longer does.
+    StartEvaluation();
+  }
   if (!added.empty())
     LogQuarantined(added);
   if (!objections.empty())
--- a/src/libs/gateway/request_quarantine.h
+++ b/src/libs/gateway/request_quarantine.h
@@ -48,8 +48,10 @@
   void OnLost(const TargetLoss& loss);
   // Called when a target has answered the request.
   void OnAnswered(const std::string& digest);
-  // Called when a target has answered a request with these shared parts.
+  // Called when a target has answered a request with these shared parts: whole,
+  // or only the first events.
   void OnPartsAnswered(const std::vector<PromptPartId>& shared_parts);
+  void OnPartsBegun(const std::vector<PromptPartId>& shared_parts);
   // Called with verdicts that other hosts have stored. Called on the control
   // thread.
   void OnStoredVerdicts(const QuarantineVerdicts& verdicts);
@@ -65,6 +67,8 @@
   void ReportCrash(const std::string& target,
                    const std::vector<TargetLoss>& losses);
   void RecordCrash(const TargetCrash& crash, bool is_own);
+  // Starts EvaluateCrashes() unless it runs.
+  void StartEvaluation();
   // Quarantines the parts that explain the crashes once all hosts have reported
   // them. Ends when no crash is new.
   boost::asio::awaitable<void> EvaluateCrashes();
@@ -82,7 +86,7 @@
   // Withdraws the quarantine of the request at all hosts and in the store.
   void WithdrawEverywhere(const std::string& digest);
   // Withdraws the quarantine of these parts at all hosts and in the store.
-  void WithdrawEverywhere(std::vector<PromptPartId> parts);
+  void WithdrawEverywhere(std::vector<AnsweredPart> parts);
   void RecordLoss(const std::string& digest,
                   const std::string& target,
                   bool is_own);
--- a/src/libs/peer/crash_wire.cc
+++ b/src/libs/peer/crash_wire.cc
@@ -11,6 +11,9 @@
     wire::LostRequest request;
     request.digest = it.digest;
     request.shared_parts.assign(it.shared_parts.begin(), it.shared_parts.end());
+    request.working_parts.assign(it.working_parts.begin(),
+                                 it.working_parts.end());
+    request.age_ms = it.age.count();
     result.requests.push_back(std::move(request));
   }
   return result;
@@ -24,7 +27,10 @@
     part.hold_ms = it.hold.count();
     result.quarantined.push_back(part);
   }
-  result.answered.assign(notice.answered.begin(), notice.answered.end());
+  for (const AnsweredPart& it : notice.answered) {
+    result.answered.push_back(static_cast<std::int64_t>(it.part));
+    result.answered_ages_ms.push_back(it.age.count());
+  }
   return result;
 }
 
@@ -33,8 +39,13 @@
     return std::nullopt;
   CrashNotice notice{{wire.target, {}}};
   for (const wire::LostRequest& it : wire.requests) {
+    if (it.age_ms < 0)
+      return std::nullopt;
     notice.crash.requests.push_back(
-        {it.digest, {it.shared_parts.begin(), it.shared_parts.end()}});
+        {it.digest,
+         {it.shared_parts.begin(), it.shared_parts.end()},
+         {it.working_parts.begin(), it.working_parts.end()},
+         std::chrono::milliseconds(it.age_ms)});
   }
   return notice;
 }
@@ -48,7 +59,14 @@
     notice.quarantined.push_back({static_cast<PromptPartId>(it.part),
                                   std::chrono::milliseconds(it.hold_ms)});
   }
-  notice.answered.assign(wire.answered.begin(), wire.answered.end());
+  const std::vector<std::int64_t>& ages = wire.answered_ages_ms;
+  for (std::size_t n = 0; n < wire.answered.size(); ++n) {
+    const std::int64_t age = n < ages.size() ? ages[n] : 0;
+    if (age < 0)
+      return std::nullopt;
+    notice.answered.push_back({static_cast<PromptPartId>(wire.answered[n]),
+                               std::chrono::milliseconds(age)});
+  }
   return notice;
 }
 
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1909,6 +1909,14 @@
 void LostRequest::__set_shared_parts(const std::vector<int64_t> & val) {
   this->shared_parts = val;
 }
+
+void LostRequest::__set_working_parts(const std::vector<int64_t> & val) {
+  this->working_parts = val;
+}
+
+void LostRequest::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const LostRequest& obj)
 {
   obj.printTo(out);
@@ -1965,6 +1973,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->working_parts.clear();
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->working_parts.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
+            {
+              xfer += iprot->readI64(this->working_parts[_i51]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.working_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1989,15 +2025,31 @@
   xfer += oprot->writeFieldBegin("shared_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->shared_parts.size()));
-    std::vector<int64_t> ::const_iterator _iter47;
-    for (_iter47 = this->shared_parts.begin(); _iter47 != this->shared_parts.end(); ++_iter47)
+    std::vector<int64_t> ::const_iterator _iter52;
+    for (_iter52 = this->shared_parts.begin(); _iter52 != this->shared_parts.end(); ++_iter52)
     {
-      xfer += oprot->writeI64((*_iter47));
+      xfer += oprot->writeI64((*_iter52));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("working_parts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->working_parts.size()));
+    std::vector<int64_t> ::const_iterator _iter53;
+    for (_iter53 = this->working_parts.begin(); _iter53 != this->working_parts.end(); ++_iter53)
+    {
+      xfer += oprot->writeI64((*_iter53));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2007,18 +2059,24 @@
   using ::std::swap;
   swap(a.digest, b.digest);
   swap(a.shared_parts, b.shared_parts);
+  swap(a.working_parts, b.working_parts);
+  swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
-LostRequest::LostRequest(const LostRequest& other48) {
-  digest = other48.digest;
-  shared_parts = other48.shared_parts;
-  __isset = other48.__isset;
+LostRequest::LostRequest(const LostRequest& other54) {
+  digest = other54.digest;
+  shared_parts = other54.shared_parts;
+  working_parts = other54.working_parts;
+  age_ms = other54.age_ms;
+  __isset = other54.__isset;
 }
-LostRequest& LostRequest::operator=(const LostRequest& other49) {
-  digest = other49.digest;
-  shared_parts = other49.shared_parts;
-  __isset = other49.__isset;
+LostRequest& LostRequest::operator=(const LostRequest& other55) {
+  digest = other55.digest;
+  shared_parts = other55.shared_parts;
+  working_parts = other55.working_parts;
+  age_ms = other55.age_ms;
+  __isset = other55.__isset;
   return *this;
 }
 void LostRequest::printTo(std::ostream& out) const {
@@ -2026,6 +2084,8 @@
   out << "LostRequest(";
   out << "digest=" << to_string(digest);
   out << ", " << "shared_parts=" << to_string(shared_parts);
+  out << ", " << "working_parts=" << to_string(working_parts);
+  out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
 
@@ -2081,14 +2141,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->requests.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->requests.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->requests[_i54].read(iprot);
+              xfer += this->requests[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2121,10 +2181,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<LostRequest> ::const_iterator _iter55;
-    for (_iter55 = this->requests.begin(); _iter55 != this->requests.end(); ++_iter55)
+    std::vector<LostRequest> ::const_iterator _iter61;
+    for (_iter61 = this->requests.begin(); _iter61 != this->requests.end(); ++_iter61)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2142,15 +2202,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNotice::CrashNotice(const CrashNotice& other56) {
-  target = other56.target;
-  requests = other56.requests;
-  __isset = other56.__isset;
+CrashNotice::CrashNotice(const CrashNotice& other62) {
+  target = other62.target;
+  requests = other62.requests;
+  __isset = other62.__isset;
 }
-CrashNotice& CrashNotice::operator=(const CrashNotice& other57) {
-  target = other57.target;
-  requests = other57.requests;
-  __isset = other57.__isset;
+CrashNotice& CrashNotice::operator=(const CrashNotice& other63) {
+  target = other63.target;
+  requests = other63.requests;
+  __isset = other63.__isset;
   return *this;
 }
 void CrashNotice::printTo(std::ostream& out) const {
@@ -2254,15 +2314,15 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantinedPart::QuarantinedPart(const QuarantinedPart& other58) noexcept {
-  part = other58.part;
-  hold_ms = other58.hold_ms;
-  __isset = other58.__isset;
+QuarantinedPart::QuarantinedPart(const QuarantinedPart& other64) noexcept {
+  part = other64.part;
+  hold_ms = other64.hold_ms;
+  __isset = other64.__isset;
 }
-QuarantinedPart& QuarantinedPart::operator=(const QuarantinedPart& other59) noexcept {
-  part = other59.part;
-  hold_ms = other59.hold_ms;
-  __isset = other59.__isset;
+QuarantinedPart& QuarantinedPart::operator=(const QuarantinedPart& other65) noexcept {
+  part = other65.part;
+  hold_ms = other65.hold_ms;
+  __isset = other65.__isset;
   return *this;
 }
 void QuarantinedPart::printTo(std::ostream& out) const {
@@ -2285,6 +2345,10 @@
 void PromptPartNotice::__set_answered(const std::vector<int64_t> & val) {
   this->answered = val;
 }
+
+void PromptPartNotice::__set_answered_ages_ms(const std::vector<int64_t> & val) {
+  this->answered_ages_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const PromptPartNotice& obj)
 {
   obj.printTo(out);
@@ -2317,14 +2381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->quarantined.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->quarantined.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->quarantined[_i64].read(iprot);
+              xfer += this->quarantined[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2337,14 +2401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->answered.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->answered.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += iprot->readI64(this->answered[_i69]);
+              xfer += iprot->readI64(this->answered[_i75]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2353,6 +2417,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered_ages_ms.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->answered_ages_ms.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += iprot->readI64(this->answered_ages_ms[_i80]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered_ages_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2373,10 +2457,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<QuarantinedPart> ::const_iterator _iter70;
-    for (_iter70 = this->quarantined.begin(); _iter70 != this->quarantined.end(); ++_iter70)
+    std::vector<QuarantinedPart> ::const_iterator _iter81;
+    for (_iter81 = this->quarantined.begin(); _iter81 != this->quarantined.end(); ++_iter81)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2385,10 +2469,22 @@
   xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered.size()));
-    std::vector<int64_t> ::const_iterator _iter71;
-    for (_iter71 = this->answered.begin(); _iter71 != this->answered.end(); ++_iter71)
+    std::vector<int64_t> ::const_iterator _iter82;
+    for (_iter82 = this->answered.begin(); _iter82 != this->answered.end(); ++_iter82)
+    {
+      xfer += oprot->writeI64((*_iter82));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered_ages_ms", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered_ages_ms.size()));
+    std::vector<int64_t> ::const_iterator _iter83;
+    for (_iter83 = this->answered_ages_ms.begin(); _iter83 != this->answered_ages_ms.end(); ++_iter83)
     {
-      xfer += oprot->writeI64((*_iter71));
+      xfer += oprot->writeI64((*_iter83));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2403,18 +2499,21 @@
   using ::std::swap;
   swap(a.quarantined, b.quarantined);
   swap(a.answered, b.answered);
+  swap(a.answered_ages_ms, b.answered_ages_ms);
   swap(a.__isset, b.__isset);
 }
 
-PromptPartNotice::PromptPartNotice(const PromptPartNotice& other72) {
-  quarantined = other72.quarantined;
-  answered = other72.answered;
-  __isset = other72.__isset;
+PromptPartNotice::PromptPartNotice(const PromptPartNotice& other84) {
+  quarantined = other84.quarantined;
+  answered = other84.answered;
+  answered_ages_ms = other84.answered_ages_ms;
+  __isset = other84.__isset;
 }
-PromptPartNotice& PromptPartNotice::operator=(const PromptPartNotice& other73) {
-  quarantined = other73.quarantined;
-  answered = other73.answered;
-  __isset = other73.__isset;
+PromptPartNotice& PromptPartNotice::operator=(const PromptPartNotice& other85) {
+  quarantined = other85.quarantined;
+  answered = other85.answered;
+  answered_ages_ms = other85.answered_ages_ms;
+  __isset = other85.__isset;
   return *this;
 }
 void PromptPartNotice::printTo(std::ostream& out) const {
@@ -2422,6 +2521,7 @@
   out << "PromptPartNotice(";
   out << "quarantined=" << to_string(quarantined);
   out << ", " << "answered=" << to_string(answered);
+  out << ", " << "answered_ages_ms=" << to_string(answered_ages_ms);
   out << ")";
 }
 
@@ -2518,15 +2618,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceDemand::ServiceDemand(const ServiceDemand& other74) {
-  name = other74.name;
-  rate = other74.rate;
-  __isset = other74.__isset;
+ServiceDemand::ServiceDemand(const ServiceDemand& other86) {
+  name = other86.name;
+  rate = other86.rate;
+  __isset = other86.__isset;
 }
-ServiceDemand& ServiceDemand::operator=(const ServiceDemand& other75) {
-  name = other75.name;
-  rate = other75.rate;
-  __isset = other75.__isset;
+ServiceDemand& ServiceDemand::operator=(const ServiceDemand& other87) {
+  name = other87.name;
+  rate = other87.rate;
+  __isset = other87.__isset;
   return *this;
 }
 void ServiceDemand::printTo(std::ostream& out) const {
@@ -2664,19 +2764,19 @@
   swap(a.__isset, b.__isset);
 }
 
-NamedRateLimit::NamedRateLimit(const NamedRateLimit& other76) {
-  target = other76.target;
-  incarnation = other76.incarnation;
-  limit = other76.limit;
-  age_ms = other76.age_ms;
-  __isset = other76.__isset;
+NamedRateLimit::NamedRateLimit(const NamedRateLimit& other88) {
+  target = other88.target;
+  incarnation = other88.incarnation;
+  limit = other88.limit;
+  age_ms = other88.age_ms;
+  __isset = other88.__isset;
 }
-NamedRateLimit& NamedRateLimit::operator=(const NamedRateLimit& other77) {
-  target = other77.target;
-  incarnation = other77.incarnation;
-  limit = other77.limit;
-  age_ms = other77.age_ms;
-  __isset = other77.__isset;
+NamedRateLimit& NamedRateLimit::operator=(const NamedRateLimit& other89) {
+  target = other89.target;
+  incarnation = other89.incarnation;
+  limit = other89.limit;
+  age_ms = other89.age_ms;
+  __isset = other89.__isset;
   return *this;
 }
 void NamedRateLimit::printTo(std::ostream& out) const {
@@ -2745,14 +2845,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->demands.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->demands.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->demands[_i82].read(iprot);
+              xfer += this->demands[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2765,14 +2865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->limits.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->limits.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->limits[_i87].read(iprot);
+              xfer += this->limits[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2805,10 +2905,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<ServiceDemand> ::const_iterator _iter88;
-    for (_iter88 = this->demands.begin(); _iter88 != this->demands.end(); ++_iter88)
+    std::vector<ServiceDemand> ::const_iterator _iter100;
+    for (_iter100 = this->demands.begin(); _iter100 != this->demands.end(); ++_iter100)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2817,10 +2917,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<NamedRateLimit> ::const_iterator _iter89;
-    for (_iter89 = this->limits.begin(); _iter89 != this->limits.end(); ++_iter89)
+    std::vector<NamedRateLimit> ::const_iterator _iter101;
+    for (_iter101 = this->limits.begin(); _iter101 != this->limits.end(); ++_iter101)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2839,17 +2939,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RateLimitNotice::RateLimitNotice(const RateLimitNotice& other90) {
-  peer = other90.peer;
-  demands = other90.demands;
-  limits = other90.limits;
-  __isset = other90.__isset;
+RateLimitNotice::RateLimitNotice(const RateLimitNotice& other102) {
+  peer = other102.peer;
+  demands = other102.demands;
+  limits = other102.limits;
+  __isset = other102.__isset;
 }
-RateLimitNotice& RateLimitNotice::operator=(const RateLimitNotice& other91) {
-  peer = other91.peer;
-  demands = other91.demands;
-  limits = other91.limits;
-  __isset = other91.__isset;
+RateLimitNotice& RateLimitNotice::operator=(const RateLimitNotice& other103) {
+  peer = other103.peer;
+  demands = other103.demands;
+  limits = other103.limits;
+  __isset = other103.__isset;
   return *this;
 }
 void RateLimitNotice::printTo(std::ostream& out) const {
@@ -3090,31 +3190,31 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreNews::StoreNews(const StoreNews& other92) {
-  host = other92.host;
-  sent_ms = other92.sent_ms;
-  age_ms = other92.age_ms;
-  config = other92.config;
-  quarantine = other92.quarantine;
-  targets = other92.targets;
-  targets_changed = other92.targets_changed;
-  changes_from = other92.changes_from;
-  changes = other92.changes;
-  outage = other92.outage;
-  __isset = other92.__isset;
-}
-StoreNews& StoreNews::operator=(const StoreNews& other93) {
-  host = other93.host;
-  sent_ms = other93.sent_ms;
-  age_ms = other93.age_ms;
-  config = other93.config;
-  quarantine = other93.quarantine;
-  targets = other93.targets;
-  targets_changed = other93.targets_changed;
-  changes_from = other93.changes_from;
-  changes = other93.changes;
-  outage = other93.outage;
-  __isset = other93.__isset;
+StoreNews::StoreNews(const StoreNews& other104) {
+  host = other104.host;
+  sent_ms = other104.sent_ms;
+  age_ms = other104.age_ms;
+  config = other104.config;
+  quarantine = other104.quarantine;
+  targets = other104.targets;
+  targets_changed = other104.targets_changed;
+  changes_from = other104.changes_from;
+  changes = other104.changes;
+  outage = other104.outage;
+  __isset = other104.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other105) {
+  host = other105.host;
+  sent_ms = other105.sent_ms;
+  age_ms = other105.age_ms;
+  config = other105.config;
+  quarantine = other105.quarantine;
+  targets = other105.targets;
+  targets_changed = other105.targets_changed;
+  changes_from = other105.changes_from;
+  changes = other105.changes;
+  outage = other105.outage;
+  __isset = other105.__isset;
   return *this;
 }
 void StoreNews::printTo(std::ostream& out) const {
@@ -3260,19 +3360,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListAsk::HostListAsk(const HostListAsk& other94) {
-  digest = other94.digest;
-  part_of = other94.part_of;
-  offset = other94.offset;
-  peer = other94.peer;
-  __isset = other94.__isset;
+HostListAsk::HostListAsk(const HostListAsk& other106) {
+  digest = other106.digest;
+  part_of = other106.part_of;
+  offset = other106.offset;
+  peer = other106.peer;
+  __isset = other106.__isset;
 }
-HostListAsk& HostListAsk::operator=(const HostListAsk& other95) {
-  digest = other95.digest;
-  part_of = other95.part_of;
-  offset = other95.offset;
-  peer = other95.peer;
-  __isset = other95.__isset;
+HostListAsk& HostListAsk::operator=(const HostListAsk& other107) {
+  digest = other107.digest;
+  part_of = other107.part_of;
+  offset = other107.offset;
+  peer = other107.peer;
+  __isset = other107.__isset;
   return *this;
 }
 void HostListAsk::printTo(std::ostream& out) const {
@@ -3480,27 +3580,27 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListPart::HostListPart(const HostListPart& other96) {
-  version = other96.version;
-  age_ms = other96.age_ms;
-  base = other96.base;
-  digest = other96.digest;
-  offset = other96.offset;
-  total = other96.total;
-  text = other96.text;
-  peer = other96.peer;
-  __isset = other96.__isset;
-}
-HostListPart& HostListPart::operator=(const HostListPart& other97) {
-  version = other97.version;
-  age_ms = other97.age_ms;
-  base = other97.base;
-  digest = other97.digest;
-  offset = other97.offset;
-  total = other97.total;
-  text = other97.text;
-  peer = other97.peer;
-  __isset = other97.__isset;
+HostListPart::HostListPart(const HostListPart& other108) {
+  version = other108.version;
+  age_ms = other108.age_ms;
+  base = other108.base;
+  digest = other108.digest;
+  offset = other108.offset;
+  total = other108.total;
+  text = other108.text;
+  peer = other108.peer;
+  __isset = other108.__isset;
+}
+HostListPart& HostListPart::operator=(const HostListPart& other109) {
+  version = other109.version;
+  age_ms = other109.age_ms;
+  base = other109.base;
+  digest = other109.digest;
+  offset = other109.offset;
+  total = other109.total;
+  text = other109.text;
+  peer = other109.peer;
+  __isset = other109.__isset;
   return *this;
 }
 void HostListPart::printTo(std::ostream& out) const {
@@ -3678,23 +3778,23 @@
   swap(a.__isset, b.__isset);
 }
 
-HostIntroduction::HostIntroduction(const HostIntroduction& other98) {
-  holder = other98.holder;
-  boot_id = other98.boot_id;
-  boot_ms = other98.boot_ms;
-  address = other98.address;
-  domain = other98.domain;
-  link_mbps = other98.link_mbps;
-  __isset = other98.__isset;
-}
-HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other99) {
-  holder = other99.holder;
-  boot_id = other99.boot_id;
-  boot_ms = other99.boot_ms;
-  address = other99.address;
-  domain = other99.domain;
-  link_mbps = other99.link_mbps;
-  __isset = other99.__isset;
+HostIntroduction::HostIntroduction(const HostIntroduction& other110) {
+  holder = other110.holder;
+  boot_id = other110.boot_id;
+  boot_ms = other110.boot_ms;
+  address = other110.address;
+  domain = other110.domain;
+  link_mbps = other110.link_mbps;
+  __isset = other110.__isset;
+}
+HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other111) {
+  holder = other111.holder;
+  boot_id = other111.boot_id;
+  boot_ms = other111.boot_ms;
+  address = other111.address;
+  domain = other111.domain;
+  link_mbps = other111.link_mbps;
+  __isset = other111.__isset;
   return *this;
 }
 void HostIntroduction::printTo(std::ostream& out) const {
@@ -4089,45 +4189,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other100) {
-  version = other100.version;
-  hello = other100.hello;
-  proof = other100.proof;
-  membership = other100.membership;
-  config_notice = other100.config_notice;
-  config_request = other100.config_request;
-  config_part = other100.config_part;
-  budget_ask = other100.budget_ask;
-  budget_answer = other100.budget_answer;
-  quarantine_notice = other100.quarantine_notice;
-  host_list_ask = other100.host_list_ask;
-  host_list_part = other100.host_list_part;
-  crash_notice = other100.crash_notice;
-  prompt_part_notice = other100.prompt_part_notice;
-  rate_limit_notice = other100.rate_limit_notice;
-  store_news = other100.store_news;
-  host_introduction = other100.host_introduction;
-  __isset = other100.__isset;
-}
-Frame& Frame::operator=(const Frame& other101) {
-  version = other101.version;
-  hello = other101.hello;
-  proof = other101.proof;
-  membership = other101.membership;
-  config_notice = other101.config_notice;
-  config_request = other101.config_request;
-  config_part = other101.config_part;
-  budget_ask = other101.budget_ask;
-  budget_answer = other101.budget_answer;
-  quarantine_notice = other101.quarantine_notice;
-  host_list_ask = other101.host_list_ask;
-  host_list_part = other101.host_list_part;
-  crash_notice = other101.crash_notice;
-  prompt_part_notice = other101.prompt_part_notice;
-  rate_limit_notice = other101.rate_limit_notice;
-  store_news = other101.store_news;
-  host_introduction = other101.host_introduction;
-  __isset = other101.__isset;
+Frame::Frame(const Frame& other112) {
+  version = other112.version;
+  hello = other112.hello;
+  proof = other112.proof;
+  membership = other112.membership;
+  config_notice = other112.config_notice;
+  config_request = other112.config_request;
+  config_part = other112.config_part;
+  budget_ask = other112.budget_ask;
+  budget_answer = other112.budget_answer;
+  quarantine_notice = other112.quarantine_notice;
+  host_list_ask = other112.host_list_ask;
+  host_list_part = other112.host_list_part;
+  crash_notice = other112.crash_notice;
+  prompt_part_notice = other112.prompt_part_notice;
+  rate_limit_notice = other112.rate_limit_notice;
+  store_news = other112.store_news;
+  host_introduction = other112.host_introduction;
+  __isset = other112.__isset;
+}
+Frame& Frame::operator=(const Frame& other113) {
+  version = other113.version;
+  hello = other113.hello;
+  proof = other113.proof;
+  membership = other113.membership;
+  config_notice = other113.config_notice;
+  config_request = other113.config_request;
+  config_part = other113.config_part;
+  budget_ask = other113.budget_ask;
+  budget_answer = other113.budget_answer;
+  quarantine_notice = other113.quarantine_notice;
+  host_list_ask = other113.host_list_ask;
+  host_list_part = other113.host_list_part;
+  crash_notice = other113.crash_notice;
+  prompt_part_notice = other113.prompt_part_notice;
+  rate_limit_notice = other113.rate_limit_notice;
+  store_news = other113.store_news;
+  host_introduction = other113.host_introduction;
+  __isset = other113.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -834,9 +834,11 @@
 std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj);
 
 typedef struct _LostRequest__isset {
-  _LostRequest__isset() : digest(false), shared_parts(false) {}
+  _LostRequest__isset() : digest(false), shared_parts(false), working_parts(false), age_ms(false) {}
   bool digest :1;
   bool shared_parts :1;
+  bool working_parts :1;
+  bool age_ms :1;
 } _LostRequest__isset;
 
 class LostRequest : public virtual ::apache::thrift::TBase {
@@ -845,12 +847,15 @@
   LostRequest(const LostRequest&);
   LostRequest& operator=(const LostRequest&);
   LostRequest() noexcept
-              : digest() {
+              : digest(),
+                age_ms(0) {
   }
 
   virtual ~LostRequest() noexcept;
   std::string digest;
   std::vector<int64_t>  shared_parts;
+  std::vector<int64_t>  working_parts;
+  int64_t age_ms;
 
   _LostRequest__isset __isset;
 
@@ -858,12 +863,20 @@
 
   void __set_shared_parts(const std::vector<int64_t> & val);
 
+  void __set_working_parts(const std::vector<int64_t> & val);
+
+  void __set_age_ms(const int64_t val);
+
   bool operator == (const LostRequest & rhs) const
   {
     if (!(digest == rhs.digest))
       return false;
     if (!(shared_parts == rhs.shared_parts))
       return false;
+    if (!(working_parts == rhs.working_parts))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
     return true;
   }
   bool operator != (const LostRequest &rhs) const {
@@ -982,9 +995,10 @@
 std::ostream& operator<<(std::ostream& out, const QuarantinedPart& obj);
 
 typedef struct _PromptPartNotice__isset {
-  _PromptPartNotice__isset() : quarantined(false), answered(false) {}
+  _PromptPartNotice__isset() : quarantined(false), answered(false), answered_ages_ms(false) {}
   bool quarantined :1;
   bool answered :1;
+  bool answered_ages_ms :1;
 } _PromptPartNotice__isset;
 
 class PromptPartNotice : public virtual ::apache::thrift::TBase {
@@ -998,6 +1012,7 @@
   virtual ~PromptPartNotice() noexcept;
   std::vector<QuarantinedPart>  quarantined;
   std::vector<int64_t>  answered;
+  std::vector<int64_t>  answered_ages_ms;
 
   _PromptPartNotice__isset __isset;
 
@@ -1005,12 +1020,16 @@
 
   void __set_answered(const std::vector<int64_t> & val);
 
+  void __set_answered_ages_ms(const std::vector<int64_t> & val);
+
   bool operator == (const PromptPartNotice & rhs) const
   {
     if (!(quarantined == rhs.quarantined))
       return false;
     if (!(answered == rhs.answered))
       return false;
+    if (!(answered_ages_ms == rhs.answered_ages_ms))
+      return false;
     return true;
   }
   bool operator != (const PromptPartNotice &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -107,10 +107,14 @@
 }
 
 // A request that was lost in a crash. `shared_parts` are ids of prompt parts,
-// unsigned numbers in the bits of an i64.
+// unsigned numbers in the bits of an i64. For `working_parts`, some of them, the
+// sender has seen answers begin. The request was sent to the target `age_ms`
+// before this frame.
 struct LostRequest {
   1: string digest
   2: list<i64> shared_parts
+  3: list<i64> working_parts
+  4: i64 age_ms
 }
 
 // The target, name and incarnation, crashed while these requests were in
@@ -126,10 +130,12 @@
 }
 
 // `quarantined` crash the targets that answer requests with them. Requests with
-// `answered` were answered, so that these parts are sound.
+// `answered` were answered whole; `answered_ages_ms`, in the same order, are the
+// times since then, 0 if the list is shorter.
 struct PromptPartNotice {
   1: list<QuarantinedPart> quarantined
   2: list<i64> answered
+  3: list<i64> answered_ages_ms
 }
 
 // Requests per second that callers send to a service at the sender.
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -69,10 +69,10 @@
 };
 
 // `quarantined` crash the targets that answer requests with them. Requests with
-// `answered` got their whole answers, so that these parts are sound.
+// `answered` got their whole answers.
 struct PromptPartNotice {
   std::vector<QuarantinedPart> quarantined;
-  std::vector<PromptPartId> answered;
+  std::vector<AnsweredPart> answered;
 };
 
 // The target takes `limit` requests per second from all hosts together; without
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -147,6 +147,25 @@
   LONGS_EQUAL(200, StatusOfPrompt("a1:9,b2:9"));
 }
 
+// The first events of an answer do not show that its prompt is sound.
+TEST(GatewayCall, APromptPartThatCrashesTargetsLateReachesNoMoreTargets) {
+  constexpr int kCrashes = 5;
+  const std::string deadly = std::string("a1:9,b2:9,") + kLateDeadlyPart + ":9";
+  for (int n = 0; n < kCrashes; ++n) {
+    StatusOfPrompt(deadly);
+    ListCrash();
+  }
+  // Runs until the crashes are evaluated.
+  while (context.quarantine.quarantined_parts() == 0 &&
+         context.control.run_one() > 0) {
+  }
+  const std::size_t before = ReceivedRequests();
+  LONGS_EQUAL(503, StatusOfPrompt(deadly));
+  LONGS_EQUAL(before, ReceivedRequests());
+  script = {TargetBehavior::kStream};
+  LONGS_EQUAL(200, StatusOfPrompt("a1:9,b2:9"));
+}
+
 TEST(GatewayCall, AResponseToAnotherRequestIsNotRelayed) {
   script = {TargetBehavior::kOtherAttemptId};
   HttpRequest request = Request("/again/1");
--- a/tests/adapter/scripted_target.h
+++ b/tests/adapter/scripted_target.h
@@ -27,14 +27,19 @@
   kStream,
   // Sends two events and half of a third, then closes the connection.
   kCutStream,
+  // Sends kEventsBeforeCrash events, then closes the connection.
+  kCrashInStream,
 };
 
 // Requests per second that a scripted target with a limit names. So few that a
 // test never lasts until the next one.
 inline constexpr char kNamedRateLimit[] = "0.0001";
 
-// Id of a prompt part on which a scripted target crashes.
+// Ids of prompt parts on which a scripted target crashes: before its answer,
+// and after kEventsBeforeCrash events of a stream.
 inline constexpr char kDeadlyPart[] = "dead";
+inline constexpr char kLateDeadlyPart[] = "1a7e";
+inline constexpr int kEventsBeforeCrash = 4;
 
 inline std::string EventText(int id) {
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
@@ -74,6 +79,9 @@
     if (request.headers.Get("Turmericwinch-Prefix-Hash").find(kDeadlyPart) !=
         std::string_view::npos)
       behavior = TargetBehavior::kClose;
+    if (request.headers.Get("Turmericwinch-Prefix-Hash")
+            .find(kLateDeadlyPart) != std::string_view::npos)
+      behavior = TargetBehavior::kCrashInStream;
     HttpResponse response;
     if (behavior != TargetBehavior::kNotRunWithoutId) {
       response.headers.Add(
@@ -106,6 +114,12 @@
         response.status = 503;
         response.headers.Add("Turmericwinch-Not-Executed", "1");
         break;
+      case TargetBehavior::kCrashInStream:
+        exchange.StartStream(200, response.headers);
+        for (int n = 1; n <= kEventsBeforeCrash; ++n)
+          co_await exchange.Write(EventText(n));
+        exchange.Abort();
+        co_return;
       case TargetBehavior::kOtherTarget:
         response.status = 421;
         break;
--- a/tests/delivery/answered_parts_test.cc
+++ b/tests/delivery/answered_parts_test.cc
@@ -13,12 +13,18 @@
 
 TEST(AnsweredParts, AnAnswerCountsForATime) {
   parts.Add(1, now);
-  CHECK(parts.Contains(1, now));
-  CHECK(!parts.Contains(2, now));
+  CHECK(parts.LastAnswer(1, now) == now);
+  CHECK(!parts.LastAnswer(2, now));
   now += kAnsweredPartHold;
-  CHECK(!parts.Contains(1, now));
+  CHECK(!parts.LastAnswer(1, now));
   parts.Add(1, now);
-  CHECK(parts.Contains(1, now));
+  CHECK(parts.LastAnswer(1, now) == now);
+}
+
+TEST(AnsweredParts, AnOlderAnswerThatIsReportedLaterDoesNotReplaceANewerOne) {
+  parts.Add(1, now);
+  parts.Add(1, now - std::chrono::seconds(1));
+  CHECK(parts.LastAnswer(1, now) == now);
 }
 
 TEST(AnsweredParts, ThePartThatWasAnsweredLeastRecentlyIsForgotten) {
@@ -27,8 +33,8 @@
   parts.Add(0, now);
   parts.Add(kMaxAnsweredParts, now);
   LONGS_EQUAL(kMaxAnsweredParts, parts.size());
-  CHECK(parts.Contains(0, now));
-  CHECK(!parts.Contains(1, now));
+  CHECK(parts.LastAnswer(0, now).has_value());
+  CHECK(!parts.LastAnswer(1, now).has_value());
 }
 
 }  // namespace turmericwinch
--- a/tests/delivery/crash_causes_test.cc
+++ b/tests/delivery/crash_causes_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+
 #include "libs/delivery/delivery_constants.h"
 
 namespace turmericwinch {
@@ -14,27 +16,60 @@
 constexpr PromptPartId kOther = 4;
 
 using Parts = std::vector<PromptPartId>;
+using Time = std::chrono::steady_clock::time_point;
+
+// Time between crashes with requests that were sent one after the other, and
+// the time that such a request spent at its target.
+constexpr std::chrono::milliseconds kInterval{500};
+constexpr std::chrono::milliseconds kTimeAtTarget{40};
 
 }  // namespace
 
 TEST_GROUP(CrashCauses) {
-  std::vector<TargetCrash> crashes;
+  Time now{std::chrono::hours(1)};
+  std::vector<RecordedCrash> crashes;
   std::set<PromptPartId> known;
-  std::set<PromptPartId> sound;
+  // Times of the last whole answers, and parts whose answers began.
+  std::map<PromptPartId, Time> answered;
+  std::set<PromptPartId> begun;
   int requests = 0;
 
-  // Adds the crash of a new target with one request for each list of parts.
+  // Adds the crash of a new target with one request for each list of parts. The
+  // requests were sent a moment before it.
   void Crash(const std::vector<Parts>& lost) {
-    TargetCrash crash{"t" + std::to_string(crashes.size()), {}};
-    for (const Parts& it : lost)
-      crash.requests.push_back({"d" + std::to_string(++requests), it});
+    now += kInterval;
+    AddCrash(lost, now - kTimeAtTarget);
+  }
+
+  // Adds crashes at the same time, as after a loss of power: all their requests
+  // were sent before the first of them.
+  void CrashAtOnce(const std::vector<Parts>& lost, int count) {
+    now += kInterval;
+    const Time sent = now - kTimeAtTarget;
+    for (int n = 0; n < count; ++n) {
+      now += kTimeAtTarget;
+      AddCrash(lost, sent);
+    }
+  }
+
+  void AddCrash(const std::vector<Parts>& lost, Time sent) {
+    RecordedCrash crash{"t" + std::to_string(crashes.size()), now, {}};
+    for (const Parts& it : lost) {
+      crash.losses.push_back({{"d" + std::to_string(++requests), it}, sent});
+    }
     crashes.push_back(crash);
   }
 
+  PartAnswers Answers() {
+    return {[this](PromptPartId part) {
+              auto it = answered.find(part);
+              return it == answered.end() ? std::optional<Time>() : it->second;
+            },
+            [this](PromptPartId part) { return begun.contains(part); }};
+  }
+
   Parts Causes() {
-    return FindCrashCauses(crashes, known, [this](PromptPartId part) {
-      return sound.contains(part);
-    });
+    return FindCrashCauses(crashes, known, Answers());
   }
 };
 
@@ -46,11 +81,70 @@
   CHECK(Causes() == Parts({kDeadly}));
 }
 
-TEST(CrashCauses, AnsweredPartsAreNotBlamed) {
-  sound = {kRoot, kDeadly};
+TEST(CrashCauses, PartsAnsweredAfterTheCrashesAreNotBlamed) {
   for (int n = 0; n < 5; ++n)
     Crash({{kRoot, kDeadly}});
+  answered = {{kRoot, now}, {kDeadly, now}};
+  CHECK(Causes().empty());
+}
+
+TEST(CrashCauses, PartsAnsweredBetweenTheCrashesAreNotBlamed) {
+  for (int n = 0; n < 3; ++n) {
+    Crash({{kRoot, kDeadly}});
+    answered[kRoot] = answered[kDeadly] = now + kTimeAtTarget;
+    CHECK(Causes().empty());
+  }
+}
+
+// A part that targets have answered may begin to crash them.
+TEST(CrashCauses, AnAnswerBeforeTheCrashesDoesNotClearAPart) {
+  answered = {{kRoot, now}, {kDeadly, now}};
+  Crash({{kRoot, kDeadly}});
+  Crash({{kRoot, kDeadly}});
   CHECK(Causes().empty());
+  Crash({{kRoot, kDeadly}});
+  CHECK(Causes() == Parts({kDeadly}));
+}
+
+// A part may crash a target after some events of the answer.
+TEST(CrashCauses, AnAnswerThatBeganDoesNotClearAPart) {
+  begun = {kRoot, kDeadly};
+  for (int n = 0; n < 3; ++n)
+    Crash({{kRoot, kDeadly}});
+  CHECK(Causes() == Parts({kDeadly}));
+}
+
+// A loss of power ends many targets that are answering the same sound parts.
+TEST(CrashCauses, PartsWithAnswersAreNotBlamedForCrashesAtTheSameTime) {
+  answered = {{kRoot, now}};
+  begun = {kTeam};
+  CrashAtOnce({{kRoot, kTeam}, {kRoot, kTeam}}, 9);
+  CHECK(Causes().empty());
+}
+
+TEST(CrashCauses, TheReportingHostMayHaveSeenTheAnswerBegin) {
+  CrashAtOnce({{kTeam}, {kTeam}}, 5);
+  for (RecordedCrash& crash : crashes) {
+    for (RecordedLoss& it : crash.losses)
+      it.request.working_parts = {kTeam};
+  }
+  CHECK(Causes().empty());
+}
+
+TEST(CrashCauses, APartWithoutAnswersIsBlamedForCrashesAtTheSameTime) {
+  answered = {{kRoot, now}};
+  CrashAtOnce({{kRoot, kDeadly}}, 3);
+  CHECK(Causes() == Parts({kDeadly}));
+}
+
+// Requests with the sound part are lost in more crashes than those with the
+// deadly one, and this host saw its last answer before all of them.
+TEST(CrashCauses, APartWithoutAnswersIsBlamedBeforeOneThatWasAnswered) {
+  answered = {{kRoot, now}};
+  Crash({{kRoot}});
+  for (int n = 0; n < 3; ++n)
+    Crash({{kRoot, kDeadly}});
+  CHECK(Causes() == Parts({kDeadly}));
 }
 
 // Sound requests of the same team wait at the targets that crash.
@@ -67,11 +161,11 @@
 }
 
 TEST(CrashCauses, TwoDeadlyPartsAreBothBlamed) {
-  sound = {kRoot, kTeam};
   for (int n = 0; n < 3; ++n) {
     Crash({{kRoot, kTeam, kDeadly}});
     Crash({{kRoot, kOther}});
   }
+  answered = {{kRoot, now}, {kTeam, now}};
   const Parts causes = Causes();
   LONGS_EQUAL(2, causes.size());
   CHECK(std::set<PromptPartId>(causes.begin(), causes.end()) ==
@@ -81,8 +175,10 @@
 // A request that is retried at several crashing targets says nothing about
 // others with the same part.
 TEST(CrashCauses, RetriesOfOneRequestCountOnce) {
-  for (int n = 0; n < 5; ++n)
-    crashes.push_back({"t" + std::to_string(n), {{"same", {kDeadly}}}});
+  for (int n = 0; n < 5; ++n) {
+    crashes.push_back(
+        {"t" + std::to_string(n), now, {{{"same", {kDeadly}}, now}}});
+  }
   CHECK(Causes().empty());
 }
 
--- a/tests/delivery/prompt_part_quarantine_test.cc
+++ b/tests/delivery/prompt_part_quarantine_test.cc
@@ -24,7 +24,8 @@
   std::vector<PromptPartId> Crash() {
     now += kStep;
     const std::string n = std::to_string(++crashes);
-    quarantine.OnCrash({"t" + n, {{"d" + n, {kTeam, kDeadly}}}}, now);
+    quarantine.OnCrash(
+        {"t" + n, {{"d" + n, {kTeam, kDeadly}, {}, milliseconds(1)}}}, now);
     now += kStep;
     return quarantine.QuarantineCauses(now);
   }
@@ -69,13 +70,63 @@
 TEST(PromptPartQuarantine, AnAnswerEndsTheQuarantine) {
   while (Crash().empty()) {
   }
-  CHECK(quarantine.OnAnswered({kTeam, kDeadly}, now) ==
+  CHECK(quarantine.OnAnswered({{kTeam}, {kDeadly}}, now) ==
         std::vector<PromptPartId>({kDeadly}));
   CHECK(!IsRefused({kDeadly}));
   CHECK(!quarantine.AddVerdict({kDeadly, kFirstPartHold}, now));
   CHECK(!IsRefused({kDeadly}));
 }
 
+// A part may be sound for a time and then crash targets.
+TEST(PromptPartQuarantine,
+     APartThatWasAnsweredBeforeIsRefusedAfterThreeCrashes) {
+  quarantine.OnAnswered({{kTeam}, {kDeadly}}, now);
+  Crash();
+  Crash();
+  CHECK(!IsRefused({kDeadly}));
+  CHECK(Crash() == std::vector<PromptPartId>({kDeadly}));
+  CHECK(IsRefused({kDeadly}));
+  CHECK(!IsRefused({kTeam}));
+}
+
+// Each request with the part gets the first events of an answer.
+TEST(PromptPartQuarantine, APartWhoseAnswersBeginIsRefusedAfterThreeCrashes) {
+  for (int n = 0; n < 3; ++n) {
+    CHECK(!IsRefused({kDeadly}));
+    quarantine.OnAnswerBegun({kTeam, kDeadly}, now);
+    Crash();
+  }
+  CHECK(IsRefused({kDeadly}));
+}
+
+TEST(PromptPartQuarantine,
+     AnAnswerOfAnotherHostBeforeTheCrashesChangesNothing) {
+  const auto start = now;
+  while (Crash().empty()) {
+  }
+  const auto age = std::chrono::duration_cast<milliseconds>(now - start);
+  CHECK(quarantine.OnAnswered({{kDeadly, age}}, now).empty());
+  CHECK(IsRefused({kDeadly}));
+}
+
+TEST(PromptPartQuarantine, AHostDisprovesAVerdictByAnAnswerAfterTheCrashes) {
+  CHECK(!quarantine.Disproof(kDeadly, now).has_value());
+  Crash();
+  quarantine.OnAnswered({{kTeam}, {kDeadly}}, now);
+  now += kStep;
+  CHECK(quarantine.Disproof(kDeadly, now) == kStep);
+  CHECK(!quarantine.AddVerdict({kDeadly, kFirstPartHold}, now));
+  while (Crash().empty()) {
+  }
+  CHECK(!quarantine.Disproof(kDeadly, now).has_value());
+}
+
+// A host without news of the crashes cannot know what the answer proves.
+TEST(PromptPartQuarantine, AHostThatKnowsNoCrashAcceptsAVerdict) {
+  quarantine.OnAnswered({{kDeadly}}, now);
+  CHECK(quarantine.AddVerdict({kDeadly, kFirstPartHold}, now));
+}
+
 TEST(PromptPartQuarantine, AQuarantineEndsAndOneMoreCrashRenewsItForLonger) {
   while (Crash().empty()) {
   }
--- a/tests/gateway/request_quarantine_test.cc
+++ b/tests/gateway/request_quarantine_test.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -18,6 +19,8 @@
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 constexpr PromptPartId kTeam = 2;
 constexpr PromptPartId kDeadly = 3;
 
@@ -56,9 +59,16 @@
 
   // Lets the host lose requests with the deadly part to `count` new targets.
   void CrashWithPart(Host & host, int count) {
+    CrashWithPart(host, count, [] { return Clock::time_point(); });
+  }
+
+  // `sent` returns when the next request is sent.
+  void CrashWithPart(Host & host, int count,
+                     const std::function<Clock::time_point()>& sent) {
     for (int n = 0; n < count; ++n) {
       const std::string own = std::to_string(++crashes_);
-      host.quarantine.OnLost({"d" + own, "t" + own, "1", "", {kTeam, kDeadly}});
+      host.quarantine.OnLost(
+          {"d" + own, "t" + own, "1", "", {kTeam, kDeadly}, sent()});
       host.quarantine.OnTargetList(no_targets);
     }
   }
@@ -136,6 +146,20 @@
   LONGS_EQUAL(1, stored);
 }
 
+// A part that was answered begins to crash targets. The requests are sent one
+// after the other.
+TEST(RequestQuarantine, APartThatWasAnsweredBeforeIsRefusedByBothHosts) {
+  first->quarantine.OnPartsAnswered({kTeam, kDeadly});
+  second->quarantine.OnPartsAnswered({kTeam, kDeadly});
+  CrashWithPart(*first, 3, Clock::now);
+  RunUntil(context, [this] {
+    return first->quarantine.FindQuarantinedPart({kDeadly}).has_value() &&
+           second->quarantine.FindQuarantinedPart({kDeadly}).has_value();
+  });
+  CHECK(!first->quarantine.FindQuarantinedPart({kTeam}).has_value());
+  CHECK(!second->quarantine.FindQuarantinedPart({kTeam}).has_value());
+}
+
 TEST(RequestQuarantine, AHostThatStartsLaterLearnsTheQuarantinedParts) {
   boost::asio::co_spawn(context, first->quarantine.Run(),
                         boost::asio::detached);
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -89,7 +89,10 @@
 
 TEST(PeerCodec, CrashNoticesRoundTrip) {
   constexpr PromptPartId kLargePart = 0xfedc'ba98'7654'3210;
-  const CrashNotice sent{{"t/1", {{"d1", {7, kLargePart}}, {"d2", {}}}}};
+  const CrashNotice sent{
+      {"t/1",
+       {{"d1", {7, kLargePart}, {kLargePart}, std::chrono::milliseconds(9)},
+        {"d2", {}}}}};
   auto frame = DecodePayload(Payload(sent), &reason);
   CHECK(frame.has_value());
   const TargetCrash& crash = std::get<CrashNotice>(*frame).crash;
@@ -98,17 +101,28 @@
   STRCMP_EQUAL("d1", crash.requests[0].digest.c_str());
   CHECK(crash.requests[0].shared_parts ==
         std::vector<PromptPartId>({7, kLargePart}));
+  CHECK(crash.requests[0].working_parts ==
+        std::vector<PromptPartId>({kLargePart}));
+  LONGS_EQUAL(9, crash.requests[0].age.count());
   CHECK(!DecodePayload(Payload(CrashNotice{}), &reason));
+  const CrashNotice from_future{
+      {"t/1", {{"d1", {7}, {}, std::chrono::milliseconds(-1)}}}};
+  CHECK(!DecodePayload(Payload(from_future), &reason));
   const PromptPartNotice parts{{{kLargePart, std::chrono::milliseconds(7)}},
-                               {8}};
+                               {{8, std::chrono::milliseconds(5)}}};
   frame = DecodePayload(Payload(parts), &reason);
   const auto& read = std::get<PromptPartNotice>(*frame);
   LONGS_EQUAL(1, read.quarantined.size());
   CHECK(read.quarantined[0].part == kLargePart);
   LONGS_EQUAL(7, read.quarantined[0].hold.count());
-  CHECK(read.answered == std::vector<PromptPartId>({8}));
+  LONGS_EQUAL(1, read.answered.size());
+  CHECK(read.answered[0].part == 8);
+  LONGS_EQUAL(5, read.answered[0].age.count());
   const PromptPartNotice bad{{{1, std::chrono::milliseconds(-1)}}, {}};
   CHECK(!DecodePayload(Payload(bad), &reason));
+  const PromptPartNotice answered_later{{},
+                                        {{1, std::chrono::milliseconds(-1)}}};
+  CHECK(!DecodePayload(Payload(answered_later), &reason));
 }
 
 TEST(PeerCodec, RateLimitNoticeRoundTrip) {
