Bound the memory of all buffered responses together

Another operator's report: a faulty target sent bytes without end, the host that had called it kept them, ran out of memory, and other callers' requests ended with it.

ResponseMemory bounds what is buffered for all calls to 16 MB; the first 16 KB of each do not count, so that ordinary responses need no room. A call without room ends with 502 and a reason with the target and the bytes. The gauge response_memory_bytes tells the sum.

GatewayCallFraming.UnfinishedAnswersToManyCallersDoNotUseUpTheMemory failed with the bound lifted (adapter_test -sg GatewayCallFraming, "refused >= kCallers - kMostThatFit"): twelve answers of 3 MB were kept until their deadlines. It passes now. Bodies of callers are not bounded together (open).

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -76,7 +76,8 @@
   int unreached_targets_ = 0;
   std::set<std::string> tried_targets_;
   std::string last_target_;
-  ResponseRelay relay_{context_.dialect, exchange_, cancel_};
+  ResponseRelay relay_{context_.dialect, exchange_, cancel_,
+                       context_.response_memory};
   // A server error that the caller gets if no other target succeeds.
   std::optional<HttpResponse> failed_response_;
   std::int64_t charged_tokens_ = 0;
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -18,6 +18,10 @@
 // target counts as failed. An event holds a few tokens.
 inline constexpr std::size_t kMaxBytesWithoutEvent = 256 * 1024;
 inline constexpr std::size_t kMaxRefusalBytes = 64 * 1024;
+// Bytes of responses that a host buffers for all calls together, and the bytes
+// of each response that do not count. The smallest hosts have 120 MB.
+inline constexpr std::size_t kMaxResponseMemory = 16 * 1024 * 1024;
+inline constexpr std::size_t kFreeResponseBytes = 16 * 1024;
 // Maximum age of a connection to a target.
 inline constexpr std::chrono::minutes kMaxTargetConnectionAge{5};
 // Time that a request waits for a grant of tokens. A write to the store takes
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -18,6 +18,7 @@
 #include "libs/gateway/link_load.h"
 #include "libs/gateway/rate_limit_sharing.h"
 #include "libs/gateway/request_quarantine.h"
+#include "libs/gateway/response_memory.h"
 #include "libs/gateway/service_demand.h"
 #include "libs/gateway/service_retries.h"
 #include "libs/gateway/store_news_exchange.h"
@@ -83,6 +84,7 @@
   ServiceRetries retries;
   ServiceDemand demand;
   LinkLoad link;
+  ResponseMemory response_memory;
   GatewayPeers peers{control, settings};
   RequestQuarantine quarantine{control, peers};
   RateLimitSharing rate_limits{control, peers, targets, demand};
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -78,6 +78,8 @@
   AddGauge(text, "ready", stats.is_ready ? 1 : 0);
   AddGauge(text, "draining", context.draining ? 1 : 0);
   AddGauge(text, "link_saturated", context.link.is_saturated() ? 1 : 0);
+  AddGauge(text, "response_memory_bytes",
+           static_cast<double>(context.response_memory.used()));
   AddGauge(text, "link_bytes_per_second", context.link.rate());
   AddGauge(text, "quarantined_prompt_parts",
            static_cast<double>(context.quarantine.quarantined_parts()));
--- a/src/libs/gateway/response_relay.cc
+++ b/src/libs/gateway/response_relay.cc
@@ -40,13 +40,31 @@
                      std::to_string(kHttpMostBodyBytes) + " bytes"};
       co_return std::nullopt;
     }
+    if (!ReserveMemory(result.body.size(), response, reason)) {
+      response.meter.SetOutcome(AttemptOutcome::kFailed);
+      co_return std::nullopt;
+    }
   }
+  kept_bytes_ += result.body.size();
   response.meter.SetOutcome(
       OutcomeOfStatus(result.status, response.stream.headers()));
   result.headers = dialect_.caller_headers(response.stream.headers());
   co_return result;
 }
 
+bool ResponseRelay::ReserveMemory(std::size_t bytes,
+                                  const RelayedResponse& response,
+                                  Reason* reason) {
+  if (share_.Resize(kept_bytes_ + bytes))
+    return true;
+  *reason = {ResultCode::kTargetFailed,
+             "no memory is left for the response of target " + response.target +
+                 ", of which " + std::to_string(bytes) +
+                 " bytes are buffered; all responses may take up " +
+                 std::to_string(kMaxResponseMemory) + " bytes"};
+  return false;
+}
+
 void ResponseRelay::StartStreamOnce(const HttpStream& stream) {
   if (std::exchange(head_sent_, true))
     return;
@@ -113,6 +131,10 @@
         break;
       }
     }
+    if (!ReserveMemory(splitter.pending_bytes(), response, reason)) {
+      failure.text = reason->text;
+      break;
+    }
     bytes_without_event =
         events->empty() ? bytes_without_event + piece->size() : 0;
     if (bytes_without_event > kMaxBytesWithoutEvent) {
--- a/src/libs/gateway/response_relay.h
+++ b/src/libs/gateway/response_relay.h
@@ -13,6 +13,7 @@
 #include "libs/gateway/event_order.h"
 #include "libs/gateway/event_splitter.h"
 #include "libs/gateway/gateway_dialect.h"
+#include "libs/gateway/response_memory.h"
 #include "libs/http/http_client.h"
 #include "libs/http/http_exchange.h"
 #include "libs/node/attempt_meter.h"
@@ -48,8 +49,12 @@
  public:
   ResponseRelay(const GatewayDialect& dialect,
                 HttpExchange& exchange,
-                HttpCancel& cancel)
-      : dialect_(dialect), exchange_(exchange), cancel_(cancel) {}
+                HttpCancel& cancel,
+                ResponseMemory& memory)
+      : dialect_(dialect),
+        exchange_(exchange),
+        cancel_(cancel),
+        share_(memory) {}
 
   // The caller already has the events up to `event`.
   void StartAfter(std::uint64_t event) { order_.StartAfter(event); }
@@ -77,12 +82,21 @@
                                        EventSplitter& splitter,
                                        const RelayedResponse& response,
                                        Reason* reason);
+  // Accounts for `bytes` of the current response. Returns false and sets
+  // `reason` if the host has no memory for them.
+  bool ReserveMemory(std::size_t bytes,
+                     const RelayedResponse& response,
+                     Reason* reason);
   // Sends the response head unless an earlier attempt has sent it.
   void StartStreamOnce(const HttpStream& stream);
 
   const GatewayDialect& dialect_;
   HttpExchange& exchange_;
   HttpCancel& cancel_;
+  ResponseShare share_;
+  // Bytes of whole responses, one of which the call may keep while it tries
+  // another target.
+  std::size_t kept_bytes_ = 0;
   EventOrder order_;
   bool head_sent_ = false;
   int status_ = 0;
--- a/tests/adapter/gateway_call_framing_test.cc
+++ b/tests/adapter/gateway_call_framing_test.cc
@@ -5,6 +5,8 @@
 #include "endless_target.h"
 #include "gateway_call_fixture.h"
 #include "raw_target.h"
+#include "stalling_target.h"
+#include "support/run_until.h"
 
 namespace turmericwinch::platform {
 
@@ -97,6 +99,37 @@
   }
 }
 
+// Many callers ask a target whose answers have no end.
+TEST(GatewayCallFraming, UnfinishedAnswersToManyCallersDoNotUseUpTheMemory) {
+  constexpr int kCallers = 12;
+  constexpr std::size_t kBytes = 3 * 1024 * 1024;
+  constexpr int kMostThatFit = kMaxResponseMemory / kBytes;
+  StallingTarget target(context.traffic,
+                        "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
+                        "Turmericwinch-Response-Signature: mac\r\n\r\n" +
+                            std::string(kBytes, 'x'));
+  ListOnly(target.endpoint());
+  HttpRequest request = Request("/once/1");
+  request.headers.Add("Turmericwinch-Deadline-Ms", "3000");
+  int refused = 0;
+  int ended = 0;
+  const HttpCallOptions options;
+  for (int n = 0; n < kCallers; ++n) {
+    boost::asio::co_spawn(
+        context.traffic,
+        [&]() -> boost::asio::awaitable<void> {
+          const std::optional<HttpResponse> response =
+              co_await caller.Call(address, request, options, &failure);
+          refused += response && response->status == 502 ? 1 : 0;
+          ++ended;
+        },
+        boost::asio::detached);
+  }
+  RunUntil(context.traffic, [&] { return ended == kCallers; });
+  CHECK(refused >= kCallers - kMostThatFit);
+  LONGS_EQUAL(0, context.response_memory.used());
+}
+
 // An answer with neither a length nor chunks ends with its connection.
 TEST(GatewayCallFraming,
      AnAnswerWithoutFramingIsWholeOnlyIfItsConnectionIsClosed) {
