Limit the time in which the body of a refusal is read

Cause: DiscardRefusal gave each read 250 ms and had no limit for their sum but 64 KB. Now the whole body has 250 ms (kMaxRefusalTime), then the connection is closed. Ruled out: other attempts (no `retried` in the logs). Skipped answers to other requests, plain bodies and streams end with the request's deadline already.

--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -18,6 +18,8 @@
 // target counts as failed. An event holds a few tokens.
 inline constexpr std::size_t kMaxBytesWithoutEvent = 256 * 1024;
 inline constexpr std::size_t kMaxRefusalBytes = 64 * 1024;
+// Time for which the body of a refusal is read.
+inline constexpr std::chrono::milliseconds kMaxRefusalTime{250};
 // Bytes of responses that a host buffers for all calls together, and the bytes
 // of each response that do not count. The smallest hosts have 120 MB.
 inline constexpr std::size_t kMaxResponseMemory = 16 * 1024 * 1024;
--- a/src/libs/gateway/target_attempt.cc
+++ b/src/libs/gateway/target_attempt.cc
@@ -17,12 +17,16 @@
 constexpr LogCategory kLog{"gateway"};
 constexpr int kFirstServerErrorStatus = 500;
 
-// Reads a refusal to its end, so that the connection can be used again.
+// Reads a refusal to its end, so that the connection can be used again. A
+// connection whose refusal takes longer than kMaxRefusalTime is closed.
 asio::awaitable<void> DiscardRefusal(HttpStream& stream) {
+  const Clock::time_point end = Clock::now() + kMaxRefusalTime;
   HttpFailure ignored;
   for (std::size_t n = 0; !stream.done() && n < kMaxRefusalBytes;) {
-    std::optional<std::string> piece =
-        co_await stream.ReadSome(kGatewayTargetConnectTimeout, &ignored);
+    const std::chrono::milliseconds left = TimeUntil(end);
+    if (left.count() <= 0)
+      co_return;
+    std::optional<std::string> piece = co_await stream.ReadSome(left, &ignored);
     if (!piece)
       co_return;
     n += piece->size();
--- a/tests/adapter/gateway_call_framing_test.cc
+++ b/tests/adapter/gateway_call_framing_test.cc
@@ -7,6 +7,7 @@
 #include "raw_target.h"
 #include "stalling_target.h"
 #include "support/run_until.h"
+#include "trickling_target.h"
 
 namespace turmericwinch::platform {
 
@@ -99,6 +100,17 @@
   }
 }
 
+// A refusal whose body goes on slowly must not hold the request.
+TEST(GatewayCallFraming, ARefusalThatDoesNotEndIsPassedOn) {
+  TricklingTarget target(
+      context.traffic,
+      "HTTP/1.1 503 Busy\r\nTurmericwinch-Attempt-Id: id1\r\n"
+      "Turmericwinch-Not-Executed: 1\r\n"
+      "Content-Length: 60000\r\n\r\n");
+  ListOnly(target.endpoint());
+  LONGS_EQUAL(503, StatusOf("/once/1"));
+}
+
 // Many callers ask a target whose answers have no end.
 TEST(GatewayCallFraming, UnfinishedAnswersToManyCallersDoNotUseUpTheMemory) {
   constexpr int kCallers = 12;
