Bound the time in which a host learns of a silent store connection

Cause: `store_lost` of reader and listeners comes 6 s after a call on an idle connection began, which had gone silent, too: a watch waited 5 s and 1 s more, idle connections were used for 20 s, news of a reader counted for 2 s.

Now a watch of the configuration or the targets waits 1.5 s (a reader's 0.5 s) and 0.5 s for its answer, an idle connection to the store is used for 1 s and closed after a timeout, and news come every 0.4 s and count for 1.4 s. Silence, pause and read stay below the 3 s after which hosts count as in touch.

StoreClient.AfterATimeoutTheNextCallOpensAConnection failed before ("has_value() failed"). StoreReaders.AHostWhoseReaderFailsReadsForItselfInTime is held to 2 s instead of 3 s. Calls to the store rise (estimate: 8 a second at nine hosts without a reader).

--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -70,9 +70,17 @@
 // Time by which the stored end of a quarantine may be too early.
 inline constexpr std::chrono::milliseconds kStoredHoldSlack{10'000};
 
-// Maximum duration of one watch call to the store. A store that answers again
-// after an outage may have lost the watch.
-inline constexpr std::chrono::milliseconds kMaxWatchWait{5'000};
+// Maximum duration of one watch call for the configuration or the targets. The
+// connection of a watch may have gone silent, and a store may have lost it: a
+// change that it should have reported is known after this time, the time that
+// an answer may take and kStoreRetryPause. Hosts in touch must follow a change
+// within 2 s, and count as in touch 3 s after connections went silent.
+inline constexpr std::chrono::milliseconds kMaxWatchWait{1'500};
+// The same for the quarantine, of which the hosts notify each other.
+inline constexpr std::chrono::milliseconds kQuarantineWatchWait{5'000};
+// Maximum time for which a host waits for news before it looks at what else is
+// due.
+inline constexpr std::chrono::milliseconds kMaxNewsWait{5'000};
 // Minimum time between the starts of two watch calls for the targets, or for
 // the quarantined prompt parts. A target that leaves serves for 2 s more, and
 // the list is that much older at most.
@@ -85,13 +93,14 @@
 // other's news.
 inline constexpr std::size_t kMinHostsForReaders = 5;
 // Interval at which a host that reads the store for others sends them news.
-inline constexpr std::chrono::milliseconds kNewsInterval{600};
+inline constexpr std::chrono::milliseconds kNewsInterval{400};
 // Maximum duration of the watches of such a host. Their answers show that
 // nothing has changed.
-inline constexpr std::chrono::milliseconds kReaderWatchWait{800};
-// Time after an answer of the store for which news of it are valid. Changes of
-// the configuration and leaving targets must be known within 3 s.
-inline constexpr std::chrono::milliseconds kMaxNewsAge{2'000};
+inline constexpr std::chrono::milliseconds kReaderWatchWait{500};
+// Time after an answer of the store for which news of it are valid: the longest
+// time without a watch's answer, kNewsInterval and what frames may be late. A
+// host whose reader ends follows a change this much later.
+inline constexpr std::chrono::milliseconds kMaxNewsAge{1'400};
 // Time for which a host waits for news, for each host before it in rank, before
 // it reads for the others.
 inline constexpr std::chrono::milliseconds kTakeOverDelay{600};
--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -50,8 +50,9 @@
 
 asio::awaitable<bool> QuarantineStore::WatchOnce() {
   Reason reason;
-  const std::optional<PlatformObject> object = co_await platform_.Watch(
-      PlatformDuty::kCaches, kObjectName, version_, kMaxWatchWait, &reason);
+  const std::optional<PlatformObject> object =
+      co_await platform_.Watch(PlatformDuty::kCaches, kObjectName, version_,
+                               kQuarantineWatchWait, &reason);
   if (object) {
     HandleObject(*object);
     co_return true;
--- a/src/libs/gateway/store_news_exchange.cc
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -171,7 +171,7 @@
                                                        std::uint64_t version) {
   bool is_due = false;
   while (!is_due)
-    is_due = co_await WaitUntilReadIsDue(topic, version, kMaxWatchWait);
+    is_due = co_await WaitUntilReadIsDue(topic, version, kMaxNewsWait);
   co_await PaceRead(topic);
 }
 
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -102,7 +102,7 @@
   for (bool is_due = outage_; !is_due;) {
     is_due = co_await news_.WaitUntilReadIsDue(
         StoreTopic::kTargets, version_,
-        targets_.has_timed_entries() ? kStoreRetryPause : kMaxWatchWait);
+        targets_.has_timed_entries() ? kStoreRetryPause : kMaxNewsWait);
     version_ = version_ == 0 ? 0 : news_.ConfirmedTargets(version_);
     PublishTimed();
   }
--- a/src/libs/http/http_client.cc
+++ b/src/libs/http/http_client.cc
@@ -149,9 +149,9 @@
   while (!it->second.empty()) {
     Connection connection = std::move(it->second.back());
     it->second.pop_back();
-    const bool fresh =
-        now - connection->idle_since < connection->max_idle_time &&
-        now < connection->renew_at;
+    const bool fresh = now - connection->idle_since <
+                           std::min(connection->max_idle_time, max_idle_time) &&
+                       now < connection->renew_at;
     if (fresh && !IsStale(connection->socket))
       return connection;
   }
@@ -309,6 +309,10 @@
   d_->unresponsive_peer_timeout = time;
 }
 
+void HttpClient::SetMaxIdleTime(std::chrono::milliseconds time) {
+  d_->max_idle_time = time;
+}
+
 void HttpClient::CloseIdleConnections(const tcp::endpoint& endpoint) {
   d_->idle.erase(endpoint);
 }
--- a/src/libs/http/http_client.h
+++ b/src/libs/http/http_client.h
@@ -69,6 +69,10 @@
   // nor data for `time`. Not set by default.
   void SetUnresponsivePeerTimeout(std::chrono::milliseconds time);
 
+  // Sets the time after which an idle connection is not used again. A peer may
+  // announce a shorter one. kHttpPoolIdle by default.
+  void SetMaxIdleTime(std::chrono::milliseconds time);
+
   // Closes all idle connections to `endpoint`, for example after its peer
   // stopped responding.
   void CloseIdleConnections(const boost::asio::ip::tcp::endpoint& endpoint);
--- a/src/libs/http/http_connection.h
+++ b/src/libs/http/http_connection.h
@@ -68,6 +68,7 @@
 
   boost::asio::io_context& context;
   std::chrono::milliseconds max_age;
+  std::chrono::milliseconds max_idle_time = kHttpPoolIdle;
   // 0 leaves TCP keepalive and the TCP user timeout off.
   std::chrono::milliseconds unresponsive_peer_timeout{0};
   std::minstd_rand random{std::random_device{}()};
--- a/src/libs/platform/platform_transport.cc
+++ b/src/libs/platform/platform_transport.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libs/http/http_client.h"
+#include "libs/platform/platform_constants.h"
 
 namespace turmericwinch {
 
@@ -40,7 +41,9 @@
 class PlatformTransport::Private {
  public:
   Private(asio::io_context& context, asio::ip::tcp::endpoint endpoint)
-      : context(context), client(context), endpoint(endpoint) {}
+      : context(context), client(context), endpoint(endpoint) {
+    client.SetMaxIdleTime(kPlatformMaxIdleTime);
+  }
 
   asio::io_context& context;
   HttpClient client;
@@ -106,6 +109,9 @@
   if (d_->gate)
     d_->gate->Leave(answered);
   const bool writes = kind == PlatformCallKind::kWrite;
+  // Other connections may have gone silent together with this one.
+  if (!response && failure.timed_out)
+    d_->client.CloseIdleConnections(d_->endpoint);
   if (!response) {
     const bool outcome_unknown = writes && failure.may_have_arrived;
     co_return Fail(reason,
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -6,7 +6,9 @@
 
 #include "libs/http/http_server.h"
 #include "libs/routing/host_list_change.h"
+#include "silenced_store.h"
 #include "support/run_coroutine.h"
+#include "support/run_until.h"
 
 namespace turmericwinch::platform {
 
@@ -114,6 +116,30 @@
   }
 };
 
+// Connections that are open go silent for good, and new ones work. Only one
+// call may be lost to them.
+TEST(StoreClient, AfterATimeoutTheNextCallOpensAConnection) {
+  constexpr int kConnections = 3;
+  SilencedStore silenced(context, Object("account", 12, "1"), kConnections);
+  StoreClient other(context, silenced.endpoint(), kRates, 1);
+  int answered = 0;
+  for (int n = 0; n < kConnections; ++n) {
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+          const std::optional<PlatformObject> object =
+              co_await other.Get(PlatformDuty::kBudget, "account", &reason);
+          answered += object ? 1 : 0;
+        },
+        asio::detached);
+  }
+  RunUntil(context, [&] { return answered == kConnections; });
+  LONGS_EQUAL(kConnections, silenced.connections());
+  silenced.SilenceOpenConnections();
+  CHECK(!Run(other.Get(PlatformDuty::kBudget, "account", &reason)));
+  CHECK(Run(other.Get(PlatformDuty::kBudget, "account", &reason)).has_value());
+}
+
 TEST(StoreClient, ANameWithoutAKindGetsTheDefaultKind) {
   store.AddResponse(200, Object("account", 12, R"({"a":1})"));
   const auto object =
--- a/tests/gateway/store_readers_test.cc
+++ b/tests/gateway/store_readers_test.cc
@@ -14,7 +14,7 @@
 
 constexpr int kHosts = 12;
 // A host in touch must know a change within this time.
-constexpr milliseconds kMaxDelay{3'000};
+constexpr milliseconds kMaxDelay{2'000};
 constexpr milliseconds kStep{100};
 
 std::string NameOfHost(int n) {
--- a/tests/http/connection_renewal_test.cc
+++ b/tests/http/connection_renewal_test.cc
@@ -2,6 +2,7 @@
 #include <set>
 
 #include "libs/http/http_client.h"
+#include "libs/http/http_constants.h"
 #include "libs/http/http_server.h"
 
 #include <CppUTest/TestHarness.h>
@@ -17,7 +18,8 @@
 constexpr int kCalls = 5;
 
 // Number of connections that a client opens for kCalls consecutive calls.
-std::size_t CountConnections(std::chrono::milliseconds max_age) {
+std::size_t CountConnections(std::chrono::milliseconds max_age,
+                             std::chrono::milliseconds max_idle_time) {
   asio::io_context context{1};
   std::set<std::uint64_t> connections;
   HttpServer server(
@@ -31,6 +33,7 @@
   const asio::ip::tcp::endpoint endpoint =
       *server.Listen({asio::ip::make_address("127.0.0.1"), 0}, nullptr);
   HttpClient client(context, max_age);
+  client.SetMaxIdleTime(max_idle_time);
   for (int n = 0; n < kCalls; ++n) {
     HttpFailure failure;
     HttpRequest request;
@@ -47,8 +50,15 @@
 TEST_GROUP(ConnectionRenewal){};
 
 TEST(ConnectionRenewal, ReusesConnectionsUntilTheirMaxAge) {
-  LONGS_EQUAL(1, CountConnections(std::chrono::hours(1)));
-  LONGS_EQUAL(kCalls, CountConnections(std::chrono::milliseconds(0)));
+  LONGS_EQUAL(1, CountConnections(std::chrono::hours(1), kHttpPoolIdle));
+  LONGS_EQUAL(kCalls,
+              CountConnections(std::chrono::milliseconds(0), kHttpPoolIdle));
+}
+
+// A connection that was idle for long may have gone silent.
+TEST(ConnectionRenewal, OpensAConnectionAfterTheMaxIdleTime) {
+  LONGS_EQUAL(kCalls, CountConnections(std::chrono::hours(1),
+                                       std::chrono::milliseconds(0)));
 }
 
 TEST(ConnectionRenewal, SpreadsAgesBetweenHalfAndMaxAge) {
