Refuse a request for long that crashed three targets one after the other

Cause: if other requests were lost with the target in each crash, the verdict is uncertain and short, however many targets the request has crashed; on a busy service that is always so. Now a request that was lost with three targets, and sent again after the first loss, is taken for the cause. An answer in between clears it, as before, and targets that end at once prove nothing. The age of the lost requests comes with the report of a crash.

--- a/src/libs/delivery/delivery_constants.h
+++ b/src/libs/delivery/delivery_constants.h
@@ -71,8 +71,9 @@
 // Requests that are suspected or refused at the same time.
 inline constexpr std::size_t kMaxSuspects = 4'096;
 
-// Crashes of targets that a prompt part must explain to be quarantined. One
-// more than a request that is tried at two targets can cause.
+// Crashes of targets after which a prompt part, or a request that is lost
+// together with others, is taken for the cause. One more than a request that is
+// tried at two targets can cause.
 inline constexpr std::size_t kCrashesToBlame = 3;
 // Crashes, and requests lost in one crash, that a host keeps as evidence.
 inline constexpr std::size_t kMaxRecordedCrashes = 64;
--- a/src/libs/delivery/quarantine.cc
+++ b/src/libs/delivery/quarantine.cc
@@ -8,7 +8,8 @@
 
 std::optional<QuarantineVerdict> Quarantine::OnLost(const std::string& digest,
                                                     const std::string& target,
-                                                    Time now) {
+                                                    Time now,
+                                                    Time sent) {
   if (suspects_.size() >= kMaxSuspects)
     Expire(now);
   if (suspects_.size() >= kMaxSuspects && !suspects_.contains(digest))
@@ -22,6 +23,9 @@
   loss.time = now;
   Suspect& suspect = suspects_[digest];
   const bool is_renewal = suspect.hold.count() > 0 && now >= suspect.End();
+  if (suspect.losses == 0)
+    suspect.first_loss = now;
+  suspect.is_repeated = suspect.is_repeated || sent > suspect.first_loss;
   ++suspect.losses;
   suspect.last_loss = now;
   if (loss.digests.size() > 1)
@@ -35,9 +39,8 @@
   if (suspect.losses < kLossesToQuarantine)
     return std::nullopt;
   suspect.RaiseUncertainHold(is_renewal);
-  const bool is_certain = suspect.shared_losses < suspect.losses;
-  suspect.hold = is_certain ? kQuarantineHold : suspect.uncertain_hold;
-  if (!is_certain)
+  suspect.hold = suspect.IsCertain() ? kQuarantineHold : suspect.uncertain_hold;
+  if (!suspect.IsCertain())
     return std::nullopt;
   return QuarantineVerdict{digest, suspect.hold};
 }
@@ -48,10 +51,15 @@
     return;
   Suspect& suspect = it->second;
   ++suspect.shared_losses;
-  if (suspect.hold.count() > 0 && suspect.shared_losses >= suspect.losses)
+  if (suspect.hold.count() > 0 && !suspect.IsCertain())
     suspect.hold = std::max(suspect.uncertain_hold, kUncertainQuarantineHold);
 }
 
+bool Quarantine::Suspect::IsCertain() const {
+  return shared_losses < losses ||
+         (is_repeated && losses >= static_cast<int>(kCrashesToBlame));
+}
+
 void Quarantine::Suspect::RaiseUncertainHold(bool is_renewal) {
   const std::chrono::milliseconds hold =
       is_renewal ? 2 * uncertain_hold : uncertain_hold;
--- a/src/libs/delivery/quarantine.h
+++ b/src/libs/delivery/quarantine.h
@@ -22,19 +22,23 @@
 };
 
 // A request that was in flight on two lost targets is refused. If it was lost
-// together with other requests both times, it is refused only briefly: one of
+// together with other requests each time, it is refused only briefly: one of
 // them is the cause, and the others can be answered when they are retried. Each
-// crash after that time doubles it.
+// crash after that time doubles it. A request that was lost with
+// kCrashesToBlame targets, and sent again after the first loss, is taken for
+// the cause: on a busy service other requests are lost in each crash.
 class Quarantine {
  public:
   using Time = std::chrono::steady_clock::time_point;
 
   // Records that a target was lost while it ran the request `digest`, for this
-  // host or another one. Returns a verdict if other hosts should receive it. A
+  // host or another one. `sent` is when the request was sent to the target, if
+  // that is known. Returns a verdict if other hosts should receive it. A
   // repeated notice of the same loss is ignored.
   std::optional<QuarantineVerdict> OnLost(const std::string& digest,
                                           const std::string& target,
-                                          Time now);
+                                          Time now,
+                                          Time sent = {});
   // Records that a target answered the request, which clears it of suspicion.
   // Returns whether it was a suspect.
   bool OnAnswered(const std::string& digest, Time now);
@@ -60,12 +64,18 @@
     int losses = 0;
     // Losses in which the target was running other requests too.
     int shared_losses = 0;
+    Time first_loss;
     Time last_loss;
+    // Whether the request was lost again after it was sent later than the first
+    // loss.
+    bool is_repeated = false;
     std::chrono::milliseconds hold{0};
     // The hold if other requests may be the cause; 0 before the first one.
     std::chrono::milliseconds uncertain_hold{0};
 
     Time End() const { return last_loss + hold; }
+    // Whether the request itself is taken for the cause of its losses.
+    bool IsCertain() const;
     void RaiseUncertainHold(bool is_renewal);
   };
   struct Loss {
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -228,8 +228,9 @@
 }
 
 void RequestQuarantine::RecordCrash(const TargetCrash& crash, bool is_own) {
+  const Clock::time_point now = Clock::now();
   for (const LostRequest& it : crash.requests)
-    RecordLoss(it.digest, crash.target, is_own);
+    RecordLoss(it.digest, crash.target, now - it.age, is_own);
   {
     std::lock_guard lock(mutex_);
     parts_.OnCrash(crash, Clock::now());
@@ -291,7 +292,7 @@
 // all hosts.
 void RequestQuarantine::HandleNotice(const QuarantineNotice& notice) {
   if (!notice.target.empty()) {
-    RecordLoss(notice.digest, notice.target, false);
+    RecordLoss(notice.digest, notice.target, {}, false);
     return;
   }
   bool is_added = false;
@@ -345,11 +346,12 @@
 
 void RequestQuarantine::RecordLoss(const std::string& digest,
                                    const std::string& target,
+                                   Clock::time_point sent,
                                    bool is_own) {
   bool is_refused = false;
   {
     std::lock_guard lock(mutex_);
-    quarantine_.OnLost(digest, target, Clock::now());
+    quarantine_.OnLost(digest, target, Clock::now(), sent);
     UpdateCounts();
     is_refused = quarantine_.IsQuarantined(digest, Clock::now());
   }
--- a/src/libs/gateway/request_quarantine.h
+++ b/src/libs/gateway/request_quarantine.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -89,6 +90,7 @@
   void WithdrawEverywhere(std::vector<AnsweredPart> parts);
   void RecordLoss(const std::string& digest,
                   const std::string& target,
+                  std::chrono::steady_clock::time_point sent,
                   bool is_own);
   // The mutex must be held.
   void UpdateCounts();
--- a/tests/delivery/quarantine_test.cc
+++ b/tests/delivery/quarantine_test.cc
@@ -55,6 +55,30 @@
   CHECK(quarantine.IsQuarantined("r", later + kUncertainQuarantineHold));
 }
 
+// On a busy service each target that a request crashes runs others, too.
+TEST(Quarantine, ARequestThatIsLostAgainAndAgainIsRefusedForLong) {
+  Quarantine quarantine;
+  Quarantine::Time now = kStart;
+  for (const std::string target : {"a", "b", "c"}) {
+    const Quarantine::Time sent = now;
+    now += kLater;
+    quarantine.OnLost("bystander of " + target, target, now, sent);
+    quarantine.OnLost("r", target, now, sent);
+  }
+  CHECK(quarantine.IsQuarantined("r", now + kUncertainQuarantineHold));
+  CHECK(!quarantine.IsQuarantined("bystander of c", now));
+}
+
+// A loss of power ends all targets that run the same sound request.
+TEST(Quarantine, ARequestThatIsLostWithManyTargetsAtOnceIsRefusedBriefly) {
+  Quarantine quarantine;
+  for (const char* target : {"a", "b", "c", "d"}) {
+    quarantine.OnLost("r", target, kStart, kStart - kLater);
+    quarantine.OnLost("bystander", target, kStart, kStart - kLater);
+  }
+  CHECK(!quarantine.IsQuarantined("r", kStart + kUncertainQuarantineHold));
+}
+
 TEST(Quarantine, EachCrashAfterAnUncertainHoldRefusesForLonger) {
   Quarantine quarantine;
   Quarantine::Time now = kStart;
