Count crashes at the same time once for prompt parts with answers

Cause: for a part with answers one request that was sent after the first crash was enough, so three crashes at the same time and one later made four. Now only crashes in sequence count for such parts. CrashCauses.CrashesAtTheSameTimeCountOnceForPartsWithAnswers failed before ("Causes().empty()") and passes now; the other tests of the quarantine hold.

--- a/src/libs/delivery/crash_causes.cc
+++ b/src/libs/delivery/crash_causes.cc
@@ -19,24 +19,23 @@
 
 // What speaks against one part.
 struct Evidence {
-  // Indexes of the crashes that the part explains, and the time of the first.
+  // Indexes of the crashes that the part explains.
   std::set<std::size_t> crashes;
-  Time first_crash;
+  // Number of these crashes in a sequence in which a request of each was sent
+  // after the crash before it, and the time of the last.
+  std::size_t sequence = 0;
+  Time last_in_sequence;
   // Digests of the lost requests with the part.
   std::set<std::string> digests;
   // Largest position of the part in a prompt.
   std::size_t position = 0;
-  // Whether a request was sent after the first crash and lost in a later one.
-  bool is_repeated = false;
   SeenAnswers seen = SeenAnswers::kNone;
 
   std::size_t Strength() const {
-    return std::min(crashes.size(), digests.size());
-  }
-  bool Suffices() const {
-    return Strength() >= kCrashesToBlame &&
-           (seen == SeenAnswers::kNone || is_repeated);
+    return std::min(seen == SeenAnswers::kNone ? crashes.size() : sequence,
+                    digests.size());
   }
+  bool Suffices() const { return Strength() >= kCrashesToBlame; }
   // Orders evidence by how much it speaks against a part.
   auto Rank() const { return std::make_tuple(seen, Strength(), position); }
 };
@@ -63,13 +62,13 @@
              std::size_t crash,
              Time crash_time,
              const RecordedLoss& loss) {
-  if (evidence.crashes.empty())
-    evidence.first_crash = crash_time;
   evidence.crashes.insert(crash);
+  if (evidence.sequence == 0 || loss.sent > evidence.last_in_sequence) {
+    ++evidence.sequence;
+    evidence.last_in_sequence = crash_time;
+  }
   evidence.digests.insert(loss.request.digest);
   evidence.position = std::max(evidence.position, position);
-  evidence.is_repeated =
-      evidence.is_repeated || loss.sent > evidence.first_crash;
   if (Contains(loss.request.working_parts, part))
     evidence.seen = std::min(evidence.seen, SeenAnswers::kBegun);
 }
--- a/src/libs/delivery/crash_causes.h
+++ b/src/libs/delivery/crash_causes.h
@@ -44,10 +44,10 @@
 // explains kCrashesToBlame crashes and as many different requests were lost.
 //
 // When many targets fail at once for another reason, each part that is in use
-// explains these crashes. A part that has been answered, or whose answers have
-// begun, is therefore blamed only if one of the requests was sent after an
-// earlier one of the crashes. Answers that began prove no more than that: a
-// part may crash a target at any event.
+// explains these crashes. For a part that has been answered, or whose answers
+// have begun, a crash therefore counts only if one of the requests was sent
+// after the one that counted before. Answers that began prove no more than
+// that: a part may crash a target at any event.
 //
 // Parts that were never answered are blamed first, and then those that explain
 // most crashes; their crashes count for no other part, as requests with sound
--- a/tests/delivery/crash_causes_test.cc
+++ b/tests/delivery/crash_causes_test.cc
@@ -122,6 +122,16 @@
   CHECK(Causes().empty());
 }
 
+// Two more targets fail before this host sees the next answer.
+TEST(CrashCauses, CrashesAtTheSameTimeCountOnceForPartsWithAnswers) {
+  answered = {{kRoot, now}, {kTeam, now}};
+  CrashAtOnce({{kRoot, kTeam}, {kRoot, kTeam}}, 9);
+  Crash({{kRoot, kTeam}});
+  CHECK(Causes().empty());
+  Crash({{kRoot, kTeam}});
+  CHECK(Causes() == Parts({kTeam}));
+}
+
 TEST(CrashCauses, TheReportingHostMayHaveSeenTheAnswerBegin) {
   CrashAtOnce({{kTeam}, {kTeam}}, 5);
   for (RecordedCrash& crash : crashes) {
