Count losses at the same time once for a request, too

The quarantine of whole requests had the fault that mended for prompt parts: one loss after the first made all earlier ones count, so that a loss of power with four targets and one crash more refused a sound request for 10 min instead of 30 s. CrashSequence counts for both now: a crash counts if a request was not sent before the crash that counted last.

Quarantine.LossesAtTheSameTimeCountOnce failed with the old condition ("!IsQuarantined"), CrashCauses.ACrashCountsOnceForPartsWithAnswers without the check of the crash; both pass (delivery_test, 66 tests under asan).

--- a/src/libs/delivery/crash_causes.cc
+++ b/src/libs/delivery/crash_causes.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <tuple>
 
+#include "libs/delivery/crash_sequence.h"
 #include "libs/delivery/delivery_constants.h"
 
 namespace turmericwinch {
@@ -21,10 +22,7 @@
 struct Evidence {
   // Indexes of the crashes that the part explains.
   std::set<std::size_t> crashes;
-  // Number of these crashes in a sequence in which a request of each was sent
-  // after the crash before it, and the time of the last.
-  std::size_t sequence = 0;
-  Time last_in_sequence;
+  CrashSequence sequence;
   // Digests of the lost requests with the part.
   std::set<std::string> digests;
   // Largest position of the part in a prompt.
@@ -32,8 +30,9 @@
   SeenAnswers seen = SeenAnswers::kNone;
 
   std::size_t Strength() const {
-    return std::min(seen == SeenAnswers::kNone ? crashes.size() : sequence,
-                    digests.size());
+    return std::min(
+        seen == SeenAnswers::kNone ? crashes.size() : sequence.count(),
+        digests.size());
   }
   bool Suffices() const { return Strength() >= kCrashesToBlame; }
   // Orders evidence by how much it speaks against a part.
@@ -63,10 +62,7 @@
              Time crash_time,
              const RecordedLoss& loss) {
   evidence.crashes.insert(crash);
-  if (evidence.sequence == 0 || loss.sent > evidence.last_in_sequence) {
-    ++evidence.sequence;
-    evidence.last_in_sequence = crash_time;
-  }
+  evidence.sequence.Add(loss.sent, crash_time);
   evidence.digests.insert(loss.request.digest);
   evidence.position = std::max(evidence.position, position);
   if (Contains(loss.request.working_parts, part))
--- a/src/libs/delivery/quarantine.cc
+++ b/src/libs/delivery/quarantine.cc
@@ -23,9 +23,7 @@
   loss.time = now;
   Suspect& suspect = suspects_[digest];
   const bool is_renewal = suspect.hold.count() > 0 && now >= suspect.End();
-  if (suspect.losses == 0)
-    suspect.first_loss = now;
-  suspect.is_repeated = suspect.is_repeated || sent > suspect.first_loss;
+  suspect.sequence.Add(sent, now);
   ++suspect.losses;
   suspect.last_loss = now;
   if (loss.digests.size() > 1)
@@ -56,8 +54,7 @@
 }
 
 bool Quarantine::Suspect::IsCertain() const {
-  return shared_losses < losses ||
-         (is_repeated && losses >= static_cast<int>(kCrashesToBlame));
+  return shared_losses < losses || sequence.count() >= kCrashesToBlame;
 }
 
 void Quarantine::Suspect::RaiseUncertainHold(bool is_renewal) {
--- a/src/libs/delivery/quarantine.h
+++ b/src/libs/delivery/quarantine.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "libs/delivery/crash_sequence.h"
+
 namespace turmericwinch {
 
 // Refuses the request with `digest`, a digest of its team and body, for `hold`
@@ -25,7 +27,7 @@
 // together with other requests each time, it is refused only briefly: one of
 // them is the cause, and the others can be answered when they are retried. Each
 // crash after that time doubles it. A request that was lost with
-// kCrashesToBlame targets, and sent again after the first loss, is taken for
+// kCrashesToBlame targets, each time sent after the loss before, is taken for
 // the cause: on a busy service other requests are lost in each crash.
 class Quarantine {
  public:
@@ -64,11 +66,8 @@
     int losses = 0;
     // Losses in which the target was running other requests too.
     int shared_losses = 0;
-    Time first_loss;
+    CrashSequence sequence;
     Time last_loss;
-    // Whether the request was lost again after it was sent later than the first
-    // loss.
-    bool is_repeated = false;
     std::chrono::milliseconds hold{0};
     // The hold if other requests may be the cause; 0 before the first one.
     std::chrono::milliseconds uncertain_hold{0};
--- a/tests/delivery/crash_causes_test.cc
+++ b/tests/delivery/crash_causes_test.cc
@@ -132,6 +132,18 @@
   CHECK(Causes() == Parts({kTeam}));
 }
 
+// The report of another host comes later, so that its requests seem to have
+// been sent later.
+TEST(CrashCauses, ACrashCountsOnceForPartsWithAnswers) {
+  answered = {{kTeam, now}};
+  for (int n = 0; n < 2; ++n) {
+    Crash({{kTeam}, {kTeam}, {kTeam}});
+    for (RecordedLoss& it : crashes.back().losses)
+      it.sent = now;
+  }
+  CHECK(Causes().empty());
+}
+
 TEST(CrashCauses, TheReportingHostMayHaveSeenTheAnswerBegin) {
   CrashAtOnce({{kTeam}, {kTeam}}, 5);
   for (RecordedCrash& crash : crashes) {
--- a/tests/delivery/quarantine_test.cc
+++ b/tests/delivery/quarantine_test.cc
@@ -79,6 +79,25 @@
   CHECK(!quarantine.IsQuarantined("r", kStart + kUncertainQuarantineHold));
 }
 
+// Another target fails after the loss of power, and then one more.
+TEST(Quarantine, LossesAtTheSameTimeCountOnce) {
+  Quarantine quarantine;
+  Quarantine::Time now = kStart;
+  Quarantine::Time sent = kStart - kLater;
+  for (const char* target : {"a", "b", "c", "d"}) {
+    quarantine.OnLost("r", target, now, sent);
+    quarantine.OnLost("bystander", target, now, sent);
+  }
+  for (const char* target : {"e", "f"}) {
+    CHECK(!quarantine.IsQuarantined("r", now + kUncertainQuarantineHold));
+    sent = now + kLater / 2;
+    now += kLater;
+    quarantine.OnLost("r", target, now, sent);
+    quarantine.OnLost("bystander", target, now, sent);
+  }
+  CHECK(quarantine.IsQuarantined("r", now + kUncertainQuarantineHold));
+}
+
 TEST(Quarantine, EachCrashAfterAnUncertainHoldRefusesForLonger) {
   Quarantine quarantine;
   Quarantine::Time now = kStart;
