Evaluate crashes without copying them, and one part without the others

Crashes are passed as spans now, the evidence of one part is collected alone, and WasLost() is the one search. Two comments on times are reworded, a second test of the same condition in PlatformTransport is merged.

--- a/src/libs/delivery/crash_causes.cc
+++ b/src/libs/delivery/crash_causes.cc
@@ -45,7 +45,8 @@
   return std::find(parts.begin(), parts.end(), part) != parts.end();
 }
 
-bool HasPart(const RecordedCrash& crash, const std::set<PromptPartId>& parts) {
+bool HasAnyPart(const RecordedCrash& crash,
+                const std::set<PromptPartId>& parts) {
   return std::any_of(
       crash.losses.begin(), crash.losses.end(), [&](const RecordedLoss& loss) {
         return std::any_of(loss.request.shared_parts.begin(),
@@ -54,42 +55,47 @@
       });
 }
 
-// Adds the loss of a request with `part`, at `position` of its prompt.
-void AddLoss(Evidence& evidence,
-             PromptPartId part,
-             std::size_t position,
-             std::size_t crash,
-             Time crash_time,
-             const RecordedLoss& loss) {
-  evidence.crashes.insert(crash);
-  evidence.sequence.Add(loss.sent, crash_time);
-  evidence.digests.insert(loss.request.digest);
-  evidence.position = std::max(evidence.position, position);
-  if (Contains(loss.request.working_parts, part))
-    evidence.seen = std::min(evidence.seen, SeenAnswers::kBegun);
+// What the host that reports `loss`, or this one, has seen of answers to
+// requests with `part`.
+SeenAnswers SeenOf(PromptPartId part,
+                   bool is_answered,
+                   const RecordedLoss& loss,
+                   const PartAnswers& answers) {
+  if (is_answered)
+    return SeenAnswers::kWhole;
+  return answers.has_begun(part) || Contains(loss.request.working_parts, part)
+             ? SeenAnswers::kBegun
+             : SeenAnswers::kNone;
 }
 
-EvidenceByPart CollectEvidence(const std::vector<RecordedCrash>& crashes,
-                               const std::set<PromptPartId>& blamed,
-                               const PartAnswers& answers) {
+// Evidence against the parts that are considered, without the crashes that a
+// part in `blamed` explains.
+EvidenceByPart CollectEvidence(
+    std::span<const RecordedCrash> crashes,
+    const std::set<PromptPartId>& blamed,
+    const PartAnswers& answers,
+    const std::function<bool(PromptPartId)>& is_considered) {
   EvidenceByPart evidence;
   for (std::size_t n = 0; n < crashes.size(); ++n) {
     const RecordedCrash& crash = crashes[n];
-    if (HasPart(crash, blamed))
+    if (HasAnyPart(crash, blamed))
       continue;
     for (const RecordedLoss& loss : crash.losses) {
       const std::vector<PromptPartId>& parts = loss.request.shared_parts;
       for (std::size_t position = 0; position < parts.size(); ++position) {
         const PromptPartId part = parts[position];
+        if (!is_considered(part))
+          continue;
         const std::optional<Time> answered = answers.last_whole(part);
         if (answered && *answered >= crash.time)
           continue;
         Evidence& it = evidence[part];
-        if (answered)
-          it.seen = SeenAnswers::kWhole;
-        else if (answers.has_begun(part))
-          it.seen = std::min(it.seen, SeenAnswers::kBegun);
-        AddLoss(it, part, position, n, crash.time, loss);
+        it.crashes.insert(n);
+        it.sequence.Add(loss.sent, crash.time);
+        it.digests.insert(loss.request.digest);
+        it.position = std::max(it.position, position);
+        it.seen = std::min(it.seen,
+                           SeenOf(part, answered.has_value(), loss, answers));
       }
     }
   }
@@ -99,13 +105,14 @@
 }  // namespace
 
 std::vector<PromptPartId> FindCrashCauses(
-    const std::vector<RecordedCrash>& crashes,
+    std::span<const RecordedCrash> crashes,
     const std::set<PromptPartId>& known,
     const PartAnswers& answers) {
   std::vector<PromptPartId> causes;
   std::set<PromptPartId> blamed = known;
   for (;;) {
-    EvidenceByPart evidence = CollectEvidence(crashes, blamed, answers);
+    EvidenceByPart evidence = CollectEvidence(
+        crashes, blamed, answers, [](PromptPartId) { return true; });
     std::erase_if(evidence,
                   [](const auto& it) { return !it.second.Suffices(); });
     const auto worst =
@@ -120,10 +127,18 @@
   }
 }
 
+bool WasLost(PromptPartId part, std::span<const RecordedCrash> crashes) {
+  return std::any_of(
+      crashes.begin(), crashes.end(),
+      [part](const RecordedCrash& it) { return HasAnyPart(it, {part}); });
+}
+
 bool IsBlamed(PromptPartId part,
-              const std::vector<RecordedCrash>& crashes,
+              std::span<const RecordedCrash> crashes,
               const PartAnswers& answers) {
-  const EvidenceByPart evidence = CollectEvidence(crashes, {}, answers);
+  const EvidenceByPart evidence =
+      CollectEvidence(crashes, {}, answers,
+                      [part](PromptPartId other) { return other == part; });
   auto it = evidence.find(part);
   return it != evidence.end() && it->second.Suffices();
 }
--- a/src/libs/delivery/crash_causes.h
+++ b/src/libs/delivery/crash_causes.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -55,13 +56,16 @@
 // further back in the prompt is blamed, as fewer requests have it. The parts in
 // `known` are blamed already.
 std::vector<PromptPartId> FindCrashCauses(
-    const std::vector<RecordedCrash>& crashes,
+    std::span<const RecordedCrash> crashes,
     const std::set<PromptPartId>& known,
     const PartAnswers& answers);
 
+// Whether a request with `part` was lost in one of `crashes`.
+bool WasLost(PromptPartId part, std::span<const RecordedCrash> crashes);
+
 // Whether `part` alone would be blamed for `crashes`.
 bool IsBlamed(PromptPartId part,
-              const std::vector<RecordedCrash>& crashes,
+              std::span<const RecordedCrash> crashes,
               const PartAnswers& answers);
 
 }  // namespace turmericwinch
--- a/src/libs/delivery/prompt_part_quarantine.cc
+++ b/src/libs/delivery/prompt_part_quarantine.cc
@@ -14,7 +14,7 @@
       [&crash](const RecordedCrash& it) { return it.target == crash.target; });
   if (found == crashes_.end()) {
     if (crashes_.size() >= kMaxRecordedCrashes)
-      crashes_.pop_front();
+      crashes_.erase(crashes_.begin());
     crashes_.push_back({crash.target, now, {}});
     found = std::prev(crashes_.end());
   }
@@ -33,11 +33,12 @@
           }};
 }
 
-std::vector<RecordedCrash> PromptPartQuarantine::CrashesUntil(Time end) const {
-  std::vector<RecordedCrash> crashes;
-  std::copy_if(crashes_.begin(), crashes_.end(), std::back_inserter(crashes),
-               [end](const RecordedCrash& it) { return it.time <= end; });
-  return crashes;
+std::span<const RecordedCrash> PromptPartQuarantine::CrashesUntil(
+    Time end) const {
+  const auto last = std::partition_point(
+      crashes_.begin(), crashes_.end(),
+      [end](const RecordedCrash& it) { return it.time <= end; });
+  return {crashes_.begin(), last};
 }
 
 std::vector<PromptPartId> PromptPartQuarantine::QuarantineCauses(Time now) {
@@ -71,7 +72,7 @@
   for (const AnsweredPart& it : parts) {
     answered_.Add(it.part, now - it.age);
     if (verdicts_.contains(it.part) &&
-        !IsBlamed(it.part, CrashesUntil(now), AnswersAt(now))) {
+        !IsBlamed(it.part, crashes_, AnswersAt(now))) {
       verdicts_.erase(it.part);
       cleared.push_back(it.part);
     }
@@ -89,17 +90,8 @@
     PromptPartId part,
     Time now) const {
   const std::optional<Time> answered = answered_.LastAnswer(part, now);
-  if (!answered)
-    return std::nullopt;
-  const bool knows_crash = std::any_of(
-      crashes_.begin(), crashes_.end(), [part](const RecordedCrash& crash) {
-        return std::any_of(
-            crash.losses.begin(), crash.losses.end(), [part](const auto& it) {
-              const auto& parts = it.request.shared_parts;
-              return std::find(parts.begin(), parts.end(), part) != parts.end();
-            });
-      });
-  if (!knows_crash || IsBlamed(part, CrashesUntil(now), AnswersAt(now)))
+  if (!answered || !WasLost(part, crashes_) ||
+      IsBlamed(part, crashes_, AnswersAt(now)))
     return std::nullopt;
   return std::chrono::duration_cast<std::chrono::milliseconds>(now - *answered);
 }
@@ -150,8 +142,9 @@
   std::erase_if(verdicts_, [now](const auto& it) {
     return now - it.second.end > kCrashRetention;
   });
-  while (!crashes_.empty() && now - crashes_.front().time > kCrashRetention)
-    crashes_.pop_front();
+  std::erase_if(crashes_, [now](const RecordedCrash& it) {
+    return now - it.time > kCrashRetention;
+  });
 }
 
 }  // namespace turmericwinch
--- a/src/libs/delivery/prompt_part_quarantine.h
+++ b/src/libs/delivery/prompt_part_quarantine.h
@@ -5,10 +5,9 @@
 #define SRC_LIBS_DELIVERY_PROMPT_PART_QUARANTINE_H_
 
 #include <chrono>
-#include <deque>
 #include <map>
 #include <optional>
-#include <set>
+#include <span>
 #include <vector>
 
 #include "libs/delivery/answered_parts.h"
@@ -83,14 +82,14 @@
   void Quarantine(PromptPartId part, Time now);
   PartAnswers AnswersAt(Time now) const;
   // The crashes that were first reported by `end`.
-  std::vector<RecordedCrash> CrashesUntil(Time end) const;
+  std::span<const RecordedCrash> CrashesUntil(Time end) const;
 
   // Parts of requests that were answered whole, and of those whose answer
   // began.
   AnsweredParts answered_;
   AnsweredParts begun_;
   // Oldest first.
-  std::deque<RecordedCrash> crashes_;
+  std::vector<RecordedCrash> crashes_;
   std::map<PromptPartId, Verdict> verdicts_;
 };
 
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -97,9 +97,9 @@
 // Maximum duration of the watches of such a host. Their answers show that
 // nothing has changed.
 inline constexpr std::chrono::milliseconds kReaderWatchWait{500};
-// Time after an answer of the store for which news of it are valid: the longest
-// time without a watch's answer, kNewsInterval and what frames may be late. A
-// host whose reader ends follows a change this much later.
+// Time after an answer of the store for which news of it are valid. It covers
+// kReaderWatchWait, kNewsInterval and the delay of the frames. If its reader
+// ends, a host learns of a change up to this much later.
 inline constexpr std::chrono::milliseconds kMaxNewsAge{1'400};
 // Time for which a host waits for news, for each host before it in rank, before
 // it reads for the others.
--- a/src/libs/gateway/request_quarantine.cc
+++ b/src/libs/gateway/request_quarantine.cc
@@ -233,7 +233,7 @@
     RecordLoss(it.digest, crash.target, now - it.age, is_own);
   {
     std::lock_guard lock(mutex_);
-    parts_.OnCrash(crash, Clock::now());
+    parts_.OnCrash(crash, now);
   }
   StartEvaluation();
 }
--- a/src/libs/platform/platform_constants.h
+++ b/src/libs/platform/platform_constants.h
@@ -17,8 +17,8 @@
 // Maximum number of queued calls of one duty, and their maximum wait.
 inline constexpr std::size_t kPlatformMaxWaiting = 64;
 inline constexpr std::chrono::milliseconds kPlatformMaxWait{2'000};
-// Time for which an idle connection is kept for the next call. Connections may
-// go silent together: a call that opens a new one learns nothing too late.
+// Time for which an idle connection is kept for the next call. It may go silent
+// meanwhile, and a call on it would then be lost.
 inline constexpr std::chrono::milliseconds kPlatformMaxIdleTime{1'000};
 // Consecutive failed calls after which the platform counts as unavailable.
 inline constexpr int kPlatformFailuresToUnavailable = 3;
--- a/src/libs/platform/platform_transport.cc
+++ b/src/libs/platform/platform_transport.cc
@@ -109,10 +109,10 @@
   if (d_->gate)
     d_->gate->Leave(answered);
   const bool writes = kind == PlatformCallKind::kWrite;
-  // Other connections may have gone silent together with this one.
-  if (!response && failure.timed_out)
-    d_->client.CloseIdleConnections(d_->endpoint);
   if (!response) {
+    // Other connections may have gone silent together with this one.
+    if (failure.timed_out)
+      d_->client.CloseIdleConnections(d_->endpoint);
     const bool outcome_unknown = writes && failure.may_have_arrived;
     co_return Fail(reason,
                    outcome_unknown ? ResultCode::kPlatformUnknown
