--- a/tests/adapter/gateway_call_framing_test.cc
+++ b/tests/adapter/gateway_call_framing_test.cc
@@ -5,9 +5,7 @@
 #include "endless_target.h"
 #include "gateway_call_fixture.h"
 #include "raw_target.h"
-#include "stalling_target.h"
 #include "support/run_until.h"
-#include "trickling_target.h"
 
 namespace turmericwinch::platform {
 
@@ -102,11 +100,11 @@
 
 // A refusal whose body goes on slowly must not hold the request.
 TEST(GatewayCallFraming, ARefusalThatDoesNotEndIsPassedOn) {
-  TricklingTarget target(
-      context.traffic,
-      "HTTP/1.1 503 Busy\r\nTurmericwinch-Attempt-Id: id1\r\n"
-      "Turmericwinch-Not-Executed: 1\r\n"
-      "Content-Length: 60000\r\n\r\n");
+  RawTarget target(context.traffic,
+                   "HTTP/1.1 503 Busy\r\nTurmericwinch-Attempt-Id: id1\r\n"
+                   "Turmericwinch-Not-Executed: 1\r\n"
+                   "Content-Length: 60000\r\n\r\n",
+                   ConnectionEnd::kTrickle);
   ListOnly(target.endpoint());
   LONGS_EQUAL(503, StatusOf("/once/1"));
 }
@@ -116,10 +114,11 @@
   constexpr int kCallers = 12;
   constexpr std::size_t kBytes = 3 * 1024 * 1024;
   constexpr int kMostThatFit = kMaxResponseMemory / kBytes;
-  StallingTarget target(context.traffic,
-                        "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
-                        "Turmericwinch-Response-Signature: mac\r\n\r\n" +
-                            std::string(kBytes, 'x'));
+  RawTarget target(context.traffic,
+                   "HTTP/1.1 200 OK\r\nTurmericwinch-Attempt-Id: id1\r\n"
+                   "Turmericwinch-Response-Signature: mac\r\n\r\n" +
+                       std::string(kBytes, 'x'),
+                   ConnectionEnd::kStall);
   ListOnly(target.endpoint());
   HttpRequest request = Request("/once/1");
   request.headers.Add("Turmericwinch-Deadline-Ms", "3000");
--- a/tests/adapter/raw_target.h
+++ b/tests/adapter/raw_target.h
@@ -4,12 +4,19 @@
 #define TESTS_ADAPTER_RAW_TARGET_H_
 
 #include <boost/asio.hpp>
+#include <chrono>
+#include <memory>
 #include <string>
+#include <utility>
 
 namespace turmericwinch {
 
-// How the target ends a connection after its bytes.
-enum class ConnectionEnd { kClose, kReset };
+// What the target does with a connection after its bytes. With kStall it keeps
+// the connection open until the peer closes it, with kTrickle it also sends one
+// more byte every kTrickleInterval.
+enum class ConnectionEnd { kClose, kReset, kStall, kTrickle };
+
+inline constexpr std::chrono::milliseconds kTrickleInterval{20};
 
 // Reads one request from each connection, sends `bytes` and ends the
 // connection.
@@ -18,10 +25,10 @@
   RawTarget(boost::asio::io_context& context,
             std::string bytes,
             ConnectionEnd end)
-      : bytes_(std::move(bytes)),
+      : bytes_(std::make_shared<const std::string>(std::move(bytes))),
         end_(end),
         acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    boost::asio::co_spawn(context, Accept(), boost::asio::detached);
+    Accept();
   }
 
   boost::asio::ip::tcp::endpoint endpoint() const {
@@ -29,24 +36,52 @@
   }
 
  private:
-  boost::asio::awaitable<void> Accept() {
-    for (;;) {
-      boost::asio::ip::tcp::socket socket =
-          co_await acceptor_.async_accept(boost::asio::use_awaitable);
-      std::string request;
-      co_await boost::asio::async_read_until(
-          socket, boost::asio::dynamic_buffer(request), "\r\n\r\n",
-          boost::asio::use_awaitable);
-      co_await boost::asio::async_write(socket, boost::asio::buffer(bytes_),
-                                        boost::asio::use_awaitable);
-      // Closing without lingering resets the connection.
-      if (end_ == ConnectionEnd::kReset)
-        socket.set_option(boost::asio::socket_base::linger(true, 0));
-      socket.close();
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code ec, Socket socket) {
+      if (ec)
+        return;
+      boost::asio::co_spawn(acceptor_.get_executor(),
+                            Serve(std::move(socket), bytes_, end_),
+                            boost::asio::detached);
+      Accept();
+    });
+  }
+
+  // Outlives the target if the peer does not close the connection.
+  static boost::asio::awaitable<void> Serve(
+      Socket socket,
+      std::shared_ptr<const std::string> bytes,
+      ConnectionEnd end) {
+    constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+    std::string request;
+    co_await boost::asio::async_read_until(
+        socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", kAwait);
+    auto [sent_ec, sent] = co_await boost::asio::async_write(
+        socket, boost::asio::buffer(*bytes), kAwait);
+    boost::system::error_code ec = sent_ec;
+    boost::asio::steady_timer timer(socket.get_executor());
+    while (!ec && end == ConnectionEnd::kTrickle) {
+      timer.expires_after(kTrickleInterval);
+      co_await timer.async_wait(kAwait);
+      auto [trickle_ec, n] = co_await boost::asio::async_write(
+          socket, boost::asio::buffer("x", 1), kAwait);
+      ec = trickle_ec;
+    }
+    char buf[256];
+    while (!ec && end == ConnectionEnd::kStall) {
+      auto [read_ec, n] =
+          co_await socket.async_read_some(boost::asio::buffer(buf), kAwait);
+      ec = read_ec;
     }
+    // Closing without lingering resets the connection.
+    if (end == ConnectionEnd::kReset)
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+    socket.close(ec);
   }
 
-  std::string bytes_;
+  std::shared_ptr<const std::string> bytes_;
   ConnectionEnd end_;
   boost::asio::ip::tcp::acceptor acceptor_;
 };
--- a/tests/adapter/scripted_target.h
+++ b/tests/adapter/scripted_target.h
@@ -76,11 +76,11 @@
       behavior = script_.front();
       script_.erase(script_.begin());
     }
-    if (request.headers.Get("Turmericwinch-Prefix-Hash").find(kDeadlyPart) !=
-        std::string_view::npos)
+    const std::string_view parts =
+        request.headers.Get("Turmericwinch-Prefix-Hash");
+    if (parts.find(kDeadlyPart) != std::string_view::npos)
       behavior = TargetBehavior::kClose;
-    if (request.headers.Get("Turmericwinch-Prefix-Hash")
-            .find(kLateDeadlyPart) != std::string_view::npos)
+    if (parts.find(kLateDeadlyPart) != std::string_view::npos)
       behavior = TargetBehavior::kCrashInStream;
     HttpResponse response;
     if (behavior != TargetBehavior::kNotRunWithoutId) {
