Forget a request that stops waiting for tokens

Cause: a wait that ended at its time limit, or because the caller left, stayed in the list of waits until the next grant of its budget. It holds a timer of the request's thread. A grant, a loan or the end of the ledger after that thread's io_context was destroyed used the timer.

Test: SharedLedger.ARequestThatStopsWaitingIsForgotten. Before: ThreadSanitizer reports heap-use-after-free in post_immediate_completion (scripts/build.sh tsan node_test; node_test -sg SharedLedger). After: passes.

--- a/src/libs/node/shared_ledger.cc
+++ b/src/libs/node/shared_ledger.cc
@@ -57,6 +57,17 @@
     return taken;
   }
 
+  // Removes a waiter whose wait ended before anything woke it.
+  void RemoveWaiter(const std::string& budget,
+                    const std::shared_ptr<Waiter>& waiter) {
+    auto it = waiters.find(budget);
+    if (it == waiters.end())
+      return;
+    std::erase(it->second, waiter);
+    if (it->second.empty())
+      waiters.erase(it);
+  }
+
   std::mutex mutex;
   HostLedger ledger;
   bool reachable = true;
@@ -137,6 +148,8 @@
           [waiter] { waiter->timer.expires_at(Clock::time_point::min()); });
     }
     co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    std::lock_guard lock(d_->mutex);
+    d_->RemoveWaiter(budget, waiter);
     if (cancel) {
       cancel->SetWaiter({});
       if (cancel->cancelled()) {
@@ -146,7 +159,6 @@
                            budget);
       }
     }
-    std::lock_guard lock(d_->mutex);
     if (waiter->denial) {
       *reason = *waiter->denial;
       co_return std::nullopt;
--- a/tests/node/shared_ledger_test.cc
+++ b/tests/node/shared_ledger_test.cc
@@ -10,6 +10,29 @@
 
 namespace asio = boost::asio;
 
+// Starts a request for `tokens` of the budget "team".
+void SpawnReserve(asio::io_context& context,
+                  SharedLedger& ledger,
+                  std::int64_t tokens,
+                  std::optional<std::uint64_t>& reservation,
+                  HttpCancel* cancel = nullptr) {
+  asio::co_spawn(
+      context,
+      [&ledger, &reservation, tokens, cancel]() -> asio::awaitable<void> {
+        Reason reason;
+        reservation = co_await ledger.Reserve(
+            "team", tokens, std::chrono::hours(1), &reason, cancel);
+      },
+      asio::detached);
+  context.restart();
+  context.poll();
+}
+
+void RunReady(asio::io_context& context) {
+  context.restart();
+  context.poll();
+}
+
 }  // namespace
 
 TEST_GROUP(SharedLedger){};
@@ -44,4 +67,20 @@
   LONGS_EQUAL(10, available);
 }
 
+// Guards against a use after free: the timer of a wait that has ended must not
+// outlive the traffic thread of its request.
+TEST(SharedLedger, ARequestThatStopsWaitingIsForgotten) {
+  SharedLedger ledger("host");
+  {
+    asio::io_context context{1};
+    HttpCancel cancel;
+    std::optional<std::uint64_t> reservation;
+    SpawnReserve(context, ledger, 10, reservation, &cancel);
+    cancel.Cancel();
+    RunReady(context);
+    CHECK(!reservation);
+  }
+  ledger.Grant("team", 10);
+}
+
 }  // namespace turmericwinch
