Wake requests that wait for tokens when tokens come free

In the product: a request waits for its whole time limit and is refused, while the host got tokens that it could have had.

Cause: TakeGrantRequests() asks for the requested tokens less the available ones. Tokens that another request left over between AddGrantRequest() and this call are subtracted, so that no grant is asked for, but only a grant or a loan woke the waiting request. A newcomer took the tokens; the first request stayed until its limit, and its refusal was cached for the next requests of its thread.

Ruled out: a wake-up before the start of the wait (the expiry then lies in the past); the handler's flag (set after the request is added under the lock).

Change: SharedLedger wakes, in the order of arrival, the waiting requests that the available tokens can serve, after Settle(), Release() and With(). Related paths: tokens returned by borrowers and loans applied through With().

Tests, failed before: ReleasedTokensWakeWaitingRequests, TokensThatBorrowersReturnWakeWaitingRequests, TokensOfALoanWakeRequestsThatOneSourceCanServe (CHECK(...has_value()) failed).

--- a/src/libs/budget/host_ledger.cc
+++ b/src/libs/budget/host_ledger.cc
@@ -25,29 +25,30 @@
     return {ReserveOutcome::kBillsFull, 0};
   LedgerBudget& budget = d_->budgets[name];
   budget.last_use = now;
-  std::optional<OpenReservation> reservation = d_->TryReserve(name, tokens);
-  if (!reservation)
+  std::optional<std::string> lender = d_->FindSource(name, tokens);
+  if (!lender)
     return {ReserveOutcome::kNeedsGrant, 0};
+  (lender->empty() ? budget.reserved : budget.loans[*lender].reserved) +=
+      tokens;
   budget.rate.AddTokens(tokens, now);
   const std::uint64_t id = d_->next_reservation++;
-  d_->reservations.emplace(id, std::move(*reservation));
+  d_->reservations.emplace(id,
+                           OpenReservation{name, std::move(*lender), tokens});
   return {ReserveOutcome::kReserved, id};
 }
 
 // The own row is used first: its tokens were drawn because no lender answered.
-std::optional<OpenReservation> HostLedger::Private::TryReserve(
+std::optional<std::string> HostLedger::Private::FindSource(
     const std::string& name,
-    std::int64_t tokens) {
-  LedgerBudget& budget = budgets[name];
-  if (budget.Available() >= tokens) {
-    budget.reserved += tokens;
-    return OpenReservation{name, "", tokens};
-  }
-  for (auto& [lender, loan] : budget.loans) {
-    if (loan.Available() < tokens || closed_lenders.contains(lender))
-      continue;
-    loan.reserved += tokens;
-    return OpenReservation{name, lender, tokens};
+    std::int64_t tokens) const {
+  auto budget = budgets.find(name);
+  if (budget == budgets.end())
+    return std::nullopt;
+  if (budget->second.Available() >= tokens)
+    return std::string();
+  for (const auto& [lender, loan] : budget->second.loans) {
+    if (loan.Available() >= tokens && !closed_lenders.contains(lender))
+      return lender;
   }
   return std::nullopt;
 }
@@ -259,6 +260,24 @@
   }
 }
 
+bool HostLedger::CanReserve(const std::string& name,
+                            std::int64_t tokens) const {
+  return !d_->fenced && d_->FindSource(name, tokens).has_value();
+}
+
+std::int64_t HostLedger::ReservableTokens(const std::string& name) const {
+  auto budget = d_->budgets.find(name);
+  if (d_->fenced || budget == d_->budgets.end())
+    return 0;
+  std::int64_t tokens = std::max<std::int64_t>(budget->second.Available(), 0);
+  for (const auto& [lender, loan] : budget->second.loans) {
+    if (!d_->closed_lenders.contains(lender))
+      tokens =
+          AddSaturated(tokens, std::max<std::int64_t>(loan.Available(), 0));
+  }
+  return tokens;
+}
+
 std::int64_t HostLedger::Available(const std::string& name) const {
   auto it = d_->budgets.find(name);
   return it == d_->budgets.end() ? 0 : it->second.Available();
--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -186,6 +186,10 @@
   // still uses no tokens from it.
   void ForgetLoans(const std::string& lender);
 
+  // Whether one source has `tokens` now, so that Reserve() finds them.
+  bool CanReserve(const std::string& budget, std::int64_t tokens) const;
+  // Tokens of the own row and of all lenders that can be reserved now.
+  std::int64_t ReservableTokens(const std::string& budget) const;
   // Tokens of the own row, or from a lender, that can be reserved now.
   std::int64_t Available(const std::string& budget) const;
   std::int64_t AvailableFrom(const std::string& lender,
--- a/src/libs/budget/host_ledger_private.h
+++ b/src/libs/budget/host_ledger_private.h
@@ -34,10 +34,10 @@
   }
   void ReturnLoan(const std::string& name, const std::string& lender);
   void ReturnLoans(const std::string& name);
-  // Reserves `tokens` from the own row or one lender; nothing if no source has
-  // enough.
-  std::optional<OpenReservation> TryReserve(const std::string& name,
-                                            std::int64_t tokens);
+  // The lender that has `tokens`, empty for the own row; nothing if no source
+  // has enough.
+  std::optional<std::string> FindSource(const std::string& name,
+                                        std::int64_t tokens) const;
   const LedgerLoan* LoanAt(const std::string& lender,
                            const std::string& name) const;
 
--- a/src/libs/node/shared_ledger.cc
+++ b/src/libs/node/shared_ledger.cc
@@ -68,6 +68,24 @@
       waiters.erase(it);
   }
 
+  // Wakes the waiting requests, in the order of arrival, that tokens which came
+  // free can serve. Those tokens count as available for a grant request, so
+  // that no grant may follow.
+  void WakeWaitersWithTokens() {
+    for (auto budget = waiters.begin(); budget != waiters.end();) {
+      std::int64_t tokens_left = ledger.ReservableTokens(budget->first);
+      std::erase_if(budget->second, [&](const std::shared_ptr<Waiter>& it) {
+        if (it->tokens > tokens_left ||
+            !ledger.CanReserve(budget->first, it->tokens))
+          return false;
+        tokens_left -= it->tokens;
+        WakeWaiter(it);
+        return true;
+      });
+      budget = budget->second.empty() ? waiters.erase(budget) : next(budget);
+    }
+  }
+
   std::mutex mutex;
   HostLedger ledger;
   bool reachable = true;
@@ -168,12 +186,16 @@
 
 std::optional<Bill> SharedLedger::Settle(std::uint64_t reservation, Bill bill) {
   std::lock_guard lock(d_->mutex);
-  return d_->ledger.Settle(reservation, std::move(bill), Clock::now());
+  std::optional<Bill> settled =
+      d_->ledger.Settle(reservation, std::move(bill), Clock::now());
+  d_->WakeWaitersWithTokens();
+  return settled;
 }
 
 void SharedLedger::Release(std::uint64_t reservation) {
   std::lock_guard lock(d_->mutex);
   d_->ledger.Release(reservation);
+  d_->WakeWaitersWithTokens();
 }
 
 void SharedLedger::Grant(const std::string& budget,
@@ -220,6 +242,7 @@
 void SharedLedger::With(const std::function<void(HostLedger&)>& action) {
   std::lock_guard lock(d_->mutex);
   action(d_->ledger);
+  d_->WakeWaitersWithTokens();
 }
 
 }  // namespace turmericwinch
--- a/src/libs/node/shared_ledger.h
+++ b/src/libs/node/shared_ledger.h
@@ -38,7 +38,8 @@
       Reason* reason,
       HttpCancel* cancel = nullptr);
 
-  // Settles or releases a reservation, at most once; see HostLedger.
+  // Settles or releases a reservation, at most once; see HostLedger. Wakes
+  // waiting requests that the tokens left over can serve.
   std::optional<Bill> Settle(std::uint64_t reservation, Bill bill);
   void Release(std::uint64_t reservation);
 
@@ -57,7 +58,8 @@
             std::int64_t missing,
             const Reason& reason);
 
-  // Runs `action` while the ledger is locked.
+  // Runs `action` while the ledger is locked. Wakes waiting requests that can
+  // be served afterwards.
   void With(const std::function<void(HostLedger&)>& action);
 
  private:
--- a/tests/node/shared_ledger_test.cc
+++ b/tests/node/shared_ledger_test.cc
@@ -83,4 +83,68 @@
   ledger.Grant("team", 10);
 }
 
+// Guards against a lost wake-up: tokens that come free while a request waits
+// are not drawn again, so that the request got them only at its time limit.
+TEST(SharedLedger, ReleasedTokensWakeWaitingRequests) {
+  asio::io_context context{1};
+  SharedLedger ledger("host");
+  ledger.Grant("team", 20);
+  std::optional<std::uint64_t> running;
+  SpawnReserve(context, ledger, 20, running);
+  CHECK(running.has_value());
+  std::optional<std::uint64_t> first;
+  std::optional<std::uint64_t> second;
+  std::optional<std::uint64_t> third;
+  SpawnReserve(context, ledger, 10, first);
+  SpawnReserve(context, ledger, 10, second);
+  SpawnReserve(context, ledger, 10, third);
+  CHECK(!first);
+  ledger.Release(*running);
+  RunReady(context);
+  CHECK(first.has_value());
+  CHECK(second.has_value());
+  CHECK(!third);
+  Bill bill;
+  bill.tokens = 10;
+  ledger.Settle(*first, bill);
+  RunReady(context);
+  CHECK(!third);
+  bill.tokens = 0;
+  ledger.Settle(*second, bill);
+  RunReady(context);
+  CHECK(third.has_value());
+}
+
+TEST(SharedLedger, TokensThatBorrowersReturnWakeWaitingRequests) {
+  asio::io_context context{1};
+  SharedLedger ledger("host");
+  ledger.Grant("team", 10);
+  ledger.With([](HostLedger& it) {
+    CHECK(it.Lend("team", 10, std::chrono::steady_clock::now()));
+  });
+  std::optional<std::uint64_t> waiting;
+  SpawnReserve(context, ledger, 10, waiting);
+  CHECK(!waiting);
+  ledger.With([](HostLedger& it) { it.ReduceLent("team", 0, 10); });
+  RunReady(context);
+  CHECK(waiting.has_value());
+}
+
+// Loans of several lenders are not added up, as a reservation uses one source.
+TEST(SharedLedger, TokensOfALoanWakeRequestsThatOneSourceCanServe) {
+  asio::io_context context{1};
+  SharedLedger ledger("host");
+  std::optional<std::uint64_t> large;
+  std::optional<std::uint64_t> small;
+  SpawnReserve(context, ledger, 15, large);
+  SpawnReserve(context, ledger, 10, small);
+  ledger.With([](HostLedger& it) {
+    CHECK(it.ApplyLoan("lender-1", "team", 10));
+    CHECK(it.ApplyLoan("lender-2", "team", 10));
+  });
+  RunReady(context);
+  CHECK(!large);
+  CHECK(small.has_value());
+}
+
 }  // namespace turmericwinch
