Move the shared check of quarantined parts into a fixture

Read on the whole diff: the formatter takes the members of TEST_GROUP_BASE for a namespace, so that left CheckPartIsQuarantined() without indentation and with a comment that closes a namespace in the middle of the class. The function stands in PromptPartFixture now, the base of the test group.

No code of the product changes.

--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -14,30 +14,31 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
+struct PromptPartFixture : GatewayCallFixture {
+  // Lets requests with the part crash targets. Checks that the next one is
+  // refused and reaches none, and that its other parts are served.
+  void CheckPartIsQuarantined(const std::string& part) {
+    constexpr int kCrashes = 5;
+    const std::string deadly = "a1:9,b2:9," + part + ":9";
+    for (int n = 0; n < kCrashes; ++n) {
+      StatusOfPrompt(deadly);
+      ListCrash();
+    }
+    // Runs until the crashes are evaluated.
+    while (context.quarantine.quarantined_parts() == 0 &&
+           context.control.run_one() > 0) {
+    }
+    const std::size_t before = ReceivedRequests();
+    LONGS_EQUAL(503, StatusOfPrompt(deadly));
+    LONGS_EQUAL(before, ReceivedRequests());
+    script = {TargetBehavior::kStream};
+    LONGS_EQUAL(200, StatusOfPrompt("a1:9,b2:9"));
+  }
+};
+
 }  // namespace
 
-TEST_GROUP_BASE(GatewayCall, GatewayCallFixture){
-    // Lets requests with the part crash targets. Checks that the next one is
-    // refused and reaches none, and that its other parts are served.
-    void CheckPartIsQuarantined(const std::string& part){
-        constexpr int kCrashes = 5;
-const std::string deadly = "a1:9,b2:9," + part + ":9";
-for (int n = 0; n < kCrashes; ++n) {
-  StatusOfPrompt(deadly);
-  ListCrash();
-}
-// Runs until the crashes are evaluated.
-while (context.quarantine.quarantined_parts() == 0 &&
-       context.control.run_one() > 0) {
-}
-const std::size_t before = ReceivedRequests();
-LONGS_EQUAL(503, StatusOfPrompt(deadly));
-LONGS_EQUAL(before, ReceivedRequests());
-script = {TargetBehavior::kStream};
-LONGS_EQUAL(200, StatusOfPrompt("a1:9,b2:9"));
-}  // namespace turmericwinch::platform
-}
-;
+TEST_GROUP_BASE(GatewayCall, PromptPartFixture){};
 
 // Checks the response and the number of targets that got the request, for each
 // behavior of the first targets.
