--- a/src/apps/measure_routing/flood_model.cc
+++ b/src/apps/measure_routing/flood_model.cc
@@ -134,7 +134,7 @@
   for (const DequeuedRequest& it : host.queue.DequeueReady(ModelTime(now))) {
     Job* started = host.waiting.at(it.ticket);
     host.waiting.erase(it.ticket);
-    Send(*started, it.choice, now);
+    Send(*started, *it.choice, now);
   }
 }
 
--- a/src/libs/base/result_code.cc
+++ b/src/libs/base/result_code.cc
@@ -30,6 +30,8 @@
     {ResultCode::kInProgress, "in_progress", 409, 3},
     {ResultCode::kClaimUnavailable, "claim_unavailable", 503, 5},
     {ResultCode::kCallerGone, "caller_gone", 499, 3},
+    {ResultCode::kDomainEvacuated, "domain_evacuated", 503, 6},
+    {ResultCode::kNoAllowedTarget, "no_allowed_target", 503, 6},
     {ResultCode::kNotReady, "not_ready", 503, 6},
     {ResultCode::kShuttingDown, "shutting_down", 503, 6},
     {ResultCode::kInternal, "internal", 500, 7},
--- a/src/libs/base/result_code.h
+++ b/src/libs/base/result_code.h
@@ -36,6 +36,8 @@
   kInProgress = 306,
   kClaimUnavailable = 307,
   kCallerGone = 308,
+  kDomainEvacuated = 309,
+  kNoAllowedTarget = 310,
   // 4xx: this host.
   kNotReady = 400,
   kShuttingDown = 401,
--- a/src/libs/budget/ranked_hosts.cc
+++ b/src/libs/budget/ranked_hosts.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <set>
 #include <tuple>
 
 #include "libs/base/digest.h"
@@ -26,6 +27,13 @@
   return hosts;
 }
 
+std::vector<std::string> HostNames(const FleetAccount& account) {
+  std::set<std::string> names;
+  for (const auto& [holder, heartbeat] : account.heartbeats)
+    names.emplace(HostOfHolder(holder));
+  return {names.begin(), names.end()};
+}
+
 std::string FindIntroducer(const FleetAccount& account,
                            const std::string& holder,
                            const std::string& domain) {
--- a/src/libs/budget/ranked_hosts.h
+++ b/src/libs/budget/ranked_hosts.h
@@ -25,6 +25,9 @@
 std::vector<RankedHost> RankHosts(const FleetAccount& account,
                                   const std::string& domain);
 
+// Names of the hosts in the account, sorted; each host once.
+std::vector<std::string> HostNames(const FleetAccount& account);
+
 // Address of the host that lists `holder`, of `domain`, in the account with its
 // own next write: one of the domain, if the account lists any, so that hosts
 // that start together ask the same few. Empty if the account lists no other
--- a/src/libs/config/config_kind.cc
+++ b/src/libs/config/config_kind.cc
@@ -31,6 +31,10 @@
        .min_value = 1,
        .max_value = 1000,
        .description = "weight in fair queueing when a service is saturated"},
+      {.name = "regions",
+       .type = kStringList,
+       .description = "regions whose targets may get the requests; all if "
+                      "absent"},
   };
   return fields;
 }
@@ -135,6 +139,23 @@
        .min_value = 1,
        .max_value = 100'000,
        .description = "maximum concurrent requests at one target"},
+      {.name = "cold_ms",
+       .type = kInteger,
+       .min_value = 0,
+       .max_value = kMaxDeadlineMs,
+       .description = "time for which a target is cold after its start"},
+      {.name = "cold_requests_per_second",
+       .type = kInteger,
+       .min_value = 0,
+       .max_value = kMaxRate,
+       .description = "requests that a cold target takes from all hosts; no "
+                      "limit if 0"},
+      {.name = "memory_tokens",
+       .type = kInteger,
+       .min_value = 0,
+       .max_value = kConfigMaxTokens,
+       .description = "tokens of the requests that a target can hold at once; "
+                      "no limit if 0"},
   };
   return fields;
 }
--- a/src/libs/config/config_snapshot.cc
+++ b/src/libs/config/config_snapshot.cc
@@ -29,6 +29,14 @@
   return IntField(fields, name).value_or(default_value);
 }
 
+double NumberOr(const json::object& fields,
+                std::string_view name,
+                double default_value) {
+  const json::value* value = fields.if_contains(name);
+  return value && value->is_number() ? value->to_number<double>()
+                                     : default_value;
+}
+
 std::string StringOrEmpty(const json::object& fields, std::string_view name) {
   return StringField(fields, name).value_or("");
 }
@@ -78,7 +86,8 @@
   switch (object.kind) {
     case ConfigKind::kTeam:
       teams_[name] = {name, static_cast<int>(IntOr(fields, "priority", 5)),
-                      static_cast<int>(IntOr(fields, "share", 1))};
+                      static_cast<int>(IntOr(fields, "share", 1)),
+                      StringListField(fields, "regions")};
       for (const std::string& it : StringListField(fields, "key_hashes"))
         team_of_key_[it] = name;
       return;
@@ -108,9 +117,14 @@
            StringListField(fields, "teams")});
       return;
     case ConfigKind::kTargetClass:
-      target_classes_[name] = {name, StringOrEmpty(fields, "service"),
-                               IntOr(fields, "tokens_per_second", 50),
-                               IntOr(fields, "most_in_flight", 64)};
+      target_classes_[name] = {
+          name,
+          StringOrEmpty(fields, "service"),
+          IntOr(fields, "tokens_per_second", 50),
+          IntOr(fields, "most_in_flight", 64),
+          std::chrono::milliseconds(IntOr(fields, "cold_ms", 0)),
+          NumberOr(fields, "cold_requests_per_second", 0),
+          IntOr(fields, "memory_tokens", 0)};
       return;
     case ConfigKind::kFailureDomain:
       failure_domains_[name] = {name, StringOrEmpty(fields, "region"),
--- a/src/libs/config/config_snapshot.h
+++ b/src/libs/config/config_snapshot.h
@@ -22,6 +22,8 @@
   std::string name;
   int priority = 5;
   int share = 1;
+  // Regions whose targets may get the team's requests; all if empty.
+  std::vector<std::string> regions;
 };
 
 struct BudgetConfig {
@@ -55,6 +57,13 @@
   std::string service;
   std::int64_t tokens_per_second = 50;
   std::int64_t most_in_flight = 64;
+  // Time for which a target is cold after its start; 0 if it never is.
+  std::chrono::milliseconds cold_time{0};
+  // Requests per second that a cold target takes from all hosts together; 0 if
+  // there is no limit.
+  double cold_requests_per_second = 0;
+  // Tokens of the requests that a target can hold at once; 0 if unknown.
+  std::int64_t memory_tokens = 0;
 };
 
 struct FailureDomainConfig {
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "libs/base/log.h"
+#include "libs/budget/ranked_hosts.h"
 #include "libs/gateway/account_manager_private.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/run_periodically.h"
@@ -70,6 +71,7 @@
       static_cast<std::size_t>(hosts),
       holder.stock_hosts().KeepsStock() || holder.has_introductions());
   context.peers.UpdateAddresses(holder.known_account());
+  context.targets.SetFleet(HostNames(holder.known_account()));
   co_return true;
 }
 
--- /dev/null
+++ b/src/libs/gateway/domain_evacuations.h
@@ -0,0 +1,60 @@
+// The failure domains that the operator has evacuated, as this host knows them.
+// Free of clocks and I/O.
+
+#ifndef SRC_LIBS_GATEWAY_DOMAIN_EVACUATIONS_H_
+#define SRC_LIBS_GATEWAY_DOMAIN_EVACUATIONS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libs/platform/platform_client.h"
+
+namespace turmericwinch {
+
+// Answers an operator who empties a failure domain while the store, links or
+// hosts fail: what is known stays in force until something newer is known.
+// Versions are those of the store, see store_version.h, so that the state of a
+// store that came back from an old copy replaces what was known before.
+class DomainEvacuations {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  // `domains` are all failure domains of the deployment; others are ignored.
+  explicit DomainEvacuations(const std::vector<std::string>& domains);
+
+  // Applies an answer of the store. Returns whether the set changed.
+  bool ApplyNames(const PlatformNames& names, TimePoint now);
+  // Applies the set that another host read at `version`, `age` ago. Ignored if
+  // this host knows that version. Returns whether the set changed.
+  bool ApplyNews(const std::vector<std::string>& domains,
+                 std::uint64_t version,
+                 std::chrono::milliseconds age,
+                 TimePoint now);
+
+  const std::set<std::string>& domains() const { return evacuated_; }
+  // Version of the store that the set is known to hold for; 0 if none is.
+  std::uint64_t version() const { return version_; }
+  bool is_known() const { return version_ > 0; }
+  // When the store last confirmed the set.
+  TimePoint confirmed_at() const { return confirmed_at_; }
+  // Names of objects that are no failure domain of the deployment, since the
+  // last call.
+  std::vector<std::string> TakeUnknownNames();
+
+ private:
+  // Adds the domain if the deployment has it.
+  void Add(const std::string& domain, std::set<std::string>& to);
+
+  std::set<std::string> known_domains_;
+  std::set<std::string> evacuated_;
+  std::vector<std::string> unknown_names_;
+  std::uint64_t version_ = 0;
+  TimePoint confirmed_at_{};
+};
+
+}  // namespace turmericwinch
+
+#endif  // SRC_LIBS_GATEWAY_DOMAIN_EVACUATIONS_H_
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -6,6 +6,7 @@
 
 #include "libs/base/log.h"
 #include "libs/gateway/account_manager.h"
+#include "libs/gateway/evacuation_source.h"
 #include "libs/gateway/gateway_call_runner.h"
 #include "libs/gateway/gateway_context.h"
 #include "libs/gateway/gateway_state.h"
@@ -36,7 +37,8 @@
   Private(GatewaySettings settings, GatewayDeployment parts);
 
   bool IsReady() const {
-    return context.config.Get() && context.targets_known && !context.draining &&
+    return context.config.Get() && context.targets_known &&
+           context.evacuations_known && !context.draining &&
            !context.link.is_saturated();
   }
   void ApplyConfig(std::shared_ptr<const GatewayConfig> config);
@@ -62,6 +64,8 @@
   std::unique_ptr<PlatformClient> store;
   std::unique_ptr<ConfigSource> config_source;
   std::unique_ptr<TargetSource> target_source;
+  // Null if the deployment has no evacuations.
+  std::unique_ptr<EvacuationSource> evacuation_source;
   std::unique_ptr<AccountManager> account_manager;
   std::unique_ptr<QuarantineStore> quarantine_store;
   HttpServer caller_server;
@@ -113,6 +117,16 @@
             return HandleOperatorRequest(request, exchange);
           }),
       signals(context.control, SIGTERM, SIGINT, SIGHUP) {
+  if (context.settings.evacuate_time.count() > 0) {
+    evacuation_source = std::make_unique<EvacuationSource>(
+        *store, context.news, context.settings.failure_domains,
+        [this](const std::set<std::string>& domains) {
+          context.targets.SetEvacuatedDomains(domains);
+          context.evacuations_known = true;
+        });
+  } else {
+    context.evacuations_known = true;
+  }
   context.ledger.SetGrantRequestHandler(
       [this] { account_manager->RequestTokens(); });
   context.quarantine.SetStore([this](const QuarantineVerdicts& verdicts) {
@@ -275,6 +289,10 @@
                  asio::detached);
   asio::co_spawn(context.control, d_->config_source->Run(), asio::detached);
   asio::co_spawn(context.control, d_->target_source->Run(), asio::detached);
+  if (d_->evacuation_source) {
+    asio::co_spawn(context.control, d_->evacuation_source->Run(),
+                   asio::detached);
+  }
   asio::co_spawn(context.control, d_->account_manager->Run(), asio::detached);
   asio::co_spawn(context.control, d_->quarantine_store->Run(), asio::detached);
   asio::co_spawn(context.control, context.quarantine.Run(), asio::detached);
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -40,6 +40,10 @@
 inline constexpr std::chrono::milliseconds kRetryAfterNoTokens{50};
 // Wait before a retry when this host has just started and has no configuration.
 inline constexpr std::chrono::milliseconds kRetryAfterNoConfig{300};
+// Wait before a retry when all targets of the service are in evacuated failure
+// domains: another host has no others, and evacuations last for seconds at
+// least.
+inline constexpr std::chrono::milliseconds kRetryAfterEvacuated{1'000};
 // Number of targets that one request may fail to reach before it is refused
 // and the caller is asked to retry.
 inline constexpr int kMaxUnreachedTargets = 3;
--- a/src/libs/gateway/gateway_context.cc
+++ b/src/libs/gateway/gateway_context.cc
@@ -43,6 +43,7 @@
       retries(settings.retry_ratio, settings.retry_slack),
       link(settings.link_mbps * kBytesPerMegabit) {
   client.SetUnresponsivePeerTimeout(kTargetSilenceTimeout);
+  targets.SetColdBound(settings.cold_overshoot, settings.cold_tolerance);
 }
 
 bool GatewayContext::IsLinkSaturated() {
--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -92,6 +92,8 @@
                          boot.now};
   // Whether the list of targets was received once.
   std::atomic<bool> targets_known{false};
+  // Whether the evacuated failure domains are known, or there can be none.
+  std::atomic<bool> evacuations_known{false};
   std::atomic<bool> draining{false};
   // Whether requests that arrive now are refused: what is left until the host
   // stops may be too short for them.
--- a/src/libs/gateway/gateway_settings.cc
+++ b/src/libs/gateway/gateway_settings.cc
@@ -18,6 +18,18 @@
       .value_or(boost::asio::ip::tcp::endpoint());
 }
 
+std::map<std::string, std::string> ParseDomainRegions(const std::string& text) {
+  std::vector<std::string> entries;
+  boost::algorithm::split(entries, text, boost::algorithm::is_any_of(","));
+  std::map<std::string, std::string> regions;
+  for (const std::string& it : entries) {
+    const std::size_t equals = it.find('=');
+    if (equals != std::string::npos)
+      regions[it.substr(0, equals)] = it.substr(equals + 1);
+  }
+  return regions;
+}
+
 }  // namespace
 
 const std::vector<SettingSpec>& GatewaySettingSpecs() {
@@ -86,6 +98,31 @@
        .default_value = "50",
        .least = 0,
        .most = kMaxRate},
+      {.name = "domain-regions",
+       .label = "region of each failure domain, DOMAIN=REGION, "
+                "comma-separated"},
+      {.name = "evacuate-ms",
+       .type = kDecimal,
+       .label = "time after which an evacuation of a failure domain must be in "
+                "force; 0 if there are no evacuations",
+       .unit = "ms",
+       .default_value = "0",
+       .least = 0,
+       .most = kMaxRate},
+      {.name = "cold-overshoot",
+       .type = kDecimal,
+       .label = "requests that a cold target may get in a second, as a factor "
+                "of its limit",
+       .default_value = "1",
+       .least = 1,
+       .most = kMaxRate},
+      {.name = "cold-tolerance",
+       .type = kDecimal,
+       .label = "requests that a cold target may get in a second beyond the "
+                "factor",
+       .default_value = "0",
+       .least = 0,
+       .most = kMaxRate},
       {.name = "log-level",
        .label = "minimum severity of the events that are logged",
        .default_value = "info",
@@ -123,6 +160,11 @@
   settings.link_mbps = table.Decimal("link-mbps");
   settings.retry_ratio = table.Decimal("retry-ratio");
   settings.retry_slack = table.Decimal("retry-slack");
+  settings.domain_regions = ParseDomainRegions(table.Text("domain-regions"));
+  settings.evacuate_time = std::chrono::milliseconds(
+      static_cast<std::int64_t>(table.Decimal("evacuate-ms")));
+  settings.cold_overshoot = table.Decimal("cold-overshoot");
+  settings.cold_tolerance = table.Decimal("cold-tolerance");
   settings.log_level = table.Text("log-level");
   return settings;
 }
--- a/src/libs/gateway/gateway_settings.h
+++ b/src/libs/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,15 @@
   // retries that are allowed beyond these.
   double retry_ratio = 0;
   double retry_slack = 0;
+  // Region of each failure domain; empty if the deployment names none.
+  std::map<std::string, std::string> domain_regions;
+  // Time after which an evacuation of a failure domain must be in force at all
+  // hosts; 0 if the deployment has no evacuations.
+  std::chrono::milliseconds evacuate_time{0};
+  // Requests that a cold target may get in any second, as a factor of its limit
+  // and a number beyond.
+  double cold_overshoot = 1;
+  double cold_tolerance = 0;
   std::string log_level;
 };
 
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -44,6 +44,8 @@
                     {"address", it.address},
                     {"in_flight", it.in_flight},
                     {"leaving", it.leaving},
+                    {"evacuated", it.evacuated},
+                    {"cold", it.cold},
                     {"state", NameOf(it.state)},
                     {"ejections", it.ejections},
                     {"limit", it.limit},
--- a/src/libs/gateway/path_route.h
+++ b/src/libs/gateway/path_route.h
@@ -51,6 +51,8 @@
   int max_attempts = 1;
   // Whether callers without an API key are allowed.
   bool is_public = false;
+  // Regions whose targets may get the requests; all if empty.
+  std::vector<std::string> regions;
 };
 
 }  // namespace turmericwinch
--- a/src/libs/gateway/resolved_call.cc
+++ b/src/libs/gateway/resolved_call.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "libs/base/digest.h"
+#include "libs/gateway/allowed_domains.h"
 
 namespace turmericwinch {
 
@@ -14,8 +15,14 @@
   return static_cast<std::uint32_t>(random());
 }
 
-RoutingRequest MakeRoutingRequest(const ResolvedCall& resolved) {
+RoutingRequest MakeRoutingRequest(
+    const ResolvedCall& resolved,
+    const std::map<std::string, std::string>& domain_regions) {
   RoutingRequest request;
+  request.domains = AllowedDomains(
+      resolved.route->regions,
+      resolved.team ? resolved.team->regions : std::vector<std::string>(),
+      domain_regions);
   request.service = resolved.service;
   if (resolved.team) {
     request.team = resolved.team->name;
@@ -66,7 +73,8 @@
         std::min(resolved.deadline, resolved.start + *call.time_left);
   }
   resolved.service = ChooseService(*resolved.route, RandomNumber());
-  resolved.routing_request = MakeRoutingRequest(resolved);
+  resolved.routing_request =
+      MakeRoutingRequest(resolved, context.settings.domain_regions);
   return true;
 }
 
--- a/src/libs/gateway/store_news_exchange.cc
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -30,6 +30,7 @@
       domain_(std::move(domain)),
       boot_now_(std::move(now)),
       waiters_{Waiter{asio::steady_timer(control)},
+               Waiter{asio::steady_timer(control)},
                Waiter{asio::steady_timer(control)},
                Waiter{asio::steady_timer(control)}} {
   peers_.AddHandler(
@@ -44,6 +45,10 @@
   on_targets_ = std::move(handler);
 }
 
+void StoreNewsExchange::SetEvacuationsHandler(EvacuationsHandler handler) {
+  on_evacuations_ = std::move(handler);
+}
+
 void StoreNewsExchange::SetHosts(const FleetAccount& account) {
   fleet_hosts_ = account.HostCount();
   if (peers_.enabled())
@@ -72,9 +77,13 @@
                                  std::uint64_t changes_from) {
   if (!readers_.is_sender())
     return;
-  const Clock::time_point answered =
-      std::min(answered_at_[static_cast<std::size_t>(StoreTopic::kConfig)],
-               answered_at_[static_cast<std::size_t>(StoreTopic::kTargets)]);
+  const auto answered_at = [this](StoreTopic topic) {
+    return answered_at_[static_cast<std::size_t>(topic)];
+  };
+  Clock::time_point answered = std::min(answered_at(StoreTopic::kConfig),
+                                        answered_at(StoreTopic::kTargets));
+  if (on_evacuations_)
+    answered = std::min(answered, answered_at(StoreTopic::kEvacuations));
   StoreNews news = own_;
   news.host = host_;
   news.sent = boot_now_();
@@ -106,6 +115,19 @@
   SendNews("", own_.targets_changed);
 }
 
+void StoreNewsExchange::RecordEvacuations(const std::set<std::string>& domains,
+                                          std::uint64_t version) {
+  answered_at_[static_cast<std::size_t>(StoreTopic::kEvacuations)] =
+      Clock::now();
+  const bool is_new = own_.evacuations == 0 ||
+                      !std::equal(domains.begin(), domains.end(),
+                                  own_.evacuated.begin(), own_.evacuated.end());
+  own_.evacuations = version;
+  own_.evacuated.assign(domains.begin(), domains.end());
+  if (is_new)
+    SendNews("", own_.targets_changed);
+}
+
 void StoreNewsExchange::RecordTargets(const PlatformHosts& hosts,
                                       bool after_outage) {
   answered_at_[static_cast<std::size_t>(StoreTopic::kTargets)] = Clock::now();
@@ -131,6 +153,12 @@
   }
   if (!news->changes.empty() && on_targets_ && !readers_.is_sender())
     on_targets_({news->changes_from, news->targets_changed, news->changes});
+  if (news->evacuations > 0 && on_evacuations_ && !readers_.is_sender()) {
+    on_evacuations_({news->evacuated, news->evacuations, news->age});
+    // The news hold the whole set, so nothing is left to read.
+    Waiter& waiter = WaiterOf(StoreTopic::kEvacuations);
+    waiter.version = std::max(waiter.version, news->evacuations);
+  }
   // Without later changes, the list known here is that of the news.
   Waiter& targets = WaiterOf(StoreTopic::kTargets);
   if (news->targets_changed <= targets.version &&
--- a/src/libs/gateway/store_news_exchange.h
+++ b/src/libs/gateway/store_news_exchange.h
@@ -11,7 +11,9 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/gateway_peers.h"
@@ -29,12 +31,21 @@
   std::string text;
 };
 
+// The failure domains that another host knows to be evacuated at `version`.
+// `age` is the time since the store last answered that host.
+struct EvacuationNews {
+  std::vector<std::string> domains;
+  std::uint64_t version = 0;
+  std::chrono::milliseconds age{0};
+};
+
 // Used on the control thread. `now` is the time since the host booted, with
 // suspended periods.
 class StoreNewsExchange {
  public:
   using Clock = std::chrono::steady_clock;
   using BootNow = std::function<BootTime()>;
+  using EvacuationsHandler = std::function<void(const EvacuationNews&)>;
   using TargetsHandler = std::function<void(const TargetListNews&)>;
 
   StoreNewsExchange(boost::asio::io_context& control,
@@ -52,6 +63,10 @@
   // Calls `handler` with changes of the list of targets that come with news.
   void SetTargetsHandler(TargetsHandler handler);
 
+  // Calls `handler` with the evacuated failure domains in news. From then on,
+  // news of this host are valid only as long as it knows the evacuations.
+  void SetEvacuationsHandler(EvacuationsHandler handler);
+
   // Waits, at most `max_wait`, while news of other hosts show that the store
   // has nothing newer than `version`. Returns whether this host should read
   // now: it has no valid news, or they name a newer version.
@@ -77,6 +92,10 @@
   // Records that the store answered, and that it has no newer version of
   // `topic` than `version`.
   void RecordAnswer(StoreTopic topic, std::uint64_t version);
+  // Records that the store answered, and which failure domains are evacuated at
+  // `version`; sends them to the listeners if they changed.
+  void RecordEvacuations(const std::set<std::string>& domains,
+                         std::uint64_t version);
   // Records an answer with the list of targets, and sends its changes to the
   // listeners. `after_outage`: it is the first after an outage of the store.
   void RecordTargets(const PlatformHosts& hosts, bool after_outage);
@@ -102,6 +121,7 @@
   std::string domain_;
   BootNow boot_now_;
   TargetsHandler on_targets_;
+  EvacuationsHandler on_evacuations_;
   std::array<Waiter, kStoreTopics> waiters_;
   // Number of hosts of the fleet.
   int fleet_hosts_ = 0;
--- a/src/libs/gateway/store_readers.cc
+++ b/src/libs/gateway/store_readers.cc
@@ -19,6 +19,8 @@
       return news.quarantine;
     case StoreTopic::kTargets:
       return news.targets_changed;
+    case StoreTopic::kEvacuations:
+      return news.evacuations;
   }
   return 0;
 }
--- a/src/libs/gateway/store_readers.h
+++ b/src/libs/gateway/store_readers.h
@@ -19,8 +19,8 @@
 namespace turmericwinch {
 
 // Objects of the store that every host has to know.
-enum class StoreTopic { kConfig, kQuarantine, kTargets };
-inline constexpr std::size_t kStoreTopics = 3;
+enum class StoreTopic { kConfig, kQuarantine, kTargets, kEvacuations };
+inline constexpr std::size_t kStoreTopics = 4;
 
 // Hosts of one failure domain are ranked, see RankHosts(). The first
 // reads the store and sends its news to the others, which read only what the
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-// A waiting request. `choice` is protected by the mutex.
+// A waiting request. `choice` and `failure` are protected by the mutex.
 struct SharedTargets::Waiter {
   Waiter(const asio::any_io_executor& executor, QueueTicket ticket)
       : timer(executor), ticket(std::move(ticket)) {}
@@ -22,8 +22,12 @@
   asio::steady_timer timer;
   QueueTicket ticket;
   std::optional<TargetChoice> choice;
+  // Why no target can take the request; kOk if the request may still wait.
+  Reason failure;
   // Used on the executor of the timer only.
   bool cancelled = false;
+
+  bool has_ended() const { return choice || failure.code != ResultCode::kOk; }
 };
 
 SharedTargets::SharedTargets(std::string failure_domain,
@@ -36,6 +40,22 @@
   StartQueuedRequests();
 }
 
+void SharedTargets::SetEvacuatedDomains(std::set<std::string> domains) {
+  std::lock_guard lock(mutex_);
+  table_.SetEvacuatedDomains(std::move(domains), Clock::now());
+  StartQueuedRequests();
+}
+
+void SharedTargets::SetColdBound(double overshoot, double tolerance) {
+  std::lock_guard lock(mutex_);
+  table_.SetColdBound(overshoot, tolerance);
+}
+
+void SharedTargets::SetFleet(std::vector<std::string> hosts) {
+  std::lock_guard lock(mutex_);
+  table_.SetFleet(std::move(hosts));
+}
+
 std::optional<TargetChoice> SharedTargets::BeginAttempt(
     const RoutingRequest& request,
     const std::set<std::string>& excluded,
@@ -105,6 +125,7 @@
     std::shared_ptr<Waiter> waiter = std::move(found->second);
     waiters_.erase(found);
     waiter->choice = std::move(it.choice);
+    waiter->failure = std::move(it.reason);
     Wake(waiter);
   }
 }
@@ -142,7 +163,8 @@
     {
       std::lock_guard lock(mutex_);
       const Clock::time_point now = Clock::now();
-      if (waiter->choice || waiter->cancelled || !may_wait_ || now >= deadline)
+      if (waiter->has_ended() || waiter->cancelled || !may_wait_ ||
+          now >= deadline)
         co_return;
       const auto next = table_.NextRateStart(waiter->ticket.service, now);
       waiter->timer.expires_at(
@@ -151,7 +173,7 @@
     }
     co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     std::lock_guard lock(mutex_);
-    if (!waiter->choice)
+    if (!waiter->has_ended())
       StartQueuedRequests();
   }
 }
@@ -209,6 +231,10 @@
   std::lock_guard lock(mutex_);
   if (waiter->choice)
     co_return std::move(waiter->choice);
+  if (waiter->failure.code != ResultCode::kOk) {
+    *reason = waiter->failure;
+    co_return std::nullopt;
+  }
   queue_.Remove(waiter->ticket);
   waiters_.erase(waiter->ticket);
   if (waiter->cancelled) {
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -27,6 +27,10 @@
   SharedTargets(std::string failure_domain, const std::string& host);
 
   void Update(const HostList& list, const ConfigSnapshot& config);
+  // See the functions of TargetTable.
+  void SetEvacuatedDomains(std::set<std::string> domains);
+  void SetFleet(std::vector<std::string> hosts);
+  void SetColdBound(double overshoot, double tolerance);
   std::optional<TargetChoice> BeginAttempt(
       const RoutingRequest& request,
       const std::set<std::string>& excluded,
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -3005,6 +3005,14 @@
 void StoreNews::__set_outage(const int64_t val) {
   this->outage = val;
 }
+
+void StoreNews::__set_evacuations(const int64_t val) {
+  this->evacuations = val;
+}
+
+void StoreNews::__set_evacuated(const std::vector<std::string> & val) {
+  this->evacuated = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
 {
   obj.printTo(out);
@@ -3113,6 +3121,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuations);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuated.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->evacuated.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += iprot->readString(this->evacuated[_i108]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3170,6 +3206,22 @@
   xfer += oprot->writeI64(this->outage);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->evacuations);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated.size()));
+    std::vector<std::string> ::const_iterator _iter109;
+    for (_iter109 = this->evacuated.begin(); _iter109 != this->evacuated.end(); ++_iter109)
+    {
+      xfer += oprot->writeString((*_iter109));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3187,34 +3239,40 @@
   swap(a.changes_from, b.changes_from);
   swap(a.changes, b.changes);
   swap(a.outage, b.outage);
+  swap(a.evacuations, b.evacuations);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
-StoreNews::StoreNews(const StoreNews& other104) {
-  host = other104.host;
-  sent_ms = other104.sent_ms;
-  age_ms = other104.age_ms;
-  config = other104.config;
-  quarantine = other104.quarantine;
-  targets = other104.targets;
-  targets_changed = other104.targets_changed;
-  changes_from = other104.changes_from;
-  changes = other104.changes;
-  outage = other104.outage;
-  __isset = other104.__isset;
-}
-StoreNews& StoreNews::operator=(const StoreNews& other105) {
-  host = other105.host;
-  sent_ms = other105.sent_ms;
-  age_ms = other105.age_ms;
-  config = other105.config;
-  quarantine = other105.quarantine;
-  targets = other105.targets;
-  targets_changed = other105.targets_changed;
-  changes_from = other105.changes_from;
-  changes = other105.changes;
-  outage = other105.outage;
-  __isset = other105.__isset;
+StoreNews::StoreNews(const StoreNews& other110) {
+  host = other110.host;
+  sent_ms = other110.sent_ms;
+  age_ms = other110.age_ms;
+  config = other110.config;
+  quarantine = other110.quarantine;
+  targets = other110.targets;
+  targets_changed = other110.targets_changed;
+  changes_from = other110.changes_from;
+  changes = other110.changes;
+  outage = other110.outage;
+  evacuations = other110.evacuations;
+  evacuated = other110.evacuated;
+  __isset = other110.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other111) {
+  host = other111.host;
+  sent_ms = other111.sent_ms;
+  age_ms = other111.age_ms;
+  config = other111.config;
+  quarantine = other111.quarantine;
+  targets = other111.targets;
+  targets_changed = other111.targets_changed;
+  changes_from = other111.changes_from;
+  changes = other111.changes;
+  outage = other111.outage;
+  evacuations = other111.evacuations;
+  evacuated = other111.evacuated;
+  __isset = other111.__isset;
   return *this;
 }
 void StoreNews::printTo(std::ostream& out) const {
@@ -3230,6 +3288,8 @@
   out << ", " << "changes_from=" << to_string(changes_from);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "outage=" << to_string(outage);
+  out << ", " << "evacuations=" << to_string(evacuations);
+  out << ", " << "evacuated=" << to_string(evacuated);
   out << ")";
 }
 
@@ -3360,19 +3420,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListAsk::HostListAsk(const HostListAsk& other106) {
-  digest = other106.digest;
-  part_of = other106.part_of;
-  offset = other106.offset;
-  peer = other106.peer;
-  __isset = other106.__isset;
+HostListAsk::HostListAsk(const HostListAsk& other112) {
+  digest = other112.digest;
+  part_of = other112.part_of;
+  offset = other112.offset;
+  peer = other112.peer;
+  __isset = other112.__isset;
 }
-HostListAsk& HostListAsk::operator=(const HostListAsk& other107) {
-  digest = other107.digest;
-  part_of = other107.part_of;
-  offset = other107.offset;
-  peer = other107.peer;
-  __isset = other107.__isset;
+HostListAsk& HostListAsk::operator=(const HostListAsk& other113) {
+  digest = other113.digest;
+  part_of = other113.part_of;
+  offset = other113.offset;
+  peer = other113.peer;
+  __isset = other113.__isset;
   return *this;
 }
 void HostListAsk::printTo(std::ostream& out) const {
@@ -3580,27 +3640,27 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListPart::HostListPart(const HostListPart& other108) {
-  version = other108.version;
-  age_ms = other108.age_ms;
-  base = other108.base;
-  digest = other108.digest;
-  offset = other108.offset;
-  total = other108.total;
-  text = other108.text;
-  peer = other108.peer;
-  __isset = other108.__isset;
-}
-HostListPart& HostListPart::operator=(const HostListPart& other109) {
-  version = other109.version;
-  age_ms = other109.age_ms;
-  base = other109.base;
-  digest = other109.digest;
-  offset = other109.offset;
-  total = other109.total;
-  text = other109.text;
-  peer = other109.peer;
-  __isset = other109.__isset;
+HostListPart::HostListPart(const HostListPart& other114) {
+  version = other114.version;
+  age_ms = other114.age_ms;
+  base = other114.base;
+  digest = other114.digest;
+  offset = other114.offset;
+  total = other114.total;
+  text = other114.text;
+  peer = other114.peer;
+  __isset = other114.__isset;
+}
+HostListPart& HostListPart::operator=(const HostListPart& other115) {
+  version = other115.version;
+  age_ms = other115.age_ms;
+  base = other115.base;
+  digest = other115.digest;
+  offset = other115.offset;
+  total = other115.total;
+  text = other115.text;
+  peer = other115.peer;
+  __isset = other115.__isset;
   return *this;
 }
 void HostListPart::printTo(std::ostream& out) const {
@@ -3778,23 +3838,23 @@
   swap(a.__isset, b.__isset);
 }
 
-HostIntroduction::HostIntroduction(const HostIntroduction& other110) {
-  holder = other110.holder;
-  boot_id = other110.boot_id;
-  boot_ms = other110.boot_ms;
-  address = other110.address;
-  domain = other110.domain;
-  link_mbps = other110.link_mbps;
-  __isset = other110.__isset;
-}
-HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other111) {
-  holder = other111.holder;
-  boot_id = other111.boot_id;
-  boot_ms = other111.boot_ms;
-  address = other111.address;
-  domain = other111.domain;
-  link_mbps = other111.link_mbps;
-  __isset = other111.__isset;
+HostIntroduction::HostIntroduction(const HostIntroduction& other116) {
+  holder = other116.holder;
+  boot_id = other116.boot_id;
+  boot_ms = other116.boot_ms;
+  address = other116.address;
+  domain = other116.domain;
+  link_mbps = other116.link_mbps;
+  __isset = other116.__isset;
+}
+HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other117) {
+  holder = other117.holder;
+  boot_id = other117.boot_id;
+  boot_ms = other117.boot_ms;
+  address = other117.address;
+  domain = other117.domain;
+  link_mbps = other117.link_mbps;
+  __isset = other117.__isset;
   return *this;
 }
 void HostIntroduction::printTo(std::ostream& out) const {
@@ -4189,45 +4249,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other112) {
-  version = other112.version;
-  hello = other112.hello;
-  proof = other112.proof;
-  membership = other112.membership;
-  config_notice = other112.config_notice;
-  config_request = other112.config_request;
-  config_part = other112.config_part;
-  budget_ask = other112.budget_ask;
-  budget_answer = other112.budget_answer;
-  quarantine_notice = other112.quarantine_notice;
-  host_list_ask = other112.host_list_ask;
-  host_list_part = other112.host_list_part;
-  crash_notice = other112.crash_notice;
-  prompt_part_notice = other112.prompt_part_notice;
-  rate_limit_notice = other112.rate_limit_notice;
-  store_news = other112.store_news;
-  host_introduction = other112.host_introduction;
-  __isset = other112.__isset;
-}
-Frame& Frame::operator=(const Frame& other113) {
-  version = other113.version;
-  hello = other113.hello;
-  proof = other113.proof;
-  membership = other113.membership;
-  config_notice = other113.config_notice;
-  config_request = other113.config_request;
-  config_part = other113.config_part;
-  budget_ask = other113.budget_ask;
-  budget_answer = other113.budget_answer;
-  quarantine_notice = other113.quarantine_notice;
-  host_list_ask = other113.host_list_ask;
-  host_list_part = other113.host_list_part;
-  crash_notice = other113.crash_notice;
-  prompt_part_notice = other113.prompt_part_notice;
-  rate_limit_notice = other113.rate_limit_notice;
-  store_news = other113.store_news;
-  host_introduction = other113.host_introduction;
-  __isset = other113.__isset;
+Frame::Frame(const Frame& other118) {
+  version = other118.version;
+  hello = other118.hello;
+  proof = other118.proof;
+  membership = other118.membership;
+  config_notice = other118.config_notice;
+  config_request = other118.config_request;
+  config_part = other118.config_part;
+  budget_ask = other118.budget_ask;
+  budget_answer = other118.budget_answer;
+  quarantine_notice = other118.quarantine_notice;
+  host_list_ask = other118.host_list_ask;
+  host_list_part = other118.host_list_part;
+  crash_notice = other118.crash_notice;
+  prompt_part_notice = other118.prompt_part_notice;
+  rate_limit_notice = other118.rate_limit_notice;
+  store_news = other118.store_news;
+  host_introduction = other118.host_introduction;
+  __isset = other118.__isset;
+}
+Frame& Frame::operator=(const Frame& other119) {
+  version = other119.version;
+  hello = other119.hello;
+  proof = other119.proof;
+  membership = other119.membership;
+  config_notice = other119.config_notice;
+  config_request = other119.config_request;
+  config_part = other119.config_part;
+  budget_ask = other119.budget_ask;
+  budget_answer = other119.budget_answer;
+  quarantine_notice = other119.quarantine_notice;
+  host_list_ask = other119.host_list_ask;
+  host_list_part = other119.host_list_part;
+  crash_notice = other119.crash_notice;
+  prompt_part_notice = other119.prompt_part_notice;
+  rate_limit_notice = other119.rate_limit_notice;
+  store_news = other119.store_news;
+  host_introduction = other119.host_introduction;
+  __isset = other119.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -1218,7 +1218,7 @@
 std::ostream& operator<<(std::ostream& out, const RateLimitNotice& obj);
 
 typedef struct _StoreNews__isset {
-  _StoreNews__isset() : host(false), sent_ms(false), age_ms(false), config(false), quarantine(false), targets(false), targets_changed(false), changes_from(false), changes(false), outage(false) {}
+  _StoreNews__isset() : host(false), sent_ms(false), age_ms(false), config(false), quarantine(false), targets(false), targets_changed(false), changes_from(false), changes(false), outage(false), evacuations(false), evacuated(false) {}
   bool host :1;
   bool sent_ms :1;
   bool age_ms :1;
@@ -1229,6 +1229,8 @@
   bool changes_from :1;
   bool changes :1;
   bool outage :1;
+  bool evacuations :1;
+  bool evacuated :1;
 } _StoreNews__isset;
 
 class StoreNews : public virtual ::apache::thrift::TBase {
@@ -1246,7 +1248,8 @@
               targets_changed(0),
               changes_from(0),
               changes(),
-              outage(0) {
+              outage(0),
+              evacuations(0) {
   }
 
   virtual ~StoreNews() noexcept;
@@ -1260,6 +1263,8 @@
   int64_t changes_from;
   std::string changes;
   int64_t outage;
+  int64_t evacuations;
+  std::vector<std::string>  evacuated;
 
   _StoreNews__isset __isset;
 
@@ -1283,6 +1288,10 @@
 
   void __set_outage(const int64_t val);
 
+  void __set_evacuations(const int64_t val);
+
+  void __set_evacuated(const std::vector<std::string> & val);
+
   bool operator == (const StoreNews & rhs) const
   {
     if (!(host == rhs.host))
@@ -1305,6 +1314,10 @@
       return false;
     if (!(outage == rhs.outage))
       return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
   bool operator != (const StoreNews &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -177,6 +177,8 @@
   8: i64 changes_from
   9: string changes
   10: i64 outage
+  11: i64 evacuations
+  12: list<string> evacuated
 }
 
 // Requests the host list unless its digest is `digest`. `offset` is the
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -104,8 +104,10 @@
 // targets; the list last changed at `targets_changed`. `changes` are its
 // changes since `changes_from` (see PlatformHosts::text), or empty. `outage` is
 // the version of the first list after the store's last outage, 0 if there was
-// none. `age` is the time since the store last answered the sender, `sent` the
-// time since it booted.
+// none. `evacuated` are the evacuated failure domains, known to hold for the
+// version `evacuations` of the store; 0 if they are not known. `age` is the
+// time since the store last answered the sender, `sent` the time since it
+// booted.
 struct StoreNews {
   std::string host;
   std::chrono::milliseconds sent{0};
@@ -117,6 +119,8 @@
   std::uint64_t changes_from = 0;
   std::string changes;
   std::uint64_t outage = 0;
+  std::uint64_t evacuations = 0;
+  std::vector<std::string> evacuated;
 };
 
 // Requests the receiver's host list unless its digest is `digest`; the response
--- a/src/libs/peer/store_news_wire.cc
+++ b/src/libs/peer/store_news_wire.cc
@@ -16,13 +16,15 @@
   result.changes_from = static_cast<std::int64_t>(news.changes_from);
   result.changes = news.changes;
   result.outage = static_cast<std::int64_t>(news.outage);
+  result.evacuations = static_cast<std::int64_t>(news.evacuations);
+  result.evacuated = news.evacuated;
   return result;
 }
 
 std::optional<StoreNews> StoreNewsOf(const wire::StoreNews& wire) {
   const std::int64_t least = std::min(
       {wire.sent_ms, wire.age_ms, wire.config, wire.quarantine, wire.targets,
-       wire.targets_changed, wire.changes_from, wire.outage});
+       wire.targets_changed, wire.changes_from, wire.outage, wire.evacuations});
   if (wire.host.empty() || least < 0 || wire.targets_changed > wire.targets ||
       wire.changes_from > wire.targets_changed)
     return std::nullopt;
@@ -37,6 +39,8 @@
   news.changes_from = static_cast<std::uint64_t>(wire.changes_from);
   news.changes = wire.changes;
   news.outage = static_cast<std::uint64_t>(wire.outage);
+  news.evacuations = static_cast<std::uint64_t>(wire.evacuations);
+  news.evacuated = wire.evacuated;
   return news;
 }
 
--- a/src/libs/platform/platform_client.cc
+++ b/src/libs/platform/platform_client.cc
@@ -1,5 +1,7 @@
 #include "libs/platform/platform_client.h"
 
+#include <algorithm>
+
 namespace turmericwinch {
 
 bool IsWriteConflict(ResultCode code) {
@@ -17,4 +19,23 @@
   co_return PlatformHosts{0, true, std::move(*text)};
 }
 
+PlatformClient::Answer<PlatformNames> PlatformClient::NamesSince(
+    PlatformDuty duty,
+    std::string kind,
+    std::uint64_t,
+    std::chrono::milliseconds,
+    Reason* reason) {
+  const std::string prefix = kind + "/";
+  std::optional<std::vector<PlatformObject>> objects =
+      co_await List(duty, prefix, reason);
+  if (!objects)
+    co_return std::nullopt;
+  PlatformNames names;
+  for (const PlatformObject& it : *objects) {
+    names.version = std::max(names.version, it.version);
+    names.present.push_back(it.name.substr(prefix.size()));
+  }
+  co_return names;
+}
+
 }  // namespace turmericwinch
--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -40,6 +40,15 @@
   std::string text;
 };
 
+// Names of the objects of a kind that exist, or the names that appeared or
+// changed and those that were removed since an earlier version.
+struct PlatformNames {
+  std::uint64_t version = 0;
+  bool is_whole = true;
+  std::vector<std::string> present;
+  std::vector<std::string> removed;
+};
+
 // Whether a write failed because another writer has changed or created the
 // object, so that it must be read again.
 bool IsWriteConflict(ResultCode code);
@@ -85,6 +94,15 @@
                                        std::uint64_t after,
                                        std::chrono::milliseconds wait,
                                        Reason* reason) = 0;
+  // Waits at most `wait` until an object of the kind `kind` is created, changed
+  // or removed after version `after`, and returns the names that changed.
+  // Returns all names without waiting if `after` is 0, or if the platform no
+  // longer keeps that version. The names are without the kind.
+  virtual Answer<PlatformNames> NamesSince(PlatformDuty duty,
+                                           std::string kind,
+                                           std::uint64_t after,
+                                           std::chrono::milliseconds wait,
+                                           Reason* reason);
   // Era of the store according to its last response; see store_version.h. It is
   // part of all versions above. Writes with a version of an earlier era fail
   // with kPlatformConflict.
--- a/src/libs/routing/host_list.cc
+++ b/src/libs/routing/host_list.cc
@@ -1,6 +1,8 @@
 #include "libs/routing/host_list.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
+#include <cstdint>
 
 #include "libs/base/json_fields.h"
 
@@ -31,9 +33,13 @@
   const auto text = [&](std::string_view field) {
     return StringField(row, field).value_or("");
   };
-  return {text("name"),    text("failure_domain"),
-          text("address"), text("incarnation"),
-          text("class"),   text("state") == "leaving"};
+  ListedMember member{text("name"),    text("failure_domain"),
+                      text("address"), text("incarnation"),
+                      text("class"),   text("state") == "leaving"};
+  if (const std::optional<std::int64_t> cold_ms = IntField(row, "cold_ms"))
+    member.cold_for =
+        std::chrono::milliseconds(std::max<std::int64_t>(*cold_ms, 0));
+  return member;
 }
 
 std::optional<HostList> ParseHostList(std::string_view text, Reason* reason) {
--- a/src/libs/routing/host_list.h
+++ b/src/libs/routing/host_list.h
@@ -4,6 +4,7 @@
 #define SRC_LIBS_ROUTING_HOST_LIST_H_
 
 #include <boost/json/object.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,9 @@
   // Set for targets only.
   std::string target_class;
   bool leaving = false;
+  // Time for which the target stays cold, as it said last; nullopt if it did
+  // not say.
+  std::optional<std::chrono::milliseconds> cold_for = std::nullopt;
 
   bool operator==(const ListedMember&) const = default;
 };
--- a/src/libs/routing/host_list_change.cc
+++ b/src/libs/routing/host_list_change.cc
@@ -56,6 +56,8 @@
                       {"state", member.leaving ? "leaving" : "live"}};
   if (is_target)
     row["class"] = member.target_class;
+  if (member.cold_for)
+    row["cold_ms"] = member.cold_for->count();
   return row;
 }
 
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -149,6 +149,12 @@
 // Time for which a host tells others that a rate limit has ended.
 inline constexpr std::chrono::milliseconds kRateLimitEndHold{10'000};
 
+// Requests per second that each host with a share of a cold target's limit gets
+// at least: fewer would make most requests wait for longer than callers do.
+inline constexpr int kMinColdRequestsPerSender = 2;
+// Bound of the limit of a cold target, for configurations with a huge one.
+inline constexpr double kMaxColdRequestsPerSecond = 1e6;
+
 // Time span whose allowance of a configured rate may be used in one burst.
 inline constexpr std::chrono::duration<double> kRateBurst{1.0};
 
--- a/src/libs/routing/target_choice.cc
+++ b/src/libs/routing/target_choice.cc
@@ -34,9 +34,8 @@
     if (weight == 0 || it->IsClosed(query.now) ||
         static_cast<double>(it->load.in_flight()) >=
             it->AllowedInFlight(query.now) ||
-        query.excluded.contains(it->member.name) ||
-        !it->rate_limit.MayStart(query.now) ||
-        IsLeftToLonger(group, *it, query))
+        !query.Allows(it->member) || !it->rate_limit.MayStart(query.now) ||
+        !it->cold.MayStart(query.now) || IsLeftToLonger(group, *it, query))
       return;
     const double uncached = std::max(prompt - cached, 1.0);
     const double domain_penalty = it->member.failure_domain == failure_domain
@@ -78,13 +77,15 @@
   for (auto& [tier, group] : service->second) {
     for (Target* it : group.targets) {
       const TargetState state = it->health.State(query.now);
-      if (it->IsLeaving() || state == TargetState::kLeaving ||
-          query.excluded.contains(it->member.name))
+      if (it->IsLeaving() || it->evacuated || state == TargetState::kLeaving ||
+          !query.Allows(it->member))
         continue;
       if (it->IsClosed(query.now))
         *obstacle = "wants no request for now";
       else if (!it->rate_limit.MayStart(query.now))
         *obstacle = "has reached its rate limit";
+      else if (!it->cold.MayStart(query.now))
+        *obstacle = "is cold and gets its requests from other hosts for now";
       else if (it->load.in_flight() >= it->max_in_flight)
         *obstacle = "is full";
       else if (it->health.Weight(query.now) > 0)
@@ -96,6 +97,35 @@
   return *obstacle ? nullptr : ejected;
 }
 
+Reason TargetTable::Private::ReasonOfNoTarget(const RoutingQuery& query) const {
+  const std::string& name = query.request.service;
+  auto service = groups.find(name);
+  bool is_known = false;
+  bool is_allowed = false;
+  if (service != groups.end()) {
+    for (const auto& [tier, group] : service->second) {
+      is_known = is_known || !group.targets.empty();
+      for (const Target* it : group.targets) {
+        if (!query.Allows(it->member))
+          continue;
+        if (it->evacuated) {
+          return {ResultCode::kDomainEvacuated,
+                  "every target of " + name +
+                      " that may get the request is in an evacuated failure "
+                      "domain"};
+        }
+        is_allowed = true;
+      }
+    }
+  }
+  if (is_known && !is_allowed && query.request.domains) {
+    return {ResultCode::kNoAllowedTarget,
+            "no target of " + name +
+                " is in a region that the route and the team allow"};
+  }
+  return {ResultCode::kNoTarget, "no target of " + name + " is known"};
+}
+
 TargetChoice TargetTable::Private::StartAttempt(const RoutingQuery& query,
                                                 Target& target,
                                                 double uncached_tokens) {
@@ -108,6 +138,7 @@
   choice.sent_at = query.now;
   target.load.BeginRequest(uncached_tokens, query.now);
   target.rate_limit.RecordStart(query.now);
+  target.cold.RecordStart(query.now);
   if (!request.team.empty())
     teams[request.service].BeginRequest(request.team);
   if (request.prefix != 0)
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -3,12 +3,14 @@
 #ifndef SRC_LIBS_ROUTING_TARGET_GROUP_H_
 #define SRC_LIBS_ROUTING_TARGET_GROUP_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "libs/routing/cold_pace.h"
 #include "libs/routing/concurrency_limit.h"
 #include "libs/routing/host_list.h"
 #include "libs/routing/prefix_ring.h"
@@ -32,14 +34,21 @@
   ConcurrencyLimit limit;
   TargetHealth health;
   TargetRateLimit rate_limit;
+  ColdPace cold;
+  // Time for which the target is cold after its start, 0 if it never is, and
+  // the requests per second that it takes meanwhile, 0 if there is no limit.
+  std::chrono::milliseconds cold_time{0};
+  double cold_requests_per_second = 0;
   // Whether the target said that it leaves, and until when it wants no request.
   bool says_leaving = false;
+  // Whether the target's failure domain is evacuated.
+  bool evacuated = false;
   TargetHealth::TimePoint paused_until;
 
   bool IsLeaving() const { return member.leaving || says_leaving; }
   // Whether the target may get no new request, whatever its load.
   bool IsClosed(TargetHealth::TimePoint now) const {
-    return IsLeaving() || now < paused_until;
+    return IsLeaving() || evacuated || now < paused_until;
   }
   // Requests that this host may have in flight at the target. Few at a new
   // target that has not answered yet: its speed is unknown, and all hosts start
--- a/src/libs/routing/target_queue.cc
+++ b/src/libs/routing/target_queue.cc
@@ -53,6 +53,12 @@
     Reason reason;
     std::optional<TargetChoice> choice =
         table_.BeginAttempt(request, {}, now, &reason);
+    if (!choice && reason.code != ResultCode::kOverloaded) {
+      starts.push_back({{service, *id}, std::nullopt, std::move(reason)});
+      queue.order.Remove(*id);
+      queue.requests.erase(*id);
+      continue;
+    }
     if (!choice) {
       // If a team within its share finds no room, no other team does either.
       if (!table_.IsOverShare(request, now))
@@ -60,7 +66,7 @@
       blocked.insert(request.team);
       continue;
     }
-    starts.push_back({{service, *id}, std::move(*choice)});
+    starts.push_back({{service, *id}, std::move(choice), {}});
     queue.order.RemoveStarted(*id, now);
     queue.requests.erase(*id);
   }
--- a/src/libs/routing/target_queue.h
+++ b/src/libs/routing/target_queue.h
@@ -27,10 +27,12 @@
   }
 };
 
-// A request that left the queue, with the target to send it to.
+// A request that left the queue, with the target to send it to, or with the
+// reason why no target can take it any more.
 struct DequeuedRequest {
   QueueTicket ticket;
-  TargetChoice choice;
+  std::optional<TargetChoice> choice;
+  Reason reason;
 };
 
 // Keeps a fair queue for each service in front of the target table, which it
@@ -49,8 +51,9 @@
                                              TimePoint now,
                                              std::optional<QueueTicket>* ticket,
                                              Reason* reason);
-  // Removes the requests that may start now and returns them. Must be called
-  // after an attempt ended and after the targets changed.
+  // Removes the requests that may start now, and those that can't be served any
+  // more, and returns them. Must be called after an attempt ended and after the
+  // targets changed.
   std::vector<DequeuedRequest> DequeueReady(TimePoint now);
   // Removes a request that is cancelled or past its deadline.
   void Remove(const QueueTicket& ticket);
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -123,10 +123,12 @@
       if (with_answers.contains(target_class->service))
         target.joined_at = now;
     }
+    d_->UpdateCold(target, it, *target_class, now);
     target.member = it;
     target.service = target_class->service;
     target.max_in_flight = target_class->most_in_flight;
     target.tier = tier;
+    target.evacuated = d_->evacuated_domains.contains(it.failure_domain);
     targets.emplace(it.name, std::move(target));
   }
   d_->targets = std::move(targets);
@@ -141,6 +143,33 @@
   }
 }
 
+void TargetTable::SetEvacuatedDomains(std::set<std::string> domains,
+                                      TimePoint now) {
+  d_->evacuated_domains = std::move(domains);
+  for (auto& [name, it] : d_->targets) {
+    const bool is_evacuated =
+        d_->evacuated_domains.contains(it.member.failure_domain);
+    // The target may have become cold meanwhile, and its registration may be
+    // older than that.
+    if (it.evacuated && !is_evacuated)
+      it.cold.PresumeCold(it.cold_time, now);
+    it.evacuated = is_evacuated;
+  }
+}
+
+void TargetTable::SetFleet(std::vector<std::string> hosts) {
+  if (hosts == d_->fleet)
+    return;
+  d_->fleet = std::move(hosts);
+  for (auto& [name, it] : d_->targets)
+    d_->UpdateColdShare(it, it.member);
+}
+
+void TargetTable::SetColdBound(double overshoot, double tolerance) {
+  d_->cold_overshoot = overshoot;
+  d_->cold_tolerance = tolerance;
+}
+
 std::optional<TargetChoice> TargetTable::BeginAttempt(
     const RoutingRequest& request,
     const std::set<std::string>& excluded,
@@ -172,8 +201,8 @@
     return d_->StartAttempt(query, *last,
                             static_cast<double>(request.prompt_tokens));
   if (!obstacle) {
-    return Fail(reason, ResultCode::kNoTarget,
-                "no target of " + request.service + " is known");
+    *reason = d_->ReasonOfNoTarget(query);
+    return std::nullopt;
   }
   return Fail(reason, ResultCode::kOverloaded,
               "every target of " + request.service + " " + obstacle);
@@ -213,6 +242,10 @@
     target->load.RecordGoodAnswer();
   if (token_time.count() > 0)
     target->load.RecordTokenTime(token_time);
+  // A target that can't be reached may have stopped and come back cold before
+  // its registration shows that.
+  if (outcome == AttemptOutcome::kRefused)
+    target->cold.PresumeCold(target->cold_time, now);
   if (target->health.RecordOutcome(outcome, now) &&
       d_->groups[target->service][target->tier].MayEject(now))
     target->health.Eject(now);
@@ -245,7 +278,7 @@
          it.load.in_flight(), it.IsLeaving(), it.health.State(now),
          it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
          it.load.seconds_per_token(), it.load.seconds_per_prompt_token(),
-         it.rate_limit.limit().value_or(0)});
+         it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now)});
   }
   return stats;
 }
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -34,6 +34,8 @@
   std::string team;
   int share = 1;
   bool limited = false;
+  // Failure domains whose targets may get the request; null allows all.
+  std::shared_ptr<const std::set<std::string>> domains = nullptr;
 };
 
 // A target chosen for one attempt, and the state that the table recorded when
@@ -73,6 +75,8 @@
   // Requests per second that the target takes from all hosts; 0 if it named no
   // limit.
   double rate_limit = 0;
+  bool evacuated = false;
+  bool cold = false;
 };
 
 // What is known of the rate limit of a target. Without `limit`, the target has
@@ -104,8 +108,19 @@
               const ConfigSnapshot& config,
               TimePoint now);
 
+  // Sets the failure domains whose targets get no requests, until the next
+  // call.
+  void SetEvacuatedDomains(std::set<std::string> domains, TimePoint now);
+  // Sets the names of all hosts of the fleet, this one included. Without a
+  // fleet, cold targets get no requests.
+  void SetFleet(std::vector<std::string> hosts);
+  // Sets the bound of the requests that a cold target may get from all hosts in
+  // any second: a factor of its limit, and a number beyond.
+  void SetColdBound(double overshoot, double tolerance);
+
   // Chooses a target whose name is not in `excluded`. The attempt counts as in
-  // flight until EndAttempt(). Reasons: kOverloaded, kNoTarget.
+  // flight until EndAttempt(). Reasons: kOverloaded, kNoTarget,
+  // kDomainEvacuated, kNoAllowedTarget; only kOverloaded may change soon.
   std::optional<TargetChoice> BeginAttempt(
       const RoutingRequest& request,
       const std::set<std::string>& excluded,
@@ -140,11 +155,12 @@
   // The rate limits in force, and those that ended within kRateLimitEndHold.
   std::vector<RateLimitStatus> RateLimits(TimePoint now) const;
   // Requests per second that this host may start at the service if all its
-  // usable targets have named rate limits; nullopt if any has not.
+  // usable targets have named rate limits or are cold; nullopt if any has no
+  // limit.
   std::optional<double> AllowedRate(const std::string& service,
                                     TimePoint now) const;
   // The earliest time at which a rate limit allows a request to the service;
-  // nullopt if no target has named one, or if none ever does.
+  // nullopt if no target has named one or is cold, or if none ever does.
   std::optional<TimePoint> NextRateStart(const std::string& service,
                                          TimePoint now) const;
   // Records what the target said of itself in the response to the attempt.
--- a/src/libs/routing/target_table_private.h
+++ b/src/libs/routing/target_table_private.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libs/base/digest.h"
 #include "libs/routing/prefix_record.h"
@@ -23,6 +24,13 @@
   const RoutingRequest& request;
   const std::set<std::string>& excluded;
   TargetTable::TimePoint now;
+
+  // Whether the request may reach the target, whatever its state.
+  bool Allows(const ListedMember& target) const {
+    return !excluded.contains(target.name) &&
+           (!request.domains ||
+            request.domains->contains(target.failure_domain));
+  }
 };
 
 // The best target found so far, its cost and the prompt tokens that it has not
@@ -37,6 +45,7 @@
  public:
   Private(std::string failure_domain, const std::string& host)
       : failure_domain(std::move(failure_domain)),
+        host(host),
         host_hash(Hash64(host)),
         random(host_hash) {}
 
@@ -55,6 +64,8 @@
   // healthy, an ejected one, so that failure detection can't leave a service
   // without targets. Sets `obstacle` to why targets can't take the request now.
   Target* FindLastResort(const RoutingQuery& query, const char** obstacle);
+  // Why no target that FindLastResort() looked at may get the request.
+  Reason ReasonOfNoTarget(const RoutingQuery& query) const;
   // Sets the share of a target that names its first limit.
   void SetShareOfNewLimit(Target& target,
                           std::optional<double> limit,
@@ -69,7 +80,16 @@
   // limits that is reserved for other teams is free.
   bool MustWait(const RoutingRequest& request, TimePoint now) const;
 
+  // Takes over what the registration `member` says of its target being cold.
+  void UpdateCold(Target& target,
+                  const ListedMember& member,
+                  const TargetClassConfig& settings,
+                  TimePoint now);
+  // Sets this host's share of the requests that the target takes while cold.
+  void UpdateColdShare(Target& target, const ListedMember& member) const;
+
   std::string failure_domain;
+  std::string host;
   std::uint64_t host_hash;
   std::mt19937_64 random;
   std::uint64_t next_id = 1;
@@ -80,6 +100,12 @@
   PrefixRecord prefixes;
   // Moving averages of the prompt tokens of requests, by service.
   std::map<std::string, double> mean_prompt_tokens;
+  // Failure domains whose targets get no requests.
+  std::set<std::string> evacuated_domains;
+  // Names of all hosts of the fleet.
+  std::vector<std::string> fleet;
+  double cold_overshoot = 1;
+  double cold_tolerance = 0;
   // Share of a rate limit that this host may use until SetRateShare().
   double first_rate_share = 1;
 };
--- a/src/libs/routing/target_table_rate_limits.cc
+++ b/src/libs/routing/target_table_rate_limits.cc
@@ -1,5 +1,7 @@
 // The rate limits of the targets in the table.
 
+#include <algorithm>
+
 #include "libs/routing/routing_constants.h"
 #include "libs/routing/target_table_private.h"
 
@@ -63,9 +65,13 @@
   for (const auto& [name, it] : d_->targets) {
     if (it.service != service || it.IsClosed(now) || it.health.Weight(now) == 0)
       continue;
-    if (!it.rate_limit.limit())
+    const bool is_cold = it.cold.IsCold(now) && it.cold.share();
+    if (!it.rate_limit.limit() && !is_cold)
       return std::nullopt;
-    rate = rate.value_or(0) + it.rate_limit.own_rate();
+    double own = is_cold ? *it.cold.share() : it.rate_limit.own_rate();
+    if (is_cold && it.rate_limit.limit())
+      own = std::min(own, it.rate_limit.own_rate());
+    rate = rate.value_or(0) + own;
   }
   return rate;
 }
@@ -75,11 +81,14 @@
     TimePoint now) const {
   std::optional<TimePoint> next;
   for (const auto& [name, it] : d_->targets) {
-    if (it.service != service || it.IsClosed(now) || !it.rate_limit.limit())
+    if (it.service != service || it.IsClosed(now))
+      continue;
+    const TimePoint cold_start = it.cold.NextStart(now);
+    if (!it.rate_limit.limit() && cold_start <= now)
       continue;
     const std::optional<TimePoint> start = it.rate_limit.NextStart(now);
-    if (start && (!next || *start < *next))
-      next = start;
+    if (start && (!next || std::max(*start, cold_start) < *next))
+      next = std::max(*start, cold_start);
   }
   return next;
 }
--- a/tests/routing/target_queue_test.cc
+++ b/tests/routing/target_queue_test.cc
@@ -100,7 +100,7 @@
   table.EndAttempt(*first, AttemptOutcome::kGood, {}, kStart);
   auto starts = queue.DequeueReady(kStart + milliseconds(10));
   UNSIGNED_LONGS_EQUAL(1, starts.size());
-  STRCMP_EQUAL("one", starts[0].choice.name.c_str());
+  STRCMP_EQUAL("one", starts[0].choice->name.c_str());
   queue.Remove(last);
   UNSIGNED_LONGS_EQUAL(1, queue.Sizes()["llm"]);
 }
