--- a/src/libs/gateway/gateway_settings.cc
+++ b/src/libs/gateway/gateway_settings.cc
@@ -114,7 +114,7 @@
        .label = "requests that a cold target may get in a second, as a factor "
                 "of its limit",
        .default_value = "1",
-       .least = 1,
+       .least = 0,
        .most = kMaxRate},
       {.name = "cold-tolerance",
        .type = kDecimal,
