Let restarted hosts be listed by others, with their earlier processes closed

Cause: after a loss of power of all 83 hosts each host wrote the account itself to close its earlier process.

A host that keeps no stock now asks one of the first in rank of its domain before it writes, and names its earlier processes, which that host closes. A frame that comes late closes only what it names, so no later process.

--- a/src/libs/budget/account_writes.cc
+++ b/src/libs/budget/account_writes.cc
@@ -22,6 +22,11 @@
   return true;
 }
 
+bool AccountWrites::ShouldBeIntroduced(int conflicts, bool has_asked) const {
+  return conflicts >=
+         (IsSparse() && !has_asked ? 0 : kMaxRegistrationConflicts);
+}
+
 std::chrono::milliseconds AccountWrites::MaxConflictPause(int conflicts) const {
   const std::chrono::milliseconds pause =
       kConflictPause * (1 << std::min(conflicts, kMaxConflictPauseDoublings));
--- a/src/libs/budget/account_writes.h
+++ b/src/libs/budget/account_writes.h
@@ -44,6 +44,11 @@
   // Whether this host may draw for its own requests now, and counts that it
   // does.
   bool MayDrawDirectly(MonotonicTime now);
+  // Whether the host should ask another one to list it in the account, after
+  // `conflicts` lost writes in a row. Hosts of a large fleet that keep no stock
+  // ask first, as all hosts may have restarted together; `has_asked` is whether
+  // this one did so in vain.
+  bool ShouldBeIntroduced(int conflicts, bool has_asked) const;
   // Upper bound of the random pause after `conflicts` lost writes in a row.
   std::chrono::milliseconds MaxConflictPause(int conflicts) const;
 
--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -130,6 +130,14 @@
   }
 }
 
+// Whether the account lists the holder or has a row of it.
+bool IsKnown(const FleetAccount& account, const std::string& holder) {
+  return account.heartbeats.contains(holder) ||
+         std::any_of(
+             account.budgets.begin(), account.budgets.end(),
+             [&](const auto& it) { return it.second.rows.contains(holder); });
+}
+
 // Whether `last`, the last heartbeat of a holder that ended, proves that the
 // holder spent no more than it opened. `now` is the time at which the host's
 // next process checks this.
@@ -231,9 +239,8 @@
   return account;
 }
 
-void CloseEarlierIncarnations(FleetAccount& account,
-                              const std::string& holder,
-                              const FleetHeartbeat& now) {
+std::vector<std::string> EarlierIncarnations(const FleetAccount& account,
+                                             const std::string& holder) {
   std::set<std::string> earlier;
   const auto add_if_earlier = [&](const std::string& other) {
     if (other != holder && HostOfHolder(other) == HostOfHolder(holder))
@@ -245,7 +252,15 @@
   }
   for (const auto& [other, heartbeat] : account.heartbeats)
     add_if_earlier(other);
-  for (const std::string& other : earlier) {
+  return {earlier.begin(), earlier.end()};
+}
+
+void CloseEnded(FleetAccount& account,
+                const std::vector<std::string>& ended,
+                const FleetHeartbeat& now) {
+  for (const std::string& other : ended) {
+    if (!IsKnown(account, other))
+      continue;
     auto heartbeat = account.heartbeats.find(other);
     const bool is_recent = heartbeat != account.heartbeats.end() &&
                            IsRecent(heartbeat->second, now);
@@ -255,6 +270,12 @@
   }
 }
 
+void CloseEarlierIncarnations(FleetAccount& account,
+                              const std::string& holder,
+                              const FleetHeartbeat& now) {
+  CloseEnded(account, EarlierIncarnations(account, holder), now);
+}
+
 void CloseHolder(FleetAccount& account,
                  const std::string& holder,
                  const std::map<std::string, std::int64_t>& spent) {
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -142,6 +142,17 @@
                               const std::string& holder,
                               const FleetHeartbeat& now);
 
+// Holders of earlier incarnations of `holder`'s host that the account lists or
+// that have rows in it.
+std::vector<std::string> EarlierIncarnations(const FleetAccount& account,
+                                             const std::string& holder);
+
+// Closes these earlier incarnations of a host as CloseEarlierIncarnations()
+// does. `now` is a time of the host's process after their end.
+void CloseEnded(FleetAccount& account,
+                const std::vector<std::string>& ended,
+                const FleetHeartbeat& now);
+
 // Removes the row of `holder` itself and charges `spent`, the tokens it spent
 // by budget. The holder must not spend any more.
 void CloseHolder(FleetAccount& account,
--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -51,9 +51,8 @@
     unsettled_since_ = now;
   is_closed_ =
       is_closed_ || (is_written_ && !account.heartbeats.contains(holder_));
-  const std::size_t listed = account.heartbeats.size();
-  CloseEarlierIncarnations(account, holder_, OwnHeartbeat(now));
-  closes_earlier_incarnation_ = account.heartbeats.size() < listed;
+  earlier_incarnations_ = EarlierIncarnations(account, holder_);
+  CloseEnded(account, earlier_incarnations_, OwnHeartbeat(now));
   known_ = std::move(account);
   DropListedIntroductions();
   MeasureDraws(now);
@@ -130,9 +129,11 @@
     planned_grants_[name] = granted;
   }
   planned_.heartbeats[holder_] = OwnHeartbeat(now);
-  for (const auto& [holder, heartbeat] : introductions_)
-    is_due = planned_.heartbeats.emplace(holder, heartbeat).second || is_due;
-  return is_due || is_first || closes_earlier_incarnation_ ||
+  for (const auto& [holder, it] : introductions_) {
+    CloseEnded(planned_, it.ended, it.heartbeat);
+    is_due = planned_.heartbeats.emplace(holder, it.heartbeat).second || is_due;
+  }
+  return is_due || is_first || !earlier_incarnations_.empty() ||
          (holds_unopened && now - last_issued_ >= kFleetHeartbeatInterval);
 }
 
@@ -189,9 +190,10 @@
 }
 
 void FleetHolder::Introduce(const std::string& holder,
-                            const FleetHeartbeat& heartbeat) {
+                            const FleetHeartbeat& heartbeat,
+                            const std::vector<std::string>& ended) {
   if (holder != holder_ && introductions_.size() < kMaxIntroductions)
-    introductions_.insert_or_assign(holder, heartbeat);
+    introductions_.insert_or_assign(holder, Introduction{heartbeat, ended});
 }
 
 void FleetHolder::DropListedIntroductions() {
@@ -227,7 +229,7 @@
 std::map<std::string, std::int64_t> FleetHolder::ConfirmWrite() {
   known_ = planned_;
   remembered_.reset();
-  closes_earlier_incarnation_ = false;
+  earlier_incarnations_.clear();
   // Others may have been added while the write was on its way.
   DropListedIntroductions();
   if (known_.is_settled)
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -66,18 +66,22 @@
   bool PlanWrite(const std::map<std::string, HolderDemand>& demands,
                  HostLedger& ledger,
                  BootTime now);
-  // Lists `holder`, which holds no tokens yet, in the next write.
-  void Introduce(const std::string& holder, const FleetHeartbeat& heartbeat);
+  // Lists `holder`, which holds no tokens yet, in the next write, and closes
+  // `ended`, earlier incarnations of its host.
+  void Introduce(const std::string& holder,
+                 const FleetHeartbeat& heartbeat,
+                 const std::vector<std::string>& ended = {});
   // Whether the next write lists other holders.
   bool has_introductions() const { return !introductions_.empty(); }
   // This holder's entry for another host's write.
   FleetHeartbeat OwnHeartbeat(BootTime now) const;
   // Whether the account lists this holder.
   bool is_registered() const { return known_.heartbeats.contains(holder_); }
-  // Whether another host may list this holder in the account: nothing else has
-  // to be written for it.
-  bool MayBeIntroduced() const {
-    return !is_registered() && !closes_earlier_incarnation_;
+  // Whether another host may list this holder in the account.
+  bool MayBeIntroduced() const { return !is_registered(); }
+  // Earlier incarnations of this host in the account as last read.
+  const std::vector<std::string>& earlier_incarnations() const {
+    return earlier_incarnations_;
   }
   // Prepares the last write, after which the host spends only what the ledger
   // has already reserved. Returns false if there is nothing to close.
@@ -112,6 +116,12 @@
   BootTime last_issued() const { return last_issued_; }
 
  private:
+  // A holder that the next write lists, and those that it closes.
+  struct Introduction {
+    FleetHeartbeat heartbeat;
+    std::vector<std::string> ended;
+  };
+
   // Keeps the known account if the account that is read now, of `account_era`
   // in a store of `era`, may lack what it holds.
   void RememberKnown(std::uint64_t account_era, std::uint64_t era);
@@ -145,9 +155,8 @@
   BootTime draws_base_time_{0};
   std::map<std::string, std::int64_t> peak_rates_;
   // Holders that the next write lists.
-  std::map<std::string, FleetHeartbeat> introductions_;
-  // Whether the account as last read lists an earlier incarnation of this host.
-  bool closes_earlier_incarnation_ = false;
+  std::map<std::string, Introduction> introductions_;
+  std::vector<std::string> earlier_incarnations_;
   // When this host first read an account that is not settled.
   std::optional<BootTime> unsettled_since_;
   // Total of the tokens given back unopened, by budget. Counts from PlanWrite()
--- a/src/libs/budget/ranked_hosts.cc
+++ b/src/libs/budget/ranked_hosts.cc
@@ -37,19 +37,23 @@
 std::string FindIntroducer(const FleetAccount& account,
                            const std::string& holder,
                            const std::string& domain) {
-  std::string address;
-  std::tuple<bool, std::uint64_t> first{true, 0};
+  const std::string_view host = HostOfHolder(holder);
+  // Other hosts, those of the domain and with the widest links first.
+  std::vector<std::tuple<bool, std::int64_t, std::uint64_t, std::string>> order;
   for (const auto& [other, heartbeat] : account.heartbeats) {
-    if (other == holder || heartbeat.address.empty())
-      continue;
-    const std::tuple<bool, std::uint64_t> order{heartbeat.domain != domain,
-                                                Hash64(other)};
-    if (address.empty() || order < first) {
-      address = heartbeat.address;
-      first = order;
+    if (HostOfHolder(other) != host && !heartbeat.address.empty()) {
+      order.emplace_back(heartbeat.domain != domain, -heartbeat.link_mbps,
+                         Hash64(HostOfHolder(other)), heartbeat.address);
     }
   }
-  return address;
+  if (order.empty())
+    return "";
+  std::sort(order.begin(), order.end());
+  std::size_t candidates = 1;
+  while (candidates < std::min(order.size(), kIntroducersOfDomain) &&
+         std::get<0>(order[candidates]) == std::get<0>(order.front()))
+    ++candidates;
+  return std::get<3>(order[Hash64(host) % candidates]);
 }
 
 }  // namespace turmericwinch
--- a/src/libs/budget/ranked_hosts.h
+++ b/src/libs/budget/ranked_hosts.h
@@ -28,10 +28,14 @@
 // Names of the hosts in the account, sorted; each host once.
 std::vector<std::string> HostNames(const FleetAccount& account);
 
+// Hosts of a domain that list others in the account. They keep stocks, so they
+// write the account anyway.
+inline constexpr std::size_t kIntroducersOfDomain = 2;
+
 // Address of the host that lists `holder`, of `domain`, in the account with its
-// own next write: one of the domain, if the account lists any, so that hosts
-// that start together ask the same few. Empty if the account lists no other
-// host.
+// own next write: one of the first in rank of the domain, if the account lists
+// any, so that hosts that start together ask the same few. Empty if the account
+// lists no other host.
 std::string FindIntroducer(const FleetAccount& account,
                            const std::string& holder,
                            const std::string& domain);
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -261,6 +261,11 @@
       co_return false;
     }
     const bool is_due = PlanWrite();
+    if (is_due && writes.ShouldBeIntroduced(n, introduced_until.has_value()) &&
+        RequestIntroduction()) {
+      BorrowOrDeny(UnmetReason());
+      co_return true;
+    }
     WriteOutcome outcome = WriteOutcome::kDone;
     if (is_due)
       outcome = co_await WriteAccount();
@@ -271,10 +276,6 @@
     }
     if (outcome == WriteOutcome::kFailed)
       break;
-    if (n + 1 >= kMaxRegistrationConflicts && RequestIntroduction()) {
-      BorrowOrDeny(UnmetReason());
-      co_return true;
-    }
     const milliseconds max_pause = writes.MaxConflictPause(n);
     // Not `timer`, which SyncSoon() cancels: a sync that is requested meanwhile
     // must not shorten the pause.
--- a/src/libs/gateway/account_manager_introductions.cc
+++ b/src/libs/gateway/account_manager_introductions.cc
@@ -27,7 +27,8 @@
   introduced_until = Clock::now() + kIntroductionTime;
   context.peers.Send(address,
                      HostIntroduction{context.ledger_holder(),
-                                      holder.OwnHeartbeat(context.boot.now())});
+                                      holder.OwnHeartbeat(context.boot.now()),
+                                      holder.earlier_incarnations()});
   LogEvent(kLog, Severity::kInfo, "introduction_requested",
            {{"peer", address}, {"version", version}});
   return true;
@@ -37,7 +38,8 @@
   const auto* introduction = std::get_if<HostIntroduction>(&frame);
   if (!introduction)
     return false;
-  holder.Introduce(introduction->holder, introduction->heartbeat);
+  holder.Introduce(introduction->holder, introduction->heartbeat,
+                   introduction->ended);
   SyncSoon();
   return true;
 }
--- a/src/libs/peer/budget_wire.cc
+++ b/src/libs/peer/budget_wire.cc
@@ -86,6 +86,7 @@
   result.address = introduction.heartbeat.address;
   result.domain = introduction.heartbeat.domain;
   result.link_mbps = introduction.heartbeat.link_mbps;
+  result.ended = introduction.ended;
   return result;
 }
 
@@ -94,9 +95,15 @@
   if (wire.holder.empty() || wire.address.empty() || wire.boot_ms < 0 ||
       wire.link_mbps < 0)
     return std::nullopt;
+  // A process knows only of earlier processes of its own host that they ended.
+  for (const std::string& it : wire.ended) {
+    if (it == wire.holder || HostOfHolder(it) != HostOfHolder(wire.holder))
+      return std::nullopt;
+  }
   return HostIntroduction{wire.holder,
                           {wire.boot_id, BootTime(wire.boot_ms), wire.address,
-                           wire.domain, wire.link_mbps}};
+                           wire.domain, wire.link_mbps},
+                          wire.ended};
 }
 
 }  // namespace turmericwinch
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -3705,6 +3705,10 @@
 void HostIntroduction::__set_link_mbps(const int64_t val) {
   this->link_mbps = val;
 }
+
+void HostIntroduction::__set_ended(const std::vector<std::string> & val) {
+  this->ended = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostIntroduction& obj)
 {
   obj.printTo(out);
@@ -3781,6 +3785,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->ended.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
+            {
+              xfer += iprot->readString(this->ended[_i120]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3822,6 +3846,18 @@
   xfer += oprot->writeI64(this->link_mbps);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->ended.size()));
+    std::vector<std::string> ::const_iterator _iter121;
+    for (_iter121 = this->ended.begin(); _iter121 != this->ended.end(); ++_iter121)
+    {
+      xfer += oprot->writeString((*_iter121));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3835,26 +3871,29 @@
   swap(a.address, b.address);
   swap(a.domain, b.domain);
   swap(a.link_mbps, b.link_mbps);
+  swap(a.ended, b.ended);
   swap(a.__isset, b.__isset);
 }
 
-HostIntroduction::HostIntroduction(const HostIntroduction& other116) {
-  holder = other116.holder;
-  boot_id = other116.boot_id;
-  boot_ms = other116.boot_ms;
-  address = other116.address;
-  domain = other116.domain;
-  link_mbps = other116.link_mbps;
-  __isset = other116.__isset;
-}
-HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other117) {
-  holder = other117.holder;
-  boot_id = other117.boot_id;
-  boot_ms = other117.boot_ms;
-  address = other117.address;
-  domain = other117.domain;
-  link_mbps = other117.link_mbps;
-  __isset = other117.__isset;
+HostIntroduction::HostIntroduction(const HostIntroduction& other122) {
+  holder = other122.holder;
+  boot_id = other122.boot_id;
+  boot_ms = other122.boot_ms;
+  address = other122.address;
+  domain = other122.domain;
+  link_mbps = other122.link_mbps;
+  ended = other122.ended;
+  __isset = other122.__isset;
+}
+HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other123) {
+  holder = other123.holder;
+  boot_id = other123.boot_id;
+  boot_ms = other123.boot_ms;
+  address = other123.address;
+  domain = other123.domain;
+  link_mbps = other123.link_mbps;
+  ended = other123.ended;
+  __isset = other123.__isset;
   return *this;
 }
 void HostIntroduction::printTo(std::ostream& out) const {
@@ -3866,6 +3905,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "domain=" << to_string(domain);
   out << ", " << "link_mbps=" << to_string(link_mbps);
+  out << ", " << "ended=" << to_string(ended);
   out << ")";
 }
 
@@ -4249,45 +4289,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other118) {
-  version = other118.version;
-  hello = other118.hello;
-  proof = other118.proof;
-  membership = other118.membership;
-  config_notice = other118.config_notice;
-  config_request = other118.config_request;
-  config_part = other118.config_part;
-  budget_ask = other118.budget_ask;
-  budget_answer = other118.budget_answer;
-  quarantine_notice = other118.quarantine_notice;
-  host_list_ask = other118.host_list_ask;
-  host_list_part = other118.host_list_part;
-  crash_notice = other118.crash_notice;
-  prompt_part_notice = other118.prompt_part_notice;
-  rate_limit_notice = other118.rate_limit_notice;
-  store_news = other118.store_news;
-  host_introduction = other118.host_introduction;
-  __isset = other118.__isset;
-}
-Frame& Frame::operator=(const Frame& other119) {
-  version = other119.version;
-  hello = other119.hello;
-  proof = other119.proof;
-  membership = other119.membership;
-  config_notice = other119.config_notice;
-  config_request = other119.config_request;
-  config_part = other119.config_part;
-  budget_ask = other119.budget_ask;
-  budget_answer = other119.budget_answer;
-  quarantine_notice = other119.quarantine_notice;
-  host_list_ask = other119.host_list_ask;
-  host_list_part = other119.host_list_part;
-  crash_notice = other119.crash_notice;
-  prompt_part_notice = other119.prompt_part_notice;
-  rate_limit_notice = other119.rate_limit_notice;
-  store_news = other119.store_news;
-  host_introduction = other119.host_introduction;
-  __isset = other119.__isset;
+Frame::Frame(const Frame& other124) {
+  version = other124.version;
+  hello = other124.hello;
+  proof = other124.proof;
+  membership = other124.membership;
+  config_notice = other124.config_notice;
+  config_request = other124.config_request;
+  config_part = other124.config_part;
+  budget_ask = other124.budget_ask;
+  budget_answer = other124.budget_answer;
+  quarantine_notice = other124.quarantine_notice;
+  host_list_ask = other124.host_list_ask;
+  host_list_part = other124.host_list_part;
+  crash_notice = other124.crash_notice;
+  prompt_part_notice = other124.prompt_part_notice;
+  rate_limit_notice = other124.rate_limit_notice;
+  store_news = other124.store_news;
+  host_introduction = other124.host_introduction;
+  __isset = other124.__isset;
+}
+Frame& Frame::operator=(const Frame& other125) {
+  version = other125.version;
+  hello = other125.hello;
+  proof = other125.proof;
+  membership = other125.membership;
+  config_notice = other125.config_notice;
+  config_request = other125.config_request;
+  config_part = other125.config_part;
+  budget_ask = other125.budget_ask;
+  budget_answer = other125.budget_answer;
+  quarantine_notice = other125.quarantine_notice;
+  host_list_ask = other125.host_list_ask;
+  host_list_part = other125.host_list_part;
+  crash_notice = other125.crash_notice;
+  prompt_part_notice = other125.prompt_part_notice;
+  rate_limit_notice = other125.rate_limit_notice;
+  store_news = other125.store_news;
+  host_introduction = other125.host_introduction;
+  __isset = other125.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -1493,13 +1493,14 @@
 std::ostream& operator<<(std::ostream& out, const HostListPart& obj);
 
 typedef struct _HostIntroduction__isset {
-  _HostIntroduction__isset() : holder(false), boot_id(false), boot_ms(false), address(false), domain(false), link_mbps(false) {}
+  _HostIntroduction__isset() : holder(false), boot_id(false), boot_ms(false), address(false), domain(false), link_mbps(false), ended(false) {}
   bool holder :1;
   bool boot_id :1;
   bool boot_ms :1;
   bool address :1;
   bool domain :1;
   bool link_mbps :1;
+  bool ended :1;
 } _HostIntroduction__isset;
 
 class HostIntroduction : public virtual ::apache::thrift::TBase {
@@ -1523,6 +1524,7 @@
   std::string address;
   std::string domain;
   int64_t link_mbps;
+  std::vector<std::string>  ended;
 
   _HostIntroduction__isset __isset;
 
@@ -1538,6 +1540,8 @@
 
   void __set_link_mbps(const int64_t val);
 
+  void __set_ended(const std::vector<std::string> & val);
+
   bool operator == (const HostIntroduction & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -1552,6 +1556,8 @@
       return false;
     if (!(link_mbps == rhs.link_mbps))
       return false;
+    if (!(ended == rhs.ended))
+      return false;
     return true;
   }
   bool operator != (const HostIntroduction &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -206,8 +206,8 @@
 }
 
 // Asks the receiver to list the sender, the process `holder` of a host, in the
-// fleet account with its next write. `boot_ms` is the time since the host of
-// `boot_id` booted.
+// fleet account with its next write, and to close the earlier processes `ended`
+// of that host. `boot_ms` is the time since the host of `boot_id` booted.
 struct HostIntroduction {
   1: string holder
   2: string boot_id
@@ -215,6 +215,7 @@
   4: string address
   5: string domain
   6: i64 link_mbps
+  7: list<string> ended
 }
 
 // A frame carries exactly one of the optional fields.
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -97,6 +97,8 @@
 struct HostIntroduction {
   std::string holder;
   FleetHeartbeat heartbeat;
+  // Earlier processes of that host, whose rows the write closes.
+  std::vector<std::string> ended;
 };
 
 // What the host `host`, of the same failure domain, knows of the store. The
--- a/tests/budget/fleet_traffic_host.h
+++ b/tests/budget/fleet_traffic_host.h
@@ -70,6 +70,7 @@
   std::set<std::string> lent_teams;
   std::map<std::string, FleetTrafficDemand> demands;
   std::chrono::microseconds introduced_until{0};
+  bool has_asked = false;
   std::chrono::microseconds next_refresh{0};
   std::chrono::milliseconds refresh_pause = kFleetTrafficRefreshPause;
 };
--- a/tests/budget/fleet_traffic_run.h
+++ b/tests/budget/fleet_traffic_run.h
@@ -23,6 +23,9 @@
   int strong_hosts = 0;
   // Tokens paid for each team.
   std::int64_t paid = 20'000'000;
+  // Whether all hosts lost power together before the run: the account has the
+  // rows of their earlier incarnations, and requests come from 1 s on.
+  bool after_power_loss = false;
   // Time for which the store answers no host, from 3 s after the first request
   // on. The run ends some seconds later.
   std::chrono::milliseconds outage{0};
--- a/tests/budget/fleet_traffic_run_private.h
+++ b/tests/budget/fleet_traffic_run_private.h
@@ -55,6 +55,8 @@
                ? std::chrono::microseconds(kEnd)
                : kOutageStart + options.outage + kTimeAfterOutage;
   }
+  // Lists an earlier incarnation of each host in the account, with tokens.
+  void AddEarlierIncarnations();
   std::chrono::microseconds TransferTime(const FleetTrafficHost& host) const;
   // Ends a sync whose call the store does not answer.
   void FailCall(FleetTrafficHost& host);
--- a/tests/budget/fleet_traffic_test.cc
+++ b/tests/budget/fleet_traffic_test.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <tuple>
 
 #include "fleet_traffic_run.h"
 
@@ -83,4 +84,19 @@
   }
 }
 
+// All hosts have rows of earlier processes to close. If each writes the account
+// for that, the hosts that keep the stocks lose their writes for many seconds.
+TEST(FleetTraffic, LargeFleetsHaveTokensSoonAfterALossOfPower) {
+  for (const auto& [hosts, domains, strong] :
+       {std::tuple(78, 3, 6), std::tuple(295, 7, 21)}) {
+    FleetTrafficOptions options{hosts, domains, 1, 6};
+    options.strong_hosts = strong;
+    options.after_power_loss = true;
+    const FleetTrafficResult result = FleetTrafficRun(options).Run();
+    CHECK(result.requests > 0);
+    CHECK(result.refused * 100 <= result.requests * kMaxRefusedPercent);
+    LONGS_EQUAL(0, result.overspent);
+  }
+}
+
 }  // namespace turmericwinch
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -249,6 +249,8 @@
       negative,
       HostIntroduction{"", {"boot", BootTime(1), "a:1", "a"}},
       HostIntroduction{"edge_1", {"boot", BootTime(1), "", "a"}},
+      HostIntroduction{"edge_1", {"boot", BootTime(1), "a:1", "a"}, {"edge_1"}},
+      HostIntroduction{"edge_1", {"boot", BootTime(1), "a:1", "a"}, {"b_0"}},
       HostIntroduction{"edge_1", {"boot", BootTime(-1), "a:1", "a"}}};
   for (const PeerFrame& it : frames) {
     CHECK(!DecodePayload(Payload(it), &reason));
