Keep requests in allowed regions in the queue, the daemon and the validator

A request with allowed domains that found them full stopped the queue of its service, and a subset without an allowed target sent all such requests to the first target of the last resort. The daemon ignored the regions of teams, and a list of regions with only invalid entries allowed every region.

Requests with different domains now wait in different lanes, are compared on allowed targets only, and the daemon applies the regions of Team, Route and FailureDomain. The validator reports regions that no domain has. A retry whose only allowed targets failed is no longer reported as kNoAllowedTarget.

--- a/src/libs/config/config_kind.cc
+++ b/src/libs/config/config_kind.cc
@@ -118,6 +118,10 @@
        .type = kReferenceList,
        .referenced_kind = ConfigKind::kTeam,
        .description = "teams that may call; all if absent"},
+      {.name = "regions",
+       .type = kStringList,
+       .description = "regions whose targets may get the calls; all if "
+                      "absent"},
   };
   return fields;
 }
--- a/src/libs/config/config_snapshot.cc
+++ b/src/libs/config/config_snapshot.cc
@@ -114,7 +114,8 @@
            StringOrEmpty(fields, "path"), StringListField(fields, "methods"),
            BoolField(fields, "repeatable").value_or(false),
            std::chrono::milliseconds(IntOr(fields, "deadline_ms", 0)),
-           StringListField(fields, "teams")});
+           StringListField(fields, "teams"),
+           StringListField(fields, "regions")});
       return;
     case ConfigKind::kTargetClass:
       target_classes_[name] = {
@@ -130,6 +131,9 @@
       failure_domains_[name] = {name, StringOrEmpty(fields, "region"),
                                 StringListField(fields, "overflow"),
                                 StringListField(fields, "near")};
+      if (const std::string region = StringOrEmpty(fields, "region");
+          !region.empty())
+        domain_regions_[name] = region;
       return;
     case ConfigKind::kLimit:
       limits_of_team_[StringOrEmpty(fields, "team")].push_back(
--- a/src/libs/config/config_snapshot.h
+++ b/src/libs/config/config_snapshot.h
@@ -50,6 +50,8 @@
   bool repeatable = false;
   std::chrono::milliseconds deadline{60'000};
   std::vector<std::string> teams;
+  // Regions whose targets may get the calls; all if empty.
+  std::vector<std::string> regions;
 };
 
 struct TargetClassConfig {
@@ -110,6 +112,10 @@
                                          const std::string& service) const;
   const TargetClassConfig* TargetClass(const std::string& name) const;
   const FailureDomainConfig* FailureDomain(const std::string& name) const;
+  // Region of each failure domain that has one.
+  const std::map<std::string, std::string>& domain_regions() const {
+    return domain_regions_;
+  }
   const std::map<std::string, BudgetConfig>& budgets() const {
     return budgets_;
   }
@@ -131,6 +137,7 @@
   std::map<std::string, std::vector<RouteConfig>> routes_of_service_;
   std::map<std::string, TargetClassConfig> target_classes_;
   std::map<std::string, FailureDomainConfig> failure_domains_;
+  std::map<std::string, std::string> domain_regions_;
   std::unordered_map<std::string, std::vector<LimitConfig>> limits_of_team_;
 };
 
--- a/src/libs/config/config_validator.cc
+++ b/src/libs/config/config_validator.cc
@@ -224,6 +224,37 @@
   }
 }
 
+// Finds regions of teams and routes that no failure domain has: no target could
+// get the requests.
+void CheckRegions(const ConfigSet& set, std::vector<ConfigError>& errors) {
+  std::vector<std::string> known;
+  for (const std::string& it : set.NamesOf(ConfigKind::kFailureDomain)) {
+    const ConfigObject& domain = *set.Find(ConfigKind::kFailureDomain, it);
+    if (std::optional<std::string> region =
+            StringField(domain.fields, "region"))
+      known.push_back(std::move(*region));
+  }
+  for (const auto& [key, object] : set.objects()) {
+    if (object.kind != ConfigKind::kTeam && object.kind != ConfigKind::kRoute)
+      continue;
+    const json::array* regions = ArrayField(object.fields, "regions");
+    if (!regions)
+      continue;
+    for (const json::value& it : *regions) {
+      if (!it.is_string())
+        continue;
+      const std::string region(it.get_string());
+      if (std::find(known.begin(), known.end(), region) == known.end()) {
+        ObjectValidator(set, object, errors)
+            .AddError(
+                "regions",
+                "contains a region that no FailureDomain has: '" + region + "'",
+                SuggestCorrection(region, known));
+      }
+    }
+  }
+}
+
 // Rejects a limit below the cost of one call of its service: every call would
 // exceed it.
 void CheckLimits(const ConfigSet& set, std::vector<ConfigError>& errors) {
@@ -255,6 +286,7 @@
   CheckKeyHashes(set, errors);
   CheckRoutes(set, errors);
   CheckOverflow(set, errors);
+  CheckRegions(set, errors);
   CheckLimits(set, errors);
   return errors;
 }
--- a/src/libs/config/config_validator.h
+++ b/src/libs/config/config_validator.h
@@ -11,7 +11,8 @@
 namespace turmericwinch {
 
 // Returns all errors of `set`: field types and ranges, unknown fields and
-// references, domains that overflow into themselves, keys shared by teams,
+// references, domains that overflow into themselves, regions that no domain
+// has, keys shared by teams,
 // unreachable routes, services without routes, limits below the cost of a
 // call. Empty if the set may be published.
 std::vector<ConfigError> ValidateConfig(const ConfigSet& set);
--- a/src/libs/gateway/resolved_call.cc
+++ b/src/libs/gateway/resolved_call.cc
@@ -4,7 +4,7 @@
 #include <random>
 
 #include "libs/base/digest.h"
-#include "libs/gateway/allowed_domains.h"
+#include "libs/routing/allowed_domains.h"
 
 namespace turmericwinch {
 
@@ -19,10 +19,10 @@
     const ResolvedCall& resolved,
     const std::map<std::string, std::string>& domain_regions) {
   RoutingRequest request;
+  static const std::vector<std::string> every_region;
   request.domains = AllowedDomains(
       resolved.route->regions,
-      resolved.team ? resolved.team->regions : std::vector<std::string>(),
-      domain_regions);
+      resolved.team ? resolved.team->regions : every_region, domain_regions);
   request.service = resolved.service;
   if (resolved.team) {
     request.team = resolved.team->name;
--- a/src/libs/node/admission.cc
+++ b/src/libs/node/admission.cc
@@ -6,6 +6,7 @@
 #include "libs/base/digest.h"
 #include "libs/node/node_constants.h"
 #include "libs/node/node_context.h"
+#include "libs/routing/allowed_domains.h"
 
 namespace turmericwinch {
 
@@ -141,4 +142,12 @@
              route.teams.end();
 }
 
+std::shared_ptr<const std::set<std::string>> DomainsFor(
+    const Caller& caller,
+    const RouteConfig* route) {
+  static const std::vector<std::string> every_region;
+  return AllowedDomains(route ? route->regions : every_region,
+                        caller.team->regions, caller.config->domain_regions());
+}
+
 }  // namespace turmericwinch
--- a/src/libs/node/admission.h
+++ b/src/libs/node/admission.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "libs/config/config_snapshot.h"
@@ -77,6 +78,12 @@
 // Whether `team` may use `route`. A route that names no teams is open to all.
 bool IsRouteOpenTo(const RouteConfig& route, const TeamConfig& team);
 
+// Failure domains that a request of the caller may reach; null if all. `route`
+// is null for a model without a route.
+std::shared_ptr<const std::set<std::string>> DomainsFor(
+    const Caller& caller,
+    const RouteConfig* route);
+
 }  // namespace turmericwinch
 
 #endif  // SRC_LIBS_NODE_ADMISSION_H_
--- a/src/libs/node/chat_call.cc
+++ b/src/libs/node/chat_call.cc
@@ -23,6 +23,8 @@
 
 constexpr LogCategory kLog{"node"};
 constexpr int kStatusOk = 200;
+// The only method of chat requests.
+constexpr std::string_view kChatMethod = "POST";
 
 }  // namespace
 
@@ -46,6 +48,8 @@
       progress_(caller.record->run_id, caller.request_id, request_.max_tokens) {
   routing_request_.team = caller.team->name;
   routing_request_.share = caller.team->share;
+  routing_request_.domains = DomainsFor(
+      caller, caller.config->Route(service.name, service.name, kChatMethod));
 }
 
 void ChatCall::SetClaim(ClaimSession* claim,
--- a/src/libs/node/plain_handler.cc
+++ b/src/libs/node/plain_handler.cc
@@ -339,6 +339,7 @@
   call.routing_request.service = service->name;
   call.routing_request.team = caller.team->name;
   call.routing_request.share = caller.team->share;
+  call.routing_request.domains = DomainsFor(caller, route);
   call.request = MakeTargetRequest(caller, request, target->path, key);
   call.team = caller.team->name;
   std::optional<TokenReservation> reserved =
--- a/src/libs/gateway/allowed_domains.cc
+++ b/src/libs/routing/allowed_domains.cc
@@ -1,4 +1,4 @@
-#include "libs/gateway/allowed_domains.h"
+#include "libs/routing/allowed_domains.h"
 
 #include <algorithm>
 
@@ -22,7 +22,8 @@
     return nullptr;
   std::set<std::string> domains;
   for (const auto& [domain, region] : domain_regions) {
-    if (Allows(route_regions, region) && Allows(team_regions, region))
+    if (!region.empty() && Allows(route_regions, region) &&
+        Allows(team_regions, region))
       domains.insert(domain);
   }
   return std::make_shared<const std::set<std::string>>(std::move(domains));
--- a/src/libs/routing/target_choice.cc
+++ b/src/libs/routing/target_choice.cc
@@ -1,12 +1,35 @@
 // The choice of a target for one attempt.
 
 #include <algorithm>
+#include <iterator>
+#include <vector>
 
 #include "libs/routing/routing_constants.h"
 #include "libs/routing/target_table_private.h"
 
 namespace turmericwinch {
 
+namespace {
+
+// The targets that the request is compared on: those of the subset, without
+// those in domains that the request may not reach. A subset without any allowed
+// target must not leave all such requests to the first target of the last
+// resort, so the whole group replaces it.
+std::vector<Target*> AllowedTargets(const TargetGroup& group,
+                                    const RoutingQuery& query) {
+  std::vector<Target*> allowed;
+  for (const auto* targets : {&group.subset, &group.targets}) {
+    std::copy_if(
+        targets->begin(), targets->end(), std::back_inserter(allowed),
+        [&](const Target* it) { return query.IsInAllowedDomain(it->member); });
+    if (!allowed.empty())
+      break;
+  }
+  return allowed;
+}
+
+}  // namespace
+
 bool TargetTable::Private::IsLeftToLonger(const TargetGroup& group,
                                           const Target& target,
                                           const RoutingQuery& query) const {
@@ -18,8 +41,8 @@
     return false;
   return std::any_of(
       group.targets.begin(), group.targets.end(), [&](const Target* it) {
-        return !it->rate_limit.limit() && !it->IsClosed(query.now) &&
-               it->health.Weight(query.now) > 0;
+        return query.Allows(it->member) && !it->rate_limit.limit() &&
+               !it->IsClosed(query.now) && it->health.Weight(query.now) > 0;
       });
 }
 
@@ -49,12 +72,15 @@
     if (!best.target || cost < best.cost)
       best = {it, cost, uncached};
   };
-  const bool compare_all = group.subset.size() <= kSampledTargets;
-  const std::size_t compared =
-      compare_all ? group.subset.size() : kSampledTargets;
+  std::vector<Target*> allowed;
+  if (request.domains)
+    allowed = AllowedTargets(group, query);
+  const std::vector<Target*>& pool = request.domains ? allowed : group.subset;
+  const bool compare_all = pool.size() <= kSampledTargets;
+  const std::size_t compared = compare_all ? pool.size() : kSampledTargets;
   for (std::size_t n = 0; n < compared; ++n) {
-    const std::size_t index = compare_all ? n : random() % group.subset.size();
-    consider(group.subset[index], 0);
+    const std::size_t index = compare_all ? n : random() % pool.size();
+    consider(pool[index], 0);
   }
   if (request.prefix != 0) {
     for (std::size_t n : group.ring.TargetsFor(request.prefix))
@@ -106,9 +132,9 @@
     for (const auto& [tier, group] : service->second) {
       is_known = is_known || !group.targets.empty();
       for (const Target* it : group.targets) {
-        if (!query.Allows(it->member))
+        if (!query.IsInAllowedDomain(it->member))
           continue;
-        if (it->evacuated) {
+        if (it->evacuated && query.Allows(it->member)) {
           return {ResultCode::kDomainEvacuated,
                   "every target of " + name +
                       " that may get the request is in an evacuated failure "
--- a/src/libs/routing/target_queue.cc
+++ b/src/libs/routing/target_queue.cc
@@ -8,6 +8,24 @@
 
 namespace turmericwinch {
 
+namespace {
+
+// A character that no name of a team or failure domain contains.
+constexpr char kLaneSeparator = '\n';
+
+// The name under which the request queues: its team and its allowed domains.
+std::string LaneOf(const RoutingRequest& request) {
+  std::string lane = request.team;
+  if (!request.domains)
+    return lane;
+  lane += kLaneSeparator;
+  for (const std::string& it : *request.domains)
+    lane += it + kLaneSeparator;
+  return lane;
+}
+
+}  // namespace
+
 std::optional<TargetChoice> TargetQueue::BeginOrEnqueue(
     const RoutingRequest& request,
     TimePoint deadline,
@@ -15,9 +33,10 @@
     std::optional<QueueTicket>* ticket,
     Reason* reason) {
   Queue& queue = queues_[request.service];
-  // If requests of the team are queued, the team is over its share or no team
-  // finds room, so the new request can't start either.
-  if (!queue.order.HasWaiting(request.team)) {
+  const std::string lane = LaneOf(request);
+  // If requests of the lane are queued, the team is over its share or no target
+  // of the allowed domains has room, so the new request can't start either.
+  if (!queue.order.HasWaiting(lane)) {
     std::optional<TargetChoice> choice =
         table_.BeginAttempt(request, {}, now, reason);
     if (choice || reason->code != ResultCode::kOverloaded)
@@ -27,8 +46,8 @@
   // it costs at least one quantum.
   const std::int64_t tokens = std::max(
       request.prompt_tokens, static_cast<std::int64_t>(kQuantumTokens));
-  std::optional<std::uint64_t> id = queue.order.Enqueue(
-      request.team, request.share, tokens, deadline, now, reason);
+  std::optional<std::uint64_t> id =
+      queue.order.Enqueue(lane, request.share, tokens, deadline, now, reason);
   if (id) {
     queue.requests.emplace(*id, request);
     *ticket = QueueTicket{request.service, *id};
@@ -60,10 +79,11 @@
       continue;
     }
     if (!choice) {
-      // If a team within its share finds no room, no other team does either.
-      if (!table_.IsOverShare(request, now))
+      // If a team within its share finds no room at any target, no other team
+      // does either. Targets outside the allowed domains may have room.
+      if (!request.domains && !table_.IsOverShare(request, now))
         return;
-      blocked.insert(request.team);
+      blocked.insert(LaneOf(request));
       continue;
     }
     starts.push_back({{service, *id}, std::move(choice), {}});
--- a/src/libs/routing/target_queue.h
+++ b/src/libs/routing/target_queue.h
@@ -43,9 +43,10 @@
 
   explicit TargetQueue(TargetTable& table) : table_(table) {}
 
-  // Chooses a target if one has room and no request of the same team is queued.
-  // Otherwise returns nullopt and either queues the request and sets `ticket`,
-  // or rejects it. Reasons: kOverloaded, kNoTarget.
+  // Chooses a target if one has room and no request of the same team with the
+  // same allowed domains is queued. Otherwise returns nullopt and either queues
+  // the request and sets `ticket`, or rejects it. Reasons: those of
+  // TargetTable::BeginAttempt().
   std::optional<TargetChoice> BeginOrEnqueue(const RoutingRequest& request,
                                              TimePoint deadline,
                                              TimePoint now,
@@ -61,6 +62,9 @@
   std::map<std::string, std::size_t> Sizes() const;
 
  private:
+  // Requests of one team that may reach different targets wait in different
+  // lanes of `order`, each with the team's share: the first of a lane may find
+  // no room while targets that another lane may use are idle.
   struct Queue {
     FairQueue order;
     std::map<std::uint64_t, RoutingRequest> requests;
--- a/src/libs/routing/target_table_private.h
+++ b/src/libs/routing/target_table_private.h
@@ -27,9 +27,10 @@
 
   // Whether the request may reach the target, whatever its state.
   bool Allows(const ListedMember& target) const {
-    return !excluded.contains(target.name) &&
-           (!request.domains ||
-            request.domains->contains(target.failure_domain));
+    return !excluded.contains(target.name) && IsInAllowedDomain(target);
+  }
+  bool IsInAllowedDomain(const ListedMember& target) const {
+    return !request.domains || request.domains->contains(target.failure_domain);
   }
 };
 
--- a/tests/adapter/config_decoder_test.cc
+++ b/tests/adapter/config_decoder_test.cc
@@ -74,6 +74,37 @@
         RouteKind::kOnce);
 }
 
+// Requests of a list without any region must not reach every region: only an
+// absent or empty list allows that.
+TEST(ConfigDecoder, RegionsOfRoutesAndTenantsAreDecoded) {
+  using Names = std::vector<std::string>;
+  const std::pair<const char*, Names> cases[] = {
+      {R"(["x","y"])", {"x", "y"}},
+      {"[]", {}},
+      {"null", {}},
+      {R"("x")", {}},
+      {"{}", {}},
+      {"7", {}},
+      {R"(["x",7])", {"x", ""}},
+      {"[7]", {""}},
+      {"[null,[]]", {"", ""}},
+  };
+  for (const auto& [text, expected] : cases) {
+    const std::string field = std::string(R"("regions_allowed":)") + text;
+    const auto config = Decode(
+        R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/",
+            "service":"s",)" +
+        field + R"(}],"tenants":[{"name":"t","api_keys":["k"],)" + field +
+        "}]}");
+    CHECK(config.has_value());
+    CHECK(config->routes.FindRoute("h", "/")->regions == expected);
+    CHECK(config->objects->teams().at("t").regions == expected);
+  }
+  const auto config = Decode(kConfig);
+  CHECK(config->routes.FindRoute("a.example", "/x/")->regions.empty());
+  CHECK(config->objects->teams().at("t1").regions.empty());
+}
+
 TEST(ConfigDecoder, TextThatIsNoConfigurationIsRejected) {
   const char* texts[] = {"",
                          "[]",
--- a/tests/config/config_validator_test.cc
+++ b/tests/config/config_validator_test.cc
@@ -61,6 +61,15 @@
          {"kind":"Limit","name":"l","team":"t","service":"s",
           "most_tokens":4}])",
      "is below the 5 tokens of every call of Service/s"},
+    {R"([{"kind":"FailureDomain","name":"a","region":"north"},
+         {"kind":"Team","name":"t","key_hashes":[],"regions":["nord"]}])",
+     "a region that no FailureDomain has: 'nord'"},
+    {R"([{"kind":"FailureDomain","name":"a","region":"north"},
+         {"kind":"Route","name":"r","service":"s","path":"/",
+          "regions":["north","norht"]}])",
+     "did you mean 'north'?"},
+    {R"({"kind":"Route","name":"r","service":"s","path":"/","regions":"x"})",
+     "regions: is not an array of strings"},
 };
 
 }  // namespace
@@ -77,7 +86,7 @@
     {"kind":"FailureDomain","name":"a","region":"x","overflow":["b"]},
     {"kind":"FailureDomain","name":"b","region":"x","overflow":["a"]},
     {"kind":"Service","name":"s","protocol":"plain"},
-    {"kind":"Route","name":"r","service":"s","path":"/"}])")
+    {"kind":"Route","name":"r","service":"s","path":"/","regions":["x"]}])")
                        .c_str());
 }
 
