Let a request that has not run wait for another target

A target that refused a request as not run left it to be rejected at once if the other targets were full, although its caller still had time.

The gateway's request now waits like a first attempt, without the targets that it tried. The queue keeps the excluded targets, and such a request does not hold up others. The daemon's retries are unchanged.

Tests: routing_test -sg Regions, adapter_test -sg GatewayCallRegions.

--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -48,6 +48,7 @@
   // not yet handled that. The call is then cancelled.
   bool HasCallerLeft();
   asio::awaitable<void> RunAttempts();
+  // Waits for a target with room if the request has certainly not run.
   asio::awaitable<std::optional<TargetChoice>> ChooseTarget(bool is_first);
   // Runs an attempt, and reports its outcome to the quarantine.
   asio::awaitable<AttemptResult> RunAttempt(const TargetChoice& choice);
@@ -159,11 +160,15 @@
 
 asio::awaitable<std::optional<TargetChoice>> CallRunner::ChooseTarget(
     bool is_first) {
-  if (is_first)
-    co_return co_await context_.targets.WaitForTarget(
-        resolved_.routing_request, resolved_.deadline, &reason_, &cancel_);
-  co_return context_.targets.BeginAttempt(resolved_.routing_request,
-                                          tried_targets_, &reason_);
+  if (!is_first) {
+    std::optional<TargetChoice> choice = context_.targets.BeginAttempt(
+        resolved_.routing_request, tried_targets_, &reason_);
+    if (choice || may_have_run_ || reason_.code != ResultCode::kOverloaded)
+      co_return choice;
+  }
+  co_return co_await context_.targets.WaitForTarget(
+      resolved_.routing_request, resolved_.deadline, &reason_, &cancel_,
+      tried_targets_);
 }
 
 asio::awaitable<AttemptResult> CallRunner::RunAttempt(
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -180,6 +180,7 @@
 
 std::shared_ptr<SharedTargets::Waiter> SharedTargets::BeginOrEnqueue(
     const RoutingRequest& request,
+    const std::set<std::string>& excluded,
     Clock::time_point deadline,
     const asio::any_io_executor& executor,
     std::optional<TargetChoice>& choice,
@@ -187,7 +188,8 @@
   const Clock::time_point now = Clock::now();
   std::optional<QueueTicket> ticket;
   std::lock_guard lock(mutex_);
-  choice = queue_.BeginOrEnqueue(request, deadline, now, &ticket, reason);
+  choice =
+      queue_.BeginOrEnqueue(request, deadline, now, &ticket, reason, excluded);
   if (!ticket)
     return nullptr;
   if (!may_wait_) {
@@ -210,13 +212,14 @@
     RoutingRequest request,
     Clock::time_point deadline,
     Reason* reason,
-    HttpCancel* cancel) {
+    HttpCancel* cancel,
+    std::set<std::string> excluded) {
   request.limited = true;
   deadline = std::min(deadline, Clock::now() + kMaxTargetWait);
   auto executor = co_await asio::this_coro::executor;
   std::optional<TargetChoice> choice;
   std::shared_ptr<Waiter> waiter =
-      BeginOrEnqueue(request, deadline, executor, choice, reason);
+      BeginOrEnqueue(request, excluded, deadline, executor, choice, reason);
   if (!waiter)
     co_return choice;
   if (cancel) {
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -35,7 +35,8 @@
       const RoutingRequest& request,
       const std::set<std::string>& excluded,
       Reason* reason);
-  // Begins the first attempt of a request. Waits until `deadline`, in fair
+  // Begins an attempt of a request that has not run, at a target whose name is
+  // not in `excluded`. Waits until `deadline`, in fair
   // order by team, while every target is full, or while the request's team
   // already has its share in flight and the targets have reached their limits.
   // If all targets have named rate limits, waits only behind as many requests
@@ -45,7 +46,8 @@
       RoutingRequest request,
       std::chrono::steady_clock::time_point deadline,
       Reason* reason,
-      HttpCancel* cancel = nullptr);
+      HttpCancel* cancel = nullptr,
+      std::set<std::string> excluded = {});
   // Ends all waits with kOverloaded, and lets no further request wait: the host
   // stops soon.
   void StopWaiting();
@@ -91,6 +93,7 @@
   // Starts or queues a request. Returns null if it was started or refused.
   std::shared_ptr<Waiter> BeginOrEnqueue(
       const RoutingRequest& request,
+      const std::set<std::string>& excluded,
       std::chrono::steady_clock::time_point deadline,
       const boost::asio::any_io_executor& executor,
       std::optional<TargetChoice>& choice,
--- a/src/libs/routing/target_queue.cc
+++ b/src/libs/routing/target_queue.cc
@@ -13,14 +13,23 @@
 // A character that no name of a team or failure domain contains.
 constexpr char kLaneSeparator = '\n';
 
-// The name under which the request queues: its team and its allowed domains.
-std::string LaneOf(const RoutingRequest& request) {
+// The name under which the request queues: its team, its allowed domains and
+// its excluded targets.
+std::string LaneOf(const RoutingRequest& request,
+                   const std::set<std::string>& excluded) {
   std::string lane = request.team;
-  if (!request.domains)
+  if (!request.domains && excluded.empty())
     return lane;
   lane += kLaneSeparator;
-  for (const std::string& it : *request.domains)
+  if (request.domains) {
+    for (const std::string& it : *request.domains)
+      lane += it + kLaneSeparator;
+  }
+  lane += kLaneSeparator;
+  for (const std::string& it : excluded)
     lane += it + kLaneSeparator;
+  // An empty set of domains differs from none.
+  lane += request.domains ? '1' : '0';
   return lane;
 }
 
@@ -31,14 +40,15 @@
     TimePoint deadline,
     TimePoint now,
     std::optional<QueueTicket>* ticket,
-    Reason* reason) {
+    Reason* reason,
+    const std::set<std::string>& excluded) {
   Queue& queue = queues_[request.service];
-  const std::string lane = LaneOf(request);
+  const std::string lane = LaneOf(request, excluded);
   // If requests of the lane are queued, the team is over its share or no target
   // of the allowed domains has room, so the new request can't start either.
   if (!queue.order.HasWaiting(lane)) {
     std::optional<TargetChoice> choice =
-        table_.BeginAttempt(request, {}, now, reason);
+        table_.BeginAttempt(request, excluded, now, reason);
     if (choice || reason->code != ResultCode::kOverloaded)
       return choice;
   }
@@ -49,7 +59,7 @@
   std::optional<std::uint64_t> id =
       queue.order.Enqueue(lane, request.share, tokens, deadline, now, reason);
   if (id) {
-    queue.requests.emplace(*id, request);
+    queue.requests.emplace(*id, Waiting{request, excluded});
     *ticket = QueueTicket{request.service, *id};
   }
   return std::nullopt;
@@ -68,10 +78,10 @@
                                std::vector<DequeuedRequest>& starts) {
   std::set<std::string> blocked;
   while (std::optional<std::uint64_t> id = queue.order.Front(blocked)) {
-    const RoutingRequest& request = queue.requests.at(*id);
+    const auto& [request, excluded] = queue.requests.at(*id);
     Reason reason;
     std::optional<TargetChoice> choice =
-        table_.BeginAttempt(request, {}, now, &reason);
+        table_.BeginAttempt(request, excluded, now, &reason);
     if (!choice && reason.code != ResultCode::kOverloaded) {
       starts.push_back({{service, *id}, std::nullopt, std::move(reason)});
       queue.order.Remove(*id);
@@ -80,10 +90,11 @@
     }
     if (!choice) {
       // If a team within its share finds no room at any target, no other team
-      // does either. Targets outside the allowed domains may have room.
-      if (!request.domains && !table_.IsOverShare(request, now))
+      // does either. Targets that this request may not reach may have room.
+      if (!request.domains && excluded.empty() &&
+          !table_.IsOverShare(request, now))
         return;
-      blocked.insert(LaneOf(request));
+      blocked.insert(LaneOf(request, excluded));
       continue;
     }
     starts.push_back({{service, *id}, std::move(choice), {}});
--- a/src/libs/routing/target_queue.h
+++ b/src/libs/routing/target_queue.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -44,14 +45,16 @@
   explicit TargetQueue(TargetTable& table) : table_(table) {}
 
   // Chooses a target if one has room and no request of the same team with the
-  // same allowed domains is queued. Otherwise returns nullopt and either queues
-  // the request and sets `ticket`, or rejects it. Reasons: those of
-  // TargetTable::BeginAttempt().
-  std::optional<TargetChoice> BeginOrEnqueue(const RoutingRequest& request,
-                                             TimePoint deadline,
-                                             TimePoint now,
-                                             std::optional<QueueTicket>* ticket,
-                                             Reason* reason);
+  // same allowed domains and `excluded` targets is queued. Otherwise returns
+  // nullopt and either queues the request and sets `ticket`, or rejects it.
+  // Reasons: those of TargetTable::BeginAttempt().
+  std::optional<TargetChoice> BeginOrEnqueue(
+      const RoutingRequest& request,
+      TimePoint deadline,
+      TimePoint now,
+      std::optional<QueueTicket>* ticket,
+      Reason* reason,
+      const std::set<std::string>& excluded = {});
   // Removes the requests that may start now, and those that can't be served any
   // more, and returns them. Must be called after an attempt ended and after the
   // targets changed.
@@ -65,9 +68,13 @@
   // Requests of one team that may reach different targets wait in different
   // lanes of `order`, each with the team's share: the first of a lane may find
   // no room while targets that another lane may use are idle.
+  struct Waiting {
+    RoutingRequest request;
+    std::set<std::string> excluded;
+  };
   struct Queue {
     FairQueue order;
-    std::map<std::uint64_t, RoutingRequest> requests;
+    std::map<std::uint64_t, Waiting> requests;
   };
 
   void DequeueReady(const std::string& service,
--- a/tests/adapter/gateway_call_regions_test.cc
+++ b/tests/adapter/gateway_call_regions_test.cc
@@ -164,4 +164,35 @@
   CHECK(!response->headers.Has("Retry-After"));
 }
 
+// Guards against a rejection of a request that a target refused as not run
+// while the other ones are full: the caller still has time.
+TEST(GatewayCallRegions, ARefusedRequestWaitsForAnotherTargetInside) {
+  Start(R"(["west"])", "[]");
+  RoutingRequest inside{"app"};
+  inside.domains =
+      std::make_shared<const std::set<std::string>>(std::set<std::string>{"c"});
+  Reason reason;
+  std::vector<TargetChoice> full;
+  while (auto choice = context.targets.BeginAttempt(inside, {"i-1"}, &reason))
+    full.push_back(*choice);
+  CHECK(!full.empty());
+  script = {TargetBehavior::kNotRun};
+  // Ends an attempt once the retry waits.
+  boost::asio::co_spawn(
+      context.traffic,
+      [&]() -> boost::asio::awaitable<void> {
+        boost::asio::steady_timer timer(context.traffic);
+        while (context.targets.QueueSizes()["app"] == 0) {
+          timer.expires_after(std::chrono::milliseconds(1));
+          co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        context.targets.EndAttempt(full.front());
+      },
+      boost::asio::detached);
+  LONGS_EQUAL(200, StatusOf("/again/1"));
+  UNSIGNED_LONGS_EQUAL(1, two.requests.size());
+  UNSIGNED_LONGS_EQUAL(1, three.requests.size());
+  UNSIGNED_LONGS_EQUAL(0, one.requests.size());
+}
+
 }  // namespace turmericwinch::platform
--- a/tests/routing/regions_test.cc
+++ b/tests/routing/regions_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <map>
 #include <random>
@@ -251,6 +252,39 @@
   STRCMP_EQUAL("a0", starts[0].choice->name.c_str());
 }
 
+// Guards against a queued retry that goes back to the target that refused it,
+// and against one that holds up requests to that target.
+TEST(Regions, AQueuedRetryKeepsItsExcludedTargets) {
+  Add("a", 2);
+  const auto request = Request(nullptr, "team");
+  std::vector<TargetChoice> running;
+  for (int n = 0; n < 4; ++n)
+    running.push_back(*Begin(request));
+  std::optional<QueueTicket> retry;
+  CHECK(!queue
+             .BeginOrEnqueue(request, kStart + seconds(60), kStart, &retry,
+                             &reason, {"a0"})
+             .has_value());
+  CHECK(retry.has_value());
+  std::optional<QueueTicket> first;
+  CHECK(!Enqueue(request, &first).has_value());
+  auto end_one_at = [&](const char* name) {
+    auto it = std::find_if(
+        running.begin(), running.end(),
+        [&](const TargetChoice& choice) { return choice.name == name; });
+    End(*it);
+    running.erase(it);
+    return queue.DequeueReady(kStart);
+  };
+  const auto at_excluded = end_one_at("a0");
+  UNSIGNED_LONGS_EQUAL(1, at_excluded.size());
+  UNSIGNED_LONGS_EQUAL(first->request, at_excluded[0].ticket.request);
+  const auto at_other = end_one_at("a1");
+  UNSIGNED_LONGS_EQUAL(1, at_other.size());
+  UNSIGNED_LONGS_EQUAL(retry->request, at_other[0].ticket.request);
+  STRCMP_EQUAL("a1", at_other[0].choice->name.c_str());
+}
+
 // Requests of random sets begin, wait, are retried without a target and end
 // with random outcomes, while random targets are listed anew.
 TEST(Regions, NoRequestLeavesItsRegionsInARandomRun) {
