--- a/tests/routing/regions_test.cc
+++ b/tests/routing/regions_test.cc
@@ -162,6 +162,23 @@
     CHECK(choice->name[0] == 'b');
     End(*choice, AttemptOutcome::kFailed);
   }
+  for (const TargetStats& it : table.Stats(kStart)) {
+    if (it.failure_domain == "b")
+      CHECK(it.state == TargetState::kEjected);
+  }
+}
+
+// Evacuated targets of the region are no reason to leave it, nor to wait.
+TEST(Regions, AnEvacuatedRegionIsRejectedAsEvacuated) {
+  Add("a", 2);
+  Add("b", 2);
+  table.SetEvacuatedDomains({"b"}, kStart);
+  std::optional<QueueTicket> ticket;
+  CHECK(!Enqueue(Request(Only({"b"})), &ticket).has_value());
+  CHECK(!ticket.has_value());
+  CHECK(reason.code == ResultCode::kDomainEvacuated);
+  CHECK(!Begin(Request(Only({"c"}))).has_value());
+  CHECK(reason.code == ResultCode::kNoAllowedTarget);
 }
 
 // Guards against a hot spot: this host compares 32 of the 400 targets and may
