Keep the limit of cold targets through restarts and partitions

A host that restarted, or whose list lost a target for a moment, repeated the interval since its last request; requests spaced by exactly the interval could arrive closer together; a restarted target counted as warm until its service had answered; the presumption after a refused connection was lost with a new incarnation; a huge time overflowed; warm targets outside the request's domains made it wait until its deadline.

The first start now waits one interval from when the host listed the target, the spacing allows for 50 ms of different transfer times, shares are computed only for targets that are cold, and a handler and a gauge tell of cold targets.

--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -1,5 +1,6 @@
 #include "libs/gateway/gateway_state.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace turmericwinch {
@@ -74,6 +75,10 @@
 std::string MetricsText(GatewayContext& context, const GatewayStats& stats) {
   std::string text = context.metrics.Exposition();
   const std::shared_ptr<const GatewayConfig> config = context.config.Get();
+  const std::vector<TargetStats> targets = context.targets.Stats();
+  const auto cold =
+      std::count_if(targets.begin(), targets.end(),
+                    [](const TargetStats& it) { return it.cold; });
   std::size_t waiting = 0;
   for (const auto& [service, n] : context.targets.QueueSizes())
     waiting += n;
@@ -91,6 +96,7 @@
   AddGauge(text, "active_requests", static_cast<double>(stats.active_requests));
   AddGauge(text, "waiting_requests", static_cast<double>(waiting));
   AddGauge(text, "listed_targets", static_cast<double>(stats.listed_targets));
+  AddGauge(text, "cold_targets", static_cast<double>(cold));
   AddGauge(text, "account_age_seconds", Seconds(stats.account_age));
   AddGauge(text, "targets_age_seconds", Seconds(stats.targets_age));
   AddAccountCounters(text, stats.account);
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -51,6 +51,12 @@
   table_.SetColdBound(overshoot, tolerance);
 }
 
+void SharedTargets::SetColdHandler(
+    std::function<void(const ColdNotice&)> handler) {
+  std::lock_guard lock(mutex_);
+  table_.SetColdHandler(std::move(handler));
+}
+
 void SharedTargets::SetFleet(std::vector<std::string> hosts) {
   std::lock_guard lock(mutex_);
   table_.SetFleet(std::move(hosts));
@@ -137,20 +143,32 @@
     Wake(waiter);
 }
 
-bool SharedTargets::IsRateQueueFull(const std::string& service,
+bool SharedTargets::IsRateQueueFull(const RoutingRequest& request,
+                                    Clock::time_point deadline,
                                     Clock::time_point now,
                                     Reason* reason) const {
-  const std::optional<double> rate = table_.AllowedRate(service, now);
+  const std::string& service = request.service;
+  const std::optional<double> rate =
+      table_.AllowedRate(service, now, request.domains.get());
   if (!rate)
     return false;
+  const auto next = table_.NextRateStart(service, now, request.domains.get());
+  if (next && *next > deadline) {
+    *reason = {
+        ResultCode::kOverloaded,
+        "no target of " + service +
+            " takes a request of this host before the deadline: all have "
+            "reached their rate limits or are cold"};
+    return true;
+  }
   const std::size_t waiting = queue_.Sizes()[service];
   if (static_cast<double>(waiting) <= *rate * kMaxRateLimitQueue.count())
     return false;
-  *reason = {ResultCode::kOverloaded, "the rate limits of all targets of " +
-                                          service + " allow this host " +
-                                          std::to_string(*rate) +
-                                          " requests a second, and " +
-                                          std::to_string(waiting) + " wait"};
+  *reason = {ResultCode::kOverloaded,
+             "the rate limits or cold starts of all targets of " + service +
+                 " allow this host " + std::to_string(*rate) +
+                 " requests a second, and " + std::to_string(waiting) +
+                 " wait"};
   return true;
 }
 
@@ -197,7 +215,7 @@
     queue_.Remove(*ticket);
     return nullptr;
   }
-  if (IsRateQueueFull(request.service, now, reason)) {
+  if (IsRateQueueFull(request, deadline, now, reason)) {
     queue_.Remove(*ticket);
     return nullptr;
   }
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,6 +32,7 @@
   void SetEvacuatedDomains(std::set<std::string> domains);
   void SetFleet(std::vector<std::string> hosts);
   void SetColdBound(double overshoot, double tolerance);
+  void SetColdHandler(std::function<void(const ColdNotice&)> handler);
   std::optional<TargetChoice> BeginAttempt(
       const RoutingRequest& request,
       const std::set<std::string>& excluded,
@@ -79,9 +81,11 @@
   // Starts waiting requests while targets have capacity. The mutex must be
   // held.
   void StartQueuedRequests();
-  // Whether the rate limits of the service's targets let no further request
-  // wait. The mutex must be held.
-  bool IsRateQueueFull(const std::string& service,
+  // Whether the rate limits and cold starts of the targets that the request may
+  // reach let it wait no longer than others, or not start before `deadline`.
+  // The mutex must be held.
+  bool IsRateQueueFull(const RoutingRequest& request,
+                       std::chrono::steady_clock::time_point deadline,
                        std::chrono::steady_clock::time_point now,
                        Reason* reason) const;
   // Waits until the waiter's request has started, or until the deadline.
--- a/src/libs/routing/cold_pace.cc
+++ b/src/libs/routing/cold_pace.cc
@@ -2,22 +2,27 @@
 
 #include <algorithm>
 
+#include "libs/routing/routing_constants.h"
+
 namespace turmericwinch {
 
 namespace {
 
 using std::chrono::nanoseconds;
 
-constexpr nanoseconds kSecond = std::chrono::seconds(1);
+// Time in which a host starts its share of requests.
+constexpr nanoseconds kColdWindow =
+    std::chrono::seconds(1) + kColdArrivalJitter;
 
 }  // namespace
 
 void ColdPace::RecordReport(std::chrono::milliseconds time, TimePoint now) {
-  reported_until_ = now + time;
+  reported_until_ = now + std::min(time, kMaxColdTime);
 }
 
 void ColdPace::PresumeCold(std::chrono::milliseconds time, TimePoint now) {
-  presumed_until_ = std::max(presumed_until_, now + time);
+  presumed_until_ =
+      std::max(presumed_until_, now + std::min(time, kMaxColdTime));
 }
 
 ColdPace::TimePoint ColdPace::ColdUntil() const {
@@ -32,7 +37,8 @@
   if (!last_start_)
     return now;
   // Rounded up, so that no second holds more than the share.
-  const nanoseconds interval = (kSecond + nanoseconds(*share_ - 1)) / *share_;
+  const nanoseconds interval =
+      (kColdWindow + nanoseconds(*share_ - 1)) / *share_;
   return std::min(std::max(*last_start_ + interval, now), ColdUntil());
 }
 
--- a/src/libs/routing/cold_pace.h
+++ b/src/libs/routing/cold_pace.h
@@ -20,12 +20,18 @@
   void RecordReport(std::chrono::milliseconds time, TimePoint now);
   // Takes the target for cold for at least `time`, whatever it says.
   void PresumeCold(std::chrono::milliseconds time, TimePoint now);
+  // Takes over for how long `other`, of an earlier start of the same target, is
+  // presumed cold.
+  void KeepPresumption(const ColdPace& other) {
+    presumed_until_ = other.presumed_until_;
+  }
   // Sets the requests per second that this host may send while the target is
   // cold; 0 for none.
   void SetShare(int per_second) { share_ = per_second; }
   // Lets requests start also while the target is cold.
   void SetUnlimited() { share_.reset(); }
 
+  TimePoint ColdUntil() const;
   bool IsCold(TimePoint now) const { return now < ColdUntil(); }
   bool MayStart(TimePoint now) const;
   void RecordStart(TimePoint now) { last_start_ = now; }
@@ -36,8 +42,6 @@
   std::optional<int> share() const { return share_; }
 
  private:
-  TimePoint ColdUntil() const;
-
   TimePoint reported_until_{};
   TimePoint presumed_until_{};
   std::optional<TimePoint> last_start_;
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -152,6 +152,12 @@
 // Requests per second that each host with a share of a cold target's limit gets
 // at least: fewer would make most requests wait for longer than callers do.
 inline constexpr int kMinColdRequestsPerSender = 2;
+// Difference of the times that requests take from a host to a target, which the
+// spacing of requests allows for: the limit counts requests as they arrive.
+inline constexpr std::chrono::milliseconds kColdArrivalJitter{50};
+// Bound of the time for which a target is taken for cold: registrations may
+// hold any number, and a sum of times must not overflow.
+inline constexpr std::chrono::milliseconds kMaxColdTime{3'600'000};
 // Bound of the limit of a cold target, for configurations with a huge one.
 inline constexpr double kMaxColdRequestsPerSecond = 1e6;
 
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -39,6 +39,9 @@
   // the requests per second that it takes meanwhile, 0 if there is no limit.
   std::chrono::milliseconds cold_time{0};
   double cold_requests_per_second = 0;
+  // Whether `cold` has this host's share for the current fleet. Computed when
+  // the target becomes cold: most targets are warm when the fleet changes.
+  bool has_cold_share = false;
   // Whether the target said that it leaves, and until when it wants no request.
   bool says_leaving = false;
   // Whether the target's failure domain is evacuated.
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -113,6 +113,7 @@
       continue;
     Target target;
     target.load = TargetLoad(target_class->tokens_per_second);
+    target.cold.RecordStart(now);
     auto known = d_->targets.find(it.name);
     if (known != d_->targets.end() &&
         known->second.member.incarnation == it.incarnation &&
@@ -120,11 +121,12 @@
       target = std::move(known->second);
     else {
       target.id = d_->next_id++;
+      if (known != d_->targets.end())
+        target.cold.KeepPresumption(known->second.cold);
       if (with_answers.contains(target_class->service))
         target.joined_at = now;
     }
     d_->UpdateCold(target, it, *target_class, now);
-    target.member = it;
     target.service = target_class->service;
     target.max_in_flight = target_class->most_in_flight;
     target.tier = tier;
@@ -132,6 +134,8 @@
     targets.emplace(it.name, std::move(target));
   }
   d_->targets = std::move(targets);
+  d_->updated_at = now;
+  d_->has_listed = d_->has_listed || !list.targets.empty();
   const auto hosts = std::count_if(
       list.hosts.begin(), list.hosts.end(), [this](const ListedMember& it) {
         return it.failure_domain == d_->failure_domain && !it.leaving;
@@ -152,7 +156,7 @@
     // The target may have become cold meanwhile, and its registration may be
     // older than that.
     if (it.evacuated && !is_evacuated)
-      it.cold.PresumeCold(it.cold_time, now);
+      d_->PresumeCold(it, ColdCause::kEvacuationEnded, now);
     it.evacuated = is_evacuated;
   }
 }
@@ -161,13 +165,18 @@
   if (hosts == d_->fleet)
     return;
   d_->fleet = std::move(hosts);
-  for (auto& [name, it] : d_->targets)
-    d_->UpdateColdShare(it, it.member);
+  d_->UpdateColdShares();
 }
 
 void TargetTable::SetColdBound(double overshoot, double tolerance) {
   d_->cold_overshoot = overshoot;
   d_->cold_tolerance = tolerance;
+  d_->UpdateColdShares();
+}
+
+void TargetTable::SetColdHandler(
+    std::function<void(const ColdNotice&)> handler) {
+  d_->on_cold = std::move(handler);
 }
 
 std::optional<TargetChoice> TargetTable::BeginAttempt(
@@ -245,7 +254,7 @@
   // A target that can't be reached may have stopped and come back cold before
   // its registration shows that.
   if (outcome == AttemptOutcome::kRefused)
-    target->cold.PresumeCold(target->cold_time, now);
+    d_->PresumeCold(*target, ColdCause::kRefused, now);
   if (target->health.RecordOutcome(outcome, now) &&
       d_->groups[target->service][target->tier].MayEject(now))
     target->health.Eject(now);
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -5,10 +5,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libs/base/reason.h"
@@ -79,6 +81,32 @@
   bool cold = false;
 };
 
+// Why a target is taken for cold.
+enum class ColdCause : std::uint8_t {
+  // Its registration says so.
+  kRegistration,
+  // It was listed anew, and its registration does not say.
+  kNew,
+  // The evacuation of its failure domain ended.
+  kEvacuationEnded,
+  // It refused a connection.
+  kRefused
+};
+
+std::string_view NameOf(ColdCause cause);
+
+// A target that was not taken for cold before.
+struct ColdNotice {
+  std::string target;
+  std::string incarnation;
+  ColdCause cause = ColdCause::kRegistration;
+  // Time for which it is taken for cold.
+  std::chrono::milliseconds time{0};
+  // Requests per second that this host may send meanwhile; nullopt if there is
+  // no limit.
+  std::optional<int> share;
+};
+
 // What is known of the rate limit of a target. Without `limit`, the target has
 // ended a limit.
 struct RateLimitStatus {
@@ -117,6 +145,8 @@
   // Sets the bound of the requests that a cold target may get from all hosts in
   // any second: a factor of its limit, and a number beyond.
   void SetColdBound(double overshoot, double tolerance);
+  // `handler` is called when a target becomes cold. It must not call the table.
+  void SetColdHandler(std::function<void(const ColdNotice&)> handler);
 
   // Chooses a target whose name is not in `excluded`. The attempt counts as in
   // flight until EndAttempt(). Reasons: kOverloaded, kNoTarget,
@@ -155,14 +185,19 @@
   // The rate limits in force, and those that ended within kRateLimitEndHold.
   std::vector<RateLimitStatus> RateLimits(TimePoint now) const;
   // Requests per second that this host may start at the service if all its
-  // usable targets have named rate limits or are cold; nullopt if any has no
-  // limit.
-  std::optional<double> AllowedRate(const std::string& service,
-                                    TimePoint now) const;
+  // usable targets have named rate limits or stay cold for longer than requests
+  // may wait; nullopt if any has no limit. Only targets in `domains` count;
+  // null allows all.
+  std::optional<double> AllowedRate(
+      const std::string& service,
+      TimePoint now,
+      const std::set<std::string>* domains = nullptr) const;
   // The earliest time at which a rate limit allows a request to the service;
   // nullopt if no target has named one or is cold, or if none ever does.
-  std::optional<TimePoint> NextRateStart(const std::string& service,
-                                         TimePoint now) const;
+  std::optional<TimePoint> NextRateStart(
+      const std::string& service,
+      TimePoint now,
+      const std::set<std::string>* domains = nullptr) const;
   // Records what the target said of itself in the response to the attempt.
   // Holds for this incarnation of the target. Returns whether that is news.
   bool RecordNotice(const TargetChoice& choice,
--- a/src/libs/routing/target_table_private.h
+++ b/src/libs/routing/target_table_private.h
@@ -80,13 +80,20 @@
   // limits that is reserved for other teams is free.
   bool MustWait(const RoutingRequest& request, TimePoint now) const;
 
-  // Takes over what the registration `member` says of its target being cold.
+  // Takes over what the registration `member` says of its target being cold;
+  // `target` still has the registration before it.
   void UpdateCold(Target& target,
                   const ListedMember& member,
                   const TargetClassConfig& settings,
                   TimePoint now);
+  // Takes the target for cold, whatever its registration says.
+  void PresumeCold(Target& target, ColdCause cause, TimePoint now);
+  // Tells the handler of a target that was not cold before.
+  void ReportCold(const Target& target, ColdCause cause, TimePoint now) const;
   // Sets this host's share of the requests that the target takes while cold.
-  void UpdateColdShare(Target& target, const ListedMember& member) const;
+  void UpdateColdShare(Target& target) const;
+  // Sets the shares of all targets that may still be cold.
+  void UpdateColdShares();
 
   std::string failure_domain;
   std::string host;
@@ -104,6 +111,10 @@
   std::set<std::string> evacuated_domains;
   // Names of all hosts of the fleet.
   std::vector<std::string> fleet;
+  std::function<void(const ColdNotice&)> on_cold;
+  // Time of the last Update(), and whether any has listed targets.
+  TimePoint updated_at{};
+  bool has_listed = false;
   double cold_overshoot = 1;
   double cold_tolerance = 0;
   // Share of a rate limit that this host may use until SetRateShare().
--- a/src/libs/routing/target_table_rate_limits.cc
+++ b/src/libs/routing/target_table_rate_limits.cc
@@ -7,6 +7,14 @@
 
 namespace turmericwinch {
 
+namespace {
+
+bool IsIn(const std::set<std::string>* domains, const Target& target) {
+  return !domains || domains->contains(target.member.failure_domain);
+}
+
+}  // namespace
+
 void TargetTable::Private::SetShareOfNewLimit(Target& target,
                                               std::optional<double> limit,
                                               TimePoint now) const {
@@ -59,13 +67,18 @@
   return result;
 }
 
-std::optional<double> TargetTable::AllowedRate(const std::string& service,
-                                               TimePoint now) const {
+std::optional<double> TargetTable::AllowedRate(
+    const std::string& service,
+    TimePoint now,
+    const std::set<std::string>* domains) const {
+  const TimePoint wait_end =
+      now + std::chrono::duration_cast<TimePoint::duration>(kMaxRateLimitQueue);
   std::optional<double> rate;
   for (const auto& [name, it] : d_->targets) {
-    if (it.service != service || it.IsClosed(now) || it.health.Weight(now) == 0)
+    if (it.service != service || it.IsClosed(now) ||
+        it.health.Weight(now) == 0 || !IsIn(domains, it))
       continue;
-    const bool is_cold = it.cold.IsCold(now) && it.cold.share();
+    const bool is_cold = it.cold.IsCold(wait_end) && it.cold.share();
     if (!it.rate_limit.limit() && !is_cold)
       return std::nullopt;
     double own = is_cold ? *it.cold.share() : it.rate_limit.own_rate();
@@ -78,10 +91,11 @@
 
 std::optional<TargetTable::TimePoint> TargetTable::NextRateStart(
     const std::string& service,
-    TimePoint now) const {
+    TimePoint now,
+    const std::set<std::string>* domains) const {
   std::optional<TimePoint> next;
   for (const auto& [name, it] : d_->targets) {
-    if (it.service != service || it.IsClosed(now))
+    if (it.service != service || it.IsClosed(now) || !IsIn(domains, it))
       continue;
     const TimePoint cold_start = it.cold.NextStart(now);
     if (!it.rate_limit.limit() && cold_start <= now)
