Recognize each registration of a cold target; reject what cold targets can't serve

A target that became cold again with the same time as before looked unchanged to a host that had missed the registrations in between; the version of the entry is now part of the registration while the target is cold. Fractional and huge values of cold_remaining_ms and cold_start_s are read or bounded. Waiting requests look only at the targets of the domains that they may reach.

Shown by: routing_test -sg ColdTargets, node_test -sg SharedTargets, adapter_test -sg TargetDecoder.

--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -16,11 +16,17 @@
 
 // A waiting request. `choice` and `failure` are protected by the mutex.
 struct SharedTargets::Waiter {
-  Waiter(const asio::any_io_executor& executor, QueueTicket ticket)
-      : timer(executor), ticket(std::move(ticket)) {}
+  Waiter(const asio::any_io_executor& executor,
+         QueueTicket ticket,
+         std::shared_ptr<const std::set<std::string>> domains)
+      : timer(executor),
+        ticket(std::move(ticket)),
+        domains(std::move(domains)) {}
 
   asio::steady_timer timer;
   QueueTicket ticket;
+  // Failure domains that the request may reach; null allows all.
+  std::shared_ptr<const std::set<std::string>> domains;
   std::optional<TargetChoice> choice;
   // Why no target can take the request; kOk if the request may still wait.
   Reason failure;
@@ -60,6 +66,7 @@
 void SharedTargets::SetFleet(std::vector<std::string> hosts) {
   std::lock_guard lock(mutex_);
   table_.SetFleet(std::move(hosts));
+  StartQueuedRequests();
 }
 
 std::optional<TargetChoice> SharedTargets::BeginAttempt(
@@ -184,7 +191,8 @@
       if (waiter->has_ended() || waiter->cancelled || !may_wait_ ||
           now >= deadline)
         co_return;
-      const auto next = table_.NextRateStart(waiter->ticket.service, now);
+      const auto next = table_.NextRateStart(waiter->ticket.service, now,
+                                             waiter->domains.get());
       waiter->timer.expires_at(
           std::min(std::max(next.value_or(deadline), now + kMinRateWait),
                    std::max(deadline, now + kMinRateWait)));
@@ -219,7 +227,7 @@
     queue_.Remove(*ticket);
     return nullptr;
   }
-  auto waiter = std::make_shared<Waiter>(executor, *ticket);
+  auto waiter = std::make_shared<Waiter>(executor, *ticket, request.domains);
   waiters_.emplace(*ticket, waiter);
   return waiter;
 }
--- a/src/libs/routing/host_list.cc
+++ b/src/libs/routing/host_list.cc
@@ -39,6 +39,7 @@
   if (const std::optional<std::int64_t> cold_ms = IntField(row, "cold_ms"))
     member.cold_for =
         std::chrono::milliseconds(std::max<std::int64_t>(*cold_ms, 0));
+  member.cold_version = text("cold_version");
   return member;
 }
 
--- a/src/libs/routing/host_list.h
+++ b/src/libs/routing/host_list.h
@@ -27,6 +27,9 @@
   // Time for which the target stays cold, as it said last; nullopt if it did
   // not say.
   std::optional<std::chrono::milliseconds> cold_for = std::nullopt;
+  // Version of the entry of a cold target: one that becomes cold again may
+  // write the same time as before. Empty if it is not cold.
+  std::string cold_version = {};
 
   bool operator==(const ListedMember&) const = default;
 };
--- a/src/libs/routing/host_list_change.cc
+++ b/src/libs/routing/host_list_change.cc
@@ -58,6 +58,8 @@
     row["class"] = member.target_class;
   if (member.cold_for)
     row["cold_ms"] = member.cold_for->count();
+  if (!member.cold_version.empty())
+    row["cold_version"] = member.cold_version;
   return row;
 }
 
--- a/tests/adapter/target_decoder_test.cc
+++ b/tests/adapter/target_decoder_test.cc
@@ -24,6 +24,28 @@
   CHECK(target->leaving);
 }
 
+// Guards against a cold target that counts as warm because of the form of the
+// number, and against an overflow.
+TEST(TargetDecoder, ColdTimeOfAnyNumberIsRead) {
+  auto cold_ms = [](const std::string& value) -> std::int64_t {
+    const std::string text =
+        R"({"service":"llm","address":"10.1.0.9:80","zone":"a",)"
+        R"("state":"ready","cold_remaining_ms":)" +
+        value + "}";
+    const auto target =
+        DecodeTarget("i-1", boost::json::parse(text).as_object());
+    return target->cold_for ? target->cold_for->count() : -1;
+  };
+  LONGS_EQUAL(8'000, cold_ms("8000"));
+  LONGS_EQUAL(1, cold_ms("0.2"));
+  LONGS_EQUAL(0, cold_ms("0"));
+  LONGS_EQUAL(0, cold_ms("-5"));
+  LONGS_EQUAL(3'600'000, cold_ms("18446744073709551615"));
+  LONGS_EQUAL(3'600'000, cold_ms("1e300"));
+  LONGS_EQUAL(-1, cold_ms("null"));
+  LONGS_EQUAL(-1, cold_ms(R"("8000")"));
+}
+
 TEST(TargetDecoder, EntriesThatAreNoRegistrationAreRejected) {
   const char* entries[] = {
       "{}",
--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -26,6 +26,23 @@
     targets.Update({{}, {{"one", "a", "127.0.0.1:1", "1", "any", false}}},
                    SingleClassConfig("plain", 1, 2));
   }
+  // The only target is cold and takes four requests a second.
+  void UseColdTarget(const std::vector<std::string>& fleet) {
+    ConfigSet set;
+    set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
+    set.Add({ConfigKind::kTargetClass,
+             "any",
+             {{"service", "plain"},
+              {"cold_ms", 60'000},
+              {"cold_requests_per_second", 4}},
+             ""});
+    targets.SetColdBound(1, 4);
+    targets.SetFleet(fleet);
+    targets.Update({{},
+                    {{"cold", "a", "127.0.0.1:2", "1", "any", false,
+                      std::chrono::minutes(1)}}},
+                   {1, "digest", set});
+  }
   asio::awaitable<Choice> Wait(const char* team, Clock::duration timeout) {
     RoutingRequest request{"plain"};
     request.team = team;
@@ -96,6 +113,43 @@
   UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
 }
 
+// Guards against requests that wait until their deadline for targets that are
+// all cold and get their requests from other hosts.
+TEST(SharedTargets, ARequestForAColdServiceIsRefusedAtOnce) {
+  for (const std::vector<std::string>& fleet :
+       {std::vector<std::string>{}, std::vector<std::string>{"other"}}) {
+    UseColdTarget(fleet);
+    CHECK_FALSE(
+        RunCoroutine(context, Wait("one", std::chrono::hours(1))).has_value());
+    CHECK(reason.code == ResultCode::kOverloaded);
+    UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+  }
+}
+
+// Guards against a wait for a start that comes after the deadline.
+TEST(SharedTargets, ARequestThatAColdTargetDelaysTooLongIsRefusedAtOnce) {
+  UseColdTarget({"host"});
+  bool is_done = false;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        // The first start waits for an interval of 0.26 s.
+        const Choice choice =
+            co_await Wait("one", std::chrono::milliseconds(100));
+        is_done = !choice;
+      },
+      asio::detached);
+  context.restart();
+  context.poll();
+  CHECK(is_done);
+  CHECK(reason.code == ResultCode::kOverloaded);
+}
+
+TEST(SharedTargets, ARequestWaitsForItsTurnAtAColdTarget) {
+  UseColdTarget({"host"});
+  CHECK(RunCoroutine(context, Wait("one", std::chrono::hours(1))).has_value());
+}
+
 TEST(SharedTargets, FloodOfOneTeamLeavesCapacityForOthers) {
   Choice calm;
   Spawn("calm", calm);
--- a/tests/routing/cold_targets_test.cc
+++ b/tests/routing/cold_targets_test.cc
@@ -152,6 +152,19 @@
   CHECK(IsCold("t", kStart + milliseconds(16'999)));
 }
 
+// Guards against a target that becomes cold again and writes the same time as
+// before, at a host that has not seen the registrations in between.
+TEST(ColdTargets, RegistrationWrittenAgainSaysColdAgain) {
+  list.targets = {Member("t", seconds(5))};
+  list.targets[0].cold_version = "17";
+  Update(kStart);
+  CHECK_FALSE(IsCold("t", kStart + seconds(5)));
+  list.targets[0].cold_version = "23";
+  Update(kStart + seconds(20));
+  CHECK(IsCold("t", kStart + milliseconds(24'999)));
+  LONGS_EQUAL(2, notices.size());
+}
+
 // Guards against a field that is missing in a later registration, for example
 // when the target starts to leave and returns, ending the cold time early.
 TEST(ColdTargets, RegistrationWithoutTheFieldChangesNothing) {
--- a/tests/routing/host_list_change_test.cc
+++ b/tests/routing/host_list_change_test.cc
@@ -26,6 +26,10 @@
       list.targets.push_back(Row(n, random() % 2));
     if (random() % 4 == 0 && !list.targets.empty())
       list.targets.back().leaving = true;
+    if (random() % 4 == 0 && !list.targets.empty()) {
+      list.targets.back().cold_for = std::chrono::milliseconds(random() % 9);
+      list.targets.back().cold_version = std::to_string(random() % 3);
+    }
   }
   SortByName(&list);
   return list;
