--- a/tests/adapter/config_decoder_test.cc
+++ b/tests/adapter/config_decoder_test.cc
@@ -88,4 +88,25 @@
   }
 }
 
+// Guards against an overflow by a time of any size, and against limits where
+// the configuration has none.
+TEST(ConfigDecoder, ColdLimitsAreReadAndBounded) {
+  const auto config = Decode(R"({"version":1,"routes":[],"tenants":[],
+   "services":[
+    {"name":"cold","cold_start_s":8.5,"cold_per_s":11},
+    {"name":"huge","cold_start_s":1e300,"cold_per_s":0.5},
+    {"name":"odd","cold_start_s":-1,"cold_per_s":"11"},
+    {"name":"none"}]})");
+  CHECK(config.has_value());
+  const ConfigSnapshot& objects = *config->objects;
+  LONGS_EQUAL(8'500, objects.TargetClass("cold")->cold_time.count());
+  DOUBLES_EQUAL(11, objects.TargetClass("cold")->cold_requests_per_second, 0);
+  LONGS_EQUAL(3'600'000, objects.TargetClass("huge")->cold_time.count());
+  DOUBLES_EQUAL(0.5, objects.TargetClass("huge")->cold_requests_per_second, 0);
+  for (const char* it : {"odd", "none"}) {
+    LONGS_EQUAL(0, objects.TargetClass(it)->cold_time.count());
+    DOUBLES_EQUAL(0, objects.TargetClass(it)->cold_requests_per_second, 0);
+  }
+}
+
 }  // namespace turmericwinch::platform
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -345,4 +345,28 @@
   CHECK((*changes)[1].removed);
 }
 
+// Guards against a cold target whose entry, written again with the same time,
+// looks unchanged.
+TEST(StoreClient, EntriesOfColdTargetsHaveTheirVersion) {
+  auto target = [](const char* cold_ms) {
+    return std::string(R"({"service":"llm","address":"10.1.0.9:80","zone":"a",)"
+                       R"("state":"ready","born":1,"cold_remaining_ms":)") +
+           cold_ms + "}";
+  };
+  store.AddResponse(200, R"({"items":[)" + Object("i-1", 5, target("8000")) +
+                             "," + Object("i-2", 6, target("0")) +
+                             R"(],"has_more":false,"at":9})");
+  store.AddResponse(200, R"({"events":[{"deleted":false,"object":)" +
+                             Object("i-1", 12, target("8000")) +
+                             R"(}],"at":12})");
+  const auto whole = Run(client.HostsSince(0, milliseconds(0), &reason));
+  const auto list = ParseHostList(whole->text, &reason);
+  CHECK(list->targets[0].cold_for == milliseconds(8'000));
+  STRCMP_EQUAL("5", list->targets[0].cold_version.c_str());
+  STRCMP_EQUAL("", list->targets[1].cold_version.c_str());
+  const auto next = Run(client.HostsSince(9, milliseconds(10), &reason));
+  const auto changes = ParseHostListChanges(next->text, &reason);
+  CHECK((*changes)[0].member != list->targets[0]);
+}
+
 }  // namespace turmericwinch::platform
