Log cold targets from a file of their own

logs_check.sh pairs each page row with a kLog call; target_cold used another category variable. A node test shows that a warm target out of a request's reach lets it not wait (node_test -sg SharedTargets).

--- a/src/libs/gateway/gateway_context.cc
+++ b/src/libs/gateway/gateway_context.cc
@@ -5,6 +5,7 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/gateway/cold_target_log.h"
 
 namespace turmericwinch {
 
@@ -13,7 +14,6 @@
 constexpr std::size_t kIncarnationBytes = 6;
 constexpr char kBootIdFile[] = "/proc/sys/kernel/random/boot_id";
 constexpr LogCategory kLog{"gateway"};
-constexpr LogCategory kTargetsLog{"targets"};
 constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr std::int64_t kMsPerSecond = 1'000;
 constexpr std::int64_t kNsPerMs = 1'000'000;
@@ -24,15 +24,6 @@
   return BootTime(time.tv_sec * kMsPerSecond + time.tv_nsec / kNsPerMs);
 }
 
-void LogColdTarget(const ColdNotice& notice) {
-  LogEvent(kTargetsLog, Severity::kInfo, "target_cold",
-           {{"target", notice.target},
-            {"incarnation", notice.incarnation},
-            {"cause", NameOf(notice.cause)},
-            {"ms", static_cast<std::int64_t>(notice.time.count())},
-            {"share", notice.share ? std::to_string(*notice.share) : "none"}});
-}
-
 }  // namespace
 
 BootClock SystemBootClock() {
--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio.hpp>
+#include <boost/json/array.hpp>
 
 #include "support/routing_config.h"
 #include "support/run_coroutine.h"
@@ -26,10 +27,15 @@
     targets.Update({{}, {{"one", "a", "127.0.0.1:1", "1", "any", false}}},
                    SingleClassConfig("plain", 1, 2));
   }
-  // The only target is cold and takes four requests a second.
-  void UseColdTarget(const std::vector<std::string>& fleet) {
+  // The only target, or the only one in the own domain, is cold and takes four
+  // requests a second.
+  void UseColdTarget(const std::vector<std::string>& fleet,
+                     bool with_warm = false) {
     ConfigSet set;
-    set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
+    set.Add({ConfigKind::kFailureDomain,
+             "a",
+             {{"overflow", boost::json::array{"b"}}},
+             ""});
     set.Add({ConfigKind::kTargetClass,
              "any",
              {{"service", "plain"},
@@ -38,10 +44,14 @@
              ""});
     targets.SetColdBound(1, 4);
     targets.SetFleet(fleet);
-    targets.Update({{},
-                    {{"cold", "a", "127.0.0.1:2", "1", "any", false,
-                      std::chrono::minutes(1)}}},
-                   {1, "digest", set});
+    HostList list;
+    list.targets = {{"cold", "a", "127.0.0.1:2", "1", "any", false,
+                     std::chrono::minutes(1)}};
+    if (with_warm) {
+      list.targets.push_back({"warm", "b", "127.0.0.1:3", "1", "any", false,
+                              std::chrono::milliseconds(0)});
+    }
+    targets.Update(list, {1, "digest", set});
   }
   asio::awaitable<Choice> Wait(const char* team, Clock::duration timeout) {
     RoutingRequest request{"plain"};
@@ -145,6 +155,23 @@
   CHECK(reason.code == ResultCode::kOverloaded);
 }
 
+// Guards against a warm target that the request may not reach, which made it
+// wait until its deadline.
+TEST(SharedTargets, AWarmTargetOutOfReachLetsNoRequestWait) {
+  UseColdTarget({"other"}, /*with_warm=*/true);
+  RoutingRequest request{"plain"};
+  request.domains =
+      std::make_shared<const std::set<std::string>>(std::set<std::string>{"a"});
+  const Clock::time_point deadline = Clock::now() + std::chrono::hours(1);
+  CHECK_FALSE(
+      RunCoroutine(context, targets.WaitForTarget(request, deadline, &reason))
+          .has_value());
+  CHECK(reason.code == ResultCode::kOverloaded);
+  request.domains = nullptr;
+  CHECK(RunCoroutine(context, targets.WaitForTarget(request, deadline, &reason))
+            .has_value());
+}
+
 TEST(SharedTargets, ARequestWaitsForItsTurnAtAColdTarget) {
   UseColdTarget({"host"});
   CHECK(RunCoroutine(context, Wait("one", std::chrono::hours(1))).has_value());
