--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -16,11 +16,17 @@
 
 // A waiting request. `choice` and `failure` are protected by the mutex.
 struct SharedTargets::Waiter {
-  Waiter(const asio::any_io_executor& executor, QueueTicket ticket)
-      : timer(executor), ticket(std::move(ticket)) {}
+  Waiter(const asio::any_io_executor& executor,
+         QueueTicket ticket,
+         std::shared_ptr<const std::set<std::string>> domains)
+      : timer(executor),
+        ticket(std::move(ticket)),
+        domains(std::move(domains)) {}
 
   asio::steady_timer timer;
   QueueTicket ticket;
+  // Failure domains that the request may reach; null allows all.
+  std::shared_ptr<const std::set<std::string>> domains;
   std::optional<TargetChoice> choice;
   // Why no target can take the request; kOk if the request may still wait.
   Reason failure;
@@ -51,9 +57,16 @@
   table_.SetColdBound(overshoot, tolerance);
 }
 
+void SharedTargets::SetColdHandler(
+    std::function<void(const ColdNotice&)> handler) {
+  std::lock_guard lock(mutex_);
+  table_.SetColdHandler(std::move(handler));
+}
+
 void SharedTargets::SetFleet(std::vector<std::string> hosts) {
   std::lock_guard lock(mutex_);
   table_.SetFleet(std::move(hosts));
+  StartQueuedRequests();
 }
 
 std::optional<TargetChoice> SharedTargets::BeginAttempt(
@@ -137,20 +150,32 @@
     Wake(waiter);
 }
 
-bool SharedTargets::IsRateQueueFull(const std::string& service,
+bool SharedTargets::IsRateQueueFull(const RoutingRequest& request,
+                                    Clock::time_point deadline,
                                     Clock::time_point now,
                                     Reason* reason) const {
-  const std::optional<double> rate = table_.AllowedRate(service, now);
+  const std::string& service = request.service;
+  const std::optional<double> rate =
+      table_.AllowedRate(service, now, request.domains.get());
   if (!rate)
     return false;
+  const auto next = table_.NextRateStart(service, now, request.domains.get());
+  if (next && *next > deadline) {
+    *reason = {
+        ResultCode::kOverloaded,
+        "no target of " + service +
+            " takes a request of this host before the deadline: all have "
+            "reached their rate limits or are cold"};
+    return true;
+  }
   const std::size_t waiting = queue_.Sizes()[service];
   if (static_cast<double>(waiting) <= *rate * kMaxRateLimitQueue.count())
     return false;
-  *reason = {ResultCode::kOverloaded, "the rate limits of all targets of " +
-                                          service + " allow this host " +
-                                          std::to_string(*rate) +
-                                          " requests a second, and " +
-                                          std::to_string(waiting) + " wait"};
+  *reason = {ResultCode::kOverloaded,
+             "the rate limits or cold starts of all targets of " + service +
+                 " allow this host " + std::to_string(*rate) +
+                 " requests a second, and " + std::to_string(waiting) +
+                 " wait"};
   return true;
 }
 
@@ -166,7 +191,8 @@
       if (waiter->has_ended() || waiter->cancelled || !may_wait_ ||
           now >= deadline)
         co_return;
-      const auto next = table_.NextRateStart(waiter->ticket.service, now);
+      const auto next = table_.NextRateStart(waiter->ticket.service, now,
+                                             waiter->domains.get());
       waiter->timer.expires_at(
           std::min(std::max(next.value_or(deadline), now + kMinRateWait),
                    std::max(deadline, now + kMinRateWait)));
@@ -199,11 +225,11 @@
     queue_.Remove(*ticket);
     return nullptr;
   }
-  if (IsRateQueueFull(request.service, now, reason)) {
+  if (IsRateQueueFull(request, deadline, now, reason)) {
     queue_.Remove(*ticket);
     return nullptr;
   }
-  auto waiter = std::make_shared<Waiter>(executor, *ticket);
+  auto waiter = std::make_shared<Waiter>(executor, *ticket, request.domains);
   waiters_.emplace(*ticket, waiter);
   return waiter;
 }
