Read the speed of a target from the load header

Cause: a load header with a fourth value was dropped, and the parsed load reached no target: parse_load had no caller.

The header now has three or four values; later ones are ignored. An invalid fourth value leaves the first three in use. Invalid headers are counted in turmericwinch_invalid_load_headers_total and logged at a bounded rate. TargetSpeed averages the reported speed, lets its effect decay with age and scales TargetLoad::Cost by its change since the target's times were measured, so that a slow target is not counted as slow twice. A header without a speed changes no cost.

--- a/src/libs/gateway/gateway_context.h
+++ b/src/libs/gateway/gateway_context.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 
+#include "libs/base/log_rate_limiter.h"
 #include "libs/budget/fleet_account.h"
 #include "libs/gateway/gateway_config.h"
 #include "libs/gateway/gateway_constants.h"
@@ -84,6 +85,8 @@
   ServiceRetries retries;
   ServiceDemand demand;
   LinkLoad link;
+  // Used on the traffic thread.
+  LogRateLimiter load_header_log;
   ResponseMemory response_memory;
   GatewayPeers peers{control, settings};
   RequestQuarantine quarantine{control, peers};
--- a/src/libs/gateway/gateway_dialect.h
+++ b/src/libs/gateway/gateway_dialect.h
@@ -12,6 +12,7 @@
 #include "libs/base/reason.h"
 #include "libs/gateway/gateway_call.h"
 #include "libs/http/http_message.h"
+#include "libs/routing/reported_load.h"
 #include "libs/routing/target_notice.h"
 
 namespace turmericwinch {
@@ -41,11 +42,11 @@
   kUnverified,
 };
 
-// Load that a target reports in its responses.
-struct ReportedLoad {
-  std::int64_t running = 0;
-  std::int64_t waiting = 0;
-  std::int64_t slots = 0;
+// What the load header of a response says. `is_invalid` is whether the header,
+// or its speed alone, is not valid; `load` then lacks what is not.
+struct LoadHeader {
+  std::optional<ReportedLoad> load;
+  bool is_invalid = false;
 };
 
 // Pure functions, called on traffic threads.
@@ -60,7 +61,7 @@
   std::function<bool(const HttpHeaders&, const std::string& id)>
       belongs_to_call;
   std::function<HeadVerdict(int status, const HttpHeaders&)> classify_head;
-  std::function<std::optional<ReportedLoad>(const HttpHeaders&)> parse_load;
+  std::function<LoadHeader(const HttpHeaders&)> parse_load;
   // Requests per second that the target takes from all hosts together, if its
   // response names a limit.
   std::function<std::optional<double>(const HttpHeaders&)> parse_rate_limit;
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -50,6 +50,7 @@
                     {"ejections", it.ejections},
                     {"limit", it.limit},
                     {"rate_limit", it.rate_limit},
+                    {"speed_factor", it.speed_factor},
                     {"wait_seconds", it.wait_seconds},
                     {"seconds_per_token", it.seconds_per_token},
                     {"seconds_per_prompt_token", it.seconds_per_prompt_token}});
--- a/src/libs/gateway/target_attempt.cc
+++ b/src/libs/gateway/target_attempt.cc
@@ -90,6 +90,22 @@
             {"per_second", limit ? std::to_string(*limit) : "none"}});
 }
 
+void TargetAttempt::RecordReportedLoad(const HttpHeaders& headers) {
+  const LoadHeader header = context_.dialect.parse_load(headers);
+  if (header.load)
+    context_.targets.RecordReportedLoad(choice_, *header.load);
+  if (!header.is_invalid)
+    return;
+  context_.metrics.CountInvalidLoadHeader();
+  if (!context_.load_header_log.TryAcquire(Clock::now()))
+    return;
+  LogEvent(kLog, Severity::kWarning, "load_header_invalid",
+           {{"request", resolved_.call->id},
+            {"target", choice_.name},
+            {"used", header.load ? "load" : "none"},
+            {"dropped", context_.load_header_log.TakeDropped()}});
+}
+
 void TargetAttempt::RecordNotice(int status, const HttpHeaders& headers) {
   const TargetNotice notice = context_.dialect.parse_notice(status, headers);
   if (!context_.targets.RecordNotice(choice_, notice))
@@ -142,6 +158,7 @@
       context_.dialect.classify_head(stream.status(), stream.headers());
   if (verdict == HeadVerdict::kAnswer || verdict == HeadVerdict::kNotRun) {
     RecordRateLimit(stream.headers());
+    RecordReportedLoad(stream.headers());
     RecordNotice(stream.status(), stream.headers());
   }
   if (verdict == HeadVerdict::kNotRun || verdict == HeadVerdict::kOtherTarget) {
--- a/src/libs/gateway/target_attempt.h
+++ b/src/libs/gateway/target_attempt.h
@@ -67,6 +67,8 @@
                                                       Reason* reason);
   // Records what the target says of itself in its response.
   void RecordNotice(int status, const HttpHeaders& headers);
+  // Records the load that the target reports in its response.
+  void RecordReportedLoad(const HttpHeaders& headers);
   // Records the rate limit that the target names in its response.
   void RecordRateLimit(const HttpHeaders& headers);
 
--- a/src/libs/node/node_metrics.cc
+++ b/src/libs/node/node_metrics.cc
@@ -68,6 +68,7 @@
   mutable std::mutex mutex;
   std::map<ResultCode, std::uint64_t> results;
   std::array<std::uint64_t, kDeliveryEvents> events{};
+  std::uint64_t invalid_load_headers = 0;
   LatencyHistogram first_byte;
   LatencyHistogram whole_answer;
 };
@@ -81,6 +82,11 @@
   ++d_->results[code];
 }
 
+void NodeMetrics::CountInvalidLoadHeader() {
+  std::lock_guard lock(d_->mutex);
+  ++d_->invalid_load_headers;
+}
+
 void NodeMetrics::CountEvent(DeliveryEvent event) {
   std::lock_guard lock(d_->mutex);
   ++d_->events[static_cast<std::size_t>(event)];
@@ -115,6 +121,9 @@
             std::string(NameOf(static_cast<DeliveryEvent>(n))) + "\"} " +
             std::to_string(d_->events[n]) + "\n";
   }
+  text += "# TYPE turmericwinch_invalid_load_headers_total counter\n";
+  text += "turmericwinch_invalid_load_headers_total " +
+          std::to_string(d_->invalid_load_headers) + "\n";
   text += d_->first_byte.Exposition("turmericwinch_first_byte_seconds");
   text += d_->whole_answer.Exposition("turmericwinch_whole_answer_seconds");
   text += "# TYPE turmericwinch_soft_asserts_total counter\n";
--- a/src/libs/node/node_metrics.h
+++ b/src/libs/node/node_metrics.h
@@ -21,6 +21,8 @@
 
   // Counts a finished request by its result.
   void CountResult(ResultCode code);
+  // Counts a response with a load header that is not valid.
+  void CountInvalidLoadHeader();
   // Counts a delivery event.
   void CountEvent(DeliveryEvent event);
   // Records the time to the first byte of an answer.
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -84,6 +84,12 @@
   return table_.RecordNotice(choice, notice, Clock::now());
 }
 
+void SharedTargets::RecordReportedLoad(const TargetChoice& choice,
+                                       const ReportedLoad& load) {
+  std::lock_guard lock(mutex_);
+  table_.RecordReportedLoad(choice, load, Clock::now());
+}
+
 bool SharedTargets::RecordRateLimitNotice(const RateLimitStatus& status) {
   std::lock_guard lock(mutex_);
   return table_.RecordRateLimitNotice(status, Clock::now());
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -58,6 +58,8 @@
   // Records what the target said of itself in the response to the attempt.
   // Returns whether that is news.
   bool RecordNotice(const TargetChoice& choice, const TargetNotice& notice);
+  // Records the load that the response to the attempt reported.
+  void RecordReportedLoad(const TargetChoice& choice, const ReportedLoad& load);
   // See the functions of TargetTable.
   bool RecordRateLimitNotice(const RateLimitStatus& status);
   void SetRateShare(const std::string& target, double share);
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -74,6 +74,7 @@
                        {"ejections", it.ejections},
                        {"wait_s", it.wait_seconds},
                        {"token_s", it.seconds_per_token},
+                       {"speed_factor", it.speed_factor},
                        {"prompt_token_s", it.seconds_per_prompt_token}});
   }
   return targets;
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -25,6 +25,18 @@
 inline constexpr std::chrono::milliseconds kWaitHalfLife{2'000};
 // Half-life of a load report.
 inline constexpr std::chrono::milliseconds kReportHalfLife{500};
+// Half-life of the average of the speeds that a target reports.
+inline constexpr std::chrono::milliseconds kSpeedAverageHalfLife{100};
+// Largest weight of one reported speed: a single one may be an outlier.
+inline constexpr double kMaxSpeedReportWeight = 0.5;
+// Bounds of a reported time of work, as a multiple of the usual time.
+inline constexpr double kMinReportedSpeed = 0.25;
+inline constexpr double kMaxReportedSpeed = 10;
+// Bounds of the factor by which reports change the expected time of work. All
+// hosts read the same report, so one of a fast target must not draw them all;
+// one of a slow target must leave it requests that measure it.
+inline constexpr double kMinSpeedFactor = 0.67;
+inline constexpr double kMaxSpeedFactor = 4;
 // Output tokens whose time is added to that of the first token when targets are
 // compared.
 inline constexpr double kWeighedOutputTokens = 64;
--- a/src/libs/routing/target_load.cc
+++ b/src/libs/routing/target_load.cc
@@ -58,6 +58,7 @@
   const double aged = AgedWait(now);
   wait_seconds_ = aged + kMovingAverageWeight * (wait - aged);
   wait_time_ = now;
+  first_token_speed_.RecordMeasurement(now);
 }
 
 void TargetLoad::EndRequest(double prompt_tokens,
@@ -71,9 +72,11 @@
       std::max(pending_prompt_tokens_ - prompt_tokens, 0.0);
 }
 
-void TargetLoad::RecordTokenTime(std::chrono::duration<double> token_time) {
+void TargetLoad::RecordTokenTime(std::chrono::duration<double> token_time,
+                                 TimePoint now) {
   seconds_per_token_ +=
       kMovingAverageWeight * (token_time.count() - seconds_per_token_);
+  token_speed_.RecordMeasurement(now);
 }
 
 void TargetLoad::RecordReport(const LoadReport& report) {
@@ -81,6 +84,11 @@
     report_ = report;
 }
 
+void TargetLoad::RecordReportedSpeed(std::int64_t percent, TimePoint now) {
+  first_token_speed_.RecordReport(percent, now);
+  token_speed_.RecordReport(percent, now);
+}
+
 double TargetLoad::AgedWait(TimePoint now) const {
   return wait_seconds_ * DecayFactor(now - wait_time_, kWaitHalfLife);
 }
@@ -110,8 +118,10 @@
 
 double TargetLoad::Cost(double prompt_tokens, TimePoint now) const {
   const double own = static_cast<double>(in_flight_ + 1);
-  return FirstTokenSeconds(prompt_tokens, now) +
-         seconds_per_token_ * (kWeighedOutputTokens + own);
+  return FirstTokenSeconds(prompt_tokens, now) *
+             first_token_speed_.Factor(now) +
+         seconds_per_token_ * token_speed_.Factor(now) *
+             (kWeighedOutputTokens + own);
 }
 
 }  // namespace turmericwinch
--- a/src/libs/routing/target_load.h
+++ b/src/libs/routing/target_load.h
@@ -8,6 +8,8 @@
 #include <optional>
 #include <set>
 
+#include "libs/routing/target_speed.h"
+
 namespace turmericwinch {
 
 // Load that a target reported; it may be old when it arrives.
@@ -43,8 +45,10 @@
                   bool had_first_token,
                   TimePoint sent_at);
   // Records the measured time of one output token.
-  void RecordTokenTime(std::chrono::duration<double> token_time);
+  void RecordTokenTime(std::chrono::duration<double> token_time, TimePoint now);
   void RecordReport(const LoadReport& report);
+  // Records that the target's work takes `percent` of its usual time.
+  void RecordReportedSpeed(std::int64_t percent, TimePoint now);
 
   // Expected seconds to the first token of a request of `prompt_tokens`
   // uncached tokens.
@@ -52,6 +56,9 @@
   // Expected seconds to the first token plus the time of the output tokens that
   // the choice of a target takes into account.
   double Cost(double prompt_tokens, TimePoint now) const;
+  // Factor by which reports say that output tokens now take longer than was
+  // measured.
+  double SpeedFactor(TimePoint now) const { return token_speed_.Factor(now); }
   // Wait that this host's own requests don't explain: the larger of the
   // measured wait, decayed by its age, and the time by which the oldest request
   // without a first token is overdue.
@@ -78,6 +85,10 @@
   double wait_seconds_ = 0;
   TimePoint wait_time_;
   std::optional<LoadReport> report_;
+  // The two times are measured at different moments, so that each has its own
+  // change of speed since then.
+  TargetSpeed first_token_speed_;
+  TargetSpeed token_speed_;
   bool has_answered_ = false;
   std::int64_t good_answers_ = 0;
   // Send times of the requests that have no first token yet.
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -241,7 +241,7 @@
   if (outcome == AttemptOutcome::kGood)
     target->load.RecordGoodAnswer();
   if (token_time.count() > 0)
-    target->load.RecordTokenTime(token_time);
+    target->load.RecordTokenTime(token_time, now);
   // A target that can't be reached may have stopped and come back cold before
   // its registration shows that.
   if (outcome == AttemptOutcome::kRefused)
@@ -270,6 +270,14 @@
     it->second.load.RecordReport(report);
 }
 
+void TargetTable::RecordReportedLoad(const TargetChoice& choice,
+                                     const ReportedLoad& load,
+                                     TimePoint now) {
+  Target* target = d_->Find(choice);
+  if (target && load.speed_percent)
+    target->load.RecordReportedSpeed(*load.speed_percent, now);
+}
+
 std::vector<TargetStats> TargetTable::Stats(TimePoint now) const {
   std::vector<TargetStats> stats;
   for (const auto& [name, it] : d_->targets) {
@@ -278,7 +286,8 @@
          it.load.in_flight(), it.IsLeaving(), it.health.State(now),
          it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
          it.load.seconds_per_token(), it.load.seconds_per_prompt_token(),
-         it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now)});
+         it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now),
+         it.load.SpeedFactor(now)});
   }
   return stats;
 }
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -15,6 +15,7 @@
 #include "libs/config/config_snapshot.h"
 #include "libs/routing/concurrency_limit.h"
 #include "libs/routing/host_list.h"
+#include "libs/routing/reported_load.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
 #include "libs/routing/target_notice.h"
@@ -77,6 +78,8 @@
   double rate_limit = 0;
   bool evacuated = false;
   bool cold = false;
+  // Factor by which reports say that work takes longer than measured.
+  double speed_factor = 1;
 };
 
 // What is known of the rate limit of a target. Without `limit`, the target has
@@ -168,6 +171,12 @@
   bool RecordNotice(const TargetChoice& choice,
                     const TargetNotice& notice,
                     TimePoint now);
+  // Records the load that the target reported in the response to the attempt.
+  // The cost of a target takes the requests in it into account through this
+  // host's measurements only; see docs/decisions/04-routing.md.
+  void RecordReportedLoad(const TargetChoice& choice,
+                          const ReportedLoad& load,
+                          TimePoint now);
   // Records the load that the target `name` reported.
   void RecordLoadReport(const std::string& name, const LoadReport& report);
 
