Keep targets within their memory

Cause: nothing kept the requests at a model engine within its memory, beyond which it crashes.

TargetMemory counts the tokens of this host's requests at a target and estimates those of other hosts from the last load report, which ages. A target without room gets no request, and the cost of a target rises as its memory fills up. A request that no target has room for waits. It takes effect only for services with memory_tokens.

Tests: routing_test -sg TargetMemory. The gateway tests were not run for this commit.

--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -51,6 +51,8 @@
                     {"limit", it.limit},
                     {"rate_limit", it.rate_limit},
                     {"speed_factor", it.speed_factor},
+                    {"own_tokens", it.own_tokens},
+                    {"used_tokens", it.used_tokens},
                     {"wait_seconds", it.wait_seconds},
                     {"seconds_per_token", it.seconds_per_token},
                     {"seconds_per_prompt_token", it.seconds_per_prompt_token}});
--- a/src/libs/gateway/resolved_call.cc
+++ b/src/libs/gateway/resolved_call.cc
@@ -29,8 +29,10 @@
     request.share = resolved.team->share;
   }
   const GatewayCall& call = *resolved.call;
-  if (call.tokens)
+  if (call.tokens) {
     request.prompt_tokens = call.tokens->prompt;
+    request.max_output_tokens = call.tokens->max_output;
+  }
   for (const PromptPart& it : SharedParts(call)) {
     request.prefix = Hash64(std::to_string(it.id), request.prefix);
     request.prefix_tokens += it.tokens;
--- a/src/libs/node/state_dump.cc
+++ b/src/libs/node/state_dump.cc
@@ -75,6 +75,8 @@
                        {"wait_s", it.wait_seconds},
                        {"token_s", it.seconds_per_token},
                        {"speed_factor", it.speed_factor},
+                       {"own_tokens", it.own_tokens},
+                       {"used_tokens", it.used_tokens},
                        {"prompt_token_s", it.seconds_per_prompt_token}});
   }
   return targets;
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -37,6 +37,21 @@
 // one of a slow target must leave it requests that measure it.
 inline constexpr double kMinSpeedFactor = 0.67;
 inline constexpr double kMaxSpeedFactor = 4;
+// Fraction of its largest output that a request is counted with at a target's
+// memory. Output grows while the request runs, so that one that produces all of
+// it holds half on average, and most end earlier: counting all of it would
+// leave memory idle.
+inline constexpr double kHeldOutputFraction = 0.5;
+// Half-life of the estimate of other hosts' tokens at a target. Without new
+// reports it falls in about the time in which such requests end. In
+// TargetMemory's play of six hosts, 2 s left 49 and 197 overflows at two rates,
+// 8 s with TargetMemory::CostFactor() 47 and 151; without memory 75 and 190.
+inline constexpr std::chrono::milliseconds kMemoryReportHalfLife{8'000};
+// Largest fraction of a target's memory that its cost takes into account.
+inline constexpr double kMaxCostMemoryFraction = 0.95;
+// Time after which a request that waits for memory is tried again while the
+// estimate of other hosts' tokens falls.
+inline constexpr std::chrono::milliseconds kMemoryCheckInterval{100};
 // Output tokens whose time is added to that of the first token when targets are
 // compared.
 inline constexpr double kWeighedOutputTokens = 64;
--- a/src/libs/routing/target_choice.cc
+++ b/src/libs/routing/target_choice.cc
@@ -35,7 +35,9 @@
         static_cast<double>(it->load.in_flight()) >=
             it->AllowedInFlight(query.now) ||
         !query.Allows(it->member) || !it->rate_limit.MayStart(query.now) ||
-        !it->cold.MayStart(query.now) || IsLeftToLonger(group, *it, query))
+        !it->cold.MayStart(query.now) ||
+        !it->memory.HasRoom(query.HeldTokens(), query.now) ||
+        IsLeftToLonger(group, *it, query))
       return;
     const double uncached = std::max(prompt - cached, 1.0);
     const double domain_penalty = it->member.failure_domain == failure_domain
@@ -44,8 +46,8 @@
     const double prefill_again =
         (shared - cached) * kPrefillAgainSecondsPerToken;
     const double cost =
-        (it->load.Cost(uncached, query.now) + prefill_again + domain_penalty) /
-        weight;
+        (it->load.Cost(uncached, query.now) + prefill_again + domain_penalty) *
+        it->memory.CostFactor(query.HeldTokens(), query.now) / weight;
     if (!best.target || cost < best.cost)
       best = {it, cost, uncached};
   };
@@ -88,6 +90,8 @@
         *obstacle = "is cold and gets its requests from other hosts for now";
       else if (it->load.in_flight() >= it->max_in_flight)
         *obstacle = "is full";
+      else if (!it->memory.HasRoom(query.HeldTokens(), query.now))
+        *obstacle = "lacks the memory for the request";
       else if (it->health.Weight(query.now) > 0)
         return it;
       else if (!ejected)
@@ -139,6 +143,10 @@
   target.load.BeginRequest(uncached_tokens, query.now);
   target.rate_limit.RecordStart(query.now);
   target.cold.RecordStart(query.now);
+  choice.held_tokens = query.HeldTokens();
+  target.memory.BeginRequest(choice.held_tokens);
+  mean_held_tokens[request.service].Record(
+      target.memory.AtMostCapacity(choice.held_tokens));
   if (!request.team.empty())
     teams[request.service].BeginRequest(request.team);
   if (request.prefix != 0)
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -16,6 +16,7 @@
 #include "libs/routing/prefix_ring.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
+#include "libs/routing/target_memory.h"
 #include "libs/routing/target_rate_limit.h"
 
 namespace turmericwinch {
@@ -35,6 +36,7 @@
   TargetHealth health;
   TargetRateLimit rate_limit;
   ColdPace cold;
+  TargetMemory memory;
   // Time for which the target is cold after its start, 0 if it never is, and
   // the requests per second that it takes meanwhile, 0 if there is no limit.
   std::chrono::milliseconds cold_time{0};
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -128,6 +128,7 @@
     target.service = target_class->service;
     target.max_in_flight = target_class->most_in_flight;
     target.tier = tier;
+    target.memory.SetCapacity(target_class->memory_tokens);
     target.evacuated = d_->evacuated_domains.contains(it.failure_domain);
     targets.emplace(it.name, std::move(target));
   }
@@ -238,6 +239,7 @@
     return;
   target->load.EndRequest(choice.uncached_tokens, choice.had_first_token,
                           choice.sent_at);
+  target->memory.EndRequest(choice.held_tokens);
   if (outcome == AttemptOutcome::kGood)
     target->load.RecordGoodAnswer();
   if (token_time.count() > 0)
@@ -274,8 +276,13 @@
                                      const ReportedLoad& load,
                                      TimePoint now) {
   Target* target = d_->Find(choice);
-  if (target && load.speed_percent)
+  if (!target)
+    return;
+  if (load.speed_percent)
     target->load.RecordReportedSpeed(*load.speed_percent, now);
+  target->memory.RecordReport(load.running + load.waiting,
+                              d_->mean_held_tokens[target->service].mean(),
+                              now);
 }
 
 std::vector<TargetStats> TargetTable::Stats(TimePoint now) const {
@@ -287,7 +294,8 @@
          it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
          it.load.seconds_per_token(), it.load.seconds_per_prompt_token(),
          it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now),
-         it.load.SpeedFactor(now)});
+         it.load.SpeedFactor(now), it.memory.own_tokens(),
+         it.memory.UsedTokens(now)});
   }
   return stats;
 }
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -37,6 +37,8 @@
   bool limited = false;
   // Failure domains whose targets may get the request; null allows all.
   std::shared_ptr<const std::set<std::string>> domains = nullptr;
+  // Output tokens that the request may produce.
+  std::int64_t max_output_tokens = 0;
 };
 
 // A target chosen for one attempt, and the state that the table recorded when
@@ -57,6 +59,8 @@
   ShareStatus share_status = ShareStatus::kOnlyTeam;
   // Requests of this host at the target, this one included.
   std::int64_t in_flight = 0;
+  // Tokens that the request is counted with at the target's memory.
+  double held_tokens = 0;
 };
 
 // State of one target for dumps and metrics.
@@ -80,6 +84,9 @@
   bool cold = false;
   // Factor by which reports say that work takes longer than measured.
   double speed_factor = 1;
+  // Tokens that requests are estimated to hold: of this host, and of all.
+  double own_tokens = 0;
+  double used_tokens = 0;
 };
 
 // What is known of the rate limit of a target. Without `limit`, the target has
@@ -162,8 +169,9 @@
   // limit.
   std::optional<double> AllowedRate(const std::string& service,
                                     TimePoint now) const;
-  // The earliest time at which a rate limit allows a request to the service;
-  // nullopt if no target has named one or is cold, or if none ever does.
+  // The earliest time at which a rate limit, or the falling estimate of the
+  // memory that other hosts' requests hold, allows a request to the service
+  // without any other event; nullopt if there is none.
   std::optional<TimePoint> NextRateStart(const std::string& service,
                                          TimePoint now) const;
   // Records what the target said of itself in the response to the attempt.
--- a/src/libs/routing/target_table_private.h
+++ b/src/libs/routing/target_table_private.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libs/base/digest.h"
+#include "libs/routing/mean_tokens.h"
 #include "libs/routing/prefix_record.h"
 #include "libs/routing/target_group.h"
 #include "libs/routing/target_table.h"
@@ -25,6 +26,11 @@
   const std::set<std::string>& excluded;
   TargetTable::TimePoint now;
 
+  // Tokens that the request is expected to hold at a target.
+  double HeldTokens() const {
+    return TargetMemory::ExpectedTokens(request.prompt_tokens,
+                                        request.max_output_tokens);
+  }
   // Whether the request may reach the target, whatever its state.
   bool Allows(const ListedMember& target) const {
     return !excluded.contains(target.name) &&
@@ -100,6 +106,8 @@
   PrefixRecord prefixes;
   // Moving averages of the prompt tokens of requests, by service.
   std::map<std::string, double> mean_prompt_tokens;
+  // Mean tokens that a request holds, by service.
+  std::map<std::string, MeanTokens> mean_held_tokens;
   // Failure domains whose targets get no requests.
   std::set<std::string> evacuated_domains;
   // Names of all hosts of the fleet.
--- a/src/libs/routing/target_table_rate_limits.cc
+++ b/src/libs/routing/target_table_rate_limits.cc
@@ -83,6 +83,9 @@
   for (const auto& [name, it] : d_->targets) {
     if (it.service != service || it.IsClosed(now))
       continue;
+    const std::optional<TimePoint> check = it.memory.NextCheck(now);
+    if (check && (!next || *check < *next))
+      next = check;
     const TimePoint cold_start = it.cold.NextStart(now);
     if (!it.rate_limit.limit() && cold_start <= now)
       continue;
