--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -2,7 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <string>
 
 #include "gateway_call_fixture.h"
 #include "repeating_target.h"
@@ -90,6 +92,33 @@
   LONGS_EQUAL(1, two.requests.size());
 }
 
+// Guards against a load header that is parsed but reaches no target, and
+// against invalid ones that nobody sees.
+TEST(GatewayCall, TheReportedLoadReachesTheTargetAndInvalidOnesAreCounted) {
+  auto speed = [this] {
+    double largest = 0;
+    for (const TargetStats& it : context.targets.Stats())
+      largest = std::max(largest, it.speed_factor);
+    return largest;
+  };
+  auto count = [this](int n) {
+    const std::string line =
+        "turmericwinch_invalid_load_headers_total " + std::to_string(n) + "\n";
+    return context.metrics.Exposition().find(line) != std::string::npos;
+  };
+  one.load = two.load = "1,0,8,0";
+  LONGS_EQUAL(200, StatusOf("/once/1"));
+  CHECK(count(1));
+  DOUBLES_EQUAL(1, speed(), 1e-9);
+  one.load = two.load = "1,0,8,100000";
+  LONGS_EQUAL(200, StatusOf("/once/1"));
+  CHECK(count(1));
+  CHECK(speed() > 1);
+  one.load = two.load = "1,0";
+  LONGS_EQUAL(200, StatusOf("/once/1"));
+  CHECK(count(2));
+}
+
 TEST(GatewayCall, AnErrorOfTheNextTargetIsNotSentInsideAStream) {
   for (TargetBehavior behavior :
        {TargetBehavior::kReject, TargetBehavior::kFail, TargetBehavior::kNotRun,
--- a/tests/adapter/scripted_target.h
+++ b/tests/adapter/scripted_target.h
@@ -64,6 +64,8 @@
   std::vector<HttpRequest> requests;
   bool names_limit = false;
   bool says_leaving = false;
+  // Load header of its responses; empty for none.
+  std::string load;
   // Seconds that its refusals name; empty for none.
   std::string retry_after;
 
@@ -94,6 +96,8 @@
       response.headers.Add("Turmericwinch-Response-Signature", "mac");
     if (names_limit)
       response.headers.Add("Server-Limit", kNamedRateLimit);
+    if (!load.empty())
+      response.headers.Add("Turmericwinch-Server-Load", load);
     if (says_leaving)
       response.headers.Add("Server-Leaving", "1");
     if (!retry_after.empty())
