--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -130,6 +130,7 @@
     target.service = target_class->service;
     target.max_in_flight = target_class->most_in_flight;
     target.tier = tier;
+    target.memory.SetCapacity(target_class->memory_tokens);
     target.evacuated = d_->evacuated_domains.contains(it.failure_domain);
     targets.emplace(it.name, std::move(target));
   }
@@ -247,10 +248,11 @@
     return;
   target->load.EndRequest(choice.uncached_tokens, choice.had_first_token,
                           choice.sent_at);
+  target->memory.EndRequest(choice.held_tokens);
   if (outcome == AttemptOutcome::kGood)
     target->load.RecordGoodAnswer();
   if (token_time.count() > 0)
-    target->load.RecordTokenTime(token_time);
+    target->load.RecordTokenTime(token_time, now);
   // A target that can't be reached may have stopped and come back cold before
   // its registration shows that.
   if (outcome == AttemptOutcome::kRefused)
@@ -279,6 +281,19 @@
     it->second.load.RecordReport(report);
 }
 
+void TargetTable::RecordReportedLoad(const TargetChoice& choice,
+                                     const ReportedLoad& load,
+                                     TimePoint now) {
+  Target* target = d_->Find(choice);
+  if (!target)
+    return;
+  if (load.speed_percent)
+    target->load.RecordReportedSpeed(*load.speed_percent, now);
+  target->memory.RecordReport(load.running + load.waiting,
+                              d_->mean_held_tokens[target->service].mean(),
+                              now);
+}
+
 std::vector<TargetStats> TargetTable::Stats(TimePoint now) const {
   std::vector<TargetStats> stats;
   for (const auto& [name, it] : d_->targets) {
@@ -287,7 +302,9 @@
          it.load.in_flight(), it.IsLeaving(), it.health.State(now),
          it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
          it.load.seconds_per_token(), it.load.seconds_per_prompt_token(),
-         it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now)});
+         it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now),
+         it.load.SpeedFactor(now), it.memory.own_tokens(),
+         it.memory.UsedTokens(now)});
   }
   return stats;
 }
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -17,6 +17,7 @@
 #include "libs/config/config_snapshot.h"
 #include "libs/routing/concurrency_limit.h"
 #include "libs/routing/host_list.h"
+#include "libs/routing/reported_load.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
 #include "libs/routing/target_notice.h"
@@ -38,6 +39,8 @@
   bool limited = false;
   // Failure domains whose targets may get the request; null allows all.
   std::shared_ptr<const std::set<std::string>> domains = nullptr;
+  // Output tokens that the request may produce.
+  std::int64_t max_output_tokens = 0;
 };
 
 // A target chosen for one attempt, and the state that the table recorded when
@@ -58,6 +61,8 @@
   ShareStatus share_status = ShareStatus::kOnlyTeam;
   // Requests of this host at the target, this one included.
   std::int64_t in_flight = 0;
+  // Tokens that the request is counted with at the target's memory.
+  double held_tokens = 0;
 };
 
 // State of one target for dumps and metrics.
@@ -79,6 +84,11 @@
   double rate_limit = 0;
   bool evacuated = false;
   bool cold = false;
+  // Factor by which reports say that work takes longer than measured.
+  double speed_factor = 1;
+  // Tokens that requests are estimated to hold: of this host, and of all.
+  double own_tokens = 0;
+  double used_tokens = 0;
 };
 
 // Why a target is taken for cold.
@@ -192,8 +202,9 @@
       const std::string& service,
       TimePoint now,
       const std::set<std::string>* domains = nullptr) const;
-  // The earliest time at which a rate limit allows a request to the service;
-  // nullopt if no target has named one or is cold, or if none ever does.
+  // The earliest time at which a rate limit, the end of a cold start, or the
+  // falling estimate of the memory that other hosts' requests hold allows a
+  // request to the service without any other event; nullopt if there is none.
   std::optional<TimePoint> NextRateStart(
       const std::string& service,
       TimePoint now,
@@ -203,6 +214,12 @@
   bool RecordNotice(const TargetChoice& choice,
                     const TargetNotice& notice,
                     TimePoint now);
+  // Records the load that the target reported in the response to the attempt.
+  // The cost of a target takes the requests in it into account through this
+  // host's measurements only; see docs/decisions/04-routing.md.
+  void RecordReportedLoad(const TargetChoice& choice,
+                          const ReportedLoad& load,
+                          TimePoint now);
   // Records the load that the target `name` reported.
   void RecordLoadReport(const std::string& name, const LoadReport& report);
 
