Tell evacuations to cut-off domains, and know an empty store

Cause: a host that reads the store for its domain ignored the evacuations in news, so a domain without the store never learnt of them from other hosts. A store without objects of version 0 kept hosts unready, the removal of the newest object was ignored with a client that only lists, and unknown names were logged with each list.

News of any listed host count. A host whose store confirmed the evacuations sends them to the whole fleet on a change and to two hosts in turn every kNewsInterval. The first answer of any version is knowledge, and news of the same version renew its age. State and metrics show the evacuations.

Tests: gateway_test -sg DomainEvacuations, -sg EvacuationSource.

--- a/src/libs/gateway/domain_evacuations.h
+++ b/src/libs/gateway/domain_evacuations.h
@@ -28,7 +28,8 @@
   // Applies an answer of the store. Returns whether the set changed.
   bool ApplyNames(const PlatformNames& names, TimePoint now);
   // Applies the set that another host read at `version`, `age` ago. Ignored if
-  // this host knows that version. Returns whether the set changed.
+  // this host knows a newer version, or a later answer with the same version.
+  // Returns whether the set changed.
   bool ApplyNews(const std::vector<std::string>& domains,
                  std::uint64_t version,
                  std::chrono::milliseconds age,
@@ -37,20 +38,25 @@
   const std::set<std::string>& domains() const { return evacuated_; }
   // Version of the store that the set is known to hold for; 0 if none is.
   std::uint64_t version() const { return version_; }
-  bool is_known() const { return version_ > 0; }
+  // Whether the set was read at least once. An empty store may have version 0.
+  bool is_known() const { return is_known_; }
   // When the store last confirmed the set.
   TimePoint confirmed_at() const { return confirmed_at_; }
-  // Names of objects that are no failure domain of the deployment, since the
-  // last call.
+  // Names of objects that are no failure domain of the deployment and appeared
+  // since the last call, at most kMaxUnknownEvacuations of them.
   std::vector<std::string> TakeUnknownNames();
 
  private:
-  // Adds the domain if the deployment has it.
+  // Adds the domain to `to` if the deployment has it, else to the unknown ones.
   void Add(const std::string& domain, std::set<std::string>& to);
 
   std::set<std::string> known_domains_;
   std::set<std::string> evacuated_;
-  std::vector<std::string> unknown_names_;
+  // Unknown names that exist, so that a list that is read again reports none of
+  // them twice, and those that are still to be reported.
+  std::set<std::string> unknown_names_;
+  std::vector<std::string> new_unknown_names_;
+  bool is_known_ = false;
   std::uint64_t version_ = 0;
   TimePoint confirmed_at_{};
 };
--- a/src/libs/gateway/gateway.cc
+++ b/src/libs/gateway/gateway.cc
@@ -169,6 +169,12 @@
   stats.account_age = age(account_manager->synced_at());
   stats.targets_age = age(target_source->last_contact());
   stats.account = account_manager->stats();
+  if (evacuation_source) {
+    const DomainEvacuations& known = evacuation_source->evacuations();
+    stats.evacuations = {known.domains(), known.version(), std::nullopt};
+    if (known.is_known())
+      stats.evacuations->age = age(known.confirmed_at());
+  }
   return stats;
 }
 
--- a/src/libs/gateway/gateway_constants.h
+++ b/src/libs/gateway/gateway_constants.h
@@ -44,6 +44,13 @@
 // domains: another host has no others, and evacuations last for seconds at
 // least.
 inline constexpr std::chrono::milliseconds kRetryAfterEvacuated{1'000};
+// Names of evacuations without a failure domain that a host remembers, so that
+// other writers of the store can't fill its memory or its log.
+inline constexpr std::size_t kMaxUnknownEvacuations = 64;
+// Hosts of the whole fleet to which a host that reads the store sends the
+// evacuations with each kNewsInterval. They reach hosts whose failure domain is
+// cut off from the store.
+inline constexpr std::size_t kEvacuationListeners = 2;
 // Number of targets that one request may fail to reach before it is refused
 // and the caller is asked to retry.
 inline constexpr int kMaxUnreachedTargets = 3;
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -35,6 +35,25 @@
   return static_cast<double>(time.count()) / kMsPerSecond;
 }
 
+void AddEvacuations(std::string& text, const EvacuationStats& stats) {
+  AddGauge(text, "evacuated_domains",
+           static_cast<double>(stats.domains.size()));
+  // Left out if nothing is known, because 0 would mean that it is fresh.
+  if (stats.age)
+    AddGauge(text, "evacuations_age_seconds", Seconds(*stats.age));
+}
+
+json::object Evacuations(const EvacuationStats& stats) {
+  json::object row = {
+      {"domains", json::array(stats.domains.begin(), stats.domains.end())},
+      {"version", stats.version}};
+  if (stats.age)
+    row["age_ms"] = stats.age->count();
+  else
+    row["age_ms"] = nullptr;
+  return row;
+}
+
 json::array Targets(const GatewayContext& context) {
   json::array rows;
   for (const TargetStats& it : context.targets.Stats()) {
@@ -93,6 +112,8 @@
   AddGauge(text, "listed_targets", static_cast<double>(stats.listed_targets));
   AddGauge(text, "account_age_seconds", Seconds(stats.account_age));
   AddGauge(text, "targets_age_seconds", Seconds(stats.targets_age));
+  if (stats.evacuations)
+    AddEvacuations(text, *stats.evacuations);
   AddAccountCounters(text, stats.account);
   return text;
 }
@@ -116,6 +137,8 @@
       {"budgets", Budgets(context)},
       {"targets", Targets(context)},
   };
+  if (stats.evacuations)
+    state["evacuations"] = Evacuations(*stats.evacuations);
   return json::serialize(state);
 }
 
--- a/src/libs/gateway/gateway_state.h
+++ b/src/libs/gateway/gateway_state.h
@@ -5,6 +5,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "libs/gateway/account_stats.h"
@@ -12,6 +15,15 @@
 
 namespace turmericwinch {
 
+// The evacuated failure domains, the version of the store that they are known
+// for, 0 if none, and the time since the store confirmed them, nullopt if they
+// are not known.
+struct EvacuationStats {
+  std::set<std::string> domains;
+  std::uint64_t version = 0;
+  std::optional<std::chrono::milliseconds> age;
+};
+
 // Values that are collected from the gateway's parts at one time.
 struct GatewayStats {
   bool is_ready = false;
@@ -23,6 +35,8 @@
   std::chrono::milliseconds account_age{0};
   std::chrono::milliseconds targets_age{0};
   AccountStats account;
+  // Set if the deployment has evacuations.
+  std::optional<EvacuationStats> evacuations;
 };
 
 // Returns counters and histograms of requests, and `stats` as gauges, in the
--- a/src/libs/gateway/store_news_exchange.cc
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/budget/ranked_hosts.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/run_periodically.h"
 #include "libs/platform/store_version.h"
@@ -29,6 +31,7 @@
       host_(std::move(host)),
       domain_(std::move(domain)),
       boot_now_(std::move(now)),
+      next_receiver_(Hash64(host_)),
       waiters_{Waiter{asio::steady_timer(control)},
                Waiter{asio::steady_timer(control)},
                Waiter{asio::steady_timer(control)},
@@ -51,6 +54,8 @@
 
 void StoreNewsExchange::SetHosts(const FleetAccount& account) {
   fleet_hosts_ = account.HostCount();
+  const std::vector<std::string> names = HostNames(account);
+  listed_hosts_ = {names.begin(), names.end()};
   if (peers_.enabled())
     readers_.SetHosts(account, domain_);
 }
@@ -59,6 +64,7 @@
   const bool was_sender = readers_.is_sender();
   const bool is_sender = readers_.UpdateRole(Clock::now());
   SendNews("", own_.targets_changed);
+  SendEvacuations(kEvacuationListeners);
   if (is_sender == was_sender)
     return;
   LogEvent(kLog, Severity::kInfo,
@@ -97,6 +103,32 @@
   peers_.SendToEach(readers_.Listeners(), news);
 }
 
+void StoreNewsExchange::SendEvacuations(std::size_t count) {
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() -
+      answered_at_[static_cast<std::size_t>(StoreTopic::kEvacuations)]);
+  if (own_.evacuations == 0 || age >= kMaxNewsAge)
+    return;
+  StoreNews news;
+  news.host = host_;
+  news.sent = boot_now_();
+  news.age = age;
+  news.evacuations = own_.evacuations;
+  news.evacuated = own_.evacuated;
+  // The listeners get them with all other news.
+  std::vector<std::string> listeners;
+  if (readers_.is_sender())
+    listeners = readers_.Listeners();
+  std::vector<std::string> receivers;
+  const std::vector<std::string>& all = peers_.addresses();
+  for (std::size_t n = 0; n < std::min(count, all.size()); ++n) {
+    const std::string& it = all[next_receiver_++ % all.size()];
+    if (std::find(listeners.begin(), listeners.end(), it) == listeners.end())
+      receivers.push_back(it);
+  }
+  peers_.SendToEach(receivers, news);
+}
+
 std::chrono::milliseconds StoreNewsExchange::WatchInterval(
     StoreTopic topic) const {
   if (topic != StoreTopic::kTargets || readers_.is_sender())
@@ -124,8 +156,19 @@
                                   own_.evacuated.begin(), own_.evacuated.end());
   own_.evacuations = version;
   own_.evacuated.assign(domains.begin(), domains.end());
-  if (is_new)
-    SendNews("", own_.targets_changed);
+  if (!is_new)
+    return;
+  SendNews("", own_.targets_changed);
+  SendEvacuations(peers_.size());
+}
+
+void StoreNewsExchange::ApplyEvacuations(const StoreNews& news) {
+  if (news.evacuations == 0 || !on_evacuations_)
+    return;
+  on_evacuations_({news.evacuated, news.evacuations, news.age});
+  // The news hold the whole set, so nothing is left to read.
+  Waiter& waiter = WaiterOf(StoreTopic::kEvacuations);
+  waiter.version = std::max(waiter.version, news.evacuations);
 }
 
 void StoreNewsExchange::RecordTargets(const PlatformHosts& hosts,
@@ -147,18 +190,18 @@
   if (!news)
     return false;
   const Clock::time_point now = Clock::now();
+  // Also of hosts of other domains, and also if this host reads for others: it
+  // may be cut off from the store.
+  if (listed_hosts_.contains(news->host) && news->host != host_)
+    ApplyEvacuations(*news);
+  if (news->IsOfEvacuationsOnly())
+    return true;
   if (!readers_.RecordNews(*news, now)) {
     LogEvent(kLog, Severity::kDebug, "news_ignored", {{"peer", news->host}});
     return true;
   }
   if (!news->changes.empty() && on_targets_ && !readers_.is_sender())
     on_targets_({news->changes_from, news->targets_changed, news->changes});
-  if (news->evacuations > 0 && on_evacuations_ && !readers_.is_sender()) {
-    on_evacuations_({news->evacuated, news->evacuations, news->age});
-    // The news hold the whole set, so nothing is left to read.
-    Waiter& waiter = WaiterOf(StoreTopic::kEvacuations);
-    waiter.version = std::max(waiter.version, news->evacuations);
-  }
   // Without later changes, the list known here is that of the news.
   Waiter& targets = WaiterOf(StoreTopic::kTargets);
   if (news->targets_changed <= targets.version &&
--- a/src/libs/gateway/store_news_exchange.h
+++ b/src/libs/gateway/store_news_exchange.h
@@ -63,8 +63,9 @@
   // Calls `handler` with changes of the list of targets that come with news.
   void SetTargetsHandler(TargetsHandler handler);
 
-  // Calls `handler` with the evacuated failure domains in news. From then on,
-  // news of this host are valid only as long as it knows the evacuations.
+  // Calls `handler` with the evacuated failure domains in news of any host that
+  // the account lists. From then on, news of this host are valid only as long
+  // as it knows the evacuations.
   void SetEvacuationsHandler(EvacuationsHandler handler);
 
   // Waits, at most `max_wait`, while news of other hosts show that the store
@@ -93,7 +94,8 @@
   // `topic` than `version`.
   void RecordAnswer(StoreTopic topic, std::uint64_t version);
   // Records that the store answered, and which failure domains are evacuated at
-  // `version`; sends them to the listeners if they changed.
+  // `version`; sends them to the listeners and to all other hosts of the fleet
+  // if they changed, because a whole domain may be cut off from the store.
   void RecordEvacuations(const std::set<std::string>& domains,
                          std::uint64_t version);
   // Records an answer with the list of targets, and sends its changes to the
@@ -110,6 +112,10 @@
 
   bool HandleFrame(const PeerFrame& frame);
   void SendNews(std::string changes, std::uint64_t changes_from);
+  // Sends the evacuations to `count` hosts of the fleet in turn, unless the
+  // store did not confirm them within kMaxNewsAge.
+  void SendEvacuations(std::size_t count);
+  void ApplyEvacuations(const StoreNews& news);
   // Shortest time between the starts of two watches.
   std::chrono::milliseconds WatchInterval(StoreTopic topic) const;
   Waiter& WaiterOf(StoreTopic topic);
@@ -122,9 +128,13 @@
   BootNow boot_now_;
   TargetsHandler on_targets_;
   EvacuationsHandler on_evacuations_;
+  // Position of the next host of the fleet that gets the evacuations. Hosts
+  // start at different ones.
+  std::uint64_t next_receiver_;
   std::array<Waiter, kStoreTopics> waiters_;
   // Number of hosts of the fleet.
   int fleet_hosts_ = 0;
+  std::set<std::string> listed_hosts_;
   // What this host has read itself, and when the store last answered.
   StoreNews own_;
   std::array<Clock::time_point, kStoreTopics> answered_at_{};
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -121,6 +121,12 @@
   std::uint64_t outage = 0;
   std::uint64_t evacuations = 0;
   std::vector<std::string> evacuated;
+
+  // Whether it says nothing of the other objects, as news to hosts of other
+  // failure domains do.
+  bool IsOfEvacuationsOnly() const {
+    return evacuations > 0 && config == 0 && quarantine == 0 && targets == 0;
+  }
 };
 
 // Requests the receiver's host list unless its digest is `digest`; the response
--- a/src/libs/platform/platform_client.cc
+++ b/src/libs/platform/platform_client.cc
@@ -22,7 +22,7 @@
 PlatformClient::Answer<PlatformNames> PlatformClient::NamesSince(
     PlatformDuty duty,
     std::string kind,
-    std::uint64_t,
+    std::uint64_t after,
     std::chrono::milliseconds,
     Reason* reason) {
   const std::string prefix = kind + "/";
@@ -30,7 +30,10 @@
       co_await List(duty, prefix, reason);
   if (!objects)
     co_return std::nullopt;
+  // The list has no version of its own, and the removal of the newest object
+  // must not make it older than what was returned before.
   PlatformNames names;
+  names.version = after;
   for (const PlatformObject& it : *objects) {
     names.version = std::max(names.version, it.version);
     names.present.push_back(it.name.substr(prefix.size()));
--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -97,7 +97,9 @@
   // Waits at most `wait` until an object of the kind `kind` is created, changed
   // or removed after version `after`, and returns the names that changed.
   // Returns all names without waiting if `after` is 0, or if the platform no
-  // longer keeps that version. The names are without the kind.
+  // longer keeps that version. The names are without the kind. Without an
+  // implementation of its own, a client lists the objects without waiting; the
+  // version is then at least `after` and doesn't rise with removals.
   virtual Answer<PlatformNames> NamesSince(PlatformDuty duty,
                                            std::string kind,
                                            std::uint64_t after,
