--- a/src/libs/routing/target_group.cc
+++ b/src/libs/routing/target_group.cc
@@ -40,16 +40,19 @@
     Target* target = targets[n];
     by_id[target->id] = target;
     ring.AddTarget(Hash64(target->member.name), n);
-    ranked.emplace_back(Hash64(target->member.name, host), target);
+    // Evacuated targets in the subset would leave requests few to compare.
+    if (!target->evacuated)
+      ranked.emplace_back(Hash64(target->member.name, host), target);
   }
   ring.SortPoints();
   std::sort(ranked.begin(), ranked.end());
+  const std::size_t open = std::max<std::size_t>(ranked.size(), 1);
   ranked.resize(std::min(ranked.size(), kSubsetSize));
   for (const auto& it : ranked)
     subset.push_back(it.second);
   // Average number of hosts that have one target in their subset.
-  const double hosts_per_target = hosts * static_cast<double>(subset.size()) /
-                                  static_cast<double>(targets.size());
+  const double hosts_per_target =
+      hosts * static_cast<double>(subset.size()) / static_cast<double>(open);
   for (Target* it : targets) {
     const auto max = static_cast<double>(it->max_in_flight);
     it->limit.SetBounds(
@@ -62,7 +65,12 @@
       std::count_if(targets.begin(), targets.end(), [&](const Target* it) {
         return !it->IsClosed(now) && it->health.Weight(now) > 0;
       }));
-  return kept > 1 && (kept - 1) * 100 >= targets.size() * kMinKeptPercent;
+  // Evacuated targets get no work in any case, so they don't keep a broken
+  // target in use.
+  const auto open = static_cast<std::size_t>(
+      std::count_if(targets.begin(), targets.end(),
+                    [](const Target* it) { return !it->evacuated; }));
+  return kept > 1 && (kept - 1) * 100 >= open * kMinKeptPercent;
 }
 
 void TargetGroup::EjectSlowTargets(TargetHealth::TimePoint now) {
--- a/src/libs/routing/target_queue.cc
+++ b/src/libs/routing/target_queue.cc
@@ -36,6 +36,17 @@
   return std::nullopt;
 }
 
+namespace {
+
+// Whether a queued request can't be served although targets are listed. One
+// whose targets are all missing waits, because a list may be replaced at once.
+bool EndsWait(ResultCode code) {
+  return code == ResultCode::kDomainEvacuated ||
+         code == ResultCode::kNoAllowedTarget;
+}
+
+}  // namespace
+
 std::vector<DequeuedRequest> TargetQueue::DequeueReady(TimePoint now) {
   std::vector<DequeuedRequest> starts;
   for (auto& [service, queue] : queues_)
@@ -53,7 +64,7 @@
     Reason reason;
     std::optional<TargetChoice> choice =
         table_.BeginAttempt(request, {}, now, &reason);
-    if (!choice && reason.code != ResultCode::kOverloaded) {
+    if (!choice && EndsWait(reason.code)) {
       starts.push_back({{service, *id}, std::nullopt, std::move(reason)});
       queue.order.Remove(*id);
       queue.requests.erase(*id);
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -44,7 +44,7 @@
   return services;
 }
 
-void TargetTable::Private::IndexGroups(double hosts) {
+void TargetTable::Private::IndexGroups() {
   groups.clear();
   for (auto& [name, target] : targets)
     groups[target.service][target.tier].targets.push_back(&target);
@@ -136,7 +136,8 @@
       list.hosts.begin(), list.hosts.end(), [this](const ListedMember& it) {
         return it.failure_domain == d_->failure_domain && !it.leaving;
       });
-  d_->IndexGroups(static_cast<double>(std::max<std::ptrdiff_t>(hosts, 1)));
+  d_->hosts = static_cast<double>(std::max<std::ptrdiff_t>(hosts, 1));
+  d_->IndexGroups();
   for (auto& [service, tiers] : d_->groups) {
     for (auto& [tier, group] : tiers)
       group.EjectSlowTargets(now);
@@ -155,6 +156,7 @@
       it.cold.PresumeCold(it.cold_time, now);
     it.evacuated = is_evacuated;
   }
+  d_->IndexGroups();
 }
 
 void TargetTable::SetFleet(std::vector<std::string> hosts) {
--- a/src/libs/routing/target_table_private.h
+++ b/src/libs/routing/target_table_private.h
@@ -51,8 +51,8 @@
 
   // Services with at least one target that has answered a request.
   std::set<std::string> ServicesWithAnswers() const;
-  // Rebuilds the groups; `hosts` is the number of hosts that share the targets.
-  void IndexGroups(double hosts);
+  // Rebuilds the groups, from `hosts` and the state of the targets.
+  void IndexGroups();
   Target* Find(const TargetChoice& choice);
   Candidate FindBest(TargetGroup& group, const RoutingQuery& query);
   // Whether a target with a rate limit is left to requests with longer prompts.
@@ -91,6 +91,8 @@
   std::string failure_domain;
   std::string host;
   std::uint64_t host_hash;
+  // Number of hosts that share the targets.
+  double hosts = 1;
   std::mt19937_64 random;
   std::uint64_t next_id = 1;
   std::map<std::string, Target> targets;
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include "libs/http/http_server.h"
+#include "libs/platform/store_version.h"
 #include "libs/routing/host_list_change.h"
 #include "silenced_store.h"
 #include "support/run_coroutine.h"
@@ -105,6 +106,11 @@
                             milliseconds(10), &reason));
   }
 
+  std::optional<PlatformNames> NamesSince(std::uint64_t after) {
+    return Run(client.NamesSince(PlatformDuty::kConfig, "evacuations", after,
+                                 milliseconds(10), &reason));
+  }
+
   // Returns the version of the object; the store's next responses are of a
   // later era.
   std::uint64_t ListMainBeforeRestore() {
@@ -345,4 +351,78 @@
   CHECK((*changes)[1].removed);
 }
 
+// Only names matter: what an operator stored may be no valid JSON, or nested
+// too deeply.
+TEST(StoreClient, NamesAreListedAndThenWatched) {
+  const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+  store.era = 1;
+  store.AddResponse(200, R"({"items":[)" + Object("a", 5, deep) +
+                             R"(],"has_more":true,"at":9})");
+  store.AddResponse(200, R"({"items":[)" + Object("b", 6, "\"\xff\xfe\"") +
+                             R"(],"has_more":false,"at":11})");
+  const auto whole = NamesSince(0);
+  CHECK(whole->is_whole);
+  LONGS_EQUAL(9, RevisionOf(whole->version));
+  CHECK((whole->present == std::vector<std::string>{"a", "b"}));
+  STRCMP_EQUAL("GET /api/objects/evacuations", store.calls[0].c_str());
+  STRCMP_EQUAL("GET /api/objects/evacuations?since_revision=a",
+               store.calls[1].c_str());
+  // An object may change several times before the watch ends.
+  store.AddResponse(
+      200, R"({"events":[{"deleted":true,"object":)" + Object("a", 12, "null") +
+               R"(},{"deleted":true,"object":)" + Object("b", 13, "null") +
+               R"(},{"deleted":false,"object":)" + Object("c", 14, deep) +
+               R"(},{"deleted":false,"object":)" + Object("b", 15, "1e99999") +
+               R"(}],"at":15})");
+  const auto next = NamesSince(whole->version);
+  CHECK(!next->is_whole);
+  CHECK((next->present == std::vector<std::string>{"b", "c"}));
+  CHECK((next->removed == std::vector<std::string>{"a"}));
+  STRCMP_EQUAL("GET /api/objects/evacuations?watch=9&wait_ms=10",
+               store.calls[2].c_str());
+  // Nothing changes until the watch ends.
+  store.AddResponse(200, R"({"events":[],"at":20})");
+  const auto quiet = NamesSince(next->version);
+  CHECK(!quiet->is_whole && quiet->present.empty() && quiet->removed.empty());
+  LONGS_EQUAL(20, RevisionOf(quiet->version));
+}
+
+// A deletion may be in the part of the history that the store has dropped.
+TEST(StoreClient, NamesAreListedAnewAfterTheHistoryWasDropped) {
+  store.AddResponse(410, "{}");
+  store.AddResponse(200, R"({"items":[],"has_more":false,"at":31})");
+  const auto names = NamesSince(9);
+  CHECK(names->is_whole);
+  CHECK(names->present.empty());
+  LONGS_EQUAL(31, names->version);
+}
+
+// The store gives out revisions again, so it answers a watch from a lost one.
+TEST(StoreClient, NamesAreListedAnewAfterTheStoreLostItsNewestWrites) {
+  store.era = 1;
+  store.AddResponse(200, R"({"items":[],"has_more":false,"at":39})");
+  const auto before = NamesSince(0);
+  store.era = 2;
+  store.AddResponse(200, R"({"events":[],"at":45})");
+  store.AddResponse(200, R"({"items":[)" + Object("a", 5, "1") +
+                             R"(],"has_more":false,"at":30})");
+  const auto after = NamesSince(before->version);
+  CHECK(after->is_whole);
+  CHECK((after->present == std::vector<std::string>{"a"}));
+  CHECK(after->version > before->version);
+}
+
+// Neither must look like a store without evacuations.
+TEST(StoreClient, AFailedListHasNoNames) {
+  store.AddResponse(0, "");
+  CHECK(!NamesSince(0));
+  store.AddResponse(200, "garbage");
+  CHECK(!NamesSince(0));
+  // The second page is lost.
+  store.AddResponse(200, R"({"items":[)" + Object("a", 5, "1") +
+                             R"(],"has_more":true,"at":9})");
+  store.AddResponse(500, "");
+  CHECK(!NamesSince(0));
+}
+
 }  // namespace turmericwinch::platform
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -219,6 +219,8 @@
   news.changes_from = 7;
   news.changes = "[]";
   news.outage = 4;
+  news.evacuations = 3;
+  news.evacuated = {"a", "b"};
   const auto frame = DecodePayload(Payload(news), &reason);
   CHECK(frame.has_value());
   const auto& read = std::get<StoreNews>(*frame);
@@ -232,6 +234,18 @@
   LONGS_EQUAL(7, read.changes_from);
   STRCMP_EQUAL("[]", read.changes.c_str());
   LONGS_EQUAL(4, read.outage);
+  LONGS_EQUAL(3, read.evacuations);
+  CHECK((read.evacuated == std::vector<std::string>{"a", "b"}));
+}
+
+// What the frames of an earlier release leave out must not look like a set of
+// no evacuations.
+TEST(PeerCodec, NewsWithoutEvacuationsKnowNone) {
+  StoreNews news;
+  news.host = "edge-1";
+  const auto frame = DecodePayload(Payload(news), &reason);
+  LONGS_EQUAL(0, std::get<StoreNews>(*frame).evacuations);
+  CHECK(!std::get<StoreNews>(*frame).IsOfEvacuationsOnly());
 }
 
 TEST(PeerCodec, NewsAndIntroductionsWithValuesOutOfRangeAreErrors) {
@@ -243,10 +257,14 @@
   StoreNews negative;
   negative.host = "edge-1";
   negative.age = std::chrono::milliseconds(-1);
+  StoreNews negative_evacuations;
+  negative_evacuations.host = "edge-1";
+  negative_evacuations.evacuations = std::uint64_t{1} << 63;
   const PeerFrame frames[] = {
       nameless,
       reversed,
       negative,
+      negative_evacuations,
       HostIntroduction{"", {"boot", BootTime(1), "a:1", "a"}},
       HostIntroduction{"edge_1", {"boot", BootTime(1), "", "a"}},
       HostIntroduction{"edge_1", {"boot", BootTime(-1), "a:1", "a"}}};
