--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -157,4 +157,21 @@
   CHECK_FALSE(choices[2].has_value() || choices[3].has_value());
 }
 
+// They would wait for their deadline, since nothing else wakes them.
+TEST(SharedTargets, WaitsEndAtOnceWhenEveryDomainIsEvacuated) {
+  Choice choices[4];
+  for (Choice& it : choices)
+    Spawn("one", it);
+  UNSIGNED_LONGS_EQUAL(2, targets.QueueSizes()["plain"]);
+  targets.SetEvacuatedDomains({"a"});
+  context.restart();
+  context.poll();
+  UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+  CHECK(reason.code == ResultCode::kDomainEvacuated);
+  CHECK_FALSE(choices[2].has_value() || choices[3].has_value());
+  // The requests that run end normally.
+  targets.EndAttempt(*choices[0]);
+  targets.EndAttempt(*choices[1]);
+}
+
 }  // namespace turmericwinch
