Add winch evacuations

Shows the evacuated failure domains, their version and age from the state dumps of gateways, and whether a gateway knows none or has them disabled. operations_test -sg EvacuationReport.

--- a/src/libs/operations/daemon_verbs.cc
+++ b/src/libs/operations/daemon_verbs.cc
@@ -6,6 +6,7 @@
 
 #include "libs/base/json_fields.h"
 #include "libs/http/http_client.h"
+#include "libs/operations/evacuation_report.h"
 #include "libs/operations/explanation_text.h"
 #include "libs/operations/indented_json.h"
 #include "libs/operations/text_table.h"
@@ -148,6 +149,28 @@
   co_return result;
 }
 
+asio::awaitable<Reason> ShowEvacuations(WinchContext& context) {
+  Reason result;
+  std::vector<EvacuationRow> rows;
+  for (const std::string& it : DaemonAddresses(context)) {
+    Reason reason;
+    std::optional<std::string> dump =
+        co_await CallDaemon(context, it, "GET", "/state", &reason);
+    if (dump) {
+      rows.push_back(ParseEvacuations(it, *dump));
+      continue;
+    }
+    EvacuationRow row;
+    row.address = it;
+    row.state = NameOf(reason.code);
+    rows.push_back(std::move(row));
+    result = reason;
+  }
+  context.out = context.json() ? json::serialize(EvacuationsJson(rows)) + "\n"
+                               : FormatEvacuations(rows);
+  co_return result;
+}
+
 asio::awaitable<Reason> ExplainRequest(WinchContext& context) {
   const std::string& id = context.arguments[0];
   json::array found;
--- /dev/null
+++ b/tests/operations/evacuation_report_test.cc
@@ -0,0 +1,31 @@
+#include "libs/operations/evacuation_report.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace turmericwinch {
+
+TEST_GROUP(EvacuationReport){};
+
+TEST(EvacuationReport, ShowsDomainsVersionAndAge) {
+  const EvacuationRow row = ParseEvacuations(
+      "a:1", R"({"host":"edge-1","evacuations":{"domains":["x","y"],)"
+             R"("version":12,"age_ms":340}})");
+  LONGS_EQUAL(12, row.version);
+  LONGS_EQUAL(340, *row.age_ms);
+  const std::string text = FormatEvacuations({row});
+  STRCMP_CONTAINS("edge-1", text.c_str());
+  STRCMP_CONTAINS("x,y", text.c_str());
+  STRCMP_CONTAINS("known", text.c_str());
+}
+
+// An operator must not take a host without knowledge for one without
+// evacuations.
+TEST(EvacuationReport, AHostWithoutKnowledgeIsTold) {
+  const char* unknown =
+      R"({"evacuations":{"domains":[],"version":0,"age_ms":null}})";
+  STRCMP_EQUAL("unknown", ParseEvacuations("a:1", unknown).state.c_str());
+  STRCMP_EQUAL("not enabled", ParseEvacuations("a:1", "{}").state.c_str());
+  STRCMP_EQUAL("invalid dump", ParseEvacuations("a:1", "[}").state.c_str());
+}
+
+}  // namespace turmericwinch
