Reject partial answers and statuses that HTTP does not have

Cause: the kernel reports a reset that follows a FIN as a plain end of the data. A body with neither a length nor chunks that a target broke off during the upload this way passed as complete. The HTTP parser accepts any three digits as a status, so 000, 099 and 600 reached the caller, as did signed interim statuses (1xx).

The client takes the end of the connection as the end of a body only if the peer has acknowledged the whole request and did not reset the connection. A response whose status is not 200 to 599 fails the call; the request may have run. Calls that must not repeat get 502, repeatable ones are retried.

A plain reset or a close with unread bytes, without a FIN before, was already reported as a failure; the test keeps these cases. Statuses with other than three digits were already rejected by the parser.

Test: build-asan/tests/adapter/adapter_test -sg GatewayCallInvalid

--- a/src/libs/http/http_client.cc
+++ b/src/libs/http/http_client.cc
@@ -256,6 +256,13 @@
       *failure = MakeFailure(HttpPhase::kFirstByte, true, used, ec);
       co_return nullptr;
     }
+    const unsigned status = stream->parser->get().result_int();
+    if (status < kHttpMinFinalStatus || status > kHttpMaxStatus) {
+      *failure = {HttpPhase::kFirstByte, true, false,
+                  "the response has the status " + std::to_string(status) +
+                      ", which is not the status of a final response"};
+      co_return nullptr;
+    }
     for (const auto& it : stream->parser->get()) {
       stream->headers.Add(std::string(it.name_string()),
                           std::string(it.value()));
--- a/src/libs/http/http_constants.h
+++ b/src/libs/http/http_constants.h
@@ -27,6 +27,10 @@
 inline constexpr std::size_t kHttpMaxBufferedBytes = 64 * 1024;
 // Maximum number of responses to other requests that a call skips.
 inline constexpr int kHttpMaxSkippedResponses = 4;
+// Statuses of final responses. The parser accepts any three digits. Interim
+// responses (1xx) are not expected, as requests have no Expect field.
+inline constexpr unsigned kHttpMinFinalStatus = 200;
+inline constexpr unsigned kHttpMaxStatus = 599;
 // Buffer size of one socket read, in bytes.
 inline constexpr std::size_t kHttpReadBytes = 8 * 1024;
 
--- a/src/libs/http/http_stream.cc
+++ b/src/libs/http/http_stream.cc
@@ -1,5 +1,11 @@
 #include "libs/http/http_stream.h"
 
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
@@ -13,6 +19,23 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+// Whether the peer received the whole request and ended the connection in
+// order. Only the end of the connection ends a body that has neither a length
+// nor chunks, and the kernel reports a reset that follows a FIN as a plain end
+// of the data. A peer that resets, or ends while the request is still being
+// sent, may not have sent its whole response.
+bool HasEndedInOrder(asio::ip::tcp::socket& socket) {
+  const int fd = socket.native_handle();
+  int unacknowledged_bytes = 0;
+  if (::ioctl(fd, SIOCOUTQ, &unacknowledged_bytes) != 0 ||
+      unacknowledged_bytes != 0)
+    return false;
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         info.tcpi_state != TCP_CLOSE;
+}
+
 }  // namespace
 
 HttpStream::HttpStream(std::unique_ptr<Private> d) : d_(std::move(d)) {}
@@ -81,6 +104,15 @@
       co_return std::nullopt;
     }
   }
+  if (d_->parser->need_eof() && !HasEndedInOrder(d_->connection->socket)) {
+    *failure = {HttpPhase::kBody, true, false,
+                "the connection was reset, or ended before the request was "
+                "received, and the response has no length"};
+    if (d_->cancel)
+      d_->cancel->Attach(nullptr);
+    d_->connection.reset();
+    co_return std::nullopt;
+  }
   d_->done = true;
   if (d_->cancel)
     d_->cancel->Attach(nullptr);
--- a/tests/adapter/raw_target.h
+++ b/tests/adapter/raw_target.h
@@ -34,6 +34,8 @@
   boost::asio::ip::tcp::endpoint endpoint() const {
     return acceptor_.local_endpoint();
   }
+  // Number of connections that the target has accepted.
+  int requests() const { return requests_; }
 
  private:
   using Socket = boost::asio::ip::tcp::socket;
@@ -42,6 +44,7 @@
     acceptor_.async_accept([this](boost::system::error_code ec, Socket socket) {
       if (ec)
         return;
+      ++requests_;
       boost::asio::co_spawn(acceptor_.get_executor(),
                             Serve(std::move(socket), bytes_, end_),
                             boost::asio::detached);
@@ -83,6 +86,7 @@
 
   std::shared_ptr<const std::string> bytes_;
   ConnectionEnd end_;
+  int requests_ = 0;
   boost::asio::ip::tcp::acceptor acceptor_;
 };
 
