Bound the trailers and chunk headers of a request

Cause: the parser limits the header block, but buffers trailers and chunk headers until they are complete, without a limit. 64 clients with trailers of up to 8 MB took a gateway to 641,968 kB.

The server limits the read buffer of a connection to the larger of 64 kB and the header limit plus one read. A request that exceeds it gets 413, result 103, and was not run. The same limit holds for chunk extensions.

--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "libs/http/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -49,6 +50,15 @@
       boost::json::serialize(boost::json::object{{"error", error}}));
 }
 
+// Maximum bytes of a request that are buffered before they can be parsed. The
+// parser limits the header block itself, but buffers trailers and chunk headers
+// until they are complete. Bytes already in the buffer stay.
+std::size_t MaxBufferedBytes(const HttpServerLimits& limits,
+                             const beast::flat_buffer& buf) {
+  return std::max({kHttpMaxBufferedBytes,
+                   limits.most_header_bytes + kHttpReadBytes, buf.size()});
+}
+
 // Error response to a request that could not be read; nullopt if the caller
 // only closed its connection.
 std::optional<HttpResponse> MakeReadErrorResponse(const beast::error_code& ec,
@@ -59,6 +69,10 @@
   if (ec == http::error::header_limit)
     return MakeErrorResponse(ResultCode::kTooLarge,
                              "the request header exceeds the size limit");
+  if (ec == http::error::buffer_overflow)
+    return MakeErrorResponse(
+        ResultCode::kTooLarge,
+        "the trailers or a chunk header exceed the size limit");
   if (timed_out)
     return MakeErrorResponse(
         ResultCode::kRequestTimeout,
@@ -223,6 +237,7 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.most_header_bytes);
     parser.body_limit(limits.most_body_bytes);
+    buf.max_size(MaxBufferedBytes(limits, buf));
     if (buf.size() == 0) {
       deadline.ExpiresAfter(limits.idle_timeout);
       d->SetIdle(&socket, true);
--- a/tests/http/bad_input_test.cc
+++ b/tests/http/bad_input_test.cc
@@ -35,6 +35,9 @@
   };
   const std::string large_field =
       "X-Large: " + std::string(kHttpMostHeaderBytes, 'x') + "\r\n";
+  std::string trailers;
+  while (trailers.size() < 2 * kHttpMaxBufferedBytes)
+    trailers += "Name: value\r\n";
   const Case cases[] = {
       {"oversized header", Post(large_field, ""), false, "413", "\"code\":103"},
       {"oversized body",
@@ -57,6 +60,13 @@
        "\"code\":100"},
       {"bad chunk size", Post("Transfer-Encoding: chunked\r\n", "zz\r\nab\r\n"),
        false, "400", "\"code\":100"},
+      {"trailers without end",
+       Post("Transfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\n" + trailers),
+       false, "413", "\"code\":103"},
+      {"chunk extension without end",
+       Post("Transfer-Encoding: chunked\r\n",
+            "1;" + std::string(2 * kHttpMaxBufferedBytes, 'x')),
+       false, "413", "\"code\":103"},
       {"slow header", "GET / HTTP/1.1\r\nX-Slow: ", false, "408",
        "\"code\":105"},
       {"slow body", Post("Content-Length: 10\r\n", "half"), false, "408",
@@ -116,4 +126,14 @@
   STRCMP_EQUAL("abcde", server.bodies.at(0).c_str());
 }
 
+// The limits of trailers and chunk extensions do not reject small ones.
+TEST(BadInput, AcceptsSmallTrailersAndChunkExtensions) {
+  const std::string answer =
+      server.Send(Post("Transfer-Encoding: chunked\r\nConnection: close\r\n",
+                       "3;name=value\r\nabc\r\n0\r\nName: value\r\n\r\n"),
+                  false, 0);
+  CHECK_TRUE(answer.starts_with("HTTP/1.1 200"));
+  STRCMP_EQUAL("abc", server.bodies.at(0).c_str());
+}
+
 }  // namespace turmericwinch
