--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -96,6 +96,30 @@
   UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
 }
 
+// Guards against a request that waits although the estimate of other hosts'
+// tokens has aged: no other event wakes it.
+TEST(SharedTargets, ARequestWaitsUntilAnEstimateOfMemoryHasAged) {
+  ConfigSet set;
+  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
+  set.Add({ConfigKind::kTargetClass,
+           "any",
+           {{"service", "plain"},
+            {"tokens_per_second", 100},
+            {"most_in_flight", 8},
+            {"memory_tokens", 1'000}},
+           ""});
+  targets.Update({{}, {{"two", "a", "127.0.0.1:1", "1", "any", false}}},
+                 ConfigSnapshot(1, "digest", set));
+  const Choice first = targets.BeginAttempt({"plain", 500}, {}, &reason);
+  targets.RecordReportedLoad(*first, {2, 0, 8, {}});
+  targets.EndAttempt(*first);
+  const Choice second = RunCoroutine(
+      context,
+      targets.WaitForTarget({"plain", 501},
+                            Clock::now() + std::chrono::hours(1), &reason));
+  CHECK(second.has_value());
+}
+
 TEST(SharedTargets, FloodOfOneTeamLeavesCapacityForOthers) {
   Choice calm;
   Spawn("calm", calm);
