--- a/src/libs/gateway/gateway_settings.cc
+++ b/src/libs/gateway/gateway_settings.cc
@@ -18,9 +18,18 @@
       .value_or(boost::asio::ip::tcp::endpoint());
 }
 
-std::map<std::string, std::string> ParseDomainRegions(const std::string& text) {
+// The comma-separated entries of a setting that are not empty.
+std::vector<std::string> ListSetting(const SettingsTable& table,
+                                     std::string_view name) {
   std::vector<std::string> entries;
+  const std::string text = table.Text(name);
   boost::algorithm::split(entries, text, boost::algorithm::is_any_of(","));
+  std::erase(entries, "");
+  return entries;
+}
+
+std::map<std::string, std::string> ParseDomainRegions(
+    const std::vector<std::string>& entries) {
   std::map<std::string, std::string> regions;
   for (const std::string& it : entries) {
     const std::size_t equals = it.find('=');
@@ -98,6 +107,8 @@
        .default_value = "50",
        .least = 0,
        .most = kMaxRate},
+      {.name = "contracts",
+       .label = "names of the deployment's contracts, comma-separated"},
       {.name = "domain-regions",
        .label = "region of each failure domain, DOMAIN=REGION, "
                 "comma-separated"},
@@ -143,10 +154,7 @@
   GatewaySettings settings;
   settings.host = table.Text("host");
   settings.failure_domain = table.Text("failure-domain");
-  const std::string domains = table.Text("failure-domains");
-  boost::algorithm::split(settings.failure_domains, domains,
-                          boost::algorithm::is_any_of(","));
-  std::erase(settings.failure_domains, "");
+  settings.failure_domains = ListSetting(table, "failure-domains");
   if (settings.failure_domains.empty())
     settings.failure_domains.push_back(settings.failure_domain);
   settings.listen = EndpointSetting(table, "listen");
@@ -160,7 +168,8 @@
   settings.link_mbps = table.Decimal("link-mbps");
   settings.retry_ratio = table.Decimal("retry-ratio");
   settings.retry_slack = table.Decimal("retry-slack");
-  settings.domain_regions = ParseDomainRegions(table.Text("domain-regions"));
+  settings.domain_regions = ParseDomainRegions(ListSetting(table, "domain-regions"));
+  settings.contracts = ListSetting(table, "contracts");
   settings.evacuate_time = std::chrono::milliseconds(
       static_cast<std::int64_t>(table.Decimal("evacuate-ms")));
   settings.cold_overshoot = table.Decimal("cold-overshoot");
--- a/tests/adapter/config_decoder_test.cc
+++ b/tests/adapter/config_decoder_test.cc
@@ -34,7 +34,7 @@
   Reason reason;
 
   std::optional<GatewayConfig> Decode(std::string_view text) {
-    return DecodeConfig(text, {"a", "b"}, &reason);
+    return DecodeConfig(text, {{"a", "b"}, bounds_memory}, &reason);
   }
 };
 
--- a/tests/adapter/gateway_call_fixture.h
+++ b/tests/adapter/gateway_call_fixture.h
@@ -102,7 +102,7 @@
 
   void setup() override {
     Reason reason;
-    auto config = DecodeConfig(kGatewayCallConfig, {"a"}, &reason);
+    auto config = DecodeConfig(kGatewayCallConfig, {{"a"}}, &reason);
     RestartTargets(*config);
     context.ledger.Grant("team", 500);
     context.config.Set(
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -240,7 +240,7 @@
   asio::ip::tcp::acceptor silent(context.traffic,
                                  {asio::ip::make_address("127.0.0.1"), 0});
   Reason reason;
-  auto config = DecodeConfig(kGatewayCallConfig, {"a"}, &reason);
+  auto config = DecodeConfig(kGatewayCallConfig, {{"a"}}, &reason);
   HostList list;
   list.targets = {
       {"i-3", "a", ToText(silent.local_endpoint()), "1", "app", false}};
