Send evacuations to the whole fleet only when they change

Cause: each host sent its first read of them to all others, so hosts that start together would all have connected to each other. gateway_test -sg EvacuationSource.

--- a/src/libs/gateway/store_news_exchange.cc
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <utility>
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
@@ -151,15 +152,16 @@
                                           std::uint64_t version) {
   answered_at_[static_cast<std::size_t>(StoreTopic::kEvacuations)] =
       Clock::now();
-  const bool is_new = own_.evacuations == 0 ||
-                      !std::equal(domains.begin(), domains.end(),
+  const bool is_first = !std::exchange(evacuations_read_, true);
+  const bool is_new = !std::equal(domains.begin(), domains.end(),
                                   own_.evacuated.begin(), own_.evacuated.end());
   own_.evacuations = version;
   own_.evacuated.assign(domains.begin(), domains.end());
-  if (!is_new)
-    return;
-  SendNews("", own_.targets_changed);
-  SendEvacuations(peers_.size());
+  if (is_first || is_new)
+    SendNews("", own_.targets_changed);
+  // Hosts that start together would all connect to each other.
+  if (is_new && !is_first)
+    SendEvacuations(peers_.size());
 }
 
 void StoreNewsExchange::ApplyEvacuations(const StoreNews& news) {
--- a/src/libs/gateway/store_news_exchange.h
+++ b/src/libs/gateway/store_news_exchange.h
@@ -95,7 +95,8 @@
   void RecordAnswer(StoreTopic topic, std::uint64_t version);
   // Records that the store answered, and which failure domains are evacuated at
   // `version`; sends them to the listeners and to all other hosts of the fleet
-  // if they changed, because a whole domain may be cut off from the store.
+  // if they changed after the first call, because a whole domain may be cut off
+  // from the store.
   void RecordEvacuations(const std::set<std::string>& domains,
                          std::uint64_t version);
   // Records an answer with the list of targets, and sends its changes to the
@@ -131,6 +132,8 @@
   // Position of the next host of the fleet that gets the evacuations. Hosts
   // start at different ones.
   std::uint64_t next_receiver_;
+  // Whether this host has read the evacuations itself.
+  bool evacuations_read_ = false;
   std::array<Waiter, kStoreTopics> waiters_;
   // Number of hosts of the fleet.
   int fleet_hosts_ = 0;
--- a/tests/gateway/evacuation_source_test.cc
+++ b/tests/gateway/evacuation_source_test.cc
@@ -176,8 +176,9 @@
   reader.platform.down = true;
   MakeReader();
   Start(reader);
-  Evacuate(far, "b");
   Start(far);
+  RunUntilPublished(far, {});
+  Evacuate(far, "b");
   RunUntilPublished(reader, {"b"});
   CHECK(reader.source.evacuations().is_known());
 }
@@ -205,11 +206,13 @@
 
 // News of a host of which the account knows nothing.
 TEST(EvacuationSource, NewsOfAStrangerAreIgnored) {
-  Evacuate(stranger, "c");
   Start(stranger);
+  Start(far);
+  RunUntilPublished(stranger, {});
+  RunUntilPublished(far, {});
+  Evacuate(stranger, "c");
   RunUntilPublished(stranger, {"c"});
   Evacuate(far, "b");
-  Start(far);
   RunUntilPublished(listener, {"b"});
   LONGS_EQUAL(1, listener.published.size());
 }
