--- a/src/libs/gateway/evacuation_source.cc
+++ b/src/libs/gateway/evacuation_source.cc
@@ -30,8 +30,10 @@
 }
 
 void EvacuationSource::Publish() {
-  LogEvent(kLog, Severity::kWarning, "domains_evacuated",
-           {{"domains", boost::algorithm::join(evacuations_.domains(), ",")},
+  const std::set<std::string>& domains = evacuations_.domains();
+  LogEvent(kLog, domains.empty() ? Severity::kInfo : Severity::kWarning,
+           "domains_evacuated",
+           {{"domains", boost::algorithm::join(domains, ",")},
             {"version", evacuations_.version()}});
   on_change_(evacuations_.domains());
 }
