Bound the memory of targets only where the deployment's contracts call for it

Every model engine names its memory, but only under the contract pressure does it end when its requests exceed it.

--- a/tests/adapter/config_decoder_test.cc
+++ b/tests/adapter/config_decoder_test.cc
@@ -32,12 +32,23 @@
 
 TEST_GROUP(ConfigDecoder) {
   Reason reason;
+  bool bounds_memory = false;
 
   std::optional<GatewayConfig> Decode(std::string_view text) {
     return DecodeConfig(text, {{"a", "b"}, bounds_memory}, &reason);
   }
 };
 
+// Targets of other deployments make room when their memory runs out.
+TEST(ConfigDecoder, TheMemoryOfTargetsCountsWhereTheDeploymentBoundsIt) {
+  constexpr std::string_view text =
+      R"({"version":1,"services":[{"name":"llm","engine":{"slots":2,
+          "kv_capacity":5000}}]})";
+  LONGS_EQUAL(0, Decode(text)->objects->TargetClass("llm")->memory_tokens);
+  bounds_memory = true;
+  LONGS_EQUAL(5000, Decode(text)->objects->TargetClass("llm")->memory_tokens);
+}
+
 TEST(ConfigDecoder, AllFieldsAreDecoded) {
   const auto config = Decode(kConfig);
   CHECK(config.has_value());
--- a/tests/adapter/gateway_call_regions_test.cc
+++ b/tests/adapter/gateway_call_regions_test.cc
@@ -55,7 +55,7 @@
             route + R"(}],"tenants":[{"name":"team","api_keys":["key"],
             "regions_allowed":)" +
             team_regions + "}]}",
-        {"a", "b", "c", "d"}, &reason);
+        {{"a", "b", "c", "d"}}, &reason);
     CHECK(config.has_value());
     HostList list;
     int n = 0;
