--- a/tests/routing/evacuation_test.cc
+++ b/tests/routing/evacuation_test.cc
@@ -71,10 +71,13 @@
   void Evacuate(std::set<std::string> domains, TimePoint now = kStart) {
     table.SetEvacuatedDomains(std::move(domains), now);
   }
+  // Adds targets that say they are warm.
   void AddTargets(const std::string& domain, int n) {
-    for (int it = 0; it < n; ++it)
+    for (int it = 0; it < n; ++it) {
       list.targets.push_back(
           Member(domain + "-x" + std::to_string(it), domain));
+      list.targets.back().cold_for = milliseconds(0);
+    }
   }
   // Requests that arrive during 60 s at random times, each in progress for a
   // second. Returns how many the targets of each domain got.
