Measure both engines alike in the routing check

The cause is the time of a token, which the chats of two tokens before it measure badly; the engine with the longer one gets none of a small load. Both engines now get 20 chats of 40 tokens first.

--- a/scripts/routing_check.sh
+++ b/scripts/routing_check.sh
@@ -84,8 +84,8 @@
 fault() { curl -sf -X PUT "http://$1/faults" -d "$2" >/dev/null; }
 dump() { curl -sf -H "Authorization: Bearer token" "http://$operator/dump"; }
 knows() { dump | grep -q "\"name\":\"$1\""; }
-# chats N: N chats one after the other, each answered whole.
-chats() { for _ in $(seq "$1"); do chat 2 | grep -q 'data: \[DONE\]' || return 1; done; }
+# chats N [TOKENS]: N chats one after the other, each answered whole.
+chats() { for _ in $(seq "$1"); do chat "${2:-2}" | grep -q 'data: \[DONE\]' || return 1; done; }
 start engine-b "$bin/standin_engine" --name=engine-2
 engines=("" "$engine" "$(stand_in_address engine-b)")
 sed -i 's/"most_in_flight": 256/"most_in_flight": 2/; s/"most_in_flight": 1$/"most_in_flight": 64/' "$config/services.json"
@@ -117,10 +117,14 @@
 echo "listed as leaving: no work after 2 s"
 list "$(engine_row 1 1 live),$(engine_row 2 1 live)"
 sleep 2
-# Both have to be known as fast, or one gets all of a small load.
+# Both have to be known as equally fast, or one gets all of a small load. Chats
+# of two tokens measure the time of a token badly.
+list "$(engine_row 1 1 live),$(engine_row 2 1 leaving)"
+sleep 2
+chats 20 40
 list "$(engine_row 1 1 leaving),$(engine_row 2 1 live)"
 sleep 2
-chats 10
+chats 20 40
 list "$(engine_row 1 1 live),$(engine_row 2 1 live)"
 sleep 2
 # crowd N NAME [TOKENS]: N chats at once, each answered whole.
