--- a/src/libs/gateway/gateway_settings.cc
+++ b/src/libs/gateway/gateway_settings.cc
@@ -168,7 +168,8 @@
   settings.link_mbps = table.Decimal("link-mbps");
   settings.retry_ratio = table.Decimal("retry-ratio");
   settings.retry_slack = table.Decimal("retry-slack");
-  settings.domain_regions = ParseDomainRegions(ListSetting(table, "domain-regions"));
+  settings.domain_regions =
+      ParseDomainRegions(ListSetting(table, "domain-regions"));
   settings.contracts = ListSetting(table, "contracts");
   settings.evacuate_time = std::chrono::milliseconds(
       static_cast<std::int64_t>(table.Decimal("evacuate-ms")));
