--- a/src/libs/gateway/gateway_context.cc
+++ b/src/libs/gateway/gateway_context.cc
@@ -5,6 +5,7 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/gateway/cold_target_log.h"
 
 namespace turmericwinch {
 
@@ -44,6 +45,7 @@
       link(settings.link_mbps * kBytesPerMegabit) {
   client.SetUnresponsivePeerTimeout(kTargetSilenceTimeout);
   targets.SetColdBound(settings.cold_overshoot, settings.cold_tolerance);
+  targets.SetColdHandler(LogColdTarget);
 }
 
 bool GatewayContext::IsLinkSaturated() {
--- a/src/libs/gateway/gateway_settings.h
+++ b/src/libs/gateway/gateway_settings.h
@@ -36,6 +36,8 @@
   // retries that are allowed beyond these.
   double retry_ratio = 0;
   double retry_slack = 0;
+  // Names of the deployment's contracts. Only the adapter interprets them.
+  std::vector<std::string> contracts;
   // Region of each failure domain; empty if the deployment names none.
   std::map<std::string, std::string> domain_regions;
   // Time after which an evacuation of a failure domain must be in force at all
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -1,5 +1,6 @@
 #include "libs/gateway/gateway_state.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace turmericwinch {
@@ -35,6 +36,25 @@
   return static_cast<double>(time.count()) / kMsPerSecond;
 }
 
+void AddEvacuations(std::string& text, const EvacuationStats& stats) {
+  AddGauge(text, "evacuated_domains",
+           static_cast<double>(stats.domains.size()));
+  // Left out if nothing is known, because 0 would mean that it is fresh.
+  if (stats.age)
+    AddGauge(text, "evacuations_age_seconds", Seconds(*stats.age));
+}
+
+json::object Evacuations(const EvacuationStats& stats) {
+  json::object row = {
+      {"domains", json::array(stats.domains.begin(), stats.domains.end())},
+      {"version", stats.version}};
+  if (stats.age)
+    row["age_ms"] = stats.age->count();
+  else
+    row["age_ms"] = nullptr;
+  return row;
+}
+
 json::array Targets(const GatewayContext& context) {
   json::array rows;
   for (const TargetStats& it : context.targets.Stats()) {
@@ -50,6 +70,9 @@
                     {"ejections", it.ejections},
                     {"limit", it.limit},
                     {"rate_limit", it.rate_limit},
+                    {"speed_factor", it.speed_factor},
+                    {"own_tokens", it.own_tokens},
+                    {"used_tokens", it.used_tokens},
                     {"wait_seconds", it.wait_seconds},
                     {"seconds_per_token", it.seconds_per_token},
                     {"seconds_per_prompt_token", it.seconds_per_prompt_token}});
@@ -74,6 +97,10 @@
 std::string MetricsText(GatewayContext& context, const GatewayStats& stats) {
   std::string text = context.metrics.Exposition();
   const std::shared_ptr<const GatewayConfig> config = context.config.Get();
+  const std::vector<TargetStats> targets = context.targets.Stats();
+  const auto cold =
+      std::count_if(targets.begin(), targets.end(),
+                    [](const TargetStats& it) { return it.cold; });
   std::size_t waiting = 0;
   for (const auto& [service, n] : context.targets.QueueSizes())
     waiting += n;
@@ -91,8 +118,11 @@
   AddGauge(text, "active_requests", static_cast<double>(stats.active_requests));
   AddGauge(text, "waiting_requests", static_cast<double>(waiting));
   AddGauge(text, "listed_targets", static_cast<double>(stats.listed_targets));
+  AddGauge(text, "cold_targets", static_cast<double>(cold));
   AddGauge(text, "account_age_seconds", Seconds(stats.account_age));
   AddGauge(text, "targets_age_seconds", Seconds(stats.targets_age));
+  if (stats.evacuations)
+    AddEvacuations(text, *stats.evacuations);
   AddAccountCounters(text, stats.account);
   return text;
 }
@@ -116,6 +146,8 @@
       {"budgets", Budgets(context)},
       {"targets", Targets(context)},
   };
+  if (stats.evacuations)
+    state["evacuations"] = Evacuations(*stats.evacuations);
   return json::serialize(state);
 }
 
--- a/src/libs/gateway/resolved_call.cc
+++ b/src/libs/gateway/resolved_call.cc
@@ -4,7 +4,7 @@
 #include <random>
 
 #include "libs/base/digest.h"
-#include "libs/gateway/allowed_domains.h"
+#include "libs/routing/allowed_domains.h"
 
 namespace turmericwinch {
 
@@ -19,18 +19,20 @@
     const ResolvedCall& resolved,
     const std::map<std::string, std::string>& domain_regions) {
   RoutingRequest request;
+  static const std::vector<std::string> every_region;
   request.domains = AllowedDomains(
       resolved.route->regions,
-      resolved.team ? resolved.team->regions : std::vector<std::string>(),
-      domain_regions);
+      resolved.team ? resolved.team->regions : every_region, domain_regions);
   request.service = resolved.service;
   if (resolved.team) {
     request.team = resolved.team->name;
     request.share = resolved.team->share;
   }
   const GatewayCall& call = *resolved.call;
-  if (call.tokens)
+  if (call.tokens) {
     request.prompt_tokens = call.tokens->prompt;
+    request.max_output_tokens = call.tokens->max_output;
+  }
   for (const PromptPart& it : SharedParts(call)) {
     request.prefix = Hash64(std::to_string(it.id), request.prefix);
     request.prefix_tokens += it.tokens;
--- a/src/libs/node/shared_targets.cc
+++ b/src/libs/node/shared_targets.cc
@@ -16,11 +16,17 @@
 
 // A waiting request. `choice` and `failure` are protected by the mutex.
 struct SharedTargets::Waiter {
-  Waiter(const asio::any_io_executor& executor, QueueTicket ticket)
-      : timer(executor), ticket(std::move(ticket)) {}
+  Waiter(const asio::any_io_executor& executor,
+         QueueTicket ticket,
+         std::shared_ptr<const std::set<std::string>> domains)
+      : timer(executor),
+        ticket(std::move(ticket)),
+        domains(std::move(domains)) {}
 
   asio::steady_timer timer;
   QueueTicket ticket;
+  // Failure domains that the request may reach; null allows all.
+  std::shared_ptr<const std::set<std::string>> domains;
   std::optional<TargetChoice> choice;
   // Why no target can take the request; kOk if the request may still wait.
   Reason failure;
@@ -51,9 +57,16 @@
   table_.SetColdBound(overshoot, tolerance);
 }
 
+void SharedTargets::SetColdHandler(
+    std::function<void(const ColdNotice&)> handler) {
+  std::lock_guard lock(mutex_);
+  table_.SetColdHandler(std::move(handler));
+}
+
 void SharedTargets::SetFleet(std::vector<std::string> hosts) {
   std::lock_guard lock(mutex_);
   table_.SetFleet(std::move(hosts));
+  StartQueuedRequests();
 }
 
 std::optional<TargetChoice> SharedTargets::BeginAttempt(
@@ -84,6 +97,12 @@
   return table_.RecordNotice(choice, notice, Clock::now());
 }
 
+void SharedTargets::RecordReportedLoad(const TargetChoice& choice,
+                                       const ReportedLoad& load) {
+  std::lock_guard lock(mutex_);
+  table_.RecordReportedLoad(choice, load, Clock::now());
+}
+
 bool SharedTargets::RecordRateLimitNotice(const RateLimitStatus& status) {
   std::lock_guard lock(mutex_);
   return table_.RecordRateLimitNotice(status, Clock::now());
@@ -137,20 +156,32 @@
     Wake(waiter);
 }
 
-bool SharedTargets::IsRateQueueFull(const std::string& service,
+bool SharedTargets::IsRateQueueFull(const RoutingRequest& request,
+                                    Clock::time_point deadline,
                                     Clock::time_point now,
                                     Reason* reason) const {
-  const std::optional<double> rate = table_.AllowedRate(service, now);
+  const std::string& service = request.service;
+  const std::optional<double> rate =
+      table_.AllowedRate(service, now, request.domains.get());
   if (!rate)
     return false;
+  const auto next = table_.NextRateStart(service, now, request.domains.get());
+  if (next && *next > deadline) {
+    *reason = {
+        ResultCode::kOverloaded,
+        "no target of " + service +
+            " takes a request of this host before the deadline: all have "
+            "reached their rate limits or are cold"};
+    return true;
+  }
   const std::size_t waiting = queue_.Sizes()[service];
   if (static_cast<double>(waiting) <= *rate * kMaxRateLimitQueue.count())
     return false;
-  *reason = {ResultCode::kOverloaded, "the rate limits of all targets of " +
-                                          service + " allow this host " +
-                                          std::to_string(*rate) +
-                                          " requests a second, and " +
-                                          std::to_string(waiting) + " wait"};
+  *reason = {ResultCode::kOverloaded,
+             "the rate limits or cold starts of all targets of " + service +
+                 " allow this host " + std::to_string(*rate) +
+                 " requests a second, and " + std::to_string(waiting) +
+                 " wait"};
   return true;
 }
 
@@ -166,7 +197,8 @@
       if (waiter->has_ended() || waiter->cancelled || !may_wait_ ||
           now >= deadline)
         co_return;
-      const auto next = table_.NextRateStart(waiter->ticket.service, now);
+      const auto next = table_.NextRateStart(waiter->ticket.service, now,
+                                             waiter->domains.get());
       waiter->timer.expires_at(
           std::min(std::max(next.value_or(deadline), now + kMinRateWait),
                    std::max(deadline, now + kMinRateWait)));
@@ -180,6 +212,7 @@
 
 std::shared_ptr<SharedTargets::Waiter> SharedTargets::BeginOrEnqueue(
     const RoutingRequest& request,
+    const std::set<std::string>& excluded,
     Clock::time_point deadline,
     const asio::any_io_executor& executor,
     std::optional<TargetChoice>& choice,
@@ -187,7 +220,8 @@
   const Clock::time_point now = Clock::now();
   std::optional<QueueTicket> ticket;
   std::lock_guard lock(mutex_);
-  choice = queue_.BeginOrEnqueue(request, deadline, now, &ticket, reason);
+  choice =
+      queue_.BeginOrEnqueue(request, deadline, now, &ticket, reason, excluded);
   if (!ticket)
     return nullptr;
   if (!may_wait_) {
@@ -197,11 +231,11 @@
     queue_.Remove(*ticket);
     return nullptr;
   }
-  if (IsRateQueueFull(request.service, now, reason)) {
+  if (IsRateQueueFull(request, deadline, now, reason)) {
     queue_.Remove(*ticket);
     return nullptr;
   }
-  auto waiter = std::make_shared<Waiter>(executor, *ticket);
+  auto waiter = std::make_shared<Waiter>(executor, *ticket, request.domains);
   waiters_.emplace(*ticket, waiter);
   return waiter;
 }
@@ -210,13 +244,14 @@
     RoutingRequest request,
     Clock::time_point deadline,
     Reason* reason,
-    HttpCancel* cancel) {
+    HttpCancel* cancel,
+    std::set<std::string> excluded) {
   request.limited = true;
   deadline = std::min(deadline, Clock::now() + kMaxTargetWait);
   auto executor = co_await asio::this_coro::executor;
   std::optional<TargetChoice> choice;
   std::shared_ptr<Waiter> waiter =
-      BeginOrEnqueue(request, deadline, executor, choice, reason);
+      BeginOrEnqueue(request, excluded, deadline, executor, choice, reason);
   if (!waiter)
     co_return choice;
   if (cancel) {
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,11 +32,13 @@
   void SetEvacuatedDomains(std::set<std::string> domains);
   void SetFleet(std::vector<std::string> hosts);
   void SetColdBound(double overshoot, double tolerance);
+  void SetColdHandler(std::function<void(const ColdNotice&)> handler);
   std::optional<TargetChoice> BeginAttempt(
       const RoutingRequest& request,
       const std::set<std::string>& excluded,
       Reason* reason);
-  // Begins the first attempt of a request. Waits until `deadline`, in fair
+  // Begins an attempt of a request that has not run, at a target whose name is
+  // not in `excluded`. Waits until `deadline`, in fair
   // order by team, while every target is full, or while the request's team
   // already has its share in flight and the targets have reached their limits.
   // If all targets have named rate limits, waits only behind as many requests
@@ -45,7 +48,8 @@
       RoutingRequest request,
       std::chrono::steady_clock::time_point deadline,
       Reason* reason,
-      HttpCancel* cancel = nullptr);
+      HttpCancel* cancel = nullptr,
+      std::set<std::string> excluded = {});
   // Ends all waits with kOverloaded, and lets no further request wait: the host
   // stops soon.
   void StopWaiting();
@@ -58,6 +62,8 @@
   // Records what the target said of itself in the response to the attempt.
   // Returns whether that is news.
   bool RecordNotice(const TargetChoice& choice, const TargetNotice& notice);
+  // Records the load that the response to the attempt reported.
+  void RecordReportedLoad(const TargetChoice& choice, const ReportedLoad& load);
   // See the functions of TargetTable.
   bool RecordRateLimitNotice(const RateLimitStatus& status);
   void SetRateShare(const std::string& target, double share);
@@ -79,9 +85,11 @@
   // Starts waiting requests while targets have capacity. The mutex must be
   // held.
   void StartQueuedRequests();
-  // Whether the rate limits of the service's targets let no further request
-  // wait. The mutex must be held.
-  bool IsRateQueueFull(const std::string& service,
+  // Whether the rate limits and cold starts of the targets that the request may
+  // reach let it wait no longer than others, or not start before `deadline`.
+  // The mutex must be held.
+  bool IsRateQueueFull(const RoutingRequest& request,
+                       std::chrono::steady_clock::time_point deadline,
                        std::chrono::steady_clock::time_point now,
                        Reason* reason) const;
   // Waits until the waiter's request has started, or until the deadline.
@@ -91,6 +99,7 @@
   // Starts or queues a request. Returns null if it was started or refused.
   std::shared_ptr<Waiter> BeginOrEnqueue(
       const RoutingRequest& request,
+      const std::set<std::string>& excluded,
       std::chrono::steady_clock::time_point deadline,
       const boost::asio::any_io_executor& executor,
       std::optional<TargetChoice>& choice,
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -25,6 +25,33 @@
 inline constexpr std::chrono::milliseconds kWaitHalfLife{2'000};
 // Half-life of a load report.
 inline constexpr std::chrono::milliseconds kReportHalfLife{500};
+// Half-life of the average of the speeds that a target reports.
+inline constexpr std::chrono::milliseconds kSpeedAverageHalfLife{100};
+// Largest weight of one reported speed: a single one may be an outlier.
+inline constexpr double kMaxSpeedReportWeight = 0.5;
+// Bounds of a reported time of work, as a multiple of the usual time.
+inline constexpr double kMinReportedSpeed = 0.25;
+inline constexpr double kMaxReportedSpeed = 10;
+// Bounds of the factor by which reports change the expected time of work. All
+// hosts read the same report, so one of a fast target must not draw them all;
+// one of a slow target must leave it requests that measure it.
+inline constexpr double kMinSpeedFactor = 0.67;
+inline constexpr double kMaxSpeedFactor = 4;
+// Fraction of its largest output that a request is counted with at a target's
+// memory. Output grows while the request runs, so that one that produces all of
+// it holds half on average, and most end earlier: counting all of it would
+// leave memory idle.
+inline constexpr double kHeldOutputFraction = 0.5;
+// Half-life of the estimate of other hosts' tokens at a target. Without new
+// reports it falls in about the time in which such requests end. In
+// TargetMemory's play of six hosts, 2 s left 49 and 197 overflows at two rates,
+// 8 s with TargetMemory::CostFactor() 47 and 151; without memory 75 and 190.
+inline constexpr std::chrono::milliseconds kMemoryReportHalfLife{8'000};
+// Largest fraction of a target's memory that its cost takes into account.
+inline constexpr double kMaxCostMemoryFraction = 0.95;
+// Time after which a request that waits for memory is tried again while the
+// estimate of other hosts' tokens falls.
+inline constexpr std::chrono::milliseconds kMemoryCheckInterval{100};
 // Output tokens whose time is added to that of the first token when targets are
 // compared.
 inline constexpr double kWeighedOutputTokens = 64;
@@ -152,6 +179,12 @@
 // Requests per second that each host with a share of a cold target's limit gets
 // at least: fewer would make most requests wait for longer than callers do.
 inline constexpr int kMinColdRequestsPerSender = 2;
+// Difference of the times that requests take from a host to a target, which the
+// spacing of requests allows for: the limit counts requests as they arrive.
+inline constexpr std::chrono::milliseconds kColdArrivalJitter{50};
+// Bound of the time for which a target is taken for cold: registrations may
+// hold any number, and a sum of times must not overflow.
+inline constexpr std::chrono::milliseconds kMaxColdTime{3'600'000};
 // Bound of the limit of a cold target, for configurations with a huge one.
 inline constexpr double kMaxColdRequestsPerSecond = 1e6;
 
--- a/src/libs/routing/target_group.h
+++ b/src/libs/routing/target_group.h
@@ -16,6 +16,7 @@
 #include "libs/routing/prefix_ring.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
+#include "libs/routing/target_memory.h"
 #include "libs/routing/target_rate_limit.h"
 
 namespace turmericwinch {
@@ -35,10 +36,14 @@
   TargetHealth health;
   TargetRateLimit rate_limit;
   ColdPace cold;
+  TargetMemory memory;
   // Time for which the target is cold after its start, 0 if it never is, and
   // the requests per second that it takes meanwhile, 0 if there is no limit.
   std::chrono::milliseconds cold_time{0};
   double cold_requests_per_second = 0;
+  // Whether `cold` has this host's share for the current fleet. Computed when
+  // the target becomes cold: most targets are warm when the fleet changes.
+  bool has_cold_share = false;
   // Whether the target said that it leaves, and until when it wants no request.
   bool says_leaving = false;
   // Whether the target's failure domain is evacuated.
--- a/src/libs/routing/target_queue.cc
+++ b/src/libs/routing/target_queue.cc
@@ -8,18 +8,47 @@
 
 namespace turmericwinch {
 
+namespace {
+
+// A character that no name of a team or failure domain contains.
+constexpr char kLaneSeparator = '\n';
+
+// The name under which the request queues: its team, its allowed domains and
+// its excluded targets.
+std::string LaneOf(const RoutingRequest& request,
+                   const std::set<std::string>& excluded) {
+  std::string lane = request.team;
+  if (!request.domains && excluded.empty())
+    return lane;
+  lane += kLaneSeparator;
+  if (request.domains) {
+    for (const std::string& it : *request.domains)
+      lane += it + kLaneSeparator;
+  }
+  lane += kLaneSeparator;
+  for (const std::string& it : excluded)
+    lane += it + kLaneSeparator;
+  // An empty set of domains differs from none.
+  lane += request.domains ? '1' : '0';
+  return lane;
+}
+
+}  // namespace
+
 std::optional<TargetChoice> TargetQueue::BeginOrEnqueue(
     const RoutingRequest& request,
     TimePoint deadline,
     TimePoint now,
     std::optional<QueueTicket>* ticket,
-    Reason* reason) {
+    Reason* reason,
+    const std::set<std::string>& excluded) {
   Queue& queue = queues_[request.service];
-  // If requests of the team are queued, the team is over its share or no team
-  // finds room, so the new request can't start either.
-  if (!queue.order.HasWaiting(request.team)) {
+  const std::string lane = LaneOf(request, excluded);
+  // If requests of the lane are queued, the team is over its share or no target
+  // of the allowed domains has room, so the new request can't start either.
+  if (!queue.order.HasWaiting(lane)) {
     std::optional<TargetChoice> choice =
-        table_.BeginAttempt(request, {}, now, reason);
+        table_.BeginAttempt(request, excluded, now, reason);
     if (choice || reason->code != ResultCode::kOverloaded)
       return choice;
   }
@@ -27,15 +56,26 @@
   // it costs at least one quantum.
   const std::int64_t tokens = std::max(
       request.prompt_tokens, static_cast<std::int64_t>(kQuantumTokens));
-  std::optional<std::uint64_t> id = queue.order.Enqueue(
-      request.team, request.share, tokens, deadline, now, reason);
+  std::optional<std::uint64_t> id =
+      queue.order.Enqueue(lane, request.share, tokens, deadline, now, reason);
   if (id) {
-    queue.requests.emplace(*id, request);
+    queue.requests.emplace(*id, Waiting{request, excluded});
     *ticket = QueueTicket{request.service, *id};
   }
   return std::nullopt;
 }
 
+namespace {
+
+// Whether a queued request can't be served although targets are listed. One
+// whose targets are all missing waits, because a list may be replaced at once.
+bool EndsWait(ResultCode code) {
+  return code == ResultCode::kDomainEvacuated ||
+         code == ResultCode::kNoAllowedTarget;
+}
+
+}  // namespace
+
 std::vector<DequeuedRequest> TargetQueue::DequeueReady(TimePoint now) {
   std::vector<DequeuedRequest> starts;
   for (auto& [service, queue] : queues_)
@@ -49,21 +89,23 @@
                                std::vector<DequeuedRequest>& starts) {
   std::set<std::string> blocked;
   while (std::optional<std::uint64_t> id = queue.order.Front(blocked)) {
-    const RoutingRequest& request = queue.requests.at(*id);
+    const auto& [request, excluded] = queue.requests.at(*id);
     Reason reason;
     std::optional<TargetChoice> choice =
-        table_.BeginAttempt(request, {}, now, &reason);
-    if (!choice && reason.code != ResultCode::kOverloaded) {
+        table_.BeginAttempt(request, excluded, now, &reason);
+    if (!choice && EndsWait(reason.code)) {
       starts.push_back({{service, *id}, std::nullopt, std::move(reason)});
       queue.order.Remove(*id);
       queue.requests.erase(*id);
       continue;
     }
     if (!choice) {
-      // If a team within its share finds no room, no other team does either.
-      if (!table_.IsOverShare(request, now))
+      // If a team within its share finds no room at any target, no other team
+      // does either. Targets that this request may not reach may have room.
+      if (!request.domains && excluded.empty() &&
+          !table_.IsOverShare(request, now))
         return;
-      blocked.insert(request.team);
+      blocked.insert(LaneOf(request, excluded));
       continue;
     }
     starts.push_back({{service, *id}, std::move(choice), {}});
--- a/src/libs/routing/target_table.cc
+++ b/src/libs/routing/target_table.cc
@@ -44,7 +44,7 @@
   return services;
 }
 
-void TargetTable::Private::IndexGroups(double hosts) {
+void TargetTable::Private::IndexGroups() {
   groups.clear();
   for (auto& [name, target] : targets)
     groups[target.service][target.tier].targets.push_back(&target);
@@ -113,6 +113,7 @@
       continue;
     Target target;
     target.load = TargetLoad(target_class->tokens_per_second);
+    target.cold.RecordStart(now);
     auto known = d_->targets.find(it.name);
     if (known != d_->targets.end() &&
         known->second.member.incarnation == it.incarnation &&
@@ -120,23 +121,28 @@
       target = std::move(known->second);
     else {
       target.id = d_->next_id++;
+      if (known != d_->targets.end())
+        target.cold.KeepPresumption(known->second.cold);
       if (with_answers.contains(target_class->service))
         target.joined_at = now;
     }
     d_->UpdateCold(target, it, *target_class, now);
-    target.member = it;
     target.service = target_class->service;
     target.max_in_flight = target_class->most_in_flight;
     target.tier = tier;
+    target.memory.SetCapacity(target_class->memory_tokens);
     target.evacuated = d_->evacuated_domains.contains(it.failure_domain);
     targets.emplace(it.name, std::move(target));
   }
   d_->targets = std::move(targets);
+  d_->updated_at = now;
+  d_->has_listed = d_->has_listed || !list.targets.empty();
   const auto hosts = std::count_if(
       list.hosts.begin(), list.hosts.end(), [this](const ListedMember& it) {
         return it.failure_domain == d_->failure_domain && !it.leaving;
       });
-  d_->IndexGroups(static_cast<double>(std::max<std::ptrdiff_t>(hosts, 1)));
+  d_->hosts = static_cast<double>(std::max<std::ptrdiff_t>(hosts, 1));
+  d_->IndexGroups();
   for (auto& [service, tiers] : d_->groups) {
     for (auto& [tier, group] : tiers)
       group.EjectSlowTargets(now);
@@ -152,22 +158,28 @@
     // The target may have become cold meanwhile, and its registration may be
     // older than that.
     if (it.evacuated && !is_evacuated)
-      it.cold.PresumeCold(it.cold_time, now);
+      d_->PresumeCold(it, ColdCause::kEvacuationEnded, now);
     it.evacuated = is_evacuated;
   }
+  d_->IndexGroups();
 }
 
 void TargetTable::SetFleet(std::vector<std::string> hosts) {
   if (hosts == d_->fleet)
     return;
   d_->fleet = std::move(hosts);
-  for (auto& [name, it] : d_->targets)
-    d_->UpdateColdShare(it, it.member);
+  d_->UpdateColdShares();
 }
 
 void TargetTable::SetColdBound(double overshoot, double tolerance) {
   d_->cold_overshoot = overshoot;
   d_->cold_tolerance = tolerance;
+  d_->UpdateColdShares();
+}
+
+void TargetTable::SetColdHandler(
+    std::function<void(const ColdNotice&)> handler) {
+  d_->on_cold = std::move(handler);
 }
 
 std::optional<TargetChoice> TargetTable::BeginAttempt(
@@ -238,14 +250,15 @@
     return;
   target->load.EndRequest(choice.uncached_tokens, choice.had_first_token,
                           choice.sent_at);
+  target->memory.EndRequest(choice.held_tokens);
   if (outcome == AttemptOutcome::kGood)
     target->load.RecordGoodAnswer();
   if (token_time.count() > 0)
-    target->load.RecordTokenTime(token_time);
+    target->load.RecordTokenTime(token_time, now);
   // A target that can't be reached may have stopped and come back cold before
   // its registration shows that.
   if (outcome == AttemptOutcome::kRefused)
-    target->cold.PresumeCold(target->cold_time, now);
+    d_->PresumeCold(*target, ColdCause::kRefused, now);
   if (target->health.RecordOutcome(outcome, now) &&
       d_->groups[target->service][target->tier].MayEject(now))
     target->health.Eject(now);
@@ -270,6 +283,19 @@
     it->second.load.RecordReport(report);
 }
 
+void TargetTable::RecordReportedLoad(const TargetChoice& choice,
+                                     const ReportedLoad& load,
+                                     TimePoint now) {
+  Target* target = d_->Find(choice);
+  if (!target)
+    return;
+  if (load.speed_percent)
+    target->load.RecordReportedSpeed(*load.speed_percent, now);
+  target->memory.RecordReport(load.running + load.waiting,
+                              d_->mean_held_tokens[target->service].mean(),
+                              now);
+}
+
 std::vector<TargetStats> TargetTable::Stats(TimePoint now) const {
   std::vector<TargetStats> stats;
   for (const auto& [name, it] : d_->targets) {
@@ -278,7 +304,9 @@
          it.load.in_flight(), it.IsLeaving(), it.health.State(now),
          it.health.ejections(), it.limit.limit(), it.load.WaitSeconds(now),
          it.load.seconds_per_token(), it.load.seconds_per_prompt_token(),
-         it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now)});
+         it.rate_limit.limit().value_or(0), it.evacuated, it.cold.IsCold(now),
+         it.load.SpeedFactor(now), it.memory.own_tokens(),
+         it.memory.UsedTokens(now)});
   }
   return stats;
 }
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -5,16 +5,19 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libs/base/reason.h"
 #include "libs/config/config_snapshot.h"
 #include "libs/routing/concurrency_limit.h"
 #include "libs/routing/host_list.h"
+#include "libs/routing/reported_load.h"
 #include "libs/routing/target_health.h"
 #include "libs/routing/target_load.h"
 #include "libs/routing/target_notice.h"
@@ -36,6 +39,8 @@
   bool limited = false;
   // Failure domains whose targets may get the request; null allows all.
   std::shared_ptr<const std::set<std::string>> domains = nullptr;
+  // Output tokens that the request may produce.
+  std::int64_t max_output_tokens = 0;
 };
 
 // A target chosen for one attempt, and the state that the table recorded when
@@ -56,6 +61,8 @@
   ShareStatus share_status = ShareStatus::kOnlyTeam;
   // Requests of this host at the target, this one included.
   std::int64_t in_flight = 0;
+  // Tokens that the request is counted with at the target's memory.
+  double held_tokens = 0;
 };
 
 // State of one target for dumps and metrics.
@@ -77,6 +84,37 @@
   double rate_limit = 0;
   bool evacuated = false;
   bool cold = false;
+  // Factor by which reports say that work takes longer than measured.
+  double speed_factor = 1;
+  // Tokens that requests are estimated to hold: of this host, and of all.
+  double own_tokens = 0;
+  double used_tokens = 0;
+};
+
+// Why a target is taken for cold.
+enum class ColdCause : std::uint8_t {
+  // Its registration says so.
+  kRegistration,
+  // It was listed anew, and its registration does not say.
+  kNew,
+  // The evacuation of its failure domain ended.
+  kEvacuationEnded,
+  // It refused a connection.
+  kRefused
+};
+
+std::string_view NameOf(ColdCause cause);
+
+// A target that was not taken for cold before.
+struct ColdNotice {
+  std::string target;
+  std::string incarnation;
+  ColdCause cause = ColdCause::kRegistration;
+  // Time for which it is taken for cold.
+  std::chrono::milliseconds time{0};
+  // Requests per second that this host may send meanwhile; nullopt if there is
+  // no limit.
+  std::optional<int> share;
 };
 
 // What is known of the rate limit of a target. Without `limit`, the target has
@@ -117,6 +155,8 @@
   // Sets the bound of the requests that a cold target may get from all hosts in
   // any second: a factor of its limit, and a number beyond.
   void SetColdBound(double overshoot, double tolerance);
+  // `handler` is called when a target becomes cold. It must not call the table.
+  void SetColdHandler(std::function<void(const ColdNotice&)> handler);
 
   // Chooses a target whose name is not in `excluded`. The attempt counts as in
   // flight until EndAttempt(). Reasons: kOverloaded, kNoTarget,
@@ -155,19 +195,31 @@
   // The rate limits in force, and those that ended within kRateLimitEndHold.
   std::vector<RateLimitStatus> RateLimits(TimePoint now) const;
   // Requests per second that this host may start at the service if all its
-  // usable targets have named rate limits or are cold; nullopt if any has no
-  // limit.
-  std::optional<double> AllowedRate(const std::string& service,
-                                    TimePoint now) const;
-  // The earliest time at which a rate limit allows a request to the service;
-  // nullopt if no target has named one or is cold, or if none ever does.
-  std::optional<TimePoint> NextRateStart(const std::string& service,
-                                         TimePoint now) const;
+  // usable targets have named rate limits or stay cold for longer than requests
+  // may wait; nullopt if any has no limit. Only targets in `domains` count;
+  // null allows all.
+  std::optional<double> AllowedRate(
+      const std::string& service,
+      TimePoint now,
+      const std::set<std::string>* domains = nullptr) const;
+  // The earliest time at which a rate limit, the end of a cold start, or the
+  // falling estimate of the memory that other hosts' requests hold allows a
+  // request to the service without any other event; nullopt if there is none.
+  std::optional<TimePoint> NextRateStart(
+      const std::string& service,
+      TimePoint now,
+      const std::set<std::string>* domains = nullptr) const;
   // Records what the target said of itself in the response to the attempt.
   // Holds for this incarnation of the target. Returns whether that is news.
   bool RecordNotice(const TargetChoice& choice,
                     const TargetNotice& notice,
                     TimePoint now);
+  // Records the load that the target reported in the response to the attempt.
+  // The cost of a target takes the requests in it into account through this
+  // host's measurements only; see docs/decisions/04-routing.md.
+  void RecordReportedLoad(const TargetChoice& choice,
+                          const ReportedLoad& load,
+                          TimePoint now);
   // Records the load that the target `name` reported.
   void RecordLoadReport(const std::string& name, const LoadReport& report);
 
--- a/src/libs/routing/target_table_private.h
+++ b/src/libs/routing/target_table_private.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libs/base/digest.h"
+#include "libs/routing/mean_tokens.h"
 #include "libs/routing/prefix_record.h"
 #include "libs/routing/target_group.h"
 #include "libs/routing/target_table.h"
@@ -25,11 +26,17 @@
   const std::set<std::string>& excluded;
   TargetTable::TimePoint now;
 
+  // Tokens that the request is expected to hold at a target.
+  double HeldTokens() const {
+    return TargetMemory::ExpectedTokens(request.prompt_tokens,
+                                        request.max_output_tokens);
+  }
   // Whether the request may reach the target, whatever its state.
   bool Allows(const ListedMember& target) const {
-    return !excluded.contains(target.name) &&
-           (!request.domains ||
-            request.domains->contains(target.failure_domain));
+    return !excluded.contains(target.name) && IsInAllowedDomain(target);
+  }
+  bool IsInAllowedDomain(const ListedMember& target) const {
+    return !request.domains || request.domains->contains(target.failure_domain);
   }
 };
 
@@ -51,8 +58,8 @@
 
   // Services with at least one target that has answered a request.
   std::set<std::string> ServicesWithAnswers() const;
-  // Rebuilds the groups; `hosts` is the number of hosts that share the targets.
-  void IndexGroups(double hosts);
+  // Rebuilds the groups, from `hosts` and the state of the targets.
+  void IndexGroups();
   Target* Find(const TargetChoice& choice);
   Candidate FindBest(TargetGroup& group, const RoutingQuery& query);
   // Whether a target with a rate limit is left to requests with longer prompts.
@@ -80,17 +87,26 @@
   // limits that is reserved for other teams is free.
   bool MustWait(const RoutingRequest& request, TimePoint now) const;
 
-  // Takes over what the registration `member` says of its target being cold.
+  // Takes over what the registration `member` says of its target being cold;
+  // `target` still has the registration before it.
   void UpdateCold(Target& target,
                   const ListedMember& member,
                   const TargetClassConfig& settings,
                   TimePoint now);
+  // Takes the target for cold, whatever its registration says.
+  void PresumeCold(Target& target, ColdCause cause, TimePoint now);
+  // Tells the handler of a target that was not cold before.
+  void ReportCold(const Target& target, ColdCause cause, TimePoint now) const;
   // Sets this host's share of the requests that the target takes while cold.
-  void UpdateColdShare(Target& target, const ListedMember& member) const;
+  void UpdateColdShare(Target& target) const;
+  // Sets the shares of all targets that may still be cold.
+  void UpdateColdShares();
 
   std::string failure_domain;
   std::string host;
   std::uint64_t host_hash;
+  // Number of hosts that share the targets.
+  double hosts = 1;
   std::mt19937_64 random;
   std::uint64_t next_id = 1;
   std::map<std::string, Target> targets;
@@ -100,10 +116,16 @@
   PrefixRecord prefixes;
   // Moving averages of the prompt tokens of requests, by service.
   std::map<std::string, double> mean_prompt_tokens;
+  // Mean tokens that a request holds, by service.
+  std::map<std::string, MeanTokens> mean_held_tokens;
   // Failure domains whose targets get no requests.
   std::set<std::string> evacuated_domains;
   // Names of all hosts of the fleet.
   std::vector<std::string> fleet;
+  std::function<void(const ColdNotice&)> on_cold;
+  // Time of the last Update(), and whether any has listed targets.
+  TimePoint updated_at{};
+  bool has_listed = false;
   double cold_overshoot = 1;
   double cold_tolerance = 0;
   // Share of a rate limit that this host may use until SetRateShare().
--- a/tests/adapter/config_decoder_test.cc
+++ b/tests/adapter/config_decoder_test.cc
@@ -32,12 +32,23 @@
 
 TEST_GROUP(ConfigDecoder) {
   Reason reason;
+  bool bounds_memory = false;
 
   std::optional<GatewayConfig> Decode(std::string_view text) {
-    return DecodeConfig(text, {"a", "b"}, &reason);
+    return DecodeConfig(text, {{"a", "b"}, bounds_memory}, &reason);
   }
 };
 
+// Targets of other deployments make room when their memory runs out.
+TEST(ConfigDecoder, TheMemoryOfTargetsCountsWhereTheDeploymentBoundsIt) {
+  constexpr std::string_view text =
+      R"({"version":1,"services":[{"name":"llm","engine":{"slots":2,
+          "kv_capacity":5000}}]})";
+  LONGS_EQUAL(0, Decode(text)->objects->TargetClass("llm")->memory_tokens);
+  bounds_memory = true;
+  LONGS_EQUAL(5000, Decode(text)->objects->TargetClass("llm")->memory_tokens);
+}
+
 TEST(ConfigDecoder, AllFieldsAreDecoded) {
   const auto config = Decode(kConfig);
   CHECK(config.has_value());
@@ -74,6 +85,37 @@
         RouteKind::kOnce);
 }
 
+// Requests of a list without any region must not reach every region: only an
+// absent or empty list allows that.
+TEST(ConfigDecoder, RegionsOfRoutesAndTenantsAreDecoded) {
+  using Names = std::vector<std::string>;
+  const std::pair<const char*, Names> cases[] = {
+      {R"(["x","y"])", {"x", "y"}},
+      {"[]", {}},
+      {"null", {}},
+      {R"("x")", {}},
+      {"{}", {}},
+      {"7", {}},
+      {R"(["x",7])", {"x", ""}},
+      {"[7]", {""}},
+      {"[null,[]]", {"", ""}},
+  };
+  for (const auto& [text, expected] : cases) {
+    const std::string field = std::string(R"("regions_allowed":)") + text;
+    const auto config = Decode(
+        R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/",
+            "service":"s",)" +
+        field + R"(}],"tenants":[{"name":"t","api_keys":["k"],)" + field +
+        "}]}");
+    CHECK(config.has_value());
+    CHECK(config->routes.FindRoute("h", "/")->regions == expected);
+    CHECK(config->objects->teams().at("t").regions == expected);
+  }
+  const auto config = Decode(kConfig);
+  CHECK(config->routes.FindRoute("a.example", "/x/")->regions.empty());
+  CHECK(config->objects->teams().at("t1").regions.empty());
+}
+
 TEST(ConfigDecoder, TextThatIsNoConfigurationIsRejected) {
   const char* texts[] = {"",
                          "[]",
@@ -88,4 +130,25 @@
   }
 }
 
+// Guards against an overflow by a time of any size, and against limits where
+// the configuration has none.
+TEST(ConfigDecoder, ColdLimitsAreReadAndBounded) {
+  const auto config = Decode(R"({"version":1,"routes":[],"tenants":[],
+   "services":[
+    {"name":"cold","cold_start_s":8.5,"cold_per_s":11},
+    {"name":"huge","cold_start_s":1e300,"cold_per_s":0.5},
+    {"name":"odd","cold_start_s":-1,"cold_per_s":"11"},
+    {"name":"none"}]})");
+  CHECK(config.has_value());
+  const ConfigSnapshot& objects = *config->objects;
+  LONGS_EQUAL(8'500, objects.TargetClass("cold")->cold_time.count());
+  DOUBLES_EQUAL(11, objects.TargetClass("cold")->cold_requests_per_second, 0);
+  LONGS_EQUAL(3'600'000, objects.TargetClass("huge")->cold_time.count());
+  DOUBLES_EQUAL(0.5, objects.TargetClass("huge")->cold_requests_per_second, 0);
+  for (const char* it : {"odd", "none"}) {
+    LONGS_EQUAL(0, objects.TargetClass(it)->cold_time.count());
+    DOUBLES_EQUAL(0, objects.TargetClass(it)->cold_requests_per_second, 0);
+  }
+}
+
 }  // namespace turmericwinch::platform
--- a/tests/node/shared_targets_test.cc
+++ b/tests/node/shared_targets_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio.hpp>
+#include <boost/json/array.hpp>
 
 #include "support/routing_config.h"
 #include "support/run_coroutine.h"
@@ -26,6 +27,32 @@
     targets.Update({{}, {{"one", "a", "127.0.0.1:1", "1", "any", false}}},
                    SingleClassConfig("plain", 1, 2));
   }
+  // The only target, or the only one in the own domain, is cold and takes four
+  // requests a second.
+  void UseColdTarget(const std::vector<std::string>& fleet,
+                     bool with_warm = false) {
+    ConfigSet set;
+    set.Add({ConfigKind::kFailureDomain,
+             "a",
+             {{"overflow", boost::json::array{"b"}}},
+             ""});
+    set.Add({ConfigKind::kTargetClass,
+             "any",
+             {{"service", "plain"},
+              {"cold_ms", 60'000},
+              {"cold_requests_per_second", 4}},
+             ""});
+    targets.SetColdBound(1, 4);
+    targets.SetFleet(fleet);
+    HostList list;
+    list.targets = {{"cold", "a", "127.0.0.1:2", "1", "any", false,
+                     std::chrono::minutes(1)}};
+    if (with_warm) {
+      list.targets.push_back({"warm", "b", "127.0.0.1:3", "1", "any", false,
+                              std::chrono::milliseconds(0)});
+    }
+    targets.Update(list, {1, "digest", set});
+  }
   asio::awaitable<Choice> Wait(const char* team, Clock::duration timeout) {
     RoutingRequest request{"plain"};
     request.team = team;
@@ -96,6 +123,84 @@
   UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
 }
 
+// Guards against requests that wait until their deadline for targets that are
+// all cold and get their requests from other hosts.
+TEST(SharedTargets, ARequestForAColdServiceIsRefusedAtOnce) {
+  for (const std::vector<std::string>& fleet :
+       {std::vector<std::string>{}, std::vector<std::string>{"other"}}) {
+    UseColdTarget(fleet);
+    CHECK_FALSE(
+        RunCoroutine(context, Wait("one", std::chrono::hours(1))).has_value());
+    CHECK(reason.code == ResultCode::kOverloaded);
+    UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+  }
+}
+
+// Guards against a wait for a start that comes after the deadline.
+TEST(SharedTargets, ARequestThatAColdTargetDelaysTooLongIsRefusedAtOnce) {
+  UseColdTarget({"host"});
+  bool is_done = false;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        // The first start waits for an interval of 0.26 s.
+        const Choice choice =
+            co_await Wait("one", std::chrono::milliseconds(100));
+        is_done = !choice;
+      },
+      asio::detached);
+  context.restart();
+  context.poll();
+  CHECK(is_done);
+  CHECK(reason.code == ResultCode::kOverloaded);
+}
+
+// Guards against a warm target that the request may not reach, which made it
+// wait until its deadline.
+TEST(SharedTargets, AWarmTargetOutOfReachLetsNoRequestWait) {
+  UseColdTarget({"other"}, /*with_warm=*/true);
+  RoutingRequest request{"plain"};
+  request.domains =
+      std::make_shared<const std::set<std::string>>(std::set<std::string>{"a"});
+  const Clock::time_point deadline = Clock::now() + std::chrono::hours(1);
+  CHECK_FALSE(
+      RunCoroutine(context, targets.WaitForTarget(request, deadline, &reason))
+          .has_value());
+  CHECK(reason.code == ResultCode::kOverloaded);
+  request.domains = nullptr;
+  CHECK(RunCoroutine(context, targets.WaitForTarget(request, deadline, &reason))
+            .has_value());
+}
+
+TEST(SharedTargets, ARequestWaitsForItsTurnAtAColdTarget) {
+  UseColdTarget({"host"});
+  CHECK(RunCoroutine(context, Wait("one", std::chrono::hours(1))).has_value());
+}
+
+// Guards against a request that waits although the estimate of other hosts'
+// tokens has aged: no other event wakes it.
+TEST(SharedTargets, ARequestWaitsUntilAnEstimateOfMemoryHasAged) {
+  ConfigSet set;
+  set.Add({ConfigKind::kFailureDomain, "a", {}, ""});
+  set.Add({ConfigKind::kTargetClass,
+           "any",
+           {{"service", "plain"},
+            {"tokens_per_second", 100},
+            {"most_in_flight", 8},
+            {"memory_tokens", 1'000}},
+           ""});
+  targets.Update({{}, {{"two", "a", "127.0.0.1:1", "1", "any", false}}},
+                 ConfigSnapshot(1, "digest", set));
+  const Choice first = targets.BeginAttempt({"plain", 500}, {}, &reason);
+  targets.RecordReportedLoad(*first, {2, 0, 8, {}});
+  targets.EndAttempt(*first);
+  const Choice second = RunCoroutine(
+      context,
+      targets.WaitForTarget({"plain", 501},
+                            Clock::now() + std::chrono::hours(1), &reason));
+  CHECK(second.has_value());
+}
+
 TEST(SharedTargets, FloodOfOneTeamLeavesCapacityForOthers) {
   Choice calm;
   Spawn("calm", calm);
@@ -157,4 +262,21 @@
   CHECK_FALSE(choices[2].has_value() || choices[3].has_value());
 }
 
+// They would wait for their deadline, since nothing else wakes them.
+TEST(SharedTargets, WaitsEndAtOnceWhenEveryDomainIsEvacuated) {
+  Choice choices[4];
+  for (Choice& it : choices)
+    Spawn("one", it);
+  UNSIGNED_LONGS_EQUAL(2, targets.QueueSizes()["plain"]);
+  targets.SetEvacuatedDomains({"a"});
+  context.restart();
+  context.poll();
+  UNSIGNED_LONGS_EQUAL(0, targets.QueueSizes()["plain"]);
+  CHECK(reason.code == ResultCode::kDomainEvacuated);
+  CHECK_FALSE(choices[2].has_value() || choices[3].has_value());
+  // The requests that run end normally.
+  targets.EndAttempt(*choices[0]);
+  targets.EndAttempt(*choices[1]);
+}
+
 }  // namespace turmericwinch
