Keep the stand-ins of the check with untrusted clients among the adapter's tests

They speak the users' platform's wire, whose names stay out of scripts/. Only the path changes; the crowds and bounds are the same file.

--- a/scripts/untrusted_clients_check.sh
+++ b/scripts/untrusted_clients_check.sh
@@ -8,4 +8,4 @@
 cd "$(dirname "$0")/.."
 gateway=$(cd "$1" && pwd)/bin/turmericwinch_gateway
 shift
-exec python3 scripts/untrusted_clients.py "$gateway" "$@"
+exec python3 tests/adapter/untrusted_clients.py "$gateway" "$@"
