--- a/src/libs/base/json_fields.cc
+++ b/src/libs/base/json_fields.cc
@@ -27,6 +27,14 @@
   return std::nullopt;
 }
 
+std::optional<double> NumberField(const boost::json::object& object,
+                                  std::string_view name) {
+  const boost::json::value* value = object.if_contains(name);
+  if (!value || !value->is_number())
+    return std::nullopt;
+  return value->to_number<double>();
+}
+
 std::optional<std::string> StringField(const boost::json::object& object,
                                        std::string_view name) {
   const boost::json::value* value = object.if_contains(name);
--- a/src/libs/base/json_fields.h
+++ b/src/libs/base/json_fields.h
@@ -20,6 +20,10 @@
 std::optional<std::int64_t> IntField(const boost::json::object& object,
                                      std::string_view name);
 
+// The field as a number; nullopt if it is absent or of another type.
+std::optional<double> NumberField(const boost::json::object& object,
+                                  std::string_view name);
+
 // The field as a string; nullopt if it is absent or of another type.
 std::optional<std::string> StringField(const boost::json::object& object,
                                        std::string_view name);
--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -270,12 +270,6 @@
   }
 }
 
-void CloseEarlierIncarnations(FleetAccount& account,
-                              const std::string& holder,
-                              const FleetHeartbeat& now) {
-  CloseEnded(account, EarlierIncarnations(account, holder), now);
-}
-
 void CloseHolder(FleetAccount& account,
                  const std::string& holder,
                  const std::map<std::string, std::int64_t>& spent) {
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -132,23 +132,17 @@
 // Shortest time over which the rate of draws is measured.
 inline constexpr BootTime kDrawRateWindow{4'000};
 
-// Removes the rows of earlier incarnations of `holder`'s host. A host runs one
-// process, so they have ended once `holder` has started. `now` is a time after
-// that start. An earlier incarnation is charged with the tokens that it opened
-// if its last heartbeat is from the same boot and at most kOpenAllDelay old,
-// because it cannot have spent more. Otherwise it is charged with all tokens
-// that it held.
-void CloseEarlierIncarnations(FleetAccount& account,
-                              const std::string& holder,
-                              const FleetHeartbeat& now);
-
 // Holders of earlier incarnations of `holder`'s host that the account lists or
-// that have rows in it.
+// that have rows in it. A host runs one process, so they have ended once
+// `holder` has started.
 std::vector<std::string> EarlierIncarnations(const FleetAccount& account,
                                              const std::string& holder);
 
-// Closes these earlier incarnations of a host as CloseEarlierIncarnations()
-// does. `now` is a time of the host's process after their end.
+// Removes the rows of `ended`, earlier incarnations of a host. `now` is a time
+// of the host's process after their end. One is charged with the tokens that it
+// opened if its last heartbeat is from the same boot and at most kOpenAllDelay
+// old, because it cannot have spent more. Otherwise it is charged with all
+// tokens that it held.
 void CloseEnded(FleetAccount& account,
                 const std::vector<std::string>& ended,
                 const FleetHeartbeat& now);
--- a/src/libs/config/config_snapshot.cc
+++ b/src/libs/config/config_snapshot.cc
@@ -29,14 +29,6 @@
   return IntField(fields, name).value_or(default_value);
 }
 
-double NumberOr(const json::object& fields,
-                std::string_view name,
-                double default_value) {
-  const json::value* value = fields.if_contains(name);
-  return value && value->is_number() ? value->to_number<double>()
-                                     : default_value;
-}
-
 std::string StringOrEmpty(const json::object& fields, std::string_view name) {
   return StringField(fields, name).value_or("");
 }
@@ -124,7 +116,7 @@
           IntOr(fields, "tokens_per_second", 50),
           IntOr(fields, "most_in_flight", 64),
           std::chrono::milliseconds(IntOr(fields, "cold_ms", 0)),
-          NumberOr(fields, "cold_requests_per_second", 0),
+          NumberField(fields, "cold_requests_per_second").value_or(0),
           IntOr(fields, "memory_tokens", 0)};
       return;
     case ConfigKind::kFailureDomain:
--- a/src/libs/gateway/store_news_exchange.cc
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -45,6 +45,11 @@
   return waiters_[static_cast<std::size_t>(topic)];
 }
 
+StoreNewsExchange::Clock::time_point& StoreNewsExchange::AnsweredAt(
+    StoreTopic topic) {
+  return answered_at_[static_cast<std::size_t>(topic)];
+}
+
 void StoreNewsExchange::SetTargetsHandler(TargetsHandler handler) {
   on_targets_ = std::move(handler);
 }
@@ -84,13 +89,10 @@
                                  std::uint64_t changes_from) {
   if (!readers_.is_sender())
     return;
-  const auto answered_at = [this](StoreTopic topic) {
-    return answered_at_[static_cast<std::size_t>(topic)];
-  };
-  Clock::time_point answered = std::min(answered_at(StoreTopic::kConfig),
-                                        answered_at(StoreTopic::kTargets));
+  Clock::time_point answered = std::min(AnsweredAt(StoreTopic::kConfig),
+                                        AnsweredAt(StoreTopic::kTargets));
   if (on_evacuations_)
-    answered = std::min(answered, answered_at(StoreTopic::kEvacuations));
+    answered = std::min(answered, AnsweredAt(StoreTopic::kEvacuations));
   StoreNews news = own_;
   news.host = host_;
   news.sent = boot_now_();
@@ -106,8 +108,7 @@
 
 void StoreNewsExchange::SendEvacuations(std::size_t count) {
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Clock::now() -
-      answered_at_[static_cast<std::size_t>(StoreTopic::kEvacuations)]);
+      Clock::now() - AnsweredAt(StoreTopic::kEvacuations));
   if (own_.evacuations == 0 || age >= kMaxNewsAge)
     return;
   StoreNews news;
@@ -139,7 +140,7 @@
 }
 
 void StoreNewsExchange::RecordAnswer(StoreTopic topic, std::uint64_t version) {
-  answered_at_[static_cast<std::size_t>(topic)] = Clock::now();
+  AnsweredAt(topic) = Clock::now();
   std::uint64_t& known =
       topic == StoreTopic::kConfig ? own_.config : own_.quarantine;
   if (version <= known)
@@ -150,8 +151,7 @@
 
 void StoreNewsExchange::RecordEvacuations(const std::set<std::string>& domains,
                                           std::uint64_t version) {
-  answered_at_[static_cast<std::size_t>(StoreTopic::kEvacuations)] =
-      Clock::now();
+  AnsweredAt(StoreTopic::kEvacuations) = Clock::now();
   const bool is_first = !std::exchange(evacuations_read_, true);
   const bool is_new = !std::equal(domains.begin(), domains.end(),
                                   own_.evacuated.begin(), own_.evacuated.end());
@@ -175,7 +175,7 @@
 
 void StoreNewsExchange::RecordTargets(const PlatformHosts& hosts,
                                       bool after_outage) {
-  answered_at_[static_cast<std::size_t>(StoreTopic::kTargets)] = Clock::now();
+  AnsweredAt(StoreTopic::kTargets) = Clock::now();
   own_.targets = hosts.version;
   if (after_outage)
     own_.outage = hosts.version;
--- a/src/libs/gateway/store_news_exchange.h
+++ b/src/libs/gateway/store_news_exchange.h
@@ -120,6 +120,8 @@
   // Shortest time between the starts of two watches.
   std::chrono::milliseconds WatchInterval(StoreTopic topic) const;
   Waiter& WaiterOf(StoreTopic topic);
+  // When the store last answered a read of `topic`.
+  Clock::time_point& AnsweredAt(StoreTopic topic);
 
   boost::asio::io_context& control_;
   GatewayPeers& peers_;
--- a/src/libs/node/shared_targets.h
+++ b/src/libs/node/shared_targets.h
@@ -38,12 +38,12 @@
       const std::set<std::string>& excluded,
       Reason* reason);
   // Begins an attempt of a request that has not run, at a target whose name is
-  // not in `excluded`. Waits until `deadline`, in fair
-  // order by team, while every target is full, or while the request's team
-  // already has its share in flight and the targets have reached their limits.
-  // If all targets have named rate limits, waits only behind as many requests
-  // as start within kMaxRateLimitQueue. Fails with kOverloaded or kNoTarget, or
-  // with kCallerGone as soon as `cancel`, which may be null, is cancelled.
+  // not in `excluded`. Waits until `deadline`, in fair order by team, while
+  // every target is full, or while the request's team already has its share in
+  // flight and the targets have reached their limits. If all targets have named
+  // rate limits or are cold, waits only behind as many requests as start within
+  // kMaxRateLimitQueue. Fails as TargetTable::BeginAttempt() does, or with
+  // kCallerGone as soon as `cancel`, which may be null, is cancelled.
   boost::asio::awaitable<std::optional<TargetChoice>> WaitForTarget(
       RoutingRequest request,
       std::chrono::steady_clock::time_point deadline,
--- a/src/libs/operations/daemon_verbs.h
+++ b/src/libs/operations/daemon_verbs.h
@@ -1,5 +1,4 @@
-// Verbs of winch that call daemons: dump, status, evacuations,
-// explain, drain.
+// Verbs of winch that call daemons: dump, status, evacuations, explain, drain.
 
 #ifndef SRC_LIBS_OPERATIONS_DAEMON_VERBS_H_
 #define SRC_LIBS_OPERATIONS_DAEMON_VERBS_H_
--- a/src/libs/routing/routing_constants.h
+++ b/src/libs/routing/routing_constants.h
@@ -43,9 +43,7 @@
 // leave memory idle.
 inline constexpr double kHeldOutputFraction = 0.5;
 // Half-life of the estimate of other hosts' tokens at a target. Without new
-// reports it falls in about the time in which such requests end. In
-// TargetMemory's play of six hosts, 2 s left 49 and 197 overflows at two rates,
-// 8 s with TargetMemory::CostFactor() 47 and 151; without memory 75 and 190.
+// reports it falls in about the time in which such requests end.
 inline constexpr std::chrono::milliseconds kMemoryReportHalfLife{8'000};
 // Largest fraction of a target's memory that its cost takes into account.
 inline constexpr double kMaxCostMemoryFraction = 0.95;
--- a/src/libs/routing/target_queue.cc
+++ b/src/libs/routing/target_queue.cc
@@ -33,6 +33,13 @@
   return lane;
 }
 
+// Whether a queued request can't be served although targets are listed. One
+// whose targets are all missing waits, because a list may be replaced at once.
+bool EndsWait(ResultCode code) {
+  return code == ResultCode::kDomainEvacuated ||
+         code == ResultCode::kNoAllowedTarget;
+}
+
 }  // namespace
 
 std::optional<TargetChoice> TargetQueue::BeginOrEnqueue(
@@ -65,17 +72,6 @@
   return std::nullopt;
 }
 
-namespace {
-
-// Whether a queued request can't be served although targets are listed. One
-// whose targets are all missing waits, because a list may be replaced at once.
-bool EndsWait(ResultCode code) {
-  return code == ResultCode::kDomainEvacuated ||
-         code == ResultCode::kNoAllowedTarget;
-}
-
-}  // namespace
-
 std::vector<DequeuedRequest> TargetQueue::DequeueReady(TimePoint now) {
   std::vector<DequeuedRequest> starts;
   for (auto& [service, queue] : queues_)
--- a/tests/budget/fleet_account_merge_test.cc
+++ b/tests/budget/fleet_account_merge_test.cc
@@ -42,7 +42,8 @@
 // The host restarted after the store came back, and found its old row there.
 TEST(FleetAccountMerge, AHolderClosedFromAnOldRowIsChargedItsLaterGrants) {
   remembered.budgets[kTeam].rows["a_1"] = {300, 20, 200};
-  CloseEarlierIncarnations(stored, "a_2", {"boot", BootTime(11), "", ""});
+  CloseEnded(stored, EarlierIncarnations(stored, "a_2"),
+             {"boot", BootTime(11), "", ""});
   LONGS_EQUAL(50, stored.budgets.at(kTeam).closed);
   const FleetAccount merged = MergeFleetAccounts(stored, remembered);
   CHECK(merged.budgets.at(kTeam).rows.empty());
--- a/tests/budget/fleet_account_test.cc
+++ b/tests/budget/fleet_account_test.cc
@@ -65,7 +65,8 @@
   };
   for (const Case& it : cases) {
     FleetAccount account = OneHolder();
-    CloseEarlierIncarnations(account, "host_b", {it.boot_id, it.seen});
+    CloseEnded(account, EarlierIncarnations(account, "host_b"),
+               {it.boot_id, it.seen});
     LONGS_EQUAL(it.charged, account.budgets.at("team").closed);
     CHECK(account.budgets.at("team").rows.empty());
     CHECK(account.heartbeats.empty());
@@ -74,9 +75,11 @@
 
 TEST(FleetAccount, ClosingKeepsRowsOfOtherHosts) {
   FleetAccount account = OneHolder();
-  CloseEarlierIncarnations(account, "host_2_b", {"boot", kHeartbeatTime});
+  CloseEnded(account, EarlierIncarnations(account, "host_2_b"),
+             {"boot", kHeartbeatTime});
   LONGS_EQUAL(1, account.budgets.at("team").rows.size());
-  CloseEarlierIncarnations(account, "host_a", {"boot", kHeartbeatTime});
+  CloseEnded(account, EarlierIncarnations(account, "host_a"),
+             {"boot", kHeartbeatTime});
   LONGS_EQUAL(1, account.budgets.at("team").rows.size());
 }
 
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -196,7 +196,8 @@
   FleetAccount account = holder.known_account();
   holder.LoadAccount(account, BootTime(1'500));
   CHECK(!holder.is_closed());
-  CloseEarlierIncarnations(account, "host_b", {"boot", BootTime(2'000)});
+  CloseEnded(account, EarlierIncarnations(account, "host_b"),
+             {"boot", BootTime(2'000)});
   holder.LoadAccount(account, BootTime(2'000));
   CHECK(holder.is_closed());
 }
