Share the targets and the gateway of the adapter's tests

RawTarget and EarlyAnswerTarget accepted connections with the same code, now in ConnectionTarget; the calls with regions had a copy of GatewayCallFixture.

--- a/tests/adapter/early_answer_target.h
+++ b/tests/adapter/early_answer_target.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <utility>
 
+#include "connection_target.h"
+
 namespace turmericwinch {
 
 // How the target ends the connection after its bytes. kReset discards what is
@@ -20,40 +22,21 @@
 // Waits for the first byte of a request, sends `bytes` without reading the
 // request, and ends the connection. Its receive buffer is small, so that a long
 // upload does not fit into the socket buffers.
-class EarlyAnswerTarget {
+class EarlyAnswerTarget : public ConnectionTarget {
  public:
   EarlyAnswerTarget(boost::asio::io_context& context,
                     std::string bytes,
                     EarlyEnd end)
-      : bytes_(std::make_shared<const std::string>(std::move(bytes))),
-        end_(end),
-        acceptor_(context) {
-    constexpr int kReceiveBufferBytes = 4096;
-    acceptor_.open(boost::asio::ip::tcp::v4());
-    acceptor_.set_option(
-        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
-    acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
-    acceptor_.listen();
-    Accept();
-  }
-
-  boost::asio::ip::tcp::endpoint endpoint() const {
-    return acceptor_.local_endpoint();
-  }
+      : ConnectionTarget(
+            context,
+            [bytes = std::make_shared<const std::string>(std::move(bytes)),
+             end](Socket socket) {
+              return Serve(std::move(socket), bytes, end);
+            },
+            kReceiveBufferBytes) {}
 
  private:
-  using Socket = boost::asio::ip::tcp::socket;
-
-  void Accept() {
-    acceptor_.async_accept([this](boost::system::error_code ec, Socket socket) {
-      if (ec)
-        return;
-      boost::asio::co_spawn(acceptor_.get_executor(),
-                            Serve(std::move(socket), bytes_, end_),
-                            boost::asio::detached);
-      Accept();
-    });
-  }
+  static constexpr int kReceiveBufferBytes = 4096;
 
   static boost::asio::awaitable<void>
   Serve(Socket socket, std::shared_ptr<const std::string> bytes, EarlyEnd end) {
@@ -68,10 +51,6 @@
       socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
     socket.close(ec);
   }
-
-  std::shared_ptr<const std::string> bytes_;
-  EarlyEnd end_;
-  boost::asio::ip::tcp::acceptor acceptor_;
 };
 
 }  // namespace turmericwinch
--- a/tests/adapter/gateway_call_fixture.h
+++ b/tests/adapter/gateway_call_fixture.h
@@ -43,7 +43,10 @@
 }
 
 struct GatewayCallFixture : Utest {
-  GatewayContext context{GatewayCallSettings(), MakeEdgeDialect()};
+  explicit GatewayCallFixture(GatewaySettings settings = GatewayCallSettings())
+      : context(std::move(settings), MakeEdgeDialect()) {}
+
+  GatewayContext context;
   std::vector<TargetBehavior> script;
   ScriptedTarget one{context.traffic, script};
   ScriptedTarget two{context.traffic, script};
--- a/tests/adapter/gateway_call_regions_test.cc
+++ b/tests/adapter/gateway_call_regions_test.cc
@@ -16,26 +16,15 @@
   return settings;
 }
 
+struct RegionsFixture : GatewayCallFixture {
+  RegionsFixture() : GatewayCallFixture(RegionSettings()) {}
+};
+
 }  // namespace
 
-// Target `one` is in "b", `two` in "c".
-TEST_GROUP(GatewayCallRegions) {
-  GatewayContext context{RegionSettings(), MakeEdgeDialect()};
-  std::vector<TargetBehavior> script;
-  ScriptedTarget one{context.traffic, script};
-  ScriptedTarget two{context.traffic, script};
+// Target `one` is in "b", `two` and `three` in "c".
+TEST_GROUP_BASE(GatewayCallRegions, RegionsFixture) {
   ScriptedTarget three{context.traffic, script};
-  HttpServer gateway{
-      {&context.traffic},
-      {kHttpMostBodyBytes, 16},
-      [this](const HttpRequest& request, HttpExchange& exchange) {
-        return RunGatewayCall(context, request, exchange);
-      }};
-  boost::asio::ip::tcp::endpoint address =
-      *gateway.Listen({boost::asio::ip::make_address("127.0.0.1"), 0}, nullptr);
-  HttpClient caller{context.traffic};
-  HttpFailure failure;
-  int incarnation = 0;
 
   // Puts a configuration in force whose routes and team have these regions, as
   // JSON arrays, and lists restarted targets in the domains.
@@ -62,7 +51,7 @@
     for (ScriptedTarget* it : {&one, &two, &three}) {
       list.targets.push_back({"i-" + std::to_string(n), domains[n],
                               ToText(it->endpoint),
-                              std::to_string(++incarnation), "app", false});
+                              std::to_string(++incarnation_), "app", false});
       ++n;
       it->requests.clear();
     }
@@ -70,21 +59,6 @@
     context.config.Set(
         std::make_shared<const GatewayConfig>(std::move(*config)));
   }
-  std::optional<HttpResponse> Call(const std::string& path) {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = path;
-    request.body = "question";
-    request.headers.Add("Host", "h");
-    request.headers.Add("Turmericwinch-Attempt-Id", "id1");
-    request.headers.Add("Authorization", "Token key");
-    return RunCoroutine(context.traffic, caller.Call(address, request,
-                                                     HttpTimeouts(), &failure));
-  }
-  int StatusOf(const std::string& path) {
-    const auto response = Call(path);
-    return response ? response->status : 0;
-  }
 };
 
 TEST(GatewayCallRegions, AttemptsAndRetriesStayInside) {
@@ -126,7 +100,7 @@
 TEST(GatewayCallRegions, AStreamIsResumedInside) {
   Start(R"(["west"])", "[]");
   script = {TargetBehavior::kCutStream, TargetBehavior::kStream};
-  const auto response = Call("/stream/1");
+  const auto response = Call(Request("/stream/1"));
   std::string expected;
   for (int n = 1; n <= 5; ++n)
     expected += EventText(n);
@@ -141,7 +115,7 @@
 TEST(GatewayCallRegions, AStreamIsNotResumedOutside) {
   Start("[]", R"(["east"])");
   script = {TargetBehavior::kCutStream, TargetBehavior::kStream};
-  CHECK(!Call("/stream/1").has_value());
+  CHECK(!Call(Request("/stream/1")).has_value());
   UNSIGNED_LONGS_EQUAL(1, one.requests.size());
   UNSIGNED_LONGS_EQUAL(0, two.requests.size() + three.requests.size());
 }
@@ -157,7 +131,7 @@
 // Another host would reject it as well. Status 503 says that it was not run.
 TEST(GatewayCallRegions, TheRejectionNamesNoRetryTime) {
   Start(R"(["east"])", R"(["west"])");
-  const auto response = Call("/again/1");
+  const auto response = Call(Request("/again/1"));
   CHECK(response.has_value());
   LONGS_EQUAL(503, response->status);
   STRCMP_CONTAINS("310", response->body.c_str());
--- a/tests/adapter/raw_target.h
+++ b/tests/adapter/raw_target.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <utility>
 
+#include "connection_target.h"
+
 namespace turmericwinch {
 
 // What the target does with a connection after its bytes. With kStall it keeps
@@ -20,38 +22,19 @@
 
 // Reads one request from each connection, sends `bytes` and ends the
 // connection.
-class RawTarget {
+class RawTarget : public ConnectionTarget {
  public:
   RawTarget(boost::asio::io_context& context,
             std::string bytes,
             ConnectionEnd end)
-      : bytes_(std::make_shared<const std::string>(std::move(bytes))),
-        end_(end),
-        acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    Accept();
-  }
-
-  boost::asio::ip::tcp::endpoint endpoint() const {
-    return acceptor_.local_endpoint();
-  }
-  // Number of connections that the target has accepted.
-  int requests() const { return requests_; }
+      : ConnectionTarget(
+            context,
+            [bytes = std::make_shared<const std::string>(std::move(bytes)),
+             end](Socket socket) {
+              return Serve(std::move(socket), bytes, end);
+            }) {}
 
  private:
-  using Socket = boost::asio::ip::tcp::socket;
-
-  void Accept() {
-    acceptor_.async_accept([this](boost::system::error_code ec, Socket socket) {
-      if (ec)
-        return;
-      ++requests_;
-      boost::asio::co_spawn(acceptor_.get_executor(),
-                            Serve(std::move(socket), bytes_, end_),
-                            boost::asio::detached);
-      Accept();
-    });
-  }
-
   // Outlives the target if the peer does not close the connection.
   static boost::asio::awaitable<void> Serve(
       Socket socket,
@@ -83,11 +66,6 @@
       socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
     socket.close(ec);
   }
-
-  std::shared_ptr<const std::string> bytes_;
-  ConnectionEnd end_;
-  int requests_ = 0;
-  boost::asio::ip::tcp::acceptor acceptor_;
 };
 
 }  // namespace turmericwinch
