Wait for the earlier bills in the system test before reading what is spent

Reproduced: ten runs at a time, 3 of the first 10 failed, one printed before=20 now=39, that is 14 tokens of the stream and 5 of an earlier call whose bill was stored after the spent tokens had been read. The suspicion is thereby shown. Ruled out: a wrong bill of the stream; at rest 25 tokens were spent in 8 of 8 runs.

The step now waits for the 25 tokens first, one more check; the bill of 14 is checked as before.

--- a/scripts/system_test.sh
+++ b/scripts/system_test.sh
@@ -106,6 +106,8 @@
 [ "$(executions doubt)" = 1 ] || fail "doubt ran $(executions doubt) times"
 
 echo "- a broken stream goes on after its last token, on another target"
+# Five calls of 5 tokens were billed; a bill may be stored after its answer.
+wait_for "five bills of 5 tokens" spent_is 25
 before=$(spent)
 fault "${engines[0]}" '{"break_after":3}'
 fault "${engines[1]}" '{"break_after":3}'
