--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,5 +1,5 @@
-// Clients send large bodies of legal size and stop just short of their end.
-// Does the process stay within the memory of its machine?
+// A worker numbers the events of its streams from 0, and crashes after the
+// first event of some. Does the client get each event once?
 
 #include "../stand-ins-2/stand_ins.h"
 
@@ -7,131 +7,132 @@
 
 namespace {
 
-constexpr std::size_t kBodyBytes = 4'194'304;
-constexpr std::size_t kSmallBodyBytes = 1'000;
-constexpr int kClients = 64;
-constexpr int kRounds = 3;
-// Time for which the clients stay connected.
-constexpr int kStayMs = 4'000;
+constexpr int kEvents = 12;
+constexpr int kStreams = 60;
+// The worker crashes this often: a share of 0.17 of the workers, each for some
+// seconds.
+constexpr int kCrashes = 3;
+constexpr int kFirstCrash = 10;
+constexpr int kStreamsBetweenCrashes = 15;
 
-void ServeSales(int fd) {
-  Reader reader(fd);
-  Message request;
-  while (reader.Read(&request, false, 60'000)) {
-    Log("worker: runs %s", request.Get("Turmericwinch-Attempt-Id").c_str());
-    WriteAll(fd, Response(200, AnswerHeaders(request), "sold"));
-    request = Message();
+// A worker of the model service. It honours Last-Event-Id.
+class Worker {
+ public:
+  explicit Worker(std::string id) : id_(std::move(id)), server_([this](int fd) {
+    Serve(fd);
+  }) {}
+
+  std::string address() const { return server_.address(); }
+  // The next stream that the worker begins ends after its first event, as the
+  // worker crashes.
+  static std::atomic<bool> crashes_next;
+  static std::atomic<int> crashes;
+
+ private:
+  static std::string Chunk(int n) {
+    const std::string event = "id: " + std::to_string(n) + "\ndata: piece " +
+                              std::to_string(n) + "\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+    return size + event + "\r\n";
   }
-}
 
-// Sends all but the last byte of a body to each gateway port from kClients
-// connections, and keeps them open.
-class Crowd {
- public:
-  Crowd(int port, std::size_t body_bytes) {
-    const std::string body(body_bytes - 1, 'x');
-    for (int n = 0; n < kClients; ++n) {
-      const int fd = Connect(port);
-      if (fd < 0)
-        continue;
-      // A gateway that does not read must not stop the client.
-      const timeval timeout{2, 0};
-      ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
-      fds_.push_back(fd);
-      threads_.emplace_back([fd, body, body_bytes, n] {
-        WriteAll(fd, "POST /sale/1 HTTP/1.1\r\nHost: h.example\r\n"
-                     "Turmericwinch-Attempt-Id: large-" +
-                         std::to_string(n) +
-                         "\r\nTurmericwinch-Deadline-Ms: 9000\r\n"
-                         "Authorization: Token key\r\nContent-Length: " +
-                         std::to_string(body_bytes) + "\r\n\r\n");
-        WriteAll(fd, body);
-      });
+  void Serve(int fd) {
+    Reader reader(fd);
+    Message request;
+    while (reader.Read(&request, false, 60'000)) {
+      const std::string id = request.Get("Turmericwinch-Attempt-Id");
+      const std::string last = request.Get("Last-Event-Id");
+      const int first = last.empty() ? 0 : std::stoi(last) + 1;
+      Log("%s: runs %s from piece %d", id_.c_str(), id.c_str(), first);
+      std::string head =
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n";
+      for (const auto& [name, value] : AnswerHeaders(request))
+        head += name + ": " + value + "\r\n";
+      WriteAll(fd, head + "\r\n");
+      for (int n = first; n < kEvents; ++n) {
+        if (!WriteAll(fd, Chunk(n)))
+          return;
+        Sleep(10);
+        if (n == 0 && crashes_next.exchange(false)) {
+          Log("%s: crashes", id_.c_str());
+          ++crashes;
+          const linger reset{1, 0};
+          ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+          return;
+        }
+      }
+      WriteAll(fd, "0\r\n\r\n");
+      request = Message();
     }
   }
-  ~Crowd() {
-    for (int fd : fds_)
-      ::shutdown(fd, SHUT_RDWR);
-    for (std::thread& it : threads_)
-      it.join();
-    for (int fd : fds_)
-      ::close(fd);
-  }
 
- private:
-  std::vector<int> fds_;
-  std::vector<std::thread> threads_;
+  std::string id_;
+  Server server_;
 };
 
-int Sell(const Gateway& gateway, const std::string& id) {
-  const Message answer = Ask(gateway.port(), "POST", "/sale/1",
-                             {{"Turmericwinch-Attempt-Id", id},
-                              {"Turmericwinch-Deadline-Ms", "1500"},
-                              {"Authorization", "Token key"}},
-                             "a rack", 2'000);
-  Log("client: %s at %s answered with %d", id.c_str(), gateway.name().c_str(),
-      answer.status);
-  return answer.status;
-}
+std::atomic<bool> Worker::crashes_next{false};
+std::atomic<int> Worker::crashes{0};
 
 int Run(bool trouble, const std::string& logs) {
   Store store;
-  Server worker(ServeSales);
-  store.Put("servers", "i-1", WorkerEntry("app", "zone-a", worker.address()));
-  store.Put("config", "main",
-            Config({Route("/sale/", "non_idempotent", "app", 1, 9'000)},
-                   {PlainService("app")}, 1'000'000));
-  std::vector<std::unique_ptr<Gateway>> gateways;
-  std::vector<int> ends(2);
-  for (const char* zone : {"zone-a", "zone-b"}) {
-    gateways.push_back(std::make_unique<Gateway>(std::string("edge-") + zone,
-                                                 zone, store.address()));
+  std::vector<std::unique_ptr<Worker>> workers;
+  for (int n = 0; n < 6; ++n) {
+    const std::string id = "i-" + std::to_string(n);
+    workers.push_back(std::make_unique<Worker>(id));
+    store.Put("servers", id,
+              WorkerEntry("llm", "zone-a", workers.back()->address()));
   }
-  int ordinary_served = 0;
-  for (int round = 0; round < kRounds; ++round) {
-    std::vector<std::unique_ptr<Crowd>> crowds;
-    for (auto& it : gateways) {
-      if (it->HasEnded() && !it->Start(logs + "/" + it->name() + ".log"))
-        return kNotRun;
-    }
-    for (std::size_t n = 0; n < gateways.size(); ++n) {
-      if (!gateways[n]->WaitUntilReady(10'000))
-        return kNotRun;
-      ordinary_served +=
-          Sell(*gateways[n], "sale-" + std::to_string(round) + "-" +
-                                 std::to_string(n)) == 200;
+  store.Put("config", "main",
+            Config({Route("/chat/", "streaming", "llm", 2, 12'000, true)},
+                   {EngineService("llm")}, 10'000'000));
+  Gateway gateway("edge-1", "zone-a", store.address());
+  if (!gateway.Start(logs + "/edge-1.log") || !gateway.WaitUntilReady(10'000))
+    return kNotRun;
+  std::string expected;
+  for (int n = 0; n < kEvents; ++n)
+    expected += "piece " + std::to_string(n) + ";";
+  int whole = 0;
+  int out_of_order = 0;
+  for (int n = 0; n < kStreams; ++n) {
+    if (trouble && n >= kFirstCrash &&
+        (n - kFirstCrash) % kStreamsBetweenCrashes == 0 &&
+        Worker::crashes < kCrashes)
+      Worker::crashes_next = true;
+    const std::string id = "chat-" + std::to_string(n);
+    const Message answer =
+        Ask(gateway.port(), "POST", "/chat/1",
+            {{"Turmericwinch-Attempt-Id", id},
+             {"Turmericwinch-Model", "m"},
+             {"Turmericwinch-Token-Count", "500,100"},
+             {"Turmericwinch-Prefix-Hash", "5c1e07a2:400,e4402b7d:100"},
+             {"Turmericwinch-Deadline-Ms", "12000"},
+             {"Authorization", "Token key"}},
+            "a question", 13'000);
+    std::string pieces;
+    std::istringstream lines(answer.body);
+    for (std::string line; std::getline(lines, line);) {
+      if (line.rfind("data: ", 0) == 0)
+        pieces += line.substr(6) + ";";
     }
-    const std::size_t bytes = trouble ? kBodyBytes : kSmallBodyBytes;
-    Log("%d clients at each machine send %zu of %zu bytes and stay", kClients,
-        bytes - 1, bytes);
-    for (auto& it : gateways)
-      crowds.push_back(std::make_unique<Crowd>(it->port(), bytes));
-    std::vector<long> peak_kb(gateways.size());
-    for (const int end = NowMs() + kStayMs; NowMs() < end; Sleep(20)) {
-      for (std::size_t n = 0; n < gateways.size(); ++n) {
-        Gateway& it = *gateways[n];
-        if (it.HasEnded())
-          continue;
-        const long kb = it.StatusKb("VmRSS");
-        peak_kb[n] = std::max(peak_kb[n], kb);
-        if (kb <= kMachineMemoryMb * 1024L)
-          continue;
-        Log("platform: %s holds %ld kB, more than the %d MB of its machine, "
-            "and is killed",
-            it.name().c_str(), kb, kMachineMemoryMb);
-        it.Kill();
-        ++ends[n];
-      }
+    Log("client: %s answered with %d, %s: %s", id.c_str(), answer.status,
+        answer.whole ? "whole" : "cut", pieces.c_str());
+    whole += answer.status == 200 && answer.whole;
+    // A stream that was cut must be a beginning of the right one.
+    const bool in_order = answer.whole ? pieces == expected
+                                       : expected.rfind(pieces, 0) == 0;
+    if (answer.status == 200 && !in_order) {
+      Log("ORDER: the pieces of %s are missing, doubled or joined", id.c_str());
+      ++out_of_order;
     }
-    for (std::size_t n = 0; n < gateways.size(); ++n)
-      Log("%s: %ld kB at most", gateways[n]->name().c_str(), peak_kb[n]);
+    Sleep(100);
   }
-  Log("processes ended by themselves: %d and %d times; %d ordinary requests "
-      "served before the crowds",
-      ends[0], ends[1], ordinary_served);
-  if (ordinary_served == 0)
+  Log("%d streams, %d whole, %d crashes, %d out of order", kStreams, whole,
+      Worker::crashes.load(), out_of_order);
+  if (whole < kStreams / 2 || (trouble && Worker::crashes == 0))
     return kNotRun;
-  return ends[0] >= kRounds && ends[1] >= kRounds ? kBroken : kHeld;
+  return out_of_order > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -119,16 +119,21 @@
   return fd;
 }
 
-// Ports that were free a moment ago.
+// Ports that were free a moment ago, below those that the system gives to
+// clients.
 inline std::vector<int> FreePorts(int count) {
-  std::vector<int> fds;
+  constexpr int kFirst = 12'000;
+  constexpr int kPorts = 18'000;
+  static std::atomic<int> next{static_cast<int>(::getpid()) * 61 % kPorts};
   std::vector<int> ports;
-  for (int n = 0; n < count; ++n) {
-    fds.push_back(Listen());
-    ports.push_back(PortOf(fds.back()));
-  }
-  for (int fd : fds)
+  while (static_cast<int>(ports.size()) < count) {
+    const int port = kFirst + next++ % kPorts;
+    const int fd = Listen(port);
+    if (fd < 0)
+      continue;
     ::close(fd);
+    ports.push_back(port);
+  }
   return ports;
 }
 
