Review: run.sh of cases 6 to 9 reads TROUBLE

Cause: the scripts did not name the setting; only the programs read it, from the environment. Change: run.sh reads TROUBLE and passes on or off to the program as an argument.

--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -853,13 +853,13 @@
     char** argv,
     const std::function<int(bool trouble, const std::string& logs)>& run) {
   ::signal(SIGPIPE, SIG_IGN);
-  if (argc != 2) {
-    std::cerr << "usage: case FOLDER\n";
+  const std::string setting = argc == 3 ? argv[2] : "";
+  if (setting != "on" && setting != "off") {
+    std::cerr << "usage: case FOLDER on|off\n";
     return kNotRun;
   }
   Record::Get().Open(std::string(argv[1]) + "/record.txt");
-  const char* setting = std::getenv("TROUBLE");
-  const bool trouble = !setting || std::string(setting) != "0";
+  const bool trouble = setting == "on";
   const char* temporary = std::getenv("TMPDIR");
   std::string logs = std::string(temporary ? temporary : "/tmp") + "/caseXXXXXX";
   if (!::mkdtemp(logs.data()))
