--- a/scripts/logs_check.sh
+++ b/scripts/logs_check.sh
@@ -11,7 +11,7 @@
 }
 # One line for each call of LogEvent: the quoted words, the event's name among
 # the first two.
-calls=$(cat src/libs/gateway/*.cc src/libs/node/attempt_meter.cc platform/*.cc | tr '\n' ' ' |
+calls=$(cat src/libs/gateway/*.cc src/libs/node/attempt_meter.cc src/libs/platform/platform_response.cc platform/*.cc | tr '\n' ' ' |
   grep -oE 'LogEvent\( *kLog[^;]*;')
 logged=()
 while read -r call; do
--- a/src/libs/http/http_message.cc
+++ b/src/libs/http/http_message.cc
@@ -1,7 +1,10 @@
 #include "libs/http/http_message.h"
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/url/encode.hpp>
 #include <boost/url/parse.hpp>
+#include <boost/url/pct_string_view.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 #include <boost/url/url_view.hpp>
 
 namespace turmericwinch {
@@ -41,6 +44,15 @@
   return target.substr(0, target.find('?'));
 }
 
+std::string PercentEncode(std::string_view text) {
+  return boost::urls::encode(text, boost::urls::unreserved_chars);
+}
+
+std::string PercentDecode(std::string_view text) {
+  const auto encoded = boost::urls::make_pct_string_view(text);
+  return encoded ? encoded->decode() : std::string(text);
+}
+
 std::string QueryParameter(std::string_view target, std::string_view name) {
   auto url = boost::urls::parse_origin_form(target);
   if (!url)
--- a/src/libs/http/http_message.h
+++ b/src/libs/http/http_message.h
@@ -46,6 +46,14 @@
 // The path of `target` without its query.
 std::string_view PathOf(std::string_view target);
 
+// Percent-encodes all bytes but letters, digits and "-._~", so that `text` can
+// stand in a path segment or in the value of a query parameter.
+std::string PercentEncode(std::string_view text);
+
+// Decodes percent-encoded bytes; returns `text` itself if it is not encoded
+// correctly.
+std::string PercentDecode(std::string_view text);
+
 // Decoded value of the query parameter `name` of `target`; empty if absent.
 std::string QueryParameter(std::string_view target, std::string_view name);
 
