Encode names in the project's own object API, and list past odd objects

Failed before: PlatformContract.ANameMayHoldAnyCharacter (at "x+y"), HostListChange.AnUnreadableRowHidesNoOtherRow. The stand-in decodes names now.

--- a/src/libs/platform/http_platform_client.cc
+++ b/src/libs/platform/http_platform_client.cc
@@ -4,6 +4,8 @@
 #include <boost/json.hpp>
 
 #include "libs/base/json_fields.h"
+#include "libs/base/log.h"
+#include "libs/platform/platform_response.h"
 #include "libs/platform/platform_transport.h"
 
 namespace turmericwinch {
@@ -13,10 +15,19 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
+constexpr LogCategory kLog{"store"};
 constexpr std::chrono::milliseconds kCallTimeout{2000};
 constexpr std::chrono::milliseconds kWatchTimeoutMargin{2000};
 constexpr int kStatusNoContent = 204;
 
+std::string PathOfObject(const std::string& name) {
+  return "/objects/" + PercentEncode(name);
+}
+
+json::value ParseResponse(const HttpResponse& response) {
+  return ParsePlatformResponse(response.body, {"value"});
+}
+
 HttpRequest MakeRequest(std::string method, std::string target) {
   HttpRequest request;
   request.method = std::move(method);
@@ -47,9 +58,8 @@
 
 std::optional<std::uint64_t> ParseVersion(const HttpResponse& response,
                                           Reason* reason) {
-  std::optional<json::value> value = ParseJson(response.body);
-  std::optional<PlatformObject> object;
-  const json::object* top = value ? value->if_object() : nullptr;
+  const json::value value = ParseResponse(response);
+  const json::object* top = value.if_object();
   const json::object* metadata = top ? ObjectField(*top, "metadata") : nullptr;
   std::optional<std::int64_t> version;
   if (metadata)
@@ -106,12 +116,11 @@
 PlatformClient::Answer<PlatformObject>
 HttpPlatformClient::Get(PlatformDuty duty, std::string name, Reason* reason) {
   std::optional<HttpResponse> response = co_await d_->transport.Send(
-      duty, PlatformCallKind::kRead, MakeRequest("GET", "/objects/" + name),
+      duty, PlatformCallKind::kRead, MakeRequest("GET", PathOfObject(name)),
       kCallTimeout, reason);
   if (!response)
     co_return std::nullopt;
-  std::optional<json::value> value = ParseJson(response->body);
-  co_return ParseObject(value.value_or(nullptr), reason);
+  co_return ParseObject(ParseResponse(*response), reason);
 }
 
 PlatformClient::Answer<std::uint64_t> HttpPlatformClient::Create(
@@ -132,7 +141,7 @@
     PlatformDuty duty,
     PlatformObject object,
     Reason* reason) {
-  HttpRequest request = MakeRequest("PUT", "/objects/" + object.name);
+  HttpRequest request = MakeRequest("PUT", PathOfObject(object.name));
   request.body = SerializeObject(object.name, object.version, object.value);
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
@@ -147,7 +156,7 @@
     std::uint64_t version,
     Reason* reason) {
   HttpRequest request =
-      MakeRequest("DELETE", "/objects/" + name +
+      MakeRequest("DELETE", PathOfObject(name) +
                                 "?resourceVersion=" + std::to_string(version));
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
@@ -162,11 +171,12 @@
     Reason* reason) {
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kRead,
-      MakeRequest("GET", "/objects?prefix=" + prefix), kCallTimeout, reason);
+      MakeRequest("GET", "/objects?prefix=" + PercentEncode(prefix)),
+      kCallTimeout, reason);
   if (!response)
     co_return std::nullopt;
-  std::optional<json::value> value = ParseJson(response->body);
-  const json::object* top = value ? value->if_object() : nullptr;
+  const json::value value = ParseResponse(*response);
+  const json::object* top = value.if_object();
   const json::array* items = top ? ArrayField(*top, "items") : nullptr;
   if (!items) {
     co_return Fail(reason, ResultCode::kPlatformRejected,
@@ -174,10 +184,13 @@
   }
   std::vector<PlatformObject> objects;
   for (const json::value& it : *items) {
-    std::optional<PlatformObject> object = ParseObject(it, reason);
-    if (!object)
-      co_return std::nullopt;
-    objects.push_back(std::move(*object));
+    Reason why;
+    std::optional<PlatformObject> object = ParseObject(it, &why);
+    if (object)
+      objects.push_back(std::move(*object));
+    else
+      LogEvent(kLog, Severity::kWarning, "object_ignored",
+               {{"prefix", prefix}, {"reason", why.text}});
   }
   co_return objects;
 }
@@ -189,7 +202,7 @@
     std::chrono::milliseconds wait,
     Reason* reason) {
   HttpRequest request = MakeRequest(
-      "GET", "/objects/" + name + "?watch=1&after=" + std::to_string(after) +
+      "GET", PathOfObject(name) + "?watch=1&after=" + std::to_string(after) +
                  "&wait_ms=" + std::to_string(wait.count()));
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWatch, std::move(request),
@@ -201,8 +214,7 @@
         reason, ResultCode::kPlatformNotFound,
         "object " + name + " has no version after " + std::to_string(after));
   }
-  std::optional<json::value> value = ParseJson(response->body);
-  co_return ParseObject(value.value_or(nullptr), reason);
+  co_return ParseObject(ParseResponse(*response), reason);
 }
 
 PlatformClient::Answer<std::string> HttpPlatformClient::Hosts(Reason* reason) {
@@ -235,8 +247,8 @@
   if (response->status == kStatusNoContent)
     co_return PlatformHosts{after, false, ""};
   PlatformHosts hosts;
-  std::optional<json::value> value = ParseJson(response->body);
-  const json::object* top = value ? value->if_object() : nullptr;
+  const json::value value = ParseResponse(*response);
+  const json::object* top = value.if_object();
   const json::object* metadata = top ? ObjectField(*top, "metadata") : nullptr;
   if (metadata) {
     hosts.version = static_cast<std::uint64_t>(
--- a/src/libs/routing/host_list.cc
+++ b/src/libs/routing/host_list.cc
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "libs/base/json_fields.h"
+#include "libs/base/lenient_json.h"
 
 namespace turmericwinch {
 
@@ -45,7 +46,9 @@
 
 std::optional<HostList> ParseHostList(std::string_view text, Reason* reason) {
   std::optional<json::value> value = ParseJson(text);
-  const json::object* top = value ? value->if_object() : nullptr;
+  if (!value)
+    value = ParseJsonLeniently(text, {});
+  const json::object* top = value->if_object();
   if (!top) {
     return Fail(reason, ResultCode::kPlatformRejected,
                 "the host list is not a JSON object");
--- a/src/libs/standin/platform_stand_in.cc
+++ b/src/libs/standin/platform_stand_in.cc
@@ -175,7 +175,7 @@
     co_return Create(request);
   if (!path.starts_with(kObjectPrefix))
     co_return ErrorResponse(404, "no such path");
-  std::string name(path.substr(kObjectPrefix.size()));
+  std::string name = PercentDecode(path.substr(kObjectPrefix.size()));
   if (request.method == "PUT")
     co_return Update(request, name);
   if (request.method == "DELETE")
--- a/tests/routing/host_list_change_test.cc
+++ b/tests/routing/host_list_change_test.cc
@@ -66,6 +66,20 @@
   STRCMP_EQUAL("7", list.hosts[1].incarnation.c_str());
 }
 
+// Guards against one unreadable row that hides all others.
+TEST(HostListChange, AnUnreadableRowHidesNoOtherRow) {
+  const std::string deep = std::string(100, '[') + std::string(100, ']');
+  const std::string good = R"({"name":"t-1","address":"10.0.0.1:1"})";
+  for (const std::string& row :
+       {deep, std::string("\"\xff\""), std::string("{\"x\":1e99999999999}"),
+        std::string("7")}) {
+    const auto list =
+        ParseHostList(R"({"targets":[)" + row + "," + good + "]}", &reason);
+    CHECK_TEXT(list.has_value(), row.c_str());
+    STRCMP_EQUAL("t-1", list->targets.back().name.c_str());
+  }
+}
+
 TEST(HostListChange, MalformedChangesAreRejected) {
   for (const char* it :
        {"", "{}", "{\"changes\":1}", "[1]", "[{\"name\":\"a\"}]",
--- a/tests/standin/platform_contract_test.cc
+++ b/tests/standin/platform_contract_test.cc
@@ -171,6 +171,30 @@
   STRCMP_EQUAL("b-2", (*objects)[1].name.c_str());
 }
 
+// Guards against a name that ends the path or the query of a call.
+TEST(PlatformContract, ANameMayHoldAnyCharacter) {
+  for (const char* name : {"x&y", "x+y", "x#y", "x%y", "x%20y", "x y", "x?y",
+                           "x/y", "x=y;", "x\"y\\", "x\r\ny", "x\xc3\xa9"}) {
+    const std::uint64_t version = Create(name, "1");
+    STRCMP_EQUAL(name, Get(name).name.c_str());
+    const auto objects = RunCoroutine(
+        platform.context, platform.client.List(kDuty, name, &reason));
+    CHECK_TEXT(objects && objects->size() == 1, name);
+    PlatformObject object{name, version, "2"};
+    const auto updated = RunCoroutine(
+        platform.context, platform.client.Update(kDuty, object, &reason));
+    CHECK_TEXT(updated.has_value(), name);
+    const auto watched = RunCoroutine(
+        platform.context,
+        platform.client.Watch(kDuty, name, version, milliseconds(20), &reason));
+    CHECK_TEXT(watched && watched->value == "2", name);
+    const auto deleted =
+        RunCoroutine(platform.context,
+                     platform.client.Delete(kDuty, name, *updated, &reason));
+    CHECK_TEXT(deleted.has_value(), name);
+  }
+}
+
 TEST(PlatformContract, WatchWakesOnAWrite) {
   const std::uint64_t version = Create("object", "1");
   auto change = [&]() -> asio::awaitable<void> {
