Neither use nor delete objects of other writers among shards and verdicts

Found while looking for the cause of RECOVER on related paths. An object whose name begins like those of the shards made `winch release` and the closing of holders fail; names without a bucket's number are passed over now. An object of another writer among the stored verdicts was deleted as if it had expired; now only what is a verdict is.

Failed before: BudgetVerbs.ReleaseIgnoresObjectsThatAreNoShards.

--- a/src/libs/budget/budget_account.cc
+++ b/src/libs/budget/budget_account.cc
@@ -7,6 +7,7 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/json_fields.h"
+#include "libs/base/parse_number.h"
 #include "libs/budget/budget_constants.h"
 
 namespace turmericwinch {
@@ -163,6 +164,12 @@
   return Hash64(budget) % kBudgetBucketCount;
 }
 
+bool IsBucketNumber(std::string_view text) {
+  const auto bucket = ParseNumber<std::uint64_t>(text);
+  return bucket && *bucket < kBudgetBucketCount &&
+         std::to_string(*bucket) == text;
+}
+
 std::string AccountObjectName(std::uint64_t bucket) {
   return kAccountPrefix + std::to_string(bucket);
 }
--- a/src/libs/budget/budget_account.h
+++ b/src/libs/budget/budget_account.h
@@ -69,6 +69,8 @@
 
 // Bucket of a budget, 0..kBudgetBucketCount - 1, the same on every host.
 std::uint64_t BucketOf(std::string_view budget);
+// Whether `text` is the number of a bucket, as it stands in object names.
+bool IsBucketNumber(std::string_view text);
 
 // Names of the objects on the platform.
 std::string AccountObjectName(std::uint64_t bucket);
--- a/src/libs/budget/holder_closing.cc
+++ b/src/libs/budget/holder_closing.cc
@@ -286,12 +286,10 @@
 }
 
 // Tells this domain's shards from those of a domain whose name begins with this
-// domain's name.
+// domain's name, and from objects of other writers.
 bool HolderClosing::Private::IsOfDomain(const std::string& shard_name) const {
-  const std::string bucket =
-      shard_name.substr((sizeof(kShardPrefix) - 1) + parts.domain.size() + 1);
-  return !bucket.empty() &&
-         bucket.find_first_not_of("0123456789") == std::string::npos;
+  return IsBucketNumber(
+      shard_name.substr((sizeof(kShardPrefix) - 1) + parts.domain.size() + 1));
 }
 
 void HolderClosing::Private::HandleShards(const PlatformAnswer& answer) {
--- a/src/libs/node/quarantine_manager.cc
+++ b/src/libs/node/quarantine_manager.cc
@@ -2,16 +2,14 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <map>
 #include <mutex>
 
 #include "libs/base/digest.h"
-#include "libs/base/json_fields.h"
 #include "libs/base/log.h"
 #include "libs/delivery/notice_rate_limiter.h"
 #include "libs/delivery/retry_budget.h"
+#include "libs/delivery/stored_verdict.h"
 #include "libs/node/fleet_manager.h"
 #include "libs/node/node_constants.h"
 
@@ -20,7 +18,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -36,19 +33,6 @@
       .count();
 }
 
-// Remaining time of the verdict in `object`; nothing if it has expired.
-std::optional<milliseconds> RemainingHold(const PlatformObject& object) {
-  std::optional<json::value> value = ParseJson(object.value);
-  const json::object* verdict = value ? value->if_object() : nullptr;
-  if (!verdict)
-    return std::nullopt;
-  const std::int64_t left =
-      IntField(*verdict, "until_ms").value_or(0) - UtcMs();
-  if (left <= 0)
-    return std::nullopt;
-  return milliseconds(left);
-}
-
 }  // namespace
 
 class QuarantineManager::Private {
@@ -225,8 +209,7 @@
   d->SendNotice({verdict.digest, "", verdict.hold}, true);
   Reason reason;
   std::string name = std::string(kPrefix) + verdict.digest;
-  std::string value = json::serialize(
-      json::object{{"until_ms", UtcMs() + verdict.hold.count()}});
+  std::string value = VerdictText(UtcMs() + verdict.hold.count());
   std::optional<std::uint64_t> version = co_await d->platform.Create(
       PlatformDuty::kClaims, std::move(name), std::move(value), &reason);
   if (!version && reason.code != ResultCode::kPlatformExists) {
@@ -261,8 +244,12 @@
 
 asio::awaitable<void> QuarantineManager::Private::ReadVerdict(
     const PlatformObject& object) {
-  std::optional<milliseconds> left = RemainingHold(object);
-  if (!left) {
+  const std::optional<std::int64_t> until_ms = ParseVerdictEnd(object.value);
+  // Objects of other writers are neither used nor deleted.
+  if (!until_ms)
+    co_return;
+  const milliseconds left(*until_ms - UtcMs());
+  if (left.count() <= 0) {
     Reason reason;
     co_await platform.Delete(PlatformDuty::kCaches, object.name, object.version,
                              &reason);
@@ -274,7 +261,7 @@
     if (quarantine.IsQuarantined(digest, steady_clock::now()))
       co_return;
   }
-  const QuarantineNotice notice{digest, "", *left};
+  const QuarantineNotice notice{digest, "", left};
   ApplyNotice(notice);
   SendNotice(notice, false);
 }
--- a/src/libs/operations/budget_verbs.cc
+++ b/src/libs/operations/budget_verbs.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libs/budget/bill.h"
+#include "libs/budget/budget_account.h"
 #include "libs/budget/budget_constants.h"
 #include "libs/budget/domain_shard.h"
 #include "libs/budget/holder_closing.h"
@@ -121,6 +122,9 @@
     co_return std::nullopt;
   std::set<std::string> domains;
   for (const PlatformObject& it : *shards) {
+    // Another writer's object.
+    if (!IsBucketNumber(it.name.substr(it.name.rfind('-') + 1)))
+      continue;
     std::optional<DomainShard> shard = ParseDomainShard(it.value, reason);
     if (!shard)
       co_return std::nullopt;
--- a/tests/operations/budget_verbs_test.cc
+++ b/tests/operations/budget_verbs_test.cc
@@ -84,6 +84,16 @@
   LONGS_EQUAL(50, Shard().Outstanding());
 }
 
+// Guards against an object of another writer whose name begins like those of
+// the shards.
+TEST(BudgetVerbs, ReleaseIgnoresObjectsThatAreNoShards) {
+  for (const char* suffix : {"dk-east-a-5x", "dk-east-a-4294967296", "notes",
+                             "dk-east-a-05", "dk-east-a-"})
+    Put(std::string("budget-shard-") + suffix, "\"other\"");
+  CHECK(Run(ReleaseVerb, {"--process-ended"}) == ResultCode::kOk);
+  LONGS_EQUAL(30, Shard().Spent());
+}
+
 // host-2 may have borrowed from the holder. Bills of host-2 that are charged to
 // the holder count as the holder's spending.
 TEST(BudgetVerbs, ReleaseWaitsForBorrowersThatHaveNotEnded) {
