Resume a stream after the event with the id 0

What callers saw: event 0 twice in one whole answer, when a stream that began with the id 0 broke after it.

Cause: EventOrder used 0 for "no event yet", so the next target was sent no Last-Event-Id and its event 0 passed again. A caller that resumed after event 0 was treated as one without events.

Ruled out: repeats in general; ids from 1 are dropped (AResumableStreamContinuesAtAnotherTargetWithoutAGap).

Why it works: the last id is optional all the way. The same repeat came of events without ids; such a stream is broken off instead of resumed.

--- a/src/libs/gateway/event_order.cc
+++ b/src/libs/gateway/event_order.cc
@@ -3,12 +3,12 @@
 namespace turmericwinch {
 
 EventVerdict EventOrder::CheckNext(std::optional<std::uint64_t> id) {
-  if (id && last_id_ != 0 && *id <= last_id_)
+  if (id && last_id_ && *id <= *last_id_)
     return EventVerdict::kRepeated;
-  if (id && last_id_ != 0 && *id != last_id_ + 1)
+  if (id && last_id_ && *id != *last_id_ + 1)
     return EventVerdict::kMissing;
   if (id)
-    last_id_ = *id;
+    last_id_ = id;
   ++passed_;
   return EventVerdict::kPass;
 }
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -198,8 +198,11 @@
     return false;
   if (result != AttemptResult::kNotRun && !IsRepeatable(resolved_.route->kind))
     return false;
+  // Without the id of an event, the next target would repeat those that the
+  // caller has.
   if (result == AttemptResult::kStreamBroken &&
-      resolved_.route->kind != RouteKind::kStreamResumable)
+      (resolved_.route->kind != RouteKind::kStreamResumable ||
+       !relay_.order().last_id()))
     return false;
   if (attempts_ >= resolved_.route->max_attempts ||
       unreached_targets_ >= kMaxUnreachedTargets)
@@ -236,12 +239,14 @@
       co_await EndUnanswered();
       co_return;
     }
-    LogEvent(kLog, Severity::kInfo, "retried",
-             {{"request", resolved_.call->id},
-              {"target", last_target_},
-              {"attempts", attempts_},
-              {"after_event", relay_.order().last_id()},
-              {"reason", reason_.text}});
+    const std::optional<std::uint64_t> after_event = relay_.order().last_id();
+    LogEvent(
+        kLog, Severity::kInfo, "retried",
+        {{"request", resolved_.call->id},
+         {"target", last_target_},
+         {"attempts", attempts_},
+         {"after_event", after_event ? std::to_string(*after_event) : "none"},
+         {"reason", reason_.text}});
   }
 }
 
@@ -329,7 +334,7 @@
     LogRequestDone();
     co_return;
   }
-  relay_.StartAfter(resolved_.call->after_event.value_or(0));
+  relay_.StartAfter(resolved_.call->after_event);
   exchange_.WatchCaller([this] { cancel_.Cancel(); });
   const bool reserved = co_await Reserve();
   if (!reserved)
--- a/src/libs/gateway/response_relay.h
+++ b/src/libs/gateway/response_relay.h
@@ -56,8 +56,10 @@
         cancel_(cancel),
         share_(memory) {}
 
-  // The caller already has the events up to `event`.
-  void StartAfter(std::uint64_t event) { order_.StartAfter(event); }
+  // The caller already has the events up to `event`, if it names one.
+  void StartAfter(std::optional<std::uint64_t> event) {
+    order_.StartAfter(event);
+  }
   // Reads the whole response. Returns nullopt and sets `reason` if reading
   // fails.
   boost::asio::awaitable<std::optional<HttpResponse>> ReadResponse(
--- a/src/libs/gateway/target_attempt.cc
+++ b/src/libs/gateway/target_attempt.cc
@@ -52,8 +52,7 @@
   metadata.priority = std::min(
       resolved_.route->priority,
       resolved_.team ? resolved_.team->priority : resolved_.route->priority);
-  if (order.last_id() != 0)
-    metadata.after_event = order.last_id();
+  metadata.after_event = order.last_id();
   return metadata;
 }
 
--- a/tests/adapter/gateway_call_test.cc
+++ b/tests/adapter/gateway_call_test.cc
@@ -92,6 +92,41 @@
   LONGS_EQUAL(1, two.requests.size());
 }
 
+// Guards against the id 0 that counts as no id: the next target was sent no
+// Last-Event-Id, and its event 0 was relayed again.
+TEST(GatewayCall, AStreamThatBeginsAtEventZeroIsResumedAfterIt) {
+  one.first_event = two.first_event = 0;
+  one.events_before_cut = two.events_before_cut = 1;
+  script = {TargetBehavior::kCutStream, TargetBehavior::kStream};
+  const auto response = Call(Request("/stream/1"));
+  CHECK(response.has_value());
+  std::string expected;
+  for (int n = 0; n < kEventsOfStream; ++n)
+    expected += EventText(n);
+  STRCMP_EQUAL(expected.c_str(), response->body.c_str());
+}
+
+TEST(GatewayCall, ACallerThatHasEventZeroGetsTheEventsAfterIt) {
+  one.first_event = two.first_event = 0;
+  script = {TargetBehavior::kStream};
+  HttpRequest request = Request("/stream/1");
+  request.headers.Add("Last-Event-Id", "0");
+  const auto response = Call(request);
+  CHECK(response.has_value());
+  std::string expected;
+  for (int n = 1; n < kEventsOfStream; ++n)
+    expected += EventText(n);
+  STRCMP_EQUAL(expected.c_str(), response->body.c_str());
+}
+
+// The next target cannot be told which events the caller has.
+TEST(GatewayCall, AStreamOfEventsWithoutIdsIsNotResumed) {
+  one.has_event_ids = two.has_event_ids = false;
+  script = {TargetBehavior::kCutStream, TargetBehavior::kStream};
+  CHECK(!Call(Request("/stream/1")).has_value());
+  LONGS_EQUAL(1, ReceivedRequests());
+}
+
 // Guards against a load header that is parsed but reaches no target, and
 // against invalid ones that nobody sees.
 TEST(GatewayCall, TheReportedLoadReachesTheTargetAndInvalidOnesAreCounted) {
--- a/tests/adapter/scripted_target.h
+++ b/tests/adapter/scripted_target.h
@@ -25,7 +25,8 @@
   kNotRunWithoutId,
   kOtherAttemptId,
   kStream,
-  // Sends two events and half of a third, then closes the connection.
+  // Sends `events_before_cut` events and half of the next, then closes the
+  // connection.
   kCutStream,
   // Sends kEventsBeforeCrash events, then closes the connection.
   kCrashInStream,
@@ -41,6 +42,9 @@
 inline constexpr char kLateDeadlyPart[] = "1a7e";
 inline constexpr int kEventsBeforeCrash = 4;
 
+inline constexpr int kEventsOfStream = 5;
+inline constexpr char kEventWithoutId[] = "data: x\n\n";
+
 inline std::string EventText(int id) {
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
@@ -62,6 +66,10 @@
                             nullptr)) {}
 
   std::vector<HttpRequest> requests;
+  // Streams have five events.
+  int first_event = 1;
+  bool has_event_ids = true;
+  int events_before_cut = 2;
   bool names_limit = false;
   bool says_leaving = false;
   // Load header of its responses; empty for none.
@@ -130,11 +138,16 @@
       case TargetBehavior::kStream:
       case TargetBehavior::kCutStream: {
         const std::string after(request.headers.Get("Last-Event-Id"));
-        const int first = after.empty() ? 1 : std::stoi(after) + 1;
-        const int last = behavior == TargetBehavior::kCutStream ? first + 1 : 5;
+        const int first = after.empty() ? first_event : std::stoi(after) + 1;
+        const int end = behavior == TargetBehavior::kCutStream
+                            ? first + events_before_cut
+                            : first_event + kEventsOfStream;
         exchange.StartStream(200, response.headers);
-        for (int n = first; n <= last; ++n)
-          co_await exchange.Write(EventText(n));
+        for (int n = first; n < end; ++n) {
+          const std::string event =
+              has_event_ids ? EventText(n) : std::string(kEventWithoutId);
+          co_await exchange.Write(event);
+        }
         if (behavior == TargetBehavior::kStream) {
           co_await exchange.EndStream();
         } else {
--- a/tests/gateway/event_order_test.cc
+++ b/tests/gateway/event_order_test.cc
@@ -16,7 +16,7 @@
   CHECK(order.CheckNext(2) == EventVerdict::kRepeated);
   CHECK(order.CheckNext(4) == EventVerdict::kMissing);
   CHECK(order.CheckNext(3) == EventVerdict::kPass);
-  LONGS_EQUAL(3, order.last_id());
+  LONGS_EQUAL(3, *order.last_id());
   LONGS_EQUAL(3, order.passed());
 }
 
@@ -27,6 +27,19 @@
   CHECK(order.CheckNext(18) == EventVerdict::kPass);
 }
 
+TEST(EventOrder, EventZeroIsAnEventLikeOthers) {
+  CHECK(!order.last_id());
+  CHECK(order.CheckNext(0) == EventVerdict::kPass);
+  LONGS_EQUAL(0, *order.last_id());
+  CHECK(order.CheckNext(0) == EventVerdict::kRepeated);
+  CHECK(order.CheckNext(2) == EventVerdict::kMissing);
+  CHECK(order.CheckNext(1) == EventVerdict::kPass);
+  EventOrder resumed;
+  resumed.StartAfter(0);
+  CHECK(resumed.CheckNext(0) == EventVerdict::kRepeated);
+  CHECK(resumed.CheckNext(1) == EventVerdict::kPass);
+}
+
 TEST(EventOrder, AStreamThatTheCallerResumesContinuesAfterItsLastEvent) {
   order.StartAfter(7);
   CHECK(order.CheckNext(7) == EventVerdict::kRepeated);
