Draw tokens only for waiting requests that they cover

What callers saw: while one client sent requests that the balance does not cover, requests of the same tenant that it covers were answered 402 at all hosts.

Cause: for a waiting request a host drew and opened all free tokens, also if the request needs more than its own and the free ones together. Until they were given back, no other host found any. Loans that a host draws for others did the same with the sum of what the borrower needs.

Why it works: the ledger hands over the size of each waiting request, and a host draws for those that its own and the free tokens cover together, the smallest first. A request that does not fit is refused without a draw. Requests recorded during a sync are added to those before: they replaced them, which the draw of all tokens hid, as its grant woke every waiting request.

Ruled out: that the entry of the account is wrong; `account_row` shows the draw. Other lines of the tests only follow the new type of HolderDemand::waiting.

--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -97,7 +97,10 @@
     demand.free = planned_.is_settled ? budget.Free(holder_demand.paid) : 0;
     demand.available = ledger.Available(name);
     demand.unopened = Unopened(name, ledger.Counters(name));
-    demand.needed = holder_demand.needed;
+    demand.needed = CoveredTokens(holder_demand.waiting,
+                                  std::max<std::int64_t>(demand.available, 0) +
+                                      demand.unopened +
+                                      std::max<std::int64_t>(demand.free, 0));
     demand.demand_share =
         DemandShare(budget, holder_, holder_demand.paid, hosts);
     demand.rate = holder_demand.rate;
--- a/src/libs/budget/fleet_holder.h
+++ b/src/libs/budget/fleet_holder.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libs/budget/fleet_account.h"
 #include "libs/budget/fleet_plan.h"
@@ -20,9 +21,9 @@
 struct HolderDemand {
   // Tokens paid for the whole budget.
   std::int64_t paid = 0;
-  // Tokens for all requests, of this host and of borrowers, that wait for a
+  // Tokens of each request, of this host and of borrowers, that waits for a
   // grant.
-  std::int64_t needed = 0;
+  std::vector<std::int64_t> waiting;
   // Tokens per second.
   double rate = 0;
   // Usual cost of a request; 0 before the first one.
--- a/src/libs/budget/fleet_plan.cc
+++ b/src/libs/budget/fleet_plan.cc
@@ -63,6 +63,18 @@
   return plan;
 }
 
+std::int64_t CoveredTokens(std::vector<std::int64_t> sizes,
+                           std::int64_t limit) {
+  std::sort(sizes.begin(), sizes.end());
+  std::int64_t covered = 0;
+  for (const std::int64_t it : sizes) {
+    if (it > limit - covered)
+      break;
+    covered += it;
+  }
+  return covered;
+}
+
 double DemandShare(const FleetBudget& budget,
                    const std::string& holder,
                    std::int64_t paid,
--- a/src/libs/budget/fleet_plan.h
+++ b/src/libs/budget/fleet_plan.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "libs/budget/fleet_account.h"
 
@@ -64,7 +65,8 @@
   std::int64_t available = 0;
   // Held by this host but not open.
   std::int64_t unopened = 0;
-  // Needed for all requests that wait for a grant.
+  // Needed for those of the requests that wait for a grant that the tokens of
+  // this host and the free ones cover.
   std::int64_t needed = 0;
   // This host's share of the team's demand, from 0 to 1.
   double demand_share = 0;
@@ -100,6 +102,11 @@
 // request, because stocks too small for a single request would be of no use.
 FleetDraw PlanFleetDraw(const FleetDemand& demand);
 
+// Tokens for those of the requests with `sizes` that `limit` tokens cover
+// together, the smallest first. A request that is larger than what a host can
+// get must not make it draw tokens that other hosts can use.
+std::int64_t CoveredTokens(std::vector<std::int64_t> sizes, std::int64_t limit);
+
 // The share of a budget's demand that came to `holder`, estimated from the
 // opened tokens of all rows. `paid` scales the demand assumed for each host
 // before its first request.
--- a/src/libs/budget/host_ledger.cc
+++ b/src/libs/budget/host_ledger.cc
@@ -117,6 +117,7 @@
   budget.smallest_request =
       first ? tokens : std::min(budget.smallest_request, tokens);
   budget.requested = AddSaturated(budget.requested, tokens);
+  budget.request_sizes.push_back(tokens);
 }
 
 std::vector<GrantRequest> HostLedger::TakeGrantRequests() {
@@ -128,9 +129,10 @@
     const std::int64_t needed = budget.requested - available;
     const std::int64_t smallest =
         std::max<std::int64_t>(budget.smallest_request - available, 0);
+    std::vector<std::int64_t> sizes = std::exchange(budget.request_sizes, {});
     if (needed > 0)
       requests.push_back({it, needed, smallest, budget.rate.Value(),
-                          budget.lent_rate.Value()});
+                          budget.lent_rate.Value(), std::move(sizes)});
     budget.requested = 0;
   }
   d_->requested_budgets.clear();
--- a/src/libs/budget/host_ledger.h
+++ b/src/libs/budget/host_ledger.h
@@ -47,6 +47,8 @@
   double rate = 0;
   // Demand for loans and own spend, in tokens per second over kLentRateWindow.
   double lent_rate = 0;
+  // Tokens of each waiting request, including what the host's own row has.
+  std::vector<std::int64_t> sizes = {};
 };
 
 // State of a loan for dumps. `settled` includes spend without a confirmed bill.
--- a/src/libs/budget/ledger_budget.h
+++ b/src/libs/budget/ledger_budget.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libs/budget/budget_constants.h"
 #include "libs/budget/demand_rate.h"
@@ -49,6 +50,8 @@
   // Tokens that waiting requests need, in all and for the smallest of them.
   std::int64_t requested = 0;
   std::int64_t smallest_request = 0;
+  // Tokens of each of these requests.
+  std::vector<std::int64_t> request_sizes;
   DemandRate rate{kRateWindow};
   DemandRate lent_rate{kLentRateWindow};
   MonotonicTime last_use;
--- a/src/libs/budget/loan_search.cc
+++ b/src/libs/budget/loan_search.cc
@@ -48,7 +48,10 @@
   auto [it, added] = searches_.try_emplace(request.budget);
   Search& search = it->second;
   if (!added) {
-    search.request.needed = std::max(search.request.needed, request.needed);
+    if (request.needed > search.request.needed) {
+      search.request.needed = request.needed;
+      search.request.sizes = request.sizes;
+    }
     search.request.smallest =
         std::min(search.request.smallest, request.smallest);
     return;
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "libs/base/log.h"
+#include "libs/budget/budget_account.h"
 #include "libs/budget/ranked_hosts.h"
 #include "libs/gateway/account_manager_private.h"
 #include "libs/gateway/gateway_constants.h"
@@ -78,22 +79,34 @@
 // Grant requests hold the missing tokens. `waiting` holds the needed tokens in
 // total, so the available ones are added.
 void AccountManager::Private::RecordWaiting(HostLedger& ledger) {
-  for (GrantRequest it : ledger.TakeGrantRequests()) {
+  for (GrantRequest& it : ledger.TakeGrantRequests()) {
     const std::int64_t available =
         std::max<std::int64_t>(ledger.Available(it.budget), 0);
     it.needed += available;
     it.smallest += available;
-    waiting[it.budget] = it;
+    AddWaiting(std::move(it));
   }
 }
 
+void AccountManager::Private::AddWaiting(GrantRequest request) {
+  auto [entry, added] = waiting.try_emplace(request.budget, request);
+  if (added)
+    return;
+  GrantRequest& earlier = entry->second;
+  earlier.needed = AddSaturated(earlier.needed, request.needed);
+  earlier.smallest = std::min(earlier.smallest, request.smallest);
+  earlier.sizes.insert(earlier.sizes.end(), request.sizes.begin(),
+                       request.sizes.end());
+}
+
 bool AccountManager::Private::PlanWrite() {
   const std::shared_ptr<const GatewayConfig> config = context.config.Get();
   if (!config)
     return false;
   bool is_due = false;
   CollectWaiting();
-  const std::map<std::string, std::int64_t> deferred = loans.DeferredTokens();
+  const std::map<std::string, std::vector<std::int64_t>> deferred =
+      loans.DeferredSizes();
   context.ledger.With([&](HostLedger& ledger) {
     ConsumeBills(ledger);
     std::map<std::string, HolderDemand> demands_by_budget;
@@ -107,9 +120,10 @@
       demand.rate = demands.Rate(name, Clock::now());
       demand.request_cost = demands.AverageRequestCost(name);
       if (auto it = waiting.find(name); it != waiting.end())
-        demand.needed += it->second.needed;
+        demand.waiting = it->second.sizes;
       if (auto it = deferred.find(name); it != deferred.end())
-        demand.needed += it->second;
+        demand.waiting.insert(demand.waiting.end(), it->second.begin(),
+                              it->second.end());
       if (auto it = lent_at.find(name); it != lent_at.end())
         demand.lends = Clock::now() - it->second < kLenderRoleTime;
     }
--- a/src/libs/gateway/account_manager_loans.cc
+++ b/src/libs/gateway/account_manager_loans.cc
@@ -73,7 +73,7 @@
         std::max<std::int64_t>(ledger.Available(budget), 0);
     request.needed += available;
     request.smallest += available;
-    waiting[budget] = request;
+    AddWaiting(std::move(request));
   });
   SyncForWaiting();
 }
--- a/src/libs/gateway/account_manager_private.h
+++ b/src/libs/gateway/account_manager_private.h
@@ -74,6 +74,8 @@
   bool HandleFrame(const PeerFrame& frame);
   // Records how many tokens the waiting requests need in each budget.
   void RecordWaiting(HostLedger& ledger);
+  // Adds a request to `waiting`. Those that were added earlier still wait.
+  void AddWaiting(GrantRequest request);
   // Adds the requests that wait now to `waiting`, and borrows for those that
   // another host of this failure domain should serve.
   void CollectWaiting();
--- a/src/libs/gateway/peer_loans.cc
+++ b/src/libs/gateway/peer_loans.cc
@@ -188,13 +188,18 @@
   d_->SendDueRequests();
 }
 
-std::map<std::string, std::int64_t> PeerLoans::DeferredTokens() const {
-  std::map<std::string, std::int64_t> tokens;
+std::map<std::string, std::vector<std::int64_t>> PeerLoans::DeferredSizes()
+    const {
+  std::map<std::string, std::vector<std::int64_t>> sizes;
   for (const DeferredRequest& deferred : d_->deferred) {
-    for (const LoanRequestItem& it : deferred.request.items)
-      tokens[it.budget] += it.needed;
+    for (const LoanRequestItem& it : deferred.request.items) {
+      // A loan covers either the smallest request of the borrower or all.
+      sizes[it.budget].push_back(it.smallest);
+      if (it.needed > it.smallest)
+        sizes[it.budget].push_back(it.needed - it.smallest);
+    }
   }
-  return tokens;
+  return sizes;
 }
 
 void PeerLoans::AnswerDeferred(bool draws_again) {
--- a/src/libs/gateway/peer_loans.h
+++ b/src/libs/gateway/peer_loans.h
@@ -38,8 +38,8 @@
                    LoanScope scope,
                    std::vector<LenderEndpoint> lenders,
                    const Reason& reason);
-  // Tokens that other hosts wait for, by budget.
-  std::map<std::string, std::int64_t> DeferredTokens() const;
+  // Tokens of the requests for which other hosts wait, by budget.
+  std::map<std::string, std::vector<std::int64_t>> DeferredSizes() const;
   // Answers the requests that waited for a draw. If `draws_again`, requests for
   // which too few tokens were drawn wait for the next draw, but only once.
   void AnswerDeferred(bool draws_again);
--- a/tests/budget/fleet_holder_run.cc
+++ b/tests/budget/fleet_holder_run.cc
@@ -251,11 +251,11 @@
     const std::vector<Bill> bills = host.ledger->UnconfirmedBills(1'000);
     if (!bills.empty())
       host.ledger->ConfirmBills(bills.back().sequence);
-    std::int64_t needed = 0;
+    std::vector<std::int64_t> waiting;
     for (const GrantRequest& it : host.ledger->TakeGrantRequests())
-      needed += it.needed;
+      waiting.insert(waiting.end(), it.sizes.begin(), it.sizes.end());
     const std::map<std::string, HolderDemand> demands = {
-        {kTeam, {paid_, needed, 100.0 + random_() % 400, 200}}};
+        {kTeam, {paid_, waiting, 100.0 + random_() % 400, 200}}};
     if (!host.holder->PlanWrite(demands, *host.ledger, Now(host)))
       return;
     host.holder->BeginWrite(Now(host));
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -39,7 +39,7 @@
   FleetHolder holder{"host_a", "boot", ""};
   HostLedger ledger{"host_a"};
   std::map<std::string, HolderDemand> demands{
-      {kTeam, {10 * kPaid, 0, 1'000, 200}}};
+      {kTeam, {10 * kPaid, {}, 1'000, 200}}};
 
   // The first write only registers the holder.
   void Register(BootTime now) {
@@ -161,12 +161,37 @@
 TEST(FleetHolder, WriteWithUnknownOutcomeDelaysOpeningTheStock) {
   Grant(BootTime(1'000));
   ledger.AddGrantRequest(kTeam, 100);
-  demands[kTeam].needed = 20'000;
+  demands[kTeam].waiting = {20'000};
   CHECK(holder.PlanWrite(demands, ledger, BootTime(3'000)));
   holder.BeginWrite(BootTime(3'000));
   CHECK(holder.OpenAll(ledger, BootTime(2'000) + kOpenAllDelay).empty());
 }
 
+// Guards against a host that draws all free tokens for a request that they do
+// not cover, so that requests at other hosts are refused.
+TEST(FleetHolder, ARequestThatDoesNotFitDrawsNoTokens) {
+  constexpr std::int64_t kPaidHere = 10 * kPaid;
+  constexpr std::int64_t kSmall = 300;
+  FleetAccount account;
+  account.heartbeats["host-1_1"] = {"boot", BootTime(0)};
+  account.budgets[kTeam].rows["host-1_1"] = {kPaid, 0, kPaid};
+  holder.LoadAccount(account, BootTime(500));
+  Grant(BootTime(1'000));
+  Grant(BootTime(1'800));
+  const auto planned_free = [&](std::vector<std::int64_t> waiting) {
+    demands[kTeam].waiting = std::move(waiting);
+    holder.PlanWrite(demands, ledger, BootTime(1'900));
+    return holder.planned_account().budgets.at(kTeam).Free(kPaidHere);
+  };
+  const std::int64_t free = planned_free({});
+  CHECK(free > 0);
+  LONGS_EQUAL(free, planned_free({kPaidHere - kPaid + 1}));
+  // A small request that waits beside it gets its tokens.
+  CHECK(planned_free({kPaidHere, kSmall}) >= free - kSmall);
+  // One that takes all tokens but those of the other host is served.
+  LONGS_EQUAL(0, planned_free({kPaidHere - kPaid}));
+}
+
 TEST(FleetHolder, DrawsForBorrowersOnlyWhatTheAccountHasLeft) {
   FleetAccount account;
   holder = FleetHolder("host_a", "boot", "host_a:1", "domain");
--- a/tests/budget/fleet_plan_test.cc
+++ b/tests/budget/fleet_plan_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
+
 namespace turmericwinch {
 
 TEST_GROUP(FleetPlan) {
@@ -77,6 +79,17 @@
   CHECK(plan.is_due);
 }
 
+TEST(FleetPlan, TheSmallestRequestsThatALimitCoversAreCounted) {
+  LONGS_EQUAL(0, CoveredTokens({}, 100));
+  LONGS_EQUAL(0, CoveredTokens({101}, 100));
+  LONGS_EQUAL(100, CoveredTokens({100}, 100));
+  LONGS_EQUAL(60, CoveredTokens({50, 60'000, 10}, 100));
+  LONGS_EQUAL(90, CoveredTokens({90, 20, 70}, 100));
+  LONGS_EQUAL(0, CoveredTokens({1}, -1));
+  constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+  LONGS_EQUAL(kMax - 1, CoveredTokens({kMax, kMax - 1}, kMax));
+}
+
 TEST(FleetPlan, GivesBackStockOfANearlyUsedUpBudget) {
   demand.unspent = 50'000;
   demand.free = 1'000;
--- a/tests/budget/fleet_traffic_run.cc
+++ b/tests/budget/fleet_traffic_run.cc
@@ -178,11 +178,17 @@
   const std::vector<Bill> bills = host.ledger.UnconfirmedBills(10'000);
   if (!bills.empty())
     host.ledger.ConfirmBills(bills.back().sequence);
-  std::map<std::string, std::int64_t> needed;
-  for (const auto& [id, it] : host.waiting)
-    needed[it.team] += MustDraw(host, it) ? it.cost : 0;
-  for (const LoanRequest& it : host.deferred)
-    needed[it.items.front().budget] += it.items.front().needed;
+  std::map<std::string, std::vector<std::int64_t>> waiting;
+  for (const auto& [id, it] : host.waiting) {
+    if (MustDraw(host, it))
+      waiting[it.team].push_back(it.cost);
+  }
+  for (const LoanRequest& it : host.deferred) {
+    const LoanRequestItem& item = it.items.front();
+    waiting[item.budget].push_back(item.smallest);
+    if (item.needed > item.smallest)
+      waiting[item.budget].push_back(item.needed - item.smallest);
+  }
   std::map<std::string, HolderDemand> demands;
   for (int n = 0; n < kTeams; ++n) {
     const std::string team = TeamName(n);
@@ -191,7 +197,7 @@
         counters.granted - counters.given_back - host.ledger.Available(team);
     FleetTrafficDemand& demand = host.demands[team];
     demand.rate.AddTokens(total - std::exchange(demand.used, total), Time());
-    demands[team] = {options.paid, needed[team], demand.rate.Value(),
+    demands[team] = {options.paid, waiting[team], demand.rate.Value(),
                      kMaxCost / 2.0, host.lent_teams.contains(team)};
   }
   const bool is_due = host.holder.PlanWrite(demands, host.ledger, Boot());
--- a/tests/budget/loan_search_test.cc
+++ b/tests/budget/loan_search_test.cc
@@ -123,6 +123,25 @@
   CHECK(search.TakeFailed().empty());
 }
 
+// Guards against a small request that is refused for good, with 402, because
+// the budget does not cover a large one that waits beside it.
+TEST(LoanSearch, AFailedSearchHasTheReasonOfItsSmallestRequest) {
+  AddOther("a", 1'000, 100);
+  const Reason small_reason = reason;
+  reason = {ResultCode::kBudgetExhausted, "exhausted"};
+  Start(60'000, 60'000);
+  reason = small_reason;
+  Start(500, 500);
+  reason = {ResultCode::kBudgetExhausted, "exhausted"};
+  Start(70'000, 70'000);
+  while (!Step(kStart).empty()) {
+  }
+  const std::vector<FailedLoanSearch> failed = search.TakeFailed();
+  LONGS_EQUAL(1, failed.size());
+  LONGS_EQUAL(500, failed[0].request.smallest);
+  CHECK(failed[0].reason.code == ResultCode::kBudgetUnreachable);
+}
+
 TEST(LoanSearch, LenderThatDrawsTokensIsWaitedForAndStaysResponsive) {
   AddOther("keeper", 1'000, 0);
   AddOther("other", 500, 500);
