Write the account as long as it lacks tokens that were given back

What callers saw: 402 for good after the last request that does not fit, with half of the tokens unused.

Cause: a sync plans the write twice, before and after it reads the account. The first plan takes the surplus out of the ledger and says that a write is due; the second finds nothing left to give back, so nothing is written. The account goes on showing the tokens as opened by a host that cannot spend them.

Why it works: a write is due while the planned row has more tokens given back than the row that was read, whoever planned it first. It holds for opened and unopened tokens, and after a write that failed.

Failed before: FleetHolder.TokensGivenBackAreDueUntilTheAccountHasThem.

--- a/src/libs/budget/fleet_holder.cc
+++ b/src/libs/budget/fleet_holder.cc
@@ -123,7 +123,11 @@
     if (known != budget.rows.end())
       row = known->second;
     row.granted += plan.draw;
+    const std::int64_t known_given_back = row.given_back;
     row.given_back = given_back + counters.given_back;
+    // The tokens have left the ledger. They are free for other hosts only once
+    // the account has them.
+    is_due = is_due || row.given_back > known_given_back;
     const std::int64_t granted = counters.granted + plan.open;
     row.opened = granted - counters.given_back;
     if (row == FleetRow())
--- a/tests/budget/fleet_holder_test.cc
+++ b/tests/budget/fleet_holder_test.cc
@@ -192,6 +192,26 @@
   LONGS_EQUAL(0, planned_free({kPaidHere - kPaid}));
 }
 
+// Guards against tokens that a host has given back, and that no host can draw:
+// the account was read again before the write, which then was not due any more.
+TEST(FleetHolder, TokensGivenBackAreDueUntilTheAccountHasThem) {
+  Grant(BootTime(1'000));
+  const std::int64_t held =
+      holder.known_account().budgets.at(kTeam).rows.at("host_a").Held();
+  demands[kTeam].rate = 0;
+  CHECK(holder.PlanWrite(demands, ledger, BootTime(1'200)));
+  const std::int64_t returned = ledger.Counters(kTeam).given_back;
+  CHECK(returned > 0);
+  holder.LoadAccount(holder.known_account(), BootTime(1'250));
+  CHECK(holder.PlanWrite(demands, ledger, BootTime(1'250)));
+  holder.BeginWrite(BootTime(1'250));
+  holder.ConfirmWrite();
+  LONGS_EQUAL(
+      held - returned,
+      holder.known_account().budgets.at(kTeam).rows.at("host_a").Held());
+  CHECK(!holder.PlanWrite(demands, ledger, BootTime(1'300)));
+}
+
 TEST(FleetHolder, DrawsForBorrowersOnlyWhatTheAccountHasLeft) {
   FleetAccount account;
   holder = FleetHolder("host_a", "boot", "host_a:1", "domain");
