Refuse a small request with its own reason after a shared search for a loan

A small request that joins a running search for a large one was refused with the reason of the large one: 402, which callers do not repeat, in place of 503.

Cause: LoanSearch::Start() lowered the smallest request of the search and kept the reason of the first.

Failed before: LoanSearch.AFailedSearchHasTheReasonOfItsSmallestRequest.

--- a/src/libs/budget/loan_search.cc
+++ b/src/libs/budget/loan_search.cc
@@ -52,8 +52,11 @@
       search.request.needed = request.needed;
       search.request.sizes = request.sizes;
     }
-    search.request.smallest =
-        std::min(search.request.smallest, request.smallest);
+    // The search fails for the smallest request, so the reason must be its own.
+    if (request.smallest < search.request.smallest) {
+      search.request.smallest = request.smallest;
+      search.reason = reason;
+    }
     return;
   }
   search.request = request;
