--- a/review/11/standins.py
+++ b/review/11/standins.py
@@ -440,10 +440,13 @@
     return int(message.first.split(" ")[1]) if message else 0
 
 
-async def quiet(task):
+async def quiet(case):
+    loop = asyncio.get_running_loop()
     # Channels that are cut, and those left at the end, are no errors here.
-    asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-    return await task
+    loop.set_exception_handler(lambda *_: None)
+    # The case still ends the processes that it started.
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await case
 
 
 def run_case(main, folder):
@@ -453,7 +456,7 @@
     with tempfile.TemporaryDirectory() as logs:
         try:
             code = asyncio.run(quiet(main(record, logs)))
-        except Exception as error:  # the case could not run
+        except (Exception, asyncio.CancelledError) as error:
             record.add("could not run: %r" % error)
             print("could not run: %r" % error)
             code = 2
