--- a/src/apps/measure_budget/budget_run.cc
+++ b/src/apps/measure_budget/budget_run.cc
@@ -219,7 +219,7 @@
     const PlatformCall call{
         exists ? PlatformVerb::kUpdate : PlatformVerb::kCreate,
         name,
-        exists ? it->second.version : 0,
+        exists ? it->second.version : StoreVersion(),
         ToJson(bucket),
         {}};
     store.write_faults.push_front(PlatformFault::kNone);
@@ -243,7 +243,7 @@
   FakePlatform& store = platform_.store();
   const auto create = [&store](const std::string& name, std::string value) {
     store.write_faults.push_front(PlatformFault::kNone);
-    store.Call({PlatformVerb::kCreate, name, 0, std::move(value), {}});
+    store.Call({PlatformVerb::kCreate, name, {}, std::move(value), {}});
   };
   for (const auto& [number, account] : accounts) {
     create(AccountObjectName(number), ToJson(account));
--- a/src/apps/measure_budget/checked_host.cc
+++ b/src/apps/measure_budget/checked_host.cc
@@ -65,7 +65,10 @@
 
 void CheckedHost::Read(std::uint64_t number, SimDuration pause) {
   PlatformCall call{
-      PlatformVerb::kGet, kCheckedPrefix + std::to_string(number), 0, "",
+      PlatformVerb::kGet,
+      kCheckedPrefix + std::to_string(number),
+      {},
+      "",
       std::chrono::duration_cast<std::chrono::milliseconds>(pause)};
   Call(std::move(call), [this, number](const PlatformAnswer& answer) {
     HandleRead(number, answer);
--- a/src/apps/measure_budget/checked_host.h
+++ b/src/apps/measure_budget/checked_host.h
@@ -43,7 +43,7 @@
     // Whether the bucket was read in this round; only then may a request be
     // refused.
     bool read_in_round = false;
-    std::uint64_t version = 0;
+    StoreVersion version;
     int attempts = 0;
     CheckedBucket state;
     std::deque<Check> checks;
--- a/src/apps/measure_capacity/host_list_slopes.cc
+++ b/src/apps/measure_capacity/host_list_slopes.cc
@@ -26,17 +26,18 @@
   HostList list = ListOf(rows);
   HostListCopy reader;
   const std::size_t before = HeapBytes();
-  reader.HandlePlatformAnswer({1, true, ToJson(list)}, &reason);
+  reader.HandlePlatformAnswer({{0, 1}, true, ToJson(list)}, &reason);
   PrintRow("host list copy in memory", rows,
            static_cast<double>(HeapBytes() - before), "B");
   HostListCopy other = reader;
-  std::uint64_t version = 1;
+  std::uint64_t revision = 1;
   HostListPart part;
   const auto change = [&] {
     HostListChange it{true, false, list.targets[0]};
-    it.member.leaving = version % 2 == 1;
+    it.member.leaving = revision % 2 == 1;
     const std::string text = "{\"changes\":" + ToJson({it}) + "}";
-    part = *reader.HandlePlatformAnswer({++version, false, text}, &reason);
+    part =
+        *reader.HandlePlatformAnswer({{0, ++revision}, false, text}, &reason);
   };
   const double read_us = MicrosecondsOf(kRounds, change);
   PrintRow("host list change, at a reader", rows, read_us, "us");
--- a/src/libs/base/json_fields.cc
+++ b/src/libs/base/json_fields.cc
@@ -27,6 +27,18 @@
   return std::nullopt;
 }
 
+std::optional<std::uint64_t> UintField(const boost::json::object& object,
+                                       std::string_view name) {
+  const boost::json::value* value = object.if_contains(name);
+  if (!value)
+    return std::nullopt;
+  if (value->is_uint64())
+    return value->get_uint64();
+  if (value->is_int64() && value->get_int64() >= 0)
+    return static_cast<std::uint64_t>(value->get_int64());
+  return std::nullopt;
+}
+
 std::optional<double> NumberField(const boost::json::object& object,
                                   std::string_view name) {
   const boost::json::value* value = object.if_contains(name);
--- a/src/libs/base/json_fields.h
+++ b/src/libs/base/json_fields.h
@@ -20,6 +20,11 @@
 std::optional<std::int64_t> IntField(const boost::json::object& object,
                                      std::string_view name);
 
+// The field as an unsigned 64-bit integer; nullopt if it is absent, fractional,
+// negative or out of range.
+std::optional<std::uint64_t> UintField(const boost::json::object& object,
+                                       std::string_view name);
+
 // The field as a number; nullopt if it is absent or of another type.
 std::optional<double> NumberField(const boost::json::object& object,
                                   std::string_view name);
--- a/src/libs/budget/account_returns.h
+++ b/src/libs/budget/account_returns.h
@@ -39,7 +39,7 @@
   std::map<std::uint64_t, std::map<std::string, std::int64_t>> pending_;
   // The account to write; empty while the account has yet to be read.
   std::optional<AccountBucket> account_;
-  std::uint64_t version_ = 0;
+  StoreVersion version_;
   int attempts_ = 0;
 };
 
--- a/src/libs/budget/bill_flush.cc
+++ b/src/libs/budget/bill_flush.cc
@@ -14,7 +14,7 @@
   if (done_)
     return std::nullopt;
   if (reading_existing_)
-    return PlatformCall{PlatformVerb::kGet, segment_name_, 0, "", {}};
+    return PlatformCall{PlatformVerb::kGet, segment_name_, {}, "", {}};
   const std::vector<Bill> bills = ledger.UnconfirmedBills(kMaxBillsPerSegment);
   if (bills.empty()) {
     done_ = true;
@@ -24,7 +24,7 @@
       BillSegmentName(domain_, ledger.holder(), bills.front().sequence);
   last_sequence_ = bills.back().sequence;
   return PlatformCall{
-      PlatformVerb::kCreate, segment_name_, 0, ToJson(bills), {}};
+      PlatformVerb::kCreate, segment_name_, {}, ToJson(bills), {}};
 }
 
 void BillFlush::HandleAnswer(const PlatformAnswer& answer, HostLedger& ledger) {
--- a/src/libs/budget/bucket_sync.cc
+++ b/src/libs/budget/bucket_sync.cc
@@ -57,8 +57,8 @@
   BucketSyncParts parts;
   Phase phase = Phase::kDone;
   BucketState state;
-  std::uint64_t account_version = 0;
-  std::uint64_t shard_version = 0;
+  StoreVersion account_version;
+  StoreVersion shard_version;
   bool state_current = false;
   bool needs_round = false;
   // State of the current round.
@@ -72,7 +72,7 @@
   std::map<std::string, std::int64_t> missing;
   std::vector<std::string> foreign_domains;
   DomainShard foreign_shard;
-  std::uint64_t foreign_version = 0;
+  StoreVersion foreign_version;
   SyncResult result;
 };
 
@@ -115,7 +115,10 @@
 
 PlatformCall BucketSync::Private::Call(PlatformVerb verb,
                                        std::string name) const {
-  return {verb, std::move(name), 0, verb == PlatformVerb::kCreate ? "{}" : "",
+  return {verb,
+          std::move(name),
+          {},
+          verb == PlatformVerb::kCreate ? "{}" : "",
           pause};
 }
 
--- a/src/libs/budget/fleet_account.cc
+++ b/src/libs/budget/fleet_account.cc
@@ -81,7 +81,7 @@
 
 // Accounts of an earlier version have neither closings nor an era.
 bool ParseHistory(const json::object& top, FleetAccount* account) {
-  account->era = static_cast<std::uint64_t>(IntField(top, "era").value_or(0));
+  account->era = UintField(top, "era").value_or(0);
   account->is_settled = BoolField(top, "settled").value_or(false);
   account->is_remembered = BoolField(top, "remembered").value_or(false);
   const json::array* closings = ArrayField(top, "closings");
--- a/src/libs/budget/fleet_account.h
+++ b/src/libs/budget/fleet_account.h
@@ -99,7 +99,7 @@
   // The last holders that have ended, oldest first. Their charges are part of
   // FleetBudget::closed.
   std::vector<FleetClosing> closings;
-  // Era of the store in which the account was written, see store_version.h, and
+  // Era of the store in which the account was written, see StoreVersion, and
   // whether the hosts have added what they remembered of earlier eras.
   std::uint64_t era = 0;
   bool is_settled = false;
--- a/src/libs/budget/holder_closing.cc
+++ b/src/libs/budget/holder_closing.cc
@@ -25,7 +25,7 @@
 // A shard that the closing changes, with the version that was read.
 struct ShardWrite {
   std::string name;
-  std::uint64_t version = 0;
+  StoreVersion version;
   DomainShard shard;
   // Return totals of the domain after the write, by budget.
   std::map<std::string, std::int64_t> returned;
@@ -61,7 +61,7 @@
   std::chrono::milliseconds pause{0};
   EndedHolders ended_holders;
   EndedHolders new_ended_holders;
-  std::uint64_t ended_version = 0;
+  StoreVersion ended_version;
   // Whether this round has stored the new ends and processed the shards.
   bool shards_done = false;
   std::vector<ShardWrite> shards;
@@ -111,21 +111,25 @@
   const std::string ended_name = EndedHoldersObjectName(d_->parts.domain);
   switch (d_->phase) {
     case Phase::kLoadEndedHolders:
-      return PlatformCall{PlatformVerb::kGet, ended_name, 0, "", d_->pause};
+      return PlatformCall{PlatformVerb::kGet, ended_name, {}, "", d_->pause};
     case Phase::kWriteEndedHolders:
-      return PlatformCall{d_->ended_version == 0 ? PlatformVerb::kCreate
-                                                 : PlatformVerb::kUpdate,
+      return PlatformCall{!d_->ended_version.IsSet() ? PlatformVerb::kCreate
+                                                     : PlatformVerb::kUpdate,
                           ended_name, d_->ended_version,
                           ToJson(d_->new_ended_holders), d_->pause};
     case Phase::kListShards:
       return PlatformCall{PlatformVerb::kList,
-                          kShardPrefix + d_->parts.domain + "-", 0, "",
+                          kShardPrefix + d_->parts.domain + "-",
+                          {},
+                          "",
                           d_->pause};
     case Phase::kLoadBills:
       return PlatformCall{
           PlatformVerb::kList,
           kBillPrefix + d_->parts.domain + "-" + d_->bill_writers.back() + "-",
-          0, "", d_->pause};
+          {},
+          "",
+          d_->pause};
     case Phase::kWriteShard:
       return PlatformCall{PlatformVerb::kUpdate, d_->writes.back().name,
                           d_->writes.back().version,
@@ -198,7 +202,7 @@
                                                 HostLedger* ledger) {
   Reason reason;
   ended_holders = {};
-  ended_version = 0;
+  ended_version = {};
   if (answer.reason.code == ResultCode::kOk) {
     std::optional<EndedHolders> read = ParseEndedHolders(answer.value, &reason);
     if (!read)
--- a/src/libs/budget/platform_call.h
+++ b/src/libs/budget/platform_call.h
@@ -5,11 +5,11 @@
 #define SRC_LIBS_BUDGET_PLATFORM_CALL_H_
 
 #include <chrono>
-#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "libs/base/reason.h"
+#include "libs/base/store_version.h"
 
 namespace turmericwinch {
 
@@ -21,7 +21,7 @@
 struct PlatformCall {
   PlatformVerb verb = PlatformVerb::kGet;
   std::string name;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::string value;
   std::chrono::milliseconds pause{0};
 };
@@ -29,7 +29,7 @@
 // One object in the answer to kList.
 struct ListedObject {
   std::string name;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::string value;
 };
 
@@ -38,7 +38,7 @@
 // for kList the objects.
 struct PlatformAnswer {
   Reason reason;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::string value;
   std::vector<ListedObject> objects;
 };
--- a/src/libs/delivery/claim_session.cc
+++ b/src/libs/delivery/claim_session.cc
@@ -35,7 +35,7 @@
 ClaimSession::ClaimSession(std::string name, ClaimRecord record, Time start)
     : name_(std::move(name)), record_(std::move(record)), start_(start) {}
 
-void ClaimSession::OnCreated(std::uint64_t version) {
+void ClaimSession::OnCreated(StoreVersion version) {
   version_ = version;
   step_ = ClaimStep::kHeld;
 }
@@ -52,7 +52,7 @@
          RanState::kNotRun);
 }
 
-void ClaimSession::OnRead(std::uint64_t version,
+void ClaimSession::OnRead(StoreVersion version,
                           const std::optional<ClaimRecord>& found,
                           std::int64_t now_ms) {
   if (!found) {
@@ -102,7 +102,8 @@
 }
 
 bool ClaimSession::NeedsAbandon() const {
-  return step_ == ClaimStep::kRefuse && (version_ != 0 || create_unresolved_);
+  return step_ == ClaimStep::kRefuse &&
+         (version_.IsSet() || create_unresolved_);
 }
 
 void ClaimSession::Refuse(ResultCode code, std::string text, RanState ran) {
--- a/src/libs/delivery/claim_session.h
+++ b/src/libs/delivery/claim_session.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "libs/base/reason.h"
+#include "libs/base/store_version.h"
 #include "libs/delivery/claim_record.h"
 
 namespace turmericwinch {
@@ -42,11 +43,11 @@
   ClaimStep step() const { return step_; }
 
   // Handle the result of kCreate.
-  void OnCreated(std::uint64_t version);
+  void OnCreated(StoreVersion version);
   void OnCreateFailed(const Reason& reason);
   // Handle the result of kRead. `now_ms` is the current UTC time in
   // milliseconds.
-  void OnRead(std::uint64_t version,
+  void OnRead(StoreVersion version,
               const std::optional<ClaimRecord>& found,
               std::int64_t now_ms);
   void OnReadFailed(const Reason& reason);
@@ -62,7 +63,7 @@
   const std::string& name() const { return name_; }
   const ClaimRecord& record() const { return record_; }
   // Version of the claim's object; 0 if it is not known to exist.
-  std::uint64_t version() const { return version_; }
+  StoreVersion version() const { return version_; }
   const ClaimRecord& stored_claim() const { return stored_claim_; }
   const Reason& reason() const { return reason_; }
   RanState ran() const { return ran_; }
@@ -74,7 +75,7 @@
   ClaimRecord record_;
   Time start_;
   ClaimStep step_ = ClaimStep::kCreate;
-  std::uint64_t version_ = 0;
+  StoreVersion version_;
   bool create_unresolved_ = false;
   bool exists_ = false;
   int reads_ = 0;
--- a/src/libs/delivery/claim_settlement.cc
+++ b/src/libs/delivery/claim_settlement.cc
@@ -7,7 +7,7 @@
 namespace turmericwinch {
 
 ClaimSettlement::ClaimSettlement(std::string name,
-                                 std::uint64_t version,
+                                 StoreVersion version,
                                  ClaimRecord record,
                                  SettleStep write,
                                  Time now)
@@ -15,11 +15,11 @@
       version_(version),
       record_(std::move(record)),
       write_(write),
-      step_(version == 0 ? SettleStep::kRead : write),
+      step_(!version.IsSet() ? SettleStep::kRead : write),
       give_up_time_(now + kSettleTimeout) {}
 
 ClaimSettlement ClaimSettlement::Record(std::string name,
-                                        std::uint64_t version,
+                                        StoreVersion version,
                                         ClaimRecord record,
                                         Time now) {
   return {std::move(name), version, std::move(record), SettleStep::kUpdate,
@@ -27,7 +27,7 @@
 }
 
 ClaimSettlement ClaimSettlement::Abandon(std::string name,
-                                         std::uint64_t version,
+                                         StoreVersion version,
                                          ClaimRecord record,
                                          Time now) {
   return {std::move(name), version, std::move(record), SettleStep::kDelete,
@@ -63,7 +63,7 @@
     step_ = SettleStep::kRead;
 }
 
-void ClaimSettlement::OnRead(std::uint64_t version,
+void ClaimSettlement::OnRead(StoreVersion version,
                              const std::optional<ClaimRecord>& found) {
   if (!found || found->owner != record_.owner ||
       found->outcome != ClaimOutcome::kOpen) {
@@ -83,7 +83,7 @@
   }
   // A create call whose result is unknown may still take effect.
   ++absent_reads_;
-  if (version_ == 0 && absent_reads_ < kSettleAbsentReads) {
+  if (!version_.IsSet() && absent_reads_ < kSettleAbsentReads) {
     RetryLater(now);
     return;
   }
--- a/src/libs/delivery/claim_settlement.h
+++ b/src/libs/delivery/claim_settlement.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "libs/base/reason.h"
+#include "libs/base/store_version.h"
 #include "libs/delivery/claim_record.h"
 
 namespace turmericwinch {
@@ -36,19 +37,19 @@
 
   // Replaces the claim at `version` by `record`, whose outcome is set.
   static ClaimSettlement Record(std::string name,
-                                std::uint64_t version,
+                                StoreVersion version,
                                 ClaimRecord record,
                                 Time now);
   // Deletes the claim of an attempt that did not and will not send its request.
-  // `version` is 0 if it is not known whether the object exists.
+  // `version` is not set if it is not known whether the object exists.
   static ClaimSettlement Abandon(std::string name,
-                                 std::uint64_t version,
+                                 StoreVersion version,
                                  ClaimRecord record,
                                  Time now);
 
   SettleStep step() const { return step_; }
   const std::string& name() const { return name_; }
-  std::uint64_t version() const { return version_; }
+  StoreVersion version() const { return version_; }
   const ClaimRecord& record() const { return record_; }
   // Time to wait before the next step().
   std::chrono::milliseconds pause() const { return pause_; }
@@ -60,19 +61,19 @@
   // Handles the result of kUpdate or kDelete: kOk, or why it failed.
   void OnWritten(ResultCode code, Time now);
   // Handle the result of kRead.
-  void OnRead(std::uint64_t version, const std::optional<ClaimRecord>& found);
+  void OnRead(StoreVersion version, const std::optional<ClaimRecord>& found);
   void OnReadFailed(ResultCode code, Time now);
 
  private:
   ClaimSettlement(std::string name,
-                  std::uint64_t version,
+                  StoreVersion version,
                   ClaimRecord record,
                   SettleStep write,
                   Time now);
   void RetryLater(Time now);
 
   std::string name_;
-  std::uint64_t version_;
+  StoreVersion version_;
   ClaimRecord record_;
   SettleStep write_;
   SettleStep step_;
--- a/src/libs/gateway/account_manager.cc
+++ b/src/libs/gateway/account_manager.cc
@@ -4,12 +4,12 @@
 #include <limits>
 
 #include "libs/base/log.h"
+#include "libs/base/store_version.h"
 #include "libs/budget/budget_account.h"
 #include "libs/budget/ranked_hosts.h"
 #include "libs/gateway/account_manager_private.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/run_periodically.h"
-#include "libs/platform/store_version.h"
 
 namespace turmericwinch {
 
@@ -46,20 +46,20 @@
     co_return false;
   }
   FleetAccount account;
-  version = 0;
+  version = {};
   if (object) {
     stats.bytes_read += object->value.size();
     std::optional<FleetAccount> read =
         ParseFleetAccount(object->value, &reason);
     if (!read) {
       LogEvent(kLog, Severity::kError, "account_unreadable",
-               {{"version", object->version}, {"reason", reason.text}});
+               {{"version", ToText(object->version)}, {"reason", reason.text}});
       co_return false;
     }
     account = std::move(*read);
     version = object->version;
   }
-  const std::uint64_t era = object ? EraOf(object->version) : platform.Era();
+  const std::uint64_t era = object ? object->version.era : platform.Era();
   holder.LoadAccount(std::move(account), context.boot.now(), era);
   LogSettledChange();
   is_current = true;
@@ -137,8 +137,8 @@
   std::string value = ToJson(holder.planned_account());
   ++stats.writes;
   stats.bytes_written += value.size();
-  std::optional<std::uint64_t> answer;
-  if (version == 0) {
+  std::optional<StoreVersion> answer;
+  if (!version.IsSet()) {
     answer = co_await platform.Create(PlatformDuty::kBudget, kFleetAccountName,
                                       std::move(value), &reason);
   } else {
@@ -167,7 +167,7 @@
   logged_settled = holder.is_settled();
   LogEvent(kLog, Severity::kWarning,
            logged_settled ? "account_settled" : "account_unsettled",
-           {{"era", holder.era()}, {"version", version}});
+           {{"era", holder.era()}, {"version", ToText(version)}});
 }
 
 Reason AccountManager::Private::UnmetReason() const {
@@ -186,8 +186,9 @@
     if (ledger.fenced())
       return;
     ledger.Fence();
-    LogEvent(kLog, Severity::kError, "holder_closed",
-             {{"holder", context.ledger_holder()}, {"version", version}});
+    LogEvent(
+        kLog, Severity::kError, "holder_closed",
+        {{"holder", context.ledger_holder()}, {"version", ToText(version)}});
   });
   BorrowOrDeny(
       {ResultCode::kBudgetUnreachable,
@@ -214,7 +215,7 @@
          {"opened", row->second.opened},
          {"closed", budget.closed},
          {"spent", budget.Spent()},
-         {"version", version}});
+         {"version", ToText(version)}});
   }
 }
 
@@ -245,7 +246,7 @@
         kLog, Severity::kWarning, "stock_opened",
         {{"budget", name},
          {"granted", total},
-         {"version", version},
+         {"version", ToText(version)},
          {"since_ms", (context.boot.now() - holder.last_issued()).count()}});
   }
 }
--- a/src/libs/gateway/account_manager_introductions.cc
+++ b/src/libs/gateway/account_manager_introductions.cc
@@ -30,7 +30,7 @@
                                       holder.OwnHeartbeat(context.boot.now()),
                                       holder.earlier_incarnations()});
   LogEvent(kLog, Severity::kInfo, "introduction_requested",
-           {{"peer", address}, {"version", version}});
+           {{"peer", address}, {"version", ToText(version)}});
   return true;
 }
 
--- a/src/libs/gateway/account_manager_private.h
+++ b/src/libs/gateway/account_manager_private.h
@@ -120,7 +120,7 @@
   // last read.
   bool is_current = false;
   // Version of the account object; 0 until the object exists.
-  std::uint64_t version = 0;
+  StoreVersion version;
   FleetHolder holder;
   PeerLoans loans;
   AccountWrites writes;
--- a/src/libs/gateway/config_source.cc
+++ b/src/libs/gateway/config_source.cc
@@ -32,7 +32,7 @@
   std::optional<GatewayConfig> config = decode_(object.value, &reason);
   if (!config) {
     LogEvent(kLog, Severity::kError, "config_rejected",
-             {{"revision", object.version}, {"reason", reason.text}});
+             {{"revision", ToText(object.version)}, {"reason", reason.text}});
     return;
   }
   if (config->version <= version_)
@@ -40,7 +40,7 @@
   version_ = config->version;
   LogEvent(kLog, Severity::kInfo, "config_in_force",
            {{"version", config->version},
-            {"revision", object.version},
+            {"revision", ToText(object.version)},
             {"routes", config->routes.size()}});
   on_config_(std::make_shared<const GatewayConfig>(std::move(*config)));
 }
@@ -66,7 +66,7 @@
       HandleObject(*object);
     if (answered)
       news_.RecordAnswer(StoreTopic::kConfig, revision_);
-    if (answered && (object || revision_ > 0))
+    if (answered && (object || revision_.IsSet()))
       continue;
     timer.expires_after(kStoreRetryPause);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/libs/gateway/config_source.h
+++ b/src/libs/gateway/config_source.h
@@ -43,7 +43,7 @@
   Decoder decode_;
   Sink on_config_;
   // The store's version of the object, and the operator's version in it.
-  std::uint64_t revision_ = 0;
+  StoreVersion revision_;
   std::uint64_t version_ = 0;
   bool store_available_ = false;
 };
--- a/src/libs/gateway/domain_evacuations.cc
+++ b/src/libs/gateway/domain_evacuations.cc
@@ -44,7 +44,7 @@
 }
 
 bool DomainEvacuations::ApplyNews(const std::vector<std::string>& domains,
-                                  std::uint64_t version,
+                                  StoreVersion version,
                                   std::chrono::milliseconds age,
                                   TimePoint now) {
   if (version < version_ ||
--- a/src/libs/gateway/domain_evacuations.h
+++ b/src/libs/gateway/domain_evacuations.h
@@ -16,7 +16,7 @@
 
 // Answers an operator who empties a failure domain while the store, links or
 // hosts fail: what is known stays in force until something newer is known.
-// Versions are those of the store, see store_version.h, so that the state of a
+// Versions are those of the store, see StoreVersion, so that the state of a
 // store that came back from an old copy replaces what was known before.
 class DomainEvacuations {
  public:
@@ -31,14 +31,14 @@
   // this host knows a newer version, or a later answer with the same version.
   // Returns whether the set changed.
   bool ApplyNews(const std::vector<std::string>& domains,
-                 std::uint64_t version,
+                 StoreVersion version,
                  std::chrono::milliseconds age,
                  TimePoint now);
 
   const std::set<std::string>& domains() const { return evacuated_; }
-  // Version of the store that the set is known to hold for; 0 if none is.
-  std::uint64_t version() const { return version_; }
-  // Whether the set was read at least once. An empty store may have version 0.
+  // Version of the store that the set is known to hold for; not set if none is.
+  StoreVersion version() const { return version_; }
+  // Whether the set was read at least once. An empty store may have revision 0.
   bool is_known() const { return is_known_; }
   // When the store last confirmed the set.
   TimePoint confirmed_at() const { return confirmed_at_; }
@@ -57,7 +57,7 @@
   std::set<std::string> unknown_names_;
   std::vector<std::string> new_unknown_names_;
   bool is_known_ = false;
-  std::uint64_t version_ = 0;
+  StoreVersion version_;
   TimePoint confirmed_at_{};
 };
 
--- a/src/libs/gateway/evacuation_source.cc
+++ b/src/libs/gateway/evacuation_source.cc
@@ -34,7 +34,7 @@
   LogEvent(kLog, domains.empty() ? Severity::kInfo : Severity::kWarning,
            "domains_evacuated",
            {{"domains", boost::algorithm::join(domains, ",")},
-            {"version", evacuations_.version()}});
+            {"version", ToText(evacuations_.version())}});
   on_change_(evacuations_.domains());
 }
 
@@ -62,7 +62,7 @@
   LogEvent(kLog, available ? Severity::kInfo : Severity::kWarning,
            available ? "store_regained" : "store_lost",
            {{"object", kKind},
-            {"version", evacuations_.version()},
+            {"version", ToText(evacuations_.version())},
             {"code", static_cast<int>(reason.code)},
             {"reason", reason.text}});
 }
--- a/src/libs/gateway/gateway_state.cc
+++ b/src/libs/gateway/gateway_state.cc
@@ -47,7 +47,8 @@
 json::object Evacuations(const EvacuationStats& stats) {
   json::object row = {
       {"domains", json::array(stats.domains.begin(), stats.domains.end())},
-      {"version", stats.version}};
+      {"version", stats.version.revision},
+      {"era", stats.version.era}};
   if (stats.age)
     row["age_ms"] = stats.age->count();
   else
--- a/src/libs/gateway/gateway_state.h
+++ b/src/libs/gateway/gateway_state.h
@@ -16,11 +16,11 @@
 namespace turmericwinch {
 
 // The evacuated failure domains, the version of the store that they are known
-// for, 0 if none, and the time since the store confirmed them, nullopt if they
-// are not known.
+// for, not set if none, and the time since the store confirmed them, nullopt if
+// they are not known.
 struct EvacuationStats {
   std::set<std::string> domains;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::optional<std::chrono::milliseconds> age;
 };
 
--- a/src/libs/gateway/quarantine_store.cc
+++ b/src/libs/gateway/quarantine_store.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "libs/base/log.h"
+#include "libs/base/store_version.h"
 #include "libs/gateway/gateway_constants.h"
-#include "libs/platform/store_version.h"
 
 namespace turmericwinch {
 
@@ -60,11 +60,11 @@
   if (reason.code != ResultCode::kPlatformNotFound)
     co_return false;
   // A store that came back from an old copy may not have the object.
-  if (EraOf(version_) != platform_.Era())
-    version_ = 0;
-  if (version_ > 0)
+  if (version_.era != platform_.Era())
+    version_ = {};
+  if (version_.IsSet())
     co_return true;
-  const std::optional<std::uint64_t> created = co_await platform_.Create(
+  const std::optional<StoreVersion> created = co_await platform_.Create(
       PlatformDuty::kCaches, kObjectName, stored_.ToText(), &reason);
   if (created)
     version_ = *created;
@@ -78,7 +78,7 @@
       StoredQuarantine::Parse(object.value, &reason);
   if (!parsed) {
     LogEvent(kLog, Severity::kError, "stored_quarantine_unreadable",
-             {{"version", object.version}, {"reason", reason.text}});
+             {{"version", ToText(object.version)}, {"reason", reason.text}});
     return;
   }
   stored_ = std::move(*parsed);
@@ -87,7 +87,7 @@
 
 void QuarantineStore::Store(const QuarantineVerdicts& changes) {
   StoredQuarantine next = stored_;
-  if (version_ == 0 || is_writing_ || !next.Apply(changes, UnixMs()))
+  if (!version_.IsSet() || is_writing_ || !next.Apply(changes, UnixMs()))
     return;
   is_writing_ = true;
   asio::co_spawn(control_, Write(changes), asio::detached);
@@ -110,7 +110,7 @@
       break;
     }
     PlatformObject object{kObjectName, version_, next.ToText()};
-    const std::optional<std::uint64_t> written = co_await platform_.Update(
+    const std::optional<StoreVersion> written = co_await platform_.Update(
         PlatformDuty::kCaches, std::move(object), &reason);
     if (written) {
       version_ = std::max(version_, *written);
--- a/src/libs/gateway/quarantine_store.h
+++ b/src/libs/gateway/quarantine_store.h
@@ -46,8 +46,8 @@
   StoreNewsExchange& news_;
   Sink on_verdicts_;
   StoredQuarantine stored_;
-  // Version of the object; 0 until it was read or created.
-  std::uint64_t version_ = 0;
+  // Version of the object; not set until it was read or created.
+  StoreVersion version_;
   bool is_writing_ = false;
 };
 
--- a/src/libs/gateway/store_news_exchange.cc
+++ b/src/libs/gateway/store_news_exchange.cc
@@ -6,10 +6,10 @@
 
 #include "libs/base/digest.h"
 #include "libs/base/log.h"
+#include "libs/base/store_version.h"
 #include "libs/budget/ranked_hosts.h"
 #include "libs/gateway/gateway_constants.h"
 #include "libs/gateway/run_periodically.h"
-#include "libs/platform/store_version.h"
 
 namespace turmericwinch {
 
@@ -86,7 +86,7 @@
 }
 
 void StoreNewsExchange::SendNews(std::string changes,
-                                 std::uint64_t changes_from) {
+                                 StoreVersion changes_from) {
   if (!readers_.is_sender())
     return;
   Clock::time_point answered = std::min(AnsweredAt(StoreTopic::kConfig),
@@ -109,7 +109,7 @@
 void StoreNewsExchange::SendEvacuations(std::size_t count) {
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       Clock::now() - AnsweredAt(StoreTopic::kEvacuations));
-  if (own_.evacuations == 0 || age >= kMaxNewsAge)
+  if (!own_.evacuations.IsSet() || age >= kMaxNewsAge)
     return;
   StoreNews news;
   news.host = host_;
@@ -139,9 +139,9 @@
                     kMaxWatchInterval);
 }
 
-void StoreNewsExchange::RecordAnswer(StoreTopic topic, std::uint64_t version) {
+void StoreNewsExchange::RecordAnswer(StoreTopic topic, StoreVersion version) {
   AnsweredAt(topic) = Clock::now();
-  std::uint64_t& known =
+  StoreVersion& known =
       topic == StoreTopic::kConfig ? own_.config : own_.quarantine;
   if (version <= known)
     return;
@@ -150,7 +150,7 @@
 }
 
 void StoreNewsExchange::RecordEvacuations(const std::set<std::string>& domains,
-                                          std::uint64_t version) {
+                                          StoreVersion version) {
   AnsweredAt(StoreTopic::kEvacuations) = Clock::now();
   const bool is_first = !std::exchange(evacuations_read_, true);
   const bool is_new = !std::equal(domains.begin(), domains.end(),
@@ -165,7 +165,7 @@
 }
 
 void StoreNewsExchange::ApplyEvacuations(const StoreNews& news) {
-  if (news.evacuations == 0 || !on_evacuations_)
+  if (!news.evacuations.IsSet() || !on_evacuations_)
     return;
   on_evacuations_({news.evacuated, news.evacuations, news.age});
   // The news hold the whole set, so nothing is left to read.
@@ -181,9 +181,9 @@
     own_.outage = hosts.version;
   if (!hosts.is_whole && hosts.text.empty())
     return;
-  const std::uint64_t from = std::exchange(own_.targets_changed, hosts.version);
+  const StoreVersion from = std::exchange(own_.targets_changed, hosts.version);
   // Changes in an earlier era do not lead to this list.
-  const bool follows = !hosts.is_whole && EraOf(from) == EraOf(hosts.version);
+  const bool follows = !hosts.is_whole && from.era == hosts.version.era;
   SendNews(follows ? hosts.text : "", follows ? from : hosts.version);
 }
 
@@ -207,7 +207,7 @@
   // Without later changes, the list known here is that of the news.
   Waiter& targets = WaiterOf(StoreTopic::kTargets);
   if (news->targets_changed <= targets.version &&
-      EraOf(news->targets) == EraOf(targets.version))
+      news->targets.era == targets.version.era)
     targets.version = std::max(targets.version, news->targets);
   for (std::size_t n = 0; n < kStoreTopics; ++n) {
     Waiter& it = waiters_[n];
@@ -220,7 +220,7 @@
 
 asio::awaitable<bool> StoreNewsExchange::WaitUntilReadIsDue(
     StoreTopic topic,
-    std::uint64_t version,
+    StoreVersion version,
     std::chrono::milliseconds max_wait) {
   Waiter& waiter = WaiterOf(topic);
   waiter.version = version;
@@ -228,7 +228,7 @@
   for (;;) {
     const Clock::time_point now = Clock::now();
     const auto until = readers_.NewsValidUntil(now);
-    if (version == 0 || !until ||
+    if (!version.IsSet() || !until ||
         readers_.NewestVersion(topic, now) > waiter.version)
       co_return true;
     if (now >= end)
@@ -241,7 +241,7 @@
 }
 
 asio::awaitable<void> StoreNewsExchange::WaitUntilRead(StoreTopic topic,
-                                                       std::uint64_t version) {
+                                                       StoreVersion version) {
   bool is_due = false;
   while (!is_due)
     is_due = co_await WaitUntilReadIsDue(topic, version, kMaxNewsWait);
@@ -255,20 +255,20 @@
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-std::uint64_t StoreNewsExchange::ConfirmedTargets(std::uint64_t version) const {
+StoreVersion StoreNewsExchange::ConfirmedTargets(StoreVersion version) const {
   return std::max(
       version,
       waiters_[static_cast<std::size_t>(StoreTopic::kTargets)].version);
 }
 
-void StoreNewsExchange::RecordAppliedTargets(std::uint64_t version) {
+void StoreNewsExchange::RecordAppliedTargets(StoreVersion version) {
   Waiter& waiter = WaiterOf(StoreTopic::kTargets);
   waiter.version = std::max(waiter.version, version);
   own_.targets = std::max(own_.targets, version);
   own_.targets_changed = std::max(own_.targets_changed, version);
 }
 
-bool StoreNewsExchange::HadOutageSince(std::uint64_t version) const {
+bool StoreNewsExchange::HadOutageSince(StoreVersion version) const {
   return readers_.LastOutage(Clock::now()) > version;
 }
 
--- a/src/libs/gateway/store_news_exchange.h
+++ b/src/libs/gateway/store_news_exchange.h
@@ -26,8 +26,8 @@
 // Changes of the list of targets that another host has read: those after
 // version `from`, up to version `to`. `text` is that of PlatformHosts.
 struct TargetListNews {
-  std::uint64_t from = 0;
-  std::uint64_t to = 0;
+  StoreVersion from;
+  StoreVersion to;
   std::string text;
 };
 
@@ -35,7 +35,7 @@
 // `age` is the time since the store last answered that host.
 struct EvacuationNews {
   std::vector<std::string> domains;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::chrono::milliseconds age{0};
 };
 
@@ -73,32 +73,32 @@
   // now: it has no valid news, or they name a newer version.
   boost::asio::awaitable<bool> WaitUntilReadIsDue(
       StoreTopic topic,
-      std::uint64_t version,
+      StoreVersion version,
       std::chrono::milliseconds max_wait);
   // Waits like WaitUntilReadIsDue(), without an end, and then PaceRead().
   boost::asio::awaitable<void> WaitUntilRead(StoreTopic topic,
-                                             std::uint64_t version);
+                                             StoreVersion version);
   // Waits until a watch of `topic` may start, so that a change that follows
   // others at once does not cost a call of its own.
   boost::asio::awaitable<void> PaceRead(StoreTopic topic);
   // Version of the list of targets that this host has according to news: at
   // least `version`, higher if the list has not changed since.
-  std::uint64_t ConfirmedTargets(std::uint64_t version) const;
+  StoreVersion ConfirmedTargets(StoreVersion version) const;
   // Records that this host applied news up to `version` of the list of targets.
-  void RecordAppliedTargets(std::uint64_t version);
+  void RecordAppliedTargets(StoreVersion version);
   // Whether the store had an outage after `version` of the list of targets.
-  bool HadOutageSince(std::uint64_t version) const;
+  bool HadOutageSince(StoreVersion version) const;
   // Longest time that a watch should last.
   std::chrono::milliseconds WatchWait() const;
   // Records that the store answered, and that it has no newer version of
   // `topic` than `version`.
-  void RecordAnswer(StoreTopic topic, std::uint64_t version);
+  void RecordAnswer(StoreTopic topic, StoreVersion version);
   // Records that the store answered, and which failure domains are evacuated at
   // `version`; sends them to the listeners and to all other hosts of the fleet
   // if they changed after the first call, because a whole domain may be cut off
   // from the store.
   void RecordEvacuations(const std::set<std::string>& domains,
-                         std::uint64_t version);
+                         StoreVersion version);
   // Records an answer with the list of targets, and sends its changes to the
   // listeners. `after_outage`: it is the first after an outage of the store.
   void RecordTargets(const PlatformHosts& hosts, bool after_outage);
@@ -107,12 +107,12 @@
   struct Waiter {
     boost::asio::steady_timer timer;
     WatchPacer pacer{kMinWatchInterval};
-    std::uint64_t version = 0;
+    StoreVersion version;
     bool is_waiting = false;
   };
 
   bool HandleFrame(const PeerFrame& frame);
-  void SendNews(std::string changes, std::uint64_t changes_from);
+  void SendNews(std::string changes, StoreVersion changes_from);
   // Sends the evacuations to `count` hosts of the fleet in turn, unless the
   // store did not confirm them within kMaxNewsAge.
   void SendEvacuations(std::size_t count);
--- a/src/libs/gateway/store_readers.cc
+++ b/src/libs/gateway/store_readers.cc
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-std::uint64_t VersionIn(const StoreNews& news, StoreTopic topic) {
+StoreVersion VersionIn(const StoreNews& news, StoreTopic topic) {
   switch (topic) {
     case StoreTopic::kConfig:
       return news.config;
@@ -22,7 +22,7 @@
     case StoreTopic::kEvacuations:
       return news.evacuations;
   }
-  return 0;
+  return {};
 }
 
 }  // namespace
@@ -100,10 +100,10 @@
   return until;
 }
 
-std::uint64_t StoreReaders::NewestOf(
-    const std::function<std::uint64_t(const StoreNews&)>& value,
+StoreVersion StoreReaders::NewestOf(
+    const std::function<StoreVersion(const StoreNews&)>& value,
     TimePoint now) const {
-  std::uint64_t newest = 0;
+  StoreVersion newest;
   for (const auto& [host, record] : records_) {
     if (record.valid_until > now)
       newest = std::max(newest, value(record.news));
@@ -111,13 +111,13 @@
   return newest;
 }
 
-std::uint64_t StoreReaders::NewestVersion(StoreTopic topic,
-                                          TimePoint now) const {
+StoreVersion StoreReaders::NewestVersion(StoreTopic topic,
+                                         TimePoint now) const {
   return NewestOf(
       [topic](const StoreNews& news) { return VersionIn(news, topic); }, now);
 }
 
-std::uint64_t StoreReaders::LastOutage(TimePoint now) const {
+StoreVersion StoreReaders::LastOutage(TimePoint now) const {
   return NewestOf([](const StoreNews& news) { return news.outage; }, now);
 }
 
--- a/src/libs/gateway/store_readers.h
+++ b/src/libs/gateway/store_readers.h
@@ -57,12 +57,12 @@
   // Time until which this host may rely on news; nullopt if it has to read for
   // itself now.
   std::optional<TimePoint> NewsValidUntil(TimePoint now) const;
-  // Highest version of `topic` in the valid news; 0 if there are none. That of
-  // the targets is the version of their last change.
-  std::uint64_t NewestVersion(StoreTopic topic, TimePoint now) const;
+  // Highest version of `topic` in the valid news; not set if there are none.
+  // That of the targets is the version of their last change.
+  StoreVersion NewestVersion(StoreTopic topic, TimePoint now) const;
   // Highest version in the valid news of a list of targets that was the first
-  // after an outage of the store; 0 if there is none.
-  std::uint64_t LastOutage(TimePoint now) const;
+  // after an outage of the store; not set if there is none.
+  StoreVersion LastOutage(TimePoint now) const;
   // Addresses of the other hosts of the domain; empty if it has no readers.
   std::vector<std::string> Listeners() const;
 
@@ -82,8 +82,8 @@
 
   bool HasReaders() const;
   // Highest `value` of the valid news.
-  std::uint64_t NewestOf(
-      const std::function<std::uint64_t(const StoreNews&)>& value,
+  StoreVersion NewestOf(
+      const std::function<StoreVersion(const StoreNews&)>& value,
       TimePoint now) const;
   // Whether a host with a position below `position` sends valid news.
   bool HasSenderBefore(std::size_t position, TimePoint now) const;
--- a/src/libs/gateway/target_source.cc
+++ b/src/libs/gateway/target_source.cc
@@ -3,8 +3,8 @@
 #include <boost/asio.hpp>
 
 #include "libs/base/log.h"
+#include "libs/base/store_version.h"
 #include "libs/gateway/gateway_constants.h"
-#include "libs/platform/store_version.h"
 #include "libs/routing/host_list_change.h"
 
 namespace turmericwinch {
@@ -24,9 +24,9 @@
   news_.SetTargetsHandler([this](const TargetListNews& it) { HandleNews(it); });
 }
 
-ListOrigin TargetSource::OriginOf(std::uint64_t version,
+ListOrigin TargetSource::OriginOf(StoreVersion version,
                                   bool after_outage) const {
-  if (era_ > 0 && EraOf(version) != era_)
+  if (era_ > 0 && version.era != era_)
     return ListOrigin::kRestoredStore;
   return after_outage ? ListOrigin::kOutage : ListOrigin::kAvailableStore;
 }
@@ -37,7 +37,7 @@
     return;
   Reason reason;
   version_ = hosts.version;
-  era_ = EraOf(version_);
+  era_ = version_.era;
   if (hosts.is_whole) {
     std::optional<HostList> whole = ParseHostList(hosts.text, &reason);
     if (whole) {
@@ -49,7 +49,7 @@
   }
   if (reason.code != ResultCode::kOk) {
     LogEvent(kLog, Severity::kError, "list_unreadable",
-             {{"version", version_}, {"reason", reason.text}});
+             {{"version", ToText(version_)}, {"reason", reason.text}});
   }
 }
 
@@ -62,8 +62,8 @@
 }
 
 void TargetSource::HandleNews(const TargetListNews& news) {
-  version_ = outage_ ? 0 : news_.ConfirmedTargets(version_);
-  if (version_ == 0 || EraOf(news.to) != era_ || news.from > version_ ||
+  version_ = outage_ ? StoreVersion() : news_.ConfirmedTargets(version_);
+  if (!version_.IsSet() || news.to.era != era_ || news.from > version_ ||
       news.to <= version_)
     return;
   Reason reason;
@@ -73,9 +73,9 @@
   if (reason.code == ResultCode::kOk)
     return;
   // The store is called for the whole list.
-  version_ = 0;
+  version_ = {};
   LogEvent(kLog, Severity::kError, "list_unreadable",
-           {{"version", news.to}, {"reason", reason.text}});
+           {{"version", ToText(news.to)}, {"reason", reason.text}});
 }
 
 void TargetSource::PublishTimed() {
@@ -93,7 +93,7 @@
               {"address", it.member.address},
               {"class", it.member.target_class},
               {"leaving", it.member.leaving},
-              {"version", version_}});
+              {"version", ToText(version_)}});
   }
   on_list_(targets_.list());
 }
@@ -103,22 +103,23 @@
     is_due = co_await news_.WaitUntilReadIsDue(
         StoreTopic::kTargets, version_,
         targets_.has_timed_entries() ? kStoreRetryPause : kMaxNewsWait);
-    version_ = version_ == 0 ? 0 : news_.ConfirmedTargets(version_);
+    version_ =
+        !version_.IsSet() ? StoreVersion() : news_.ConfirmedTargets(version_);
     PublishTimed();
   }
   // Entries may be missing from the list although their targets live.
-  if (version_ > 0 && news_.HadOutageSince(version_))
+  if (version_.IsSet() && news_.HadOutageSince(version_))
     outage_ = true;
   // Only the whole list shows which targets were removed during the outage.
   if (outage_)
-    version_ = 0;
+    version_ = {};
 }
 
 void TargetSource::HandleFailedCall(const Reason& reason) {
   if (!outage_) {
     LogEvent(kLog, Severity::kWarning, "store_lost",
              {{"targets", targets_.list().targets.size()},
-              {"version", version_},
+              {"version", ToText(version_)},
               {"code", static_cast<int>(reason.code)},
               {"reason", reason.text}});
   }
@@ -150,7 +151,7 @@
       LogEvent(kLog, Severity::kInfo, "store_regained",
                {{"targets", targets_.list().targets.size()},
                 {"lapsed", targets_.has_expired_entries()},
-                {"version", version_}});
+                {"version", ToText(version_)}});
     }
   }
 }
--- a/src/libs/gateway/target_source.h
+++ b/src/libs/gateway/target_source.h
@@ -43,7 +43,7 @@
   boost::asio::awaitable<void> WaitUntilReadIsDue();
   void HandleFailedCall(const Reason& reason);
   // What a list of this version follows.
-  ListOrigin OriginOf(std::uint64_t version, bool after_outage) const;
+  ListOrigin OriginOf(StoreVersion version, bool after_outage) const;
   // Logs the changes and passes the new list to `on_list_`.
   void Publish(const std::vector<HostListChange>& changes);
 
@@ -51,7 +51,7 @@
   StoreNewsExchange& news_;
   Sink on_list_;
   ListedTargets targets_;
-  std::uint64_t version_ = 0;
+  StoreVersion version_;
   // Whether the store did not answer the last call, or news show that it was
   // away. The whole list is then read.
   bool outage_ = false;
--- a/src/libs/node/claim_manager.cc
+++ b/src/libs/node/claim_manager.cc
@@ -91,7 +91,7 @@
 asio::awaitable<ClaimResult> ClaimManager::Acquire(ClaimRequest request) {
   ClaimSession session = NewSession(request);
   Reason reason;
-  std::optional<std::uint64_t> version = co_await d_->platform.Create(
+  std::optional<StoreVersion> version = co_await d_->platform.Create(
       PlatformDuty::kClaims, session.name(), ToJson(session.record()), &reason);
   if (version)
     session.OnCreated(*version);
@@ -138,7 +138,7 @@
   ClaimSettlement settlement = ClaimSettlement::Abandon(
       session.name(), session.version(), session.record(),
       std::chrono::steady_clock::now());
-  if (session.version() != 0) {
+  if (session.version().IsSet()) {
     co_await Private::SettleWithTimeout(d_, std::move(settlement));
     co_return;
   }
@@ -232,7 +232,7 @@
 asio::awaitable<void> ClaimManager::Private::Write(
     ClaimSettlement& settlement) {
   Reason reason;
-  std::optional<std::uint64_t> version;
+  std::optional<StoreVersion> version;
   if (settlement.step() == SettleStep::kUpdate) {
     // A named variable: GCC 12 destroys an aggregate twice if it is built
     // within a co_await expression.
@@ -268,7 +268,7 @@
     std::optional<ClaimRecord> record = ParseClaimRecord(it.value);
     if (!record || !IsExpired(*record, UtcMs()))
       continue;
-    std::optional<std::uint64_t> deleted = co_await platform.Delete(
+    std::optional<StoreVersion> deleted = co_await platform.Delete(
         PlatformDuty::kClaims, it.name, it.version, &reason);
     if (deleted)
       ++swept;
--- a/src/libs/node/config_watcher.cc
+++ b/src/libs/node/config_watcher.cc
@@ -56,7 +56,7 @@
   std::optional<asio::any_io_executor> executor;
   std::map<std::string, Time> last_notices;
   std::mt19937_64 random{std::random_device{}()};
-  std::uint64_t version = 0;
+  StoreVersion version;
   Time next_check{0};
   bool platform_reachable = false;
   bool watching = false;
@@ -97,7 +97,7 @@
   std::optional<ConfigHead> head = ParseConfigHead(object.value, &reason);
   if (!head || head->generations.empty()) {
     LogEvent(kLog, Severity::kError, "config_head_unreadable",
-             {{"version", object.version}, {"reason", reason.text}});
+             {{"version", ToText(object.version)}, {"reason", reason.text}});
     return;
   }
   const ConfigGeneration& newest = head->generations.front();
@@ -128,7 +128,7 @@
   }
   // A restored platform counts from a lower version, which the watch for a
   // higher one would never report.
-  if (platform_reachable && version > 0)
+  if (platform_reachable && version.IsSet())
     co_return co_await ReadHead();
   co_return platform_reachable;
 }
--- a/src/libs/node/host_list_copy.h
+++ b/src/libs/node/host_list_copy.h
@@ -52,7 +52,7 @@
   bool known() const { return !digest_.empty(); }
   const HostList& list() const { return list_; }
   const std::string& digest() const { return digest_; }
-  std::uint64_t version() const { return version_; }
+  StoreVersion version() const { return version_; }
 
  private:
   void SetList(HostList list);
@@ -63,7 +63,7 @@
   HostList list_;
   std::string text_;
   std::string digest_;
-  std::uint64_t version_ = 0;
+  StoreVersion version_;
   // The pieces received so far of a full list, and the digest of that list.
   std::string partial_;
   std::string partial_digest_;
--- a/src/libs/node/host_list_poller.cc
+++ b/src/libs/node/host_list_poller.cc
@@ -80,7 +80,7 @@
     return;
   // Without versions, receivers cannot order the changes of two readers: only
   // the first holder of the duty sends them.
-  if (changes.version == 0 && !fleet->HoldsDuty(kReadDuty, 1))
+  if (!changes.version.IsSet() && !fleet->HoldsDuty(kReadDuty, 1))
     return;
   HostListPart part = changes;
   part.peer = fleet->address();
@@ -90,9 +90,9 @@
 
 asio::awaitable<bool> HostListPoller::Private::ReadPlatform(milliseconds wait) {
   const auto started = Clock::now();
-  std::uint64_t after = copy.known() ? copy.version() : 0;
+  StoreVersion after = copy.known() ? copy.version() : StoreVersion();
   if (started >= next_full_read)
-    after = 0;
+    after = {};
   Reason reason;
   const std::string before = copy.digest();
   std::optional<PlatformHosts> hosts =
@@ -121,7 +121,7 @@
     PublishList();
     Send(*changes);
   }
-  co_return hosts->version > 0;
+  co_return hosts->version.IsSet();
 }
 
 std::string HostListPoller::Private::NextPeerToAsk() {
@@ -247,7 +247,7 @@
 json::object HostListPoller::Dump() const {
   return {{"hosts", d_->copy.list().hosts.size()},
           {"targets", d_->copy.list().targets.size()},
-          {"version", d_->copy.version()},
+          {"version", d_->copy.version().revision},
           {"digest", d_->copy.digest()},
           {"reads_platform", d_->is_reader},
           {"confirmed_ms_ago", d_->Age().count()},
--- a/src/libs/node/quarantine_manager.cc
+++ b/src/libs/node/quarantine_manager.cc
@@ -210,7 +210,7 @@
   Reason reason;
   std::string name = std::string(kPrefix) + verdict.digest;
   std::string value = VerdictText(UtcMs() + verdict.hold.count());
-  std::optional<std::uint64_t> version = co_await d->platform.Create(
+  std::optional<StoreVersion> version = co_await d->platform.Create(
       PlatformDuty::kClaims, std::move(name), std::move(value), &reason);
   if (!version && reason.code != ResultCode::kPlatformExists) {
     LogEvent(kLog, Severity::kWarning, "verdict_not_shared",
--- a/src/libs/operations/budget_store.cc
+++ b/src/libs/operations/budget_store.cc
@@ -120,7 +120,7 @@
                          " tokens is negative or too large");
     }
     const std::int64_t total = account.topped_up;
-    std::optional<std::uint64_t> version;
+    std::optional<StoreVersion> version;
     if (absent) {
       version = co_await platform.Create(PlatformDuty::kOperator, name,
                                          ToJson(*accounts), reason);
--- a/src/libs/operations/config_store.cc
+++ b/src/libs/operations/config_store.cc
@@ -34,7 +34,7 @@
                                      std::string value,
                                      Reason* reason) {
   for (int n = 0; n < kMaxStoreAttempts; ++n) {
-    std::optional<std::uint64_t> version =
+    std::optional<StoreVersion> version =
         co_await platform.Create(PlatformDuty::kOperator, name, value, reason);
     if (version || reason->code == ResultCode::kPlatformExists)
       co_return true;
@@ -139,8 +139,8 @@
   const std::string publication = generation.publication;
   const ConfigHead head = PrependGeneration(base.head, std::move(generation));
   const std::string text = ToJson(head);
-  std::optional<std::uint64_t> version;
-  if (base.version == 0) {
+  std::optional<StoreVersion> version;
+  if (!base.version.IsSet()) {
     version = co_await platform.Create(PlatformDuty::kOperator, kConfigHeadName,
                                        text, reason);
   } else {
--- a/src/libs/operations/config_store.h
+++ b/src/libs/operations/config_store.h
@@ -18,7 +18,7 @@
 // The newest published generation. `version` is the version of the head object,
 // 0 if nothing was published yet.
 struct PublishedConfig {
-  std::uint64_t version = 0;
+  StoreVersion version;
   ConfigHead head;
   ConfigSet set;
 };
--- a/src/libs/operations/config_verbs.cc
+++ b/src/libs/operations/config_verbs.cc
@@ -92,7 +92,7 @@
   const std::vector<ConfigDifference> differences =
       DiffConfig(base->set, checked.set);
   context.out = ToText(differences);
-  if (differences.empty() && base->version != 0) {
+  if (differences.empty() && base->version.IsSet()) {
     context.out = "no differences; generation " +
                   std::to_string(base->head.generation()) +
                   " remains in force\n";
--- a/src/libs/operations/evacuation_report.cc
+++ b/src/libs/operations/evacuation_report.cc
@@ -31,7 +31,10 @@
         row.domains.emplace_back(*name);
     }
   }
-  row.version = IntField(*known, "version").value_or(0);
+  const std::uint64_t version = UintField(*known, "version").value_or(0);
+  // Dumps of earlier releases have no era of their own.
+  const std::optional<std::uint64_t> era = UintField(*known, "era");
+  row.version = era ? StoreVersion{*era, version} : UnpackVersion(version);
   row.age_ms = IntField(*known, "age_ms");
   row.state = row.age_ms ? "known" : "unknown";
   return row;
@@ -43,7 +46,7 @@
   for (const EvacuationRow& it : rows) {
     const std::string domains = boost::algorithm::join(it.domains, ",");
     table.push_back({it.address, it.host, domains.empty() ? "-" : domains,
-                     std::to_string(it.version),
+                     ToText(it.version),
                      it.age_ms ? std::to_string(*it.age_ms) : "-", it.state});
   }
   return FormatTable(table);
@@ -56,7 +59,8 @@
         {"daemon", it.address},
         {"host", it.host},
         {"domains", json::array(it.domains.begin(), it.domains.end())},
-        {"version", it.version},
+        {"version", it.version.revision},
+        {"era", it.version.era},
         {"age_ms", nullptr},
         {"state", it.state}};
     if (it.age_ms)
--- a/src/libs/operations/evacuation_report.h
+++ b/src/libs/operations/evacuation_report.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "libs/base/store_version.h"
+
 namespace turmericwinch {
 
 // One daemon. `state` says whether it knows the evacuations.
@@ -16,7 +18,7 @@
   std::string address;
   std::string host;
   std::vector<std::string> domains;
-  std::int64_t version = 0;
+  StoreVersion version;
   std::optional<std::int64_t> age_ms;
   std::string state;
 };
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -2962,6 +2962,118 @@
 }
 
 
+WideVersion::~WideVersion() noexcept {
+}
+
+
+void WideVersion::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void WideVersion::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const WideVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WideVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WideVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WideVersion");
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WideVersion &a, WideVersion &b) {
+  using ::std::swap;
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+WideVersion::WideVersion(const WideVersion& other104) noexcept {
+  era = other104.era;
+  revision = other104.revision;
+  __isset = other104.__isset;
+}
+WideVersion& WideVersion::operator=(const WideVersion& other105) noexcept {
+  era = other105.era;
+  revision = other105.revision;
+  __isset = other105.__isset;
+  return *this;
+}
+void WideVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WideVersion(";
+  out << "era=" << to_string(era);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
 StoreNews::~StoreNews() noexcept {
 }
 
@@ -3013,6 +3125,11 @@
 void StoreNews::__set_evacuated(const std::vector<std::string> & val) {
   this->evacuated = val;
 }
+
+void StoreNews::__set_wide(const std::map<int16_t, WideVersion> & val) {
+  this->wide = val;
+__isset.wide = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
 {
   obj.printTo(out);
@@ -3133,14 +3250,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuated.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->evacuated.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->evacuated.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += iprot->readString(this->evacuated[_i108]);
+              xfer += iprot->readString(this->evacuated[_i110]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3149,6 +3266,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->wide.clear();
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _ktype112;
+            ::apache::thrift::protocol::TType _vtype113;
+            xfer += iprot->readMapBegin(_ktype112, _vtype113, _size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
+            {
+              int16_t _key116;
+              xfer += iprot->readI16(_key116);
+              WideVersion& _val117 = this->wide[_key116];
+              xfer += _val117.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.wide = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3213,15 +3353,29 @@
   xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated.size()));
-    std::vector<std::string> ::const_iterator _iter109;
-    for (_iter109 = this->evacuated.begin(); _iter109 != this->evacuated.end(); ++_iter109)
+    std::vector<std::string> ::const_iterator _iter118;
+    for (_iter118 = this->evacuated.begin(); _iter118 != this->evacuated.end(); ++_iter118)
     {
-      xfer += oprot->writeString((*_iter109));
+      xfer += oprot->writeString((*_iter118));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.wide) {
+    xfer += oprot->writeFieldBegin("wide", ::apache::thrift::protocol::T_MAP, 13);
+    {
+      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I16, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->wide.size()));
+      std::map<int16_t, WideVersion> ::const_iterator _iter119;
+      for (_iter119 = this->wide.begin(); _iter119 != this->wide.end(); ++_iter119)
+      {
+        xfer += oprot->writeI16(_iter119->first);
+        xfer += _iter119->second.write(oprot);
+      }
+      xfer += oprot->writeMapEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3241,38 +3395,41 @@
   swap(a.outage, b.outage);
   swap(a.evacuations, b.evacuations);
   swap(a.evacuated, b.evacuated);
+  swap(a.wide, b.wide);
   swap(a.__isset, b.__isset);
 }
 
-StoreNews::StoreNews(const StoreNews& other110) {
-  host = other110.host;
-  sent_ms = other110.sent_ms;
-  age_ms = other110.age_ms;
-  config = other110.config;
-  quarantine = other110.quarantine;
-  targets = other110.targets;
-  targets_changed = other110.targets_changed;
-  changes_from = other110.changes_from;
-  changes = other110.changes;
-  outage = other110.outage;
-  evacuations = other110.evacuations;
-  evacuated = other110.evacuated;
-  __isset = other110.__isset;
-}
-StoreNews& StoreNews::operator=(const StoreNews& other111) {
-  host = other111.host;
-  sent_ms = other111.sent_ms;
-  age_ms = other111.age_ms;
-  config = other111.config;
-  quarantine = other111.quarantine;
-  targets = other111.targets;
-  targets_changed = other111.targets_changed;
-  changes_from = other111.changes_from;
-  changes = other111.changes;
-  outage = other111.outage;
-  evacuations = other111.evacuations;
-  evacuated = other111.evacuated;
-  __isset = other111.__isset;
+StoreNews::StoreNews(const StoreNews& other120) {
+  host = other120.host;
+  sent_ms = other120.sent_ms;
+  age_ms = other120.age_ms;
+  config = other120.config;
+  quarantine = other120.quarantine;
+  targets = other120.targets;
+  targets_changed = other120.targets_changed;
+  changes_from = other120.changes_from;
+  changes = other120.changes;
+  outage = other120.outage;
+  evacuations = other120.evacuations;
+  evacuated = other120.evacuated;
+  wide = other120.wide;
+  __isset = other120.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other121) {
+  host = other121.host;
+  sent_ms = other121.sent_ms;
+  age_ms = other121.age_ms;
+  config = other121.config;
+  quarantine = other121.quarantine;
+  targets = other121.targets;
+  targets_changed = other121.targets_changed;
+  changes_from = other121.changes_from;
+  changes = other121.changes;
+  outage = other121.outage;
+  evacuations = other121.evacuations;
+  evacuated = other121.evacuated;
+  wide = other121.wide;
+  __isset = other121.__isset;
   return *this;
 }
 void StoreNews::printTo(std::ostream& out) const {
@@ -3290,6 +3447,7 @@
   out << ", " << "outage=" << to_string(outage);
   out << ", " << "evacuations=" << to_string(evacuations);
   out << ", " << "evacuated=" << to_string(evacuated);
+  out << ", " << "wide="; (__isset.wide ? (out << to_string(wide)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3420,19 +3578,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HostListAsk::HostListAsk(const HostListAsk& other112) {
-  digest = other112.digest;
-  part_of = other112.part_of;
-  offset = other112.offset;
-  peer = other112.peer;
-  __isset = other112.__isset;
+HostListAsk::HostListAsk(const HostListAsk& other122) {
+  digest = other122.digest;
+  part_of = other122.part_of;
+  offset = other122.offset;
+  peer = other122.peer;
+  __isset = other122.__isset;
 }
-HostListAsk& HostListAsk::operator=(const HostListAsk& other113) {
-  digest = other113.digest;
-  part_of = other113.part_of;
-  offset = other113.offset;
-  peer = other113.peer;
-  __isset = other113.__isset;
+HostListAsk& HostListAsk::operator=(const HostListAsk& other123) {
+  digest = other123.digest;
+  part_of = other123.part_of;
+  offset = other123.offset;
+  peer = other123.peer;
+  __isset = other123.__isset;
   return *this;
 }
 void HostListAsk::printTo(std::ostream& out) const {
@@ -3481,6 +3639,11 @@
 void HostListPart::__set_peer(const std::string& val) {
   this->peer = val;
 }
+
+void HostListPart::__set_wide(const std::map<int16_t, WideVersion> & val) {
+  this->wide = val;
+__isset.wide = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostListPart& obj)
 {
   obj.printTo(out);
@@ -3573,6 +3736,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->wide.clear();
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _ktype125;
+            ::apache::thrift::protocol::TType _vtype126;
+            xfer += iprot->readMapBegin(_ktype125, _vtype126, _size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
+            {
+              int16_t _key129;
+              xfer += iprot->readI16(_key129);
+              WideVersion& _val130 = this->wide[_key129];
+              xfer += _val130.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.wide = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3622,6 +3808,20 @@
   xfer += oprot->writeString(this->peer);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.wide) {
+    xfer += oprot->writeFieldBegin("wide", ::apache::thrift::protocol::T_MAP, 9);
+    {
+      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I16, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->wide.size()));
+      std::map<int16_t, WideVersion> ::const_iterator _iter131;
+      for (_iter131 = this->wide.begin(); _iter131 != this->wide.end(); ++_iter131)
+      {
+        xfer += oprot->writeI16(_iter131->first);
+        xfer += _iter131->second.write(oprot);
+      }
+      xfer += oprot->writeMapEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3637,30 +3837,33 @@
   swap(a.total, b.total);
   swap(a.text, b.text);
   swap(a.peer, b.peer);
+  swap(a.wide, b.wide);
   swap(a.__isset, b.__isset);
 }
 
-HostListPart::HostListPart(const HostListPart& other114) {
-  version = other114.version;
-  age_ms = other114.age_ms;
-  base = other114.base;
-  digest = other114.digest;
-  offset = other114.offset;
-  total = other114.total;
-  text = other114.text;
-  peer = other114.peer;
-  __isset = other114.__isset;
-}
-HostListPart& HostListPart::operator=(const HostListPart& other115) {
-  version = other115.version;
-  age_ms = other115.age_ms;
-  base = other115.base;
-  digest = other115.digest;
-  offset = other115.offset;
-  total = other115.total;
-  text = other115.text;
-  peer = other115.peer;
-  __isset = other115.__isset;
+HostListPart::HostListPart(const HostListPart& other132) {
+  version = other132.version;
+  age_ms = other132.age_ms;
+  base = other132.base;
+  digest = other132.digest;
+  offset = other132.offset;
+  total = other132.total;
+  text = other132.text;
+  peer = other132.peer;
+  wide = other132.wide;
+  __isset = other132.__isset;
+}
+HostListPart& HostListPart::operator=(const HostListPart& other133) {
+  version = other133.version;
+  age_ms = other133.age_ms;
+  base = other133.base;
+  digest = other133.digest;
+  offset = other133.offset;
+  total = other133.total;
+  text = other133.text;
+  peer = other133.peer;
+  wide = other133.wide;
+  __isset = other133.__isset;
   return *this;
 }
 void HostListPart::printTo(std::ostream& out) const {
@@ -3674,6 +3877,7 @@
   out << ", " << "total=" << to_string(total);
   out << ", " << "text=" << to_string(text);
   out << ", " << "peer=" << to_string(peer);
+  out << ", " << "wide="; (__isset.wide ? (out << to_string(wide)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3789,14 +3993,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->ended.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->ended.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += iprot->readString(this->ended[_i120]);
+              xfer += iprot->readString(this->ended[_i138]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3849,10 +4053,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->ended.size()));
-    std::vector<std::string> ::const_iterator _iter121;
-    for (_iter121 = this->ended.begin(); _iter121 != this->ended.end(); ++_iter121)
+    std::vector<std::string> ::const_iterator _iter139;
+    for (_iter139 = this->ended.begin(); _iter139 != this->ended.end(); ++_iter139)
     {
-      xfer += oprot->writeString((*_iter121));
+      xfer += oprot->writeString((*_iter139));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3875,25 +4079,25 @@
   swap(a.__isset, b.__isset);
 }
 
-HostIntroduction::HostIntroduction(const HostIntroduction& other122) {
-  holder = other122.holder;
-  boot_id = other122.boot_id;
-  boot_ms = other122.boot_ms;
-  address = other122.address;
-  domain = other122.domain;
-  link_mbps = other122.link_mbps;
-  ended = other122.ended;
-  __isset = other122.__isset;
-}
-HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other123) {
-  holder = other123.holder;
-  boot_id = other123.boot_id;
-  boot_ms = other123.boot_ms;
-  address = other123.address;
-  domain = other123.domain;
-  link_mbps = other123.link_mbps;
-  ended = other123.ended;
-  __isset = other123.__isset;
+HostIntroduction::HostIntroduction(const HostIntroduction& other140) {
+  holder = other140.holder;
+  boot_id = other140.boot_id;
+  boot_ms = other140.boot_ms;
+  address = other140.address;
+  domain = other140.domain;
+  link_mbps = other140.link_mbps;
+  ended = other140.ended;
+  __isset = other140.__isset;
+}
+HostIntroduction& HostIntroduction::operator=(const HostIntroduction& other141) {
+  holder = other141.holder;
+  boot_id = other141.boot_id;
+  boot_ms = other141.boot_ms;
+  address = other141.address;
+  domain = other141.domain;
+  link_mbps = other141.link_mbps;
+  ended = other141.ended;
+  __isset = other141.__isset;
   return *this;
 }
 void HostIntroduction::printTo(std::ostream& out) const {
@@ -4289,45 +4493,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other124) {
-  version = other124.version;
-  hello = other124.hello;
-  proof = other124.proof;
-  membership = other124.membership;
-  config_notice = other124.config_notice;
-  config_request = other124.config_request;
-  config_part = other124.config_part;
-  budget_ask = other124.budget_ask;
-  budget_answer = other124.budget_answer;
-  quarantine_notice = other124.quarantine_notice;
-  host_list_ask = other124.host_list_ask;
-  host_list_part = other124.host_list_part;
-  crash_notice = other124.crash_notice;
-  prompt_part_notice = other124.prompt_part_notice;
-  rate_limit_notice = other124.rate_limit_notice;
-  store_news = other124.store_news;
-  host_introduction = other124.host_introduction;
-  __isset = other124.__isset;
-}
-Frame& Frame::operator=(const Frame& other125) {
-  version = other125.version;
-  hello = other125.hello;
-  proof = other125.proof;
-  membership = other125.membership;
-  config_notice = other125.config_notice;
-  config_request = other125.config_request;
-  config_part = other125.config_part;
-  budget_ask = other125.budget_ask;
-  budget_answer = other125.budget_answer;
-  quarantine_notice = other125.quarantine_notice;
-  host_list_ask = other125.host_list_ask;
-  host_list_part = other125.host_list_part;
-  crash_notice = other125.crash_notice;
-  prompt_part_notice = other125.prompt_part_notice;
-  rate_limit_notice = other125.rate_limit_notice;
-  store_news = other125.store_news;
-  host_introduction = other125.host_introduction;
-  __isset = other125.__isset;
+Frame::Frame(const Frame& other142) {
+  version = other142.version;
+  hello = other142.hello;
+  proof = other142.proof;
+  membership = other142.membership;
+  config_notice = other142.config_notice;
+  config_request = other142.config_request;
+  config_part = other142.config_part;
+  budget_ask = other142.budget_ask;
+  budget_answer = other142.budget_answer;
+  quarantine_notice = other142.quarantine_notice;
+  host_list_ask = other142.host_list_ask;
+  host_list_part = other142.host_list_part;
+  crash_notice = other142.crash_notice;
+  prompt_part_notice = other142.prompt_part_notice;
+  rate_limit_notice = other142.rate_limit_notice;
+  store_news = other142.store_news;
+  host_introduction = other142.host_introduction;
+  __isset = other142.__isset;
+}
+Frame& Frame::operator=(const Frame& other143) {
+  version = other143.version;
+  hello = other143.hello;
+  proof = other143.proof;
+  membership = other143.membership;
+  config_notice = other143.config_notice;
+  config_request = other143.config_request;
+  config_part = other143.config_part;
+  budget_ask = other143.budget_ask;
+  budget_answer = other143.budget_answer;
+  quarantine_notice = other143.quarantine_notice;
+  host_list_ask = other143.host_list_ask;
+  host_list_part = other143.host_list_part;
+  crash_notice = other143.crash_notice;
+  prompt_part_notice = other143.prompt_part_notice;
+  rate_limit_notice = other143.rate_limit_notice;
+  store_news = other143.store_news;
+  host_introduction = other143.host_introduction;
+  __isset = other143.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -59,6 +59,8 @@
 
 class RateLimitNotice;
 
+class WideVersion;
+
 class StoreNews;
 
 class HostListAsk;
@@ -1217,8 +1219,58 @@
 
 std::ostream& operator<<(std::ostream& out, const RateLimitNotice& obj);
 
+typedef struct _WideVersion__isset {
+  _WideVersion__isset() : era(false), revision(false) {}
+  bool era :1;
+  bool revision :1;
+} _WideVersion__isset;
+
+class WideVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  WideVersion(const WideVersion&) noexcept;
+  WideVersion& operator=(const WideVersion&) noexcept;
+  WideVersion() noexcept
+              : era(0),
+                revision(0) {
+  }
+
+  virtual ~WideVersion() noexcept;
+  int64_t era;
+  int64_t revision;
+
+  _WideVersion__isset __isset;
+
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const WideVersion & rhs) const
+  {
+    if (!(era == rhs.era))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const WideVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WideVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WideVersion &a, WideVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const WideVersion& obj);
+
 typedef struct _StoreNews__isset {
-  _StoreNews__isset() : host(false), sent_ms(false), age_ms(false), config(false), quarantine(false), targets(false), targets_changed(false), changes_from(false), changes(false), outage(false), evacuations(false), evacuated(false) {}
+  _StoreNews__isset() : host(false), sent_ms(false), age_ms(false), config(false), quarantine(false), targets(false), targets_changed(false), changes_from(false), changes(false), outage(false), evacuations(false), evacuated(false), wide(false) {}
   bool host :1;
   bool sent_ms :1;
   bool age_ms :1;
@@ -1231,6 +1283,7 @@
   bool outage :1;
   bool evacuations :1;
   bool evacuated :1;
+  bool wide :1;
 } _StoreNews__isset;
 
 class StoreNews : public virtual ::apache::thrift::TBase {
@@ -1265,6 +1318,7 @@
   int64_t outage;
   int64_t evacuations;
   std::vector<std::string>  evacuated;
+  std::map<int16_t, WideVersion>  wide;
 
   _StoreNews__isset __isset;
 
@@ -1292,6 +1346,8 @@
 
   void __set_evacuated(const std::vector<std::string> & val);
 
+  void __set_wide(const std::map<int16_t, WideVersion> & val);
+
   bool operator == (const StoreNews & rhs) const
   {
     if (!(host == rhs.host))
@@ -1318,6 +1374,10 @@
       return false;
     if (!(evacuated == rhs.evacuated))
       return false;
+    if (__isset.wide != rhs.__isset.wide)
+      return false;
+    else if (__isset.wide && !(wide == rhs.wide))
+      return false;
     return true;
   }
   bool operator != (const StoreNews &rhs) const {
@@ -1401,7 +1461,7 @@
 std::ostream& operator<<(std::ostream& out, const HostListAsk& obj);
 
 typedef struct _HostListPart__isset {
-  _HostListPart__isset() : version(false), age_ms(false), base(false), digest(false), offset(false), total(false), text(false), peer(false) {}
+  _HostListPart__isset() : version(false), age_ms(false), base(false), digest(false), offset(false), total(false), text(false), peer(false), wide(false) {}
   bool version :1;
   bool age_ms :1;
   bool base :1;
@@ -1410,6 +1470,7 @@
   bool total :1;
   bool text :1;
   bool peer :1;
+  bool wide :1;
 } _HostListPart__isset;
 
 class HostListPart : public virtual ::apache::thrift::TBase {
@@ -1437,6 +1498,7 @@
   int64_t total;
   std::string text;
   std::string peer;
+  std::map<int16_t, WideVersion>  wide;
 
   _HostListPart__isset __isset;
 
@@ -1456,6 +1518,8 @@
 
   void __set_peer(const std::string& val);
 
+  void __set_wide(const std::map<int16_t, WideVersion> & val);
+
   bool operator == (const HostListPart & rhs) const
   {
     if (!(version == rhs.version))
@@ -1474,6 +1538,10 @@
       return false;
     if (!(peer == rhs.peer))
       return false;
+    if (__isset.wide != rhs.__isset.wide)
+      return false;
+    else if (__isset.wide && !(wide == rhs.wide))
+      return false;
     return true;
   }
   bool operator != (const HostListPart &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -160,12 +160,20 @@
   3: list<NamedRateLimit> limits
 }
 
+// A version of the store. Both numbers are unsigned.
+struct WideVersion {
+  1: i64 era
+  2: i64 revision
+}
+
 // What the sender, a host of the same failure domain, knows of the store. The
 // versions are those of the configuration, of the quarantine and of the list of
 // targets. The list last changed at version `targets_changed`; with `changes`,
 // these are its changes since version `changes_from`. `outage` is the version of
 // the first list after the store's last outage. `age_ms` is the time since the
-// store last answered, `sent_ms` the time since the sender booted.
+// store last answered, `sent_ms` the time since the sender booted. Versions are
+// packed, see PackVersion(); `wide` has those that can't be, by the number of
+// their field, which is then 0.
 struct StoreNews {
   1: string host
   2: i64 sent_ms
@@ -179,6 +187,7 @@
   10: i64 outage
   11: i64 evacuations
   12: list<string> evacuated
+  13: optional map<i16, WideVersion> wide
 }
 
 // Requests the host list unless its digest is `digest`. `offset` is the
@@ -193,7 +202,7 @@
 // With `base`, the changes from the list with that digest to the list with
 // digest `digest`. Without `base`, the piece at `offset` of a text of `total`
 // bytes; an empty text means that the requesting host already has this list. An
-// empty `digest` means that the sender has no list.
+// empty `digest` means that the sender has no list. `wide` is as in StoreNews.
 struct HostListPart {
   1: i64 version
   2: i64 age_ms
@@ -203,6 +212,7 @@
   6: i64 total
   7: string text
   8: string peer
+  9: optional map<i16, WideVersion> wide
 }
 
 // Asks the receiver to list the sender, the process `holder` of a host, in the
--- a/src/libs/peer/peer_codec.cc
+++ b/src/libs/peer/peer_codec.cc
@@ -9,6 +9,7 @@
 #include "libs/peer/peer_constants.h"
 #include "libs/peer/rate_limit_wire.h"
 #include "libs/peer/store_news_wire.h"
+#include "libs/peer/version_wire.h"
 
 namespace turmericwinch {
 
@@ -18,6 +19,8 @@
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
+// Number of the field HostListPart::version.
+constexpr std::int16_t kHostListVersionField = 1;
 constexpr int kLastKind = static_cast<int>(MembershipMessageKind::kTableAnswer);
 
 wire::Member ToWire(const Member& member) {
@@ -130,7 +133,10 @@
   }
   void operator()(const HostListPart& part) const {
     wire::HostListPart result;
-    result.version = static_cast<std::int64_t>(part.version);
+    WideVersions wide;
+    result.version = ToWire(part.version, kHostListVersionField, wide);
+    if (!wide.empty())
+      result.__set_wide(wide);
     result.age_ms = part.age.count();
     result.base = part.base;
     result.digest = part.digest;
@@ -177,10 +183,12 @@
 }
 
 std::optional<PeerFrame> HostListPartOf(const wire::HostListPart& wire) {
-  if (wire.version < 0 || wire.age_ms < 0 || wire.offset < 0 || wire.total < 0)
+  const std::optional<StoreVersion> version =
+      VersionOf(wire.version, kHostListVersionField, wire.wide);
+  if (!version || wire.age_ms < 0 || wire.offset < 0 || wire.total < 0)
     return std::nullopt;
   HostListPart part;
-  part.version = static_cast<std::uint64_t>(wire.version);
+  part.version = *version;
   part.age = std::chrono::milliseconds(wire.age_ms);
   part.base = wire.base;
   part.digest = wire.digest;
--- a/src/libs/peer/peer_frame.h
+++ b/src/libs/peer/peer_frame.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "libs/base/store_version.h"
 #include "libs/budget/fleet_account.h"
 #include "libs/budget/loan_message.h"
 #include "libs/delivery/prompt_part_quarantine.h"
@@ -105,29 +106,30 @@
 // versions are those of the configuration, of the quarantine and of the list of
 // targets; the list last changed at `targets_changed`. `changes` are its
 // changes since `changes_from` (see PlatformHosts::text), or empty. `outage` is
-// the version of the first list after the store's last outage, 0 if there was
-// none. `evacuated` are the evacuated failure domains, known to hold for the
-// version `evacuations` of the store; 0 if they are not known. `age` is the
-// time since the store last answered the sender, `sent` the time since it
-// booted.
+// the version of the first list after the store's last outage, not set if there
+// was none. `evacuated` are the evacuated failure domains, known to hold for
+// the version `evacuations` of the store, which is not set if they are not
+// known. `age` is the time since the store last answered the sender, `sent` the
+// time since it booted.
 struct StoreNews {
   std::string host;
   std::chrono::milliseconds sent{0};
   std::chrono::milliseconds age{0};
-  std::uint64_t config = 0;
-  std::uint64_t quarantine = 0;
-  std::uint64_t targets = 0;
-  std::uint64_t targets_changed = 0;
-  std::uint64_t changes_from = 0;
+  StoreVersion config;
+  StoreVersion quarantine;
+  StoreVersion targets;
+  StoreVersion targets_changed;
+  StoreVersion changes_from;
   std::string changes;
-  std::uint64_t outage = 0;
-  std::uint64_t evacuations = 0;
+  StoreVersion outage;
+  StoreVersion evacuations;
   std::vector<std::string> evacuated;
 
   // Whether it says nothing of the other objects, as news to hosts of other
   // failure domains do.
   bool IsOfEvacuationsOnly() const {
-    return evacuations > 0 && config == 0 && quarantine == 0 && targets == 0;
+    return evacuations.IsSet() && !config.IsSet() && !quarantine.IsSet() &&
+           !targets.IsSet();
   }
 };
 
@@ -147,7 +149,7 @@
 // that the sender has no list. `age` is the time since the list was last
 // confirmed by the platform.
 struct HostListPart {
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::chrono::milliseconds age{0};
   std::string base;
   std::string digest;
--- a/src/libs/platform/http_platform_client.cc
+++ b/src/libs/platform/http_platform_client.cc
@@ -47,36 +47,36 @@
                 "the platform's response has no metadata or no value");
   }
   std::optional<std::string> name = StringField(*metadata, "name");
-  std::optional<std::int64_t> version = IntField(*metadata, "resourceVersion");
+  std::optional<std::uint64_t> version =
+      UintField(*metadata, "resourceVersion");
   if (!name || !version) {
     return Fail(reason, ResultCode::kPlatformRejected,
                 "the platform's response has no object name or no version");
   }
-  return PlatformObject{*name, static_cast<std::uint64_t>(*version),
-                        json::serialize(*content)};
+  return PlatformObject{*name, {0, *version}, json::serialize(*content)};
 }
 
-std::optional<std::uint64_t> ParseVersion(const HttpResponse& response,
-                                          Reason* reason) {
+std::optional<StoreVersion> ParseVersion(const HttpResponse& response,
+                                         Reason* reason) {
   const json::value value = ParseResponse(response);
   const json::object* top = value.if_object();
   const json::object* metadata = top ? ObjectField(*top, "metadata") : nullptr;
-  std::optional<std::int64_t> version;
+  std::optional<std::uint64_t> version;
   if (metadata)
-    version = IntField(*metadata, "resourceVersion");
+    version = UintField(*metadata, "resourceVersion");
   if (!version) {
     return Fail(reason, ResultCode::kPlatformUnknown,
                 "the platform's response to a write has no version");
   }
-  return static_cast<std::uint64_t>(*version);
+  return StoreVersion{0, *version};
 }
 
 std::string SerializeObject(const std::string& name,
-                            std::uint64_t version,
+                            StoreVersion version,
                             const std::string& value) {
   std::string body = "{\"metadata\":{\"name\":";
   body += json::serialize(json::string(name));
-  body += ",\"resourceVersion\":" + std::to_string(version);
+  body += ",\"resourceVersion\":" + std::to_string(version.revision);
   body += "},\"value\":" + value + "}";
   return body;
 }
@@ -123,13 +123,13 @@
   co_return ParseObject(ParseResponse(*response), reason);
 }
 
-PlatformClient::Answer<std::uint64_t> HttpPlatformClient::Create(
+PlatformClient::Answer<StoreVersion> HttpPlatformClient::Create(
     PlatformDuty duty,
     std::string name,
     std::string value,
     Reason* reason) {
   HttpRequest request = MakeRequest("POST", "/objects");
-  request.body = SerializeObject(name, 0, value);
+  request.body = SerializeObject(name, {}, value);
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
   if (!response)
@@ -137,7 +137,7 @@
   co_return ParseVersion(*response, reason);
 }
 
-PlatformClient::Answer<std::uint64_t> HttpPlatformClient::Update(
+PlatformClient::Answer<StoreVersion> HttpPlatformClient::Update(
     PlatformDuty duty,
     PlatformObject object,
     Reason* reason) {
@@ -150,14 +150,14 @@
   co_return ParseVersion(*response, reason);
 }
 
-PlatformClient::Answer<std::uint64_t> HttpPlatformClient::Delete(
+PlatformClient::Answer<StoreVersion> HttpPlatformClient::Delete(
     PlatformDuty duty,
     std::string name,
-    std::uint64_t version,
+    StoreVersion version,
     Reason* reason) {
-  HttpRequest request =
-      MakeRequest("DELETE", PathOfObject(name) +
-                                "?resourceVersion=" + std::to_string(version));
+  HttpRequest request = MakeRequest(
+      "DELETE", PathOfObject(name) +
+                    "?resourceVersion=" + std::to_string(version.revision));
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWrite, std::move(request), kCallTimeout, reason);
   if (!response)
@@ -198,11 +198,12 @@
 PlatformClient::Answer<PlatformObject> HttpPlatformClient::Watch(
     PlatformDuty duty,
     std::string name,
-    std::uint64_t after,
+    StoreVersion after,
     std::chrono::milliseconds wait,
     Reason* reason) {
   HttpRequest request = MakeRequest(
-      "GET", PathOfObject(name) + "?watch=1&after=" + std::to_string(after) +
+      "GET", PathOfObject(name) +
+                 "?watch=1&after=" + std::to_string(after.revision) +
                  "&wait_ms=" + std::to_string(wait.count()));
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       duty, PlatformCallKind::kWatch, std::move(request),
@@ -210,9 +211,9 @@
   if (!response)
     co_return std::nullopt;
   if (response->status == kStatusNoContent) {
-    co_return Fail(
-        reason, ResultCode::kPlatformNotFound,
-        "object " + name + " has no version after " + std::to_string(after));
+    co_return Fail(reason, ResultCode::kPlatformNotFound,
+                   "object " + name + " has no version after " +
+                       std::to_string(after.revision));
   }
   co_return ParseObject(ParseResponse(*response), reason);
 }
@@ -227,21 +228,21 @@
 }
 
 PlatformClient::Answer<PlatformHosts> HttpPlatformClient::HostsSince(
-    std::uint64_t after,
+    StoreVersion after,
     std::chrono::milliseconds wait,
     Reason* reason) {
   const PlatformCallKind kind =
-      after > 0 ? PlatformCallKind::kWatch : PlatformCallKind::kRead;
-  HttpRequest request =
-      MakeRequest("GET", "/hosts?watch=1&after=" + std::to_string(after) +
-                             "&wait_ms=" + std::to_string(wait.count()));
+      after.IsSet() ? PlatformCallKind::kWatch : PlatformCallKind::kRead;
+  HttpRequest request = MakeRequest(
+      "GET", "/hosts?watch=1&after=" + std::to_string(after.revision) +
+                 "&wait_ms=" + std::to_string(wait.count()));
   Reason why;
   std::optional<HttpResponse> response = co_await d_->transport.Send(
       PlatformDuty::kHosts, kind, std::move(request),
       wait + kWatchTimeoutMargin, &why);
   // The platform no longer keeps the changes since version `after`.
-  if (!response && after > 0 && why.code == ResultCode::kPlatformNotFound)
-    co_return co_await HostsSince(0, wait, reason);
+  if (!response && after.IsSet() && why.code == ResultCode::kPlatformNotFound)
+    co_return co_await HostsSince({}, wait, reason);
   if (!response)
     co_return Fail(reason, why.code, why.text);
   if (response->status == kStatusNoContent)
@@ -251,8 +252,8 @@
   const json::object* top = value.if_object();
   const json::object* metadata = top ? ObjectField(*top, "metadata") : nullptr;
   if (metadata) {
-    hosts.version = static_cast<std::uint64_t>(
-        IntField(*metadata, "resourceVersion").value_or(0));
+    hosts.version.revision =
+        UintField(*metadata, "resourceVersion").value_or(0);
     hosts.is_whole = !top->contains("changes");
   }
   hosts.text = std::move(response->body);
--- a/src/libs/platform/http_platform_client.h
+++ b/src/libs/platform/http_platform_client.h
@@ -28,27 +28,27 @@
   Answer<PlatformObject> Get(PlatformDuty duty,
                              std::string name,
                              Reason* reason) override;
-  Answer<std::uint64_t> Create(PlatformDuty duty,
-                               std::string name,
-                               std::string value,
-                               Reason* reason) override;
-  Answer<std::uint64_t> Update(PlatformDuty duty,
-                               PlatformObject object,
-                               Reason* reason) override;
-  Answer<std::uint64_t> Delete(PlatformDuty duty,
-                               std::string name,
-                               std::uint64_t version,
-                               Reason* reason) override;
+  Answer<StoreVersion> Create(PlatformDuty duty,
+                              std::string name,
+                              std::string value,
+                              Reason* reason) override;
+  Answer<StoreVersion> Update(PlatformDuty duty,
+                              PlatformObject object,
+                              Reason* reason) override;
+  Answer<StoreVersion> Delete(PlatformDuty duty,
+                              std::string name,
+                              StoreVersion version,
+                              Reason* reason) override;
   Answer<std::vector<PlatformObject>> List(PlatformDuty duty,
                                            std::string prefix,
                                            Reason* reason) override;
   Answer<PlatformObject> Watch(PlatformDuty duty,
                                std::string name,
-                               std::uint64_t after,
+                               StoreVersion after,
                                std::chrono::milliseconds wait,
                                Reason* reason) override;
   Answer<std::string> Hosts(Reason* reason) override;
-  Answer<PlatformHosts> HostsSince(std::uint64_t after,
+  Answer<PlatformHosts> HostsSince(StoreVersion after,
                                    std::chrono::milliseconds wait,
                                    Reason* reason) override;
 
--- a/src/libs/platform/platform_caller.cc
+++ b/src/libs/platform/platform_caller.cc
@@ -19,7 +19,7 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   PlatformAnswer answer;
-  std::optional<std::uint64_t> version;
+  std::optional<StoreVersion> version;
   switch (call.verb) {
     case PlatformVerb::kGet: {
       std::optional<PlatformObject> object =
@@ -45,7 +45,7 @@
           co_await platform.List(duty, call.name, &answer.reason);
       if (!objects)
         break;
-      version = 0;
+      version.emplace();
       for (PlatformObject& it : *objects)
         answer.objects.push_back(
             {std::move(it.name), it.version, std::move(it.value)});
--- a/src/libs/platform/platform_client.cc
+++ b/src/libs/platform/platform_client.cc
@@ -10,19 +10,19 @@
 }
 
 PlatformClient::Answer<PlatformHosts> PlatformClient::HostsSince(
-    std::uint64_t,
+    StoreVersion,
     std::chrono::milliseconds,
     Reason* reason) {
   std::optional<std::string> text = co_await Hosts(reason);
   if (!text)
     co_return std::nullopt;
-  co_return PlatformHosts{0, true, std::move(*text)};
+  co_return PlatformHosts{{}, true, std::move(*text)};
 }
 
 PlatformClient::Answer<PlatformNames> PlatformClient::NamesSince(
     PlatformDuty duty,
     std::string kind,
-    std::uint64_t after,
+    StoreVersion after,
     std::chrono::milliseconds,
     Reason* reason) {
   const std::string prefix = kind + "/";
--- a/src/libs/platform/platform_client.h
+++ b/src/libs/platform/platform_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libs/base/reason.h"
+#include "libs/base/store_version.h"
 #include "libs/platform/platform_object.h"
 
 namespace turmericwinch {
@@ -30,10 +31,10 @@
 };
 inline constexpr int kPlatformDuties = 7;
 
-// The platform's list of hosts and targets, or its changes. `version` is 0 if
-// the list has no version; then the list is always complete.
+// The platform's list of hosts and targets, or its changes. `version` is not
+// set if the list has no version; then the list is always complete.
 struct PlatformHosts {
-  std::uint64_t version = 0;
+  StoreVersion version;
   bool is_whole = true;
   // JSON text: the list, or an object whose "changes" array has rows with a
   // "kind". Removed entries have the "state" "gone".
@@ -43,7 +44,7 @@
 // Names of the objects of a kind that exist, or the names that appeared or
 // changed and those that were removed since an earlier version.
 struct PlatformNames {
-  std::uint64_t version = 0;
+  StoreVersion version;
   bool is_whole = true;
   std::vector<std::string> present;
   std::vector<std::string> removed;
@@ -70,19 +71,19 @@
                                      std::string name,
                                      Reason* reason) = 0;
   // Creates an object that must not exist; returns its version.
-  virtual Answer<std::uint64_t> Create(PlatformDuty duty,
-                                       std::string name,
-                                       std::string value,
-                                       Reason* reason) = 0;
+  virtual Answer<StoreVersion> Create(PlatformDuty duty,
+                                      std::string name,
+                                      std::string value,
+                                      Reason* reason) = 0;
   // Replaces an object if it still has `version`; returns the new version.
-  virtual Answer<std::uint64_t> Update(PlatformDuty duty,
-                                       PlatformObject object,
-                                       Reason* reason) = 0;
+  virtual Answer<StoreVersion> Update(PlatformDuty duty,
+                                      PlatformObject object,
+                                      Reason* reason) = 0;
   // Deletes an object if it still has `version`; returns that version.
-  virtual Answer<std::uint64_t> Delete(PlatformDuty duty,
-                                       std::string name,
-                                       std::uint64_t version,
-                                       Reason* reason) = 0;
+  virtual Answer<StoreVersion> Delete(PlatformDuty duty,
+                                      std::string name,
+                                      StoreVersion version,
+                                      Reason* reason) = 0;
   // Returns all objects whose name starts with `prefix`, sorted by name.
   virtual Answer<std::vector<PlatformObject>> List(PlatformDuty duty,
                                                    std::string prefix,
@@ -91,21 +92,21 @@
   // with kPlatformNotFound if it did not change in this time.
   virtual Answer<PlatformObject> Watch(PlatformDuty duty,
                                        std::string name,
-                                       std::uint64_t after,
+                                       StoreVersion after,
                                        std::chrono::milliseconds wait,
                                        Reason* reason) = 0;
   // Waits at most `wait` until an object of the kind `kind` is created, changed
   // or removed after version `after`, and returns the names that changed.
-  // Returns all names without waiting if `after` is 0, or if the platform no
-  // longer keeps that version. The names are without the kind. Without an
+  // Returns all names without waiting if `after` is not set, or if the platform
+  // no longer keeps that version. The names are without the kind. Without an
   // implementation of its own, a client lists the objects without waiting; the
   // version is then at least `after` and doesn't rise with removals.
   virtual Answer<PlatformNames> NamesSince(PlatformDuty duty,
                                            std::string kind,
-                                           std::uint64_t after,
+                                           StoreVersion after,
                                            std::chrono::milliseconds wait,
                                            Reason* reason);
-  // Era of the store according to its last response; see store_version.h. It is
+  // Era of the store according to its last response; see StoreVersion. It is
   // part of all versions above. Writes with a version of an earlier era fail
   // with kPlatformConflict.
   virtual std::uint64_t Era() const { return 0; }
@@ -118,9 +119,9 @@
   virtual Answer<std::string> Hosts(Reason* reason) = 0;
   // Waits at most `wait` for changes of the list since version `after` and
   // returns them; the text is empty if there were none. Returns the complete
-  // list without waiting if `after` is 0, if the platform no longer keeps that
-  // version, or if its list has no versions.
-  virtual Answer<PlatformHosts> HostsSince(std::uint64_t after,
+  // list without waiting if `after` is not set, if the platform no longer keeps
+  // that version, or if its list has no versions.
+  virtual Answer<PlatformHosts> HostsSince(StoreVersion after,
                                            std::chrono::milliseconds wait,
                                            Reason* reason);
 };
--- a/src/libs/platform/platform_object.h
+++ b/src/libs/platform/platform_object.h
@@ -3,16 +3,17 @@
 #ifndef SRC_LIBS_PLATFORM_PLATFORM_OBJECT_H_
 #define SRC_LIBS_PLATFORM_PLATFORM_OBJECT_H_
 
-#include <cstdint>
 #include <string>
 
+#include "libs/base/store_version.h"
+
 namespace turmericwinch {
 
-// `version` increases with each write of any object, see store_version.h.
+// `version` increases with each write of any object.
 // `value` is JSON text of at most one megabyte.
 struct PlatformObject {
   std::string name;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::string value;
 };
 
--- a/tests/adapter/foreign_entries_test.cc
+++ b/tests/adapter/foreign_entries_test.cc
@@ -7,7 +7,6 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 
-#include "libs/platform/store_version.h"
 #include "libs/routing/host_list_change.h"
 #include "paged_store.h"
 #include "platform/store_client.h"
@@ -89,7 +88,7 @@
   }
 
   void CheckTargets(const std::string& text) {
-    const auto hosts = Run(client.HostsSince(0, milliseconds(0), &reason));
+    const auto hosts = Run(client.HostsSince({}, milliseconds(0), &reason));
     CHECK_TEXT(hosts.has_value(), (text + ": " + reason.text).c_str());
     const auto list = ParseHostList(hosts->text, &reason);
     CHECK_TEXT(list.has_value(), text.c_str());
@@ -186,9 +185,10 @@
                      event(Entry(R"("i-1")", TargetSpec()), "false") + "," +
                      event(Entry(R"("i-2")", "[7]"), "false") + R"(],"at":12})";
       store.calls_left = 1;
-      const auto hosts = Run(client.HostsSince(9, milliseconds(10), &reason));
+      const auto hosts =
+          Run(client.HostsSince({0, 9}, milliseconds(10), &reason));
       CHECK_TEXT(hosts.has_value(), reason.text.c_str());
-      LONGS_EQUAL(12, RevisionOf(hosts->version));
+      LONGS_EQUAL(12, hosts->version.revision);
       const auto changes = ParseHostListChanges(hosts->text, &reason);
       CHECK_TEXT(changes.has_value(), Quoted(name).c_str());
       const HostListChange& target = (*changes)[changes->size() - 2];
@@ -208,11 +208,11 @@
       const std::string name = TargetName(n) + suffix;
       Store(n, suffix, Entry(Quoted(name), R"("other")"));
       const auto names = Run(client.NamesSince(
-          PlatformDuty::kConfig, "evacuations", 0, milliseconds(0), &reason));
+          PlatformDuty::kConfig, "evacuations", {}, milliseconds(0), &reason));
       CHECK_TEXT(names.has_value(), Quoted(name).c_str());
       LONGS_EQUAL(kTargets + 1, names->present.size());
       const auto object = Run(client.Watch(PlatformDuty::kConfig, "config/i-5",
-                                           0, milliseconds(0), &reason));
+                                           {}, milliseconds(0), &reason));
       CHECK_TEXT(object.has_value(), Quoted(name).c_str());
       STRCMP_EQUAL(TargetSpec().c_str(), object->value.c_str());
     }
@@ -223,7 +223,7 @@
 TEST(ForeignEntries, AListThatDoesNotContinueIsAnError) {
   Store(1, "x", "null");
   store.page_size = 1;
-  CHECK(!Run(client.HostsSince(0, milliseconds(0), &reason)));
+  CHECK(!Run(client.HostsSince({}, milliseconds(0), &reason)));
   CHECK(reason.code == ResultCode::kPlatformRejected);
 }
 
@@ -234,7 +234,7 @@
   const auto object = Run(
       client.Get(PlatformDuty::kCaches, "quarantine/prompt-parts", &reason));
   CHECK(object.has_value());
-  LONGS_EQUAL(31, RevisionOf(object->version));
+  LONGS_EQUAL(31, object->version.revision);
   STRCMP_EQUAL("null", object->value.c_str());
 }
 
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -4,9 +4,8 @@
 
 #include <boost/asio.hpp>
 
-#include "libs/http/http_server.h"
-#include "libs/platform/store_version.h"
 #include "libs/routing/host_list_change.h"
+#include "scripted_store.h"
 #include "silenced_store.h"
 #include "support/run_coroutine.h"
 #include "support/run_until.h"
@@ -18,65 +17,6 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-constexpr PlatformRates kRates{100'000, 100'000};
-
-// A store that answers each call with the next scripted response and records
-// the calls. A status of 0 closes the connection without a response.
-class ScriptedStore {
- public:
-  explicit ScriptedStore(asio::io_context& context)
-      : server_({&context},
-                {kHttpMostBodyBytes, 16},
-                [this](const HttpRequest& request, HttpExchange& exchange) {
-                  return Handle(request, exchange);
-                }),
-        endpoint(*server_.Listen({asio::ip::make_address("127.0.0.1"), 0},
-                                 nullptr)) {}
-
-  void AddResponse(int status, std::string body) {
-    script_.emplace_back(status, std::move(body));
-  }
-
-  // Rises each time the store comes back from an old copy; 0 if it says none.
-  int era = 0;
-  std::vector<std::string> calls;
-  std::vector<std::string> bodies;
-
- private:
-  asio::awaitable<void> Handle(const HttpRequest& request,
-                               HttpExchange& exchange) {
-    calls.push_back(request.method + " " + request.target);
-    bodies.push_back(request.body);
-    std::pair<int, std::string> next{500, ""};
-    if (!script_.empty()) {
-      next = script_.front();
-      script_.erase(script_.begin());
-    }
-    if (next.first == 0) {
-      exchange.Abort();
-      co_return;
-    }
-    HttpResponse response = JsonResponse(next.first, next.second);
-    if (era > 0)
-      response.headers.Add("Store-Era", std::to_string(era));
-    co_await exchange.Send(response);
-  }
-
-  std::vector<std::pair<int, std::string>> script_;
-  HttpServer server_;
-
- public:
-  asio::ip::tcp::endpoint endpoint;
-};
-
-std::string Object(const std::string& name,
-                   int revision,
-                   const std::string& spec) {
-  return R"({"metadata":{"name":")" + name + R"(","revision":)" +
-         std::to_string(revision) + R"(},"spec":)" + spec +
-         R"(,"status":null})";
-}
-
 std::string Target(const std::string& zone) {
   return R"({"service":"llm","address":"10.0.0.1:1","zone":")" + zone +
          R"(","state":"ready","born":5})";
@@ -101,22 +41,22 @@
                                std::to_string(at) + "}");
   }
 
-  std::optional<PlatformObject> WatchMain(std::uint64_t after) {
+  std::optional<PlatformObject> WatchMain(StoreVersion after) {
     return Run(client.Watch(PlatformDuty::kConfig, "config/main", after,
                             milliseconds(10), &reason));
   }
 
-  std::optional<PlatformNames> NamesSince(std::uint64_t after) {
+  std::optional<PlatformNames> NamesSince(StoreVersion after) {
     return Run(client.NamesSince(PlatformDuty::kConfig, "evacuations", after,
                                  milliseconds(10), &reason));
   }
 
   // Returns the version of the object; the store's next responses are of a
   // later era.
-  std::uint64_t ListMainBeforeRestore() {
+  StoreVersion ListMainBeforeRestore() {
     store.era = 1;
     AddListOfMain(35, "1", 39);
-    const std::uint64_t version = WatchMain(0)->version;
+    const StoreVersion version = WatchMain({})->version;
     store.era = 2;
     return version;
   }
@@ -150,7 +90,7 @@
   store.AddResponse(200, Object("account", 12, R"({"a":1})"));
   const auto object =
       Run(client.Get(PlatformDuty::kBudget, "account", &reason));
-  LONGS_EQUAL(12, object->version);
+  LONGS_EQUAL(12, object->version.revision);
   STRCMP_EQUAL(R"({"a":1})", object->value.c_str());
   STRCMP_EQUAL("GET /api/objects/turmericwinch/account",
                store.calls[0].c_str());
@@ -158,9 +98,9 @@
 
 TEST(StoreClient, WritesAreConditionalOnTheRevision) {
   store.AddResponse(200, Object("account", 13, "1"));
-  const auto version =
-      Run(client.Update(PlatformDuty::kBudget, {"account", 12, "1"}, &reason));
-  LONGS_EQUAL(13, *version);
+  const auto version = Run(
+      client.Update(PlatformDuty::kBudget, {"account", {0, 12}, "1"}, &reason));
+  LONGS_EQUAL(13, version->revision);
   STRCMP_EQUAL("PUT /api/objects/turmericwinch/account",
                store.calls[0].c_str());
   CHECK(store.bodies[0].find(R"("revision":12)") != std::string::npos);
@@ -168,12 +108,12 @@
 
 TEST(StoreClient, AfterAConflictTheObjectIsReadWithoutAnotherCall) {
   store.AddResponse(409, Object("account", 20, R"("theirs")"));
-  CHECK(!Run(
-      client.Update(PlatformDuty::kBudget, {"account", 12, "1"}, &reason)));
+  CHECK(!Run(client.Update(PlatformDuty::kBudget, {"account", {0, 12}, "1"},
+                           &reason)));
   CHECK(reason.code == ResultCode::kPlatformConflict);
   const auto object =
       Run(client.Get(PlatformDuty::kBudget, "account", &reason));
-  LONGS_EQUAL(20, object->version);
+  LONGS_EQUAL(20, object->version.revision);
   STRCMP_EQUAL(R"("theirs")", object->value.c_str());
   LONGS_EQUAL(1, store.calls.size());
 }
@@ -199,7 +139,7 @@
     own_store.AddResponse(it.status, "garbage");
     CHECK(!RunCoroutine(own_context,
                         own_client.Update(PlatformDuty::kBudget,
-                                          {"account", 12, "1"}, &reason)));
+                                          {"account", {0, 12}, "1"}, &reason)));
     CHECK(it.code == reason.code);
   }
 }
@@ -211,16 +151,16 @@
                              Object("main", 12, "2") + R"(}],"at":12})");
   store.AddResponse(200, R"({"events":[],"at":15})");
   const milliseconds wait(10);
-  const auto first =
-      Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
-  LONGS_EQUAL(5, first->version);
-  const auto second =
-      Run(client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
+  const auto first = Run(
+      client.Watch(PlatformDuty::kConfig, "config/main", {}, wait, &reason));
+  LONGS_EQUAL(5, first->version.revision);
+  const auto second = Run(client.Watch(PlatformDuty::kConfig, "config/main",
+                                       {0, 5}, wait, &reason));
   STRCMP_EQUAL("2", second->value.c_str());
   STRCMP_EQUAL("GET /api/objects/config?watch=9&wait_ms=10",
                store.calls[1].c_str());
-  CHECK(!Run(
-      client.Watch(PlatformDuty::kConfig, "config/main", 12, wait, &reason)));
+  CHECK(!Run(client.Watch(PlatformDuty::kConfig, "config/main", {0, 12}, wait,
+                          &reason)));
   CHECK(reason.code == ResultCode::kPlatformNotFound);
 }
 
@@ -231,10 +171,10 @@
   store.AddResponse(200, R"({"items":[)" + Object("main", 30, "3") +
                              R"(],"has_more":false,"at":31})");
   const milliseconds wait(10);
-  Run(client.Watch(PlatformDuty::kConfig, "config/main", 0, wait, &reason));
-  const auto object =
-      Run(client.Watch(PlatformDuty::kConfig, "config/main", 5, wait, &reason));
-  LONGS_EQUAL(30, object->version);
+  Run(client.Watch(PlatformDuty::kConfig, "config/main", {}, wait, &reason));
+  const auto object = Run(client.Watch(PlatformDuty::kConfig, "config/main",
+                                       {0, 5}, wait, &reason));
+  LONGS_EQUAL(30, object->version.revision);
   LONGS_EQUAL(3, store.calls.size());
 }
 
@@ -263,10 +203,10 @@
         200, R"({"events":[{"deleted":false,"object":)" +
                  Object("i-2", 12, spec) + R"(},{"deleted":false,"object":)" +
                  Object("i-3", 13, Target("a")) + R"(}],"at":13})");
-    const auto whole = Run(client.HostsSince(0, milliseconds(0), &reason));
+    const auto whole = Run(client.HostsSince({}, milliseconds(0), &reason));
     CHECK_TEXT(whole.has_value(), spec.substr(0, 60).c_str());
     LONGS_EQUAL(2, ParseHostList(whole->text, &reason)->targets.size());
-    const auto next = Run(client.HostsSince(9, milliseconds(10), &reason));
+    const auto next = Run(client.HostsSince({0, 9}, milliseconds(10), &reason));
     CHECK_TEXT(next.has_value(), spec.substr(0, 60).c_str());
     const auto changes = ParseHostListChanges(next->text, &reason);
     LONGS_EQUAL(2, changes->size());
@@ -278,7 +218,7 @@
 
 // Revisions go back, and the object's new revision was given out before.
 TEST(StoreClient, AWatchReportsAChangeAfterTheStoreLostItsNewestWrites) {
-  const std::uint64_t before = ListMainBeforeRestore();
+  const StoreVersion before = ListMainBeforeRestore();
   store.AddResponse(410, "{}");
   AddListOfMain(20, "2", 25);
   const auto after = WatchMain(before);
@@ -289,7 +229,7 @@
 
 // The store has given out the revision of the watch again, so it answers.
 TEST(StoreClient, AWatchThatOutlastsARestoreListsAgain) {
-  const std::uint64_t before = ListMainBeforeRestore();
+  const StoreVersion before = ListMainBeforeRestore();
   store.AddResponse(200, R"({"events":[],"at":45})");
   AddListOfMain(30, "2", 45);
   const auto after = WatchMain(before);
@@ -314,7 +254,7 @@
   store.era = 1;
   store.AddResponse(200, R"({"items":[)" + Object("i-1", 5, Target("a")) +
                              R"(],"has_more":false,"at":9})");
-  const auto before = Run(client.HostsSince(0, milliseconds(0), &reason));
+  const auto before = Run(client.HostsSince({}, milliseconds(0), &reason));
   store.era = 2;
   store.AddResponse(200, R"({"events":[],"at":12})");
   store.AddResponse(200, R"({"items":[)" + Object("i-2", 4, Target("a")) +
@@ -336,13 +276,13 @@
       200, R"({"events":[{"deleted":true,"object":)" +
                Object("i-1", 12, "null") + R"(},{"deleted":false,"object":)" +
                Object("i-2", 13, R"({"state":"odd"})") + R"(}],"at":13})");
-  const auto whole = Run(client.HostsSince(0, milliseconds(0), &reason));
+  const auto whole = Run(client.HostsSince({}, milliseconds(0), &reason));
   CHECK(whole->is_whole);
-  LONGS_EQUAL(9, whole->version);
+  LONGS_EQUAL(9, whole->version.revision);
   STRCMP_EQUAL("GET /api/objects/servers?since_revision=i-2",
                store.calls[1].c_str());
   LONGS_EQUAL(3, ParseHostList(whole->text, &reason)->targets.size());
-  const auto next = Run(client.HostsSince(9, milliseconds(10), &reason));
+  const auto next = Run(client.HostsSince({0, 9}, milliseconds(10), &reason));
   CHECK(!next->is_whole);
   const auto changes = ParseHostListChanges(next->text, &reason);
   LONGS_EQUAL(2, changes->size());
@@ -365,12 +305,12 @@
   store.AddResponse(200, R"({"events":[{"deleted":false,"object":)" +
                              Object("i-1", 12, target("8000")) +
                              R"(}],"at":12})");
-  const auto whole = Run(client.HostsSince(0, milliseconds(0), &reason));
+  const auto whole = Run(client.HostsSince({}, milliseconds(0), &reason));
   const auto list = ParseHostList(whole->text, &reason);
   CHECK(list->targets[0].cold_for == milliseconds(8'000));
   STRCMP_EQUAL("5", list->targets[0].cold_version.c_str());
   STRCMP_EQUAL("", list->targets[1].cold_version.c_str());
-  const auto next = Run(client.HostsSince(9, milliseconds(10), &reason));
+  const auto next = Run(client.HostsSince({0, 9}, milliseconds(10), &reason));
   const auto changes = ParseHostListChanges(next->text, &reason);
   CHECK((*changes)[0].member != list->targets[0]);
 }
@@ -384,9 +324,9 @@
                              R"(],"has_more":true,"at":9})");
   store.AddResponse(200, R"({"items":[)" + Object("b", 6, "\"\xff\xfe\"") +
                              R"(],"has_more":false,"at":11})");
-  const auto whole = NamesSince(0);
+  const auto whole = NamesSince({});
   CHECK(whole->is_whole);
-  LONGS_EQUAL(9, RevisionOf(whole->version));
+  LONGS_EQUAL(9, whole->version.revision);
   CHECK((whole->present == std::vector<std::string>{"a", "b"}));
   STRCMP_EQUAL("GET /api/objects/evacuations", store.calls[0].c_str());
   STRCMP_EQUAL("GET /api/objects/evacuations?since_revision=a",
@@ -408,24 +348,24 @@
   store.AddResponse(200, R"({"events":[],"at":20})");
   const auto quiet = NamesSince(next->version);
   CHECK(!quiet->is_whole && quiet->present.empty() && quiet->removed.empty());
-  LONGS_EQUAL(20, RevisionOf(quiet->version));
+  LONGS_EQUAL(20, quiet->version.revision);
 }
 
 // A deletion may be in the part of the history that the store has dropped.
 TEST(StoreClient, NamesAreListedAnewAfterTheHistoryWasDropped) {
   store.AddResponse(410, "{}");
   store.AddResponse(200, R"({"items":[],"has_more":false,"at":31})");
-  const auto names = NamesSince(9);
+  const auto names = NamesSince({0, 9});
   CHECK(names->is_whole);
   CHECK(names->present.empty());
-  LONGS_EQUAL(31, names->version);
+  LONGS_EQUAL(31, names->version.revision);
 }
 
 // The store gives out revisions again, so it answers a watch from a lost one.
 TEST(StoreClient, NamesAreListedAnewAfterTheStoreLostItsNewestWrites) {
   store.era = 1;
   store.AddResponse(200, R"({"items":[],"has_more":false,"at":39})");
-  const auto before = NamesSince(0);
+  const auto before = NamesSince({});
   store.era = 2;
   store.AddResponse(200, R"({"events":[],"at":45})");
   store.AddResponse(200, R"({"items":[)" + Object("a", 5, "1") +
@@ -439,14 +379,14 @@
 // Neither must look like a store without evacuations.
 TEST(StoreClient, AFailedListHasNoNames) {
   store.AddResponse(0, "");
-  CHECK(!NamesSince(0));
+  CHECK(!NamesSince({}));
   store.AddResponse(200, "garbage");
-  CHECK(!NamesSince(0));
+  CHECK(!NamesSince({}));
   // The second page is lost.
   store.AddResponse(200, R"({"items":[)" + Object("a", 5, "1") +
                              R"(],"has_more":true,"at":9})");
   store.AddResponse(500, "");
-  CHECK(!NamesSince(0));
+  CHECK(!NamesSince({}));
 }
 
 }  // namespace turmericwinch::platform
--- a/tests/budget/fake_platform.cc
+++ b/tests/budget/fake_platform.cc
@@ -5,7 +5,7 @@
 namespace {
 
 PlatformAnswer Failed(ResultCode code, const std::string& text) {
-  return {{code, text}, 0, "", {}};
+  return {{code, text}, {}, "", {}};
 }
 
 }  // namespace
@@ -65,7 +65,7 @@
     if (it->second.version != call.version)
       return Failed(ResultCode::kPlatformConflict, call.name);
   }
-  const std::uint64_t version = next_version_++;
+  const StoreVersion version{0, next_revision_++};
   objects[call.name] = {version, call.value};
   return {{}, version, "", {}};
 }
--- a/tests/budget/fake_platform.h
+++ b/tests/budget/fake_platform.h
@@ -40,7 +40,7 @@
   std::uint64_t bytes = 0;
 
   struct Object {
-    std::uint64_t version = 0;
+    StoreVersion version;
     std::string value;
   };
   std::map<std::string, Object> objects;
@@ -50,7 +50,7 @@
   PlatformAnswer Apply(const PlatformCall& call);
   PlatformAnswer List(const std::string& prefix);
 
-  std::uint64_t next_version_ = 1;
+  std::uint64_t next_revision_ = 1;
 };
 
 }  // namespace turmericwinch
--- a/tests/budget/fleet_account_merge_test.cc
+++ b/tests/budget/fleet_account_merge_test.cc
@@ -94,4 +94,17 @@
   }
 }
 
+// An account whose era is read as another one would never count as settled.
+TEST(FleetAccountMerge, AnAccountKeepsAnyEra) {
+  for (const std::uint64_t era :
+       {std::uint64_t{1}, std::uint64_t{1'000'000'000'000},
+        std::uint64_t{1} << 63, ~std::uint64_t{0}}) {
+    stored.era = era;
+    stored.is_settled = true;
+    Reason reason;
+    const auto read = ParseFleetAccount(ToJson(stored), &reason);
+    CHECK(read && read->era == era && read->is_settled);
+  }
+}
+
 }  // namespace turmericwinch
--- a/tests/delivery/claim_fault_table_test.cc
+++ b/tests/delivery/claim_fault_table_test.cc
@@ -80,7 +80,7 @@
  private:
   void Claim(ClaimSession& session) {
     Reason reason;
-    std::optional<std::uint64_t> version =
+    std::optional<StoreVersion> version =
         platform.Create(kName, ToJson(session.record()), &reason);
     if (version)
       session.OnCreated(*version);
@@ -143,7 +143,7 @@
         settlement.OnReadFailed(reason.code, now);
       return;
     }
-    std::optional<std::uint64_t> version =
+    std::optional<StoreVersion> version =
         settlement.step() == SettleStep::kUpdate
             ? platform.Update(kName, settlement.version(),
                               ToJson(settlement.record()), &reason)
--- a/tests/delivery/claim_settlement_test.cc
+++ b/tests/delivery/claim_settlement_test.cc
@@ -27,7 +27,7 @@
 
 TEST(ClaimSettlement, RetriesUntilTheTimeout) {
   ClaimSettlement settlement =
-      ClaimSettlement::Record("n", 1, DoneRecord(), kStart);
+      ClaimSettlement::Record("n", {0, 1}, DoneRecord(), kStart);
   ClaimSettlement::Time now = kStart;
   int calls = 0;
   while (settlement.step() != SettleStep::kGivenUp) {
@@ -46,7 +46,7 @@
   for (const ResultCode it :
        {ResultCode::kPlatformUnavailable, ResultCode::kPlatformLimited}) {
     ClaimSettlement settlement =
-        ClaimSettlement::Record("n", 1, DoneRecord(), kStart);
+        ClaimSettlement::Record("n", {0, 1}, DoneRecord(), kStart);
     const SettleStep write = settlement.step();
     settlement.OnWritten(it, kStart);
     CHECK(write == settlement.step());
@@ -56,23 +56,23 @@
 
 TEST(ClaimSettlement, NeverOverwritesTheClaimOfAnotherAttempt) {
   ClaimSettlement settlement =
-      ClaimSettlement::Abandon("n", 0, DoneRecord(), kStart);
+      ClaimSettlement::Abandon("n", {}, DoneRecord(), kStart);
   ClaimRecord other = DoneRecord();
   other.owner = "other";
   CHECK(SettleStep::kRead == settlement.step());
-  settlement.OnRead(7, other);
+  settlement.OnRead({0, 7}, other);
   CHECK(SettleStep::kDone == settlement.step());
   ClaimSettlement record =
-      ClaimSettlement::Record("n", 1, DoneRecord(), kStart);
+      ClaimSettlement::Record("n", {0, 1}, DoneRecord(), kStart);
   record.OnWritten(ResultCode::kPlatformConflict, kStart);
   CHECK(SettleStep::kRead == record.step());
-  record.OnRead(7, other);
+  record.OnRead({0, 7}, other);
   CHECK(SettleStep::kGivenUp == record.step());
 }
 
 TEST(ClaimSettlement, DroppingTheAnswerKeepsTheOutcome) {
   ClaimSettlement settlement =
-      ClaimSettlement::Record("n", 1, DoneRecord(), kStart);
+      ClaimSettlement::Record("n", {0, 1}, DoneRecord(), kStart);
   LONGS_EQUAL(2, settlement.AnswerBytes());
   settlement.DropAnswer();
   LONGS_EQUAL(0, settlement.AnswerBytes());
--- a/tests/delivery/fake_platform.h
+++ b/tests/delivery/fake_platform.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "libs/base/reason.h"
+#include "libs/base/store_version.h"
 
 namespace turmericwinch {
 
@@ -30,7 +31,7 @@
 class FakePlatform {
  public:
   struct Object {
-    std::uint64_t version = 0;
+    StoreVersion version;
     std::string value;
   };
 
@@ -39,38 +40,38 @@
   std::map<std::string, Object> objects;
   int writes = 0;
 
-  std::optional<std::uint64_t> Create(const std::string& name,
-                                      const std::string& value,
-                                      Reason* reason) {
+  std::optional<StoreVersion> Create(const std::string& name,
+                                     const std::string& value,
+                                     Reason* reason) {
     return Write(
-        [this, name, value]() -> std::optional<std::uint64_t> {
+        [this, name, value]() -> std::optional<StoreVersion> {
           if (objects.contains(name))
             return std::nullopt;
-          objects[name] = {++last_version_, value};
-          return last_version_;
+          objects[name] = {{0, ++last_revision_}, value};
+          return objects[name].version;
         },
         ResultCode::kPlatformExists, reason);
   }
 
-  std::optional<std::uint64_t> Update(const std::string& name,
-                                      std::uint64_t version,
-                                      const std::string& value,
-                                      Reason* reason) {
+  std::optional<StoreVersion> Update(const std::string& name,
+                                     StoreVersion version,
+                                     const std::string& value,
+                                     Reason* reason) {
     return Write(
-        [this, name, version, value]() -> std::optional<std::uint64_t> {
+        [this, name, version, value]() -> std::optional<StoreVersion> {
           if (!objects.contains(name) || objects[name].version != version)
             return std::nullopt;
-          objects[name] = {++last_version_, value};
-          return last_version_;
+          objects[name] = {{0, ++last_revision_}, value};
+          return objects[name].version;
         },
         ResultCode::kPlatformConflict, reason);
   }
 
-  std::optional<std::uint64_t> Delete(const std::string& name,
-                                      std::uint64_t version,
-                                      Reason* reason) {
+  std::optional<StoreVersion> Delete(const std::string& name,
+                                     StoreVersion version,
+                                     Reason* reason) {
     return Write(
-        [this, name, version]() -> std::optional<std::uint64_t> {
+        [this, name, version]() -> std::optional<StoreVersion> {
           if (!objects.contains(name) || objects[name].version != version)
             return std::nullopt;
           objects.erase(name);
@@ -95,7 +96,7 @@
   }
 
  private:
-  using Effect = std::function<std::optional<std::uint64_t>()>;
+  using Effect = std::function<std::optional<StoreVersion>()>;
 
   PlatformFault NextFault() {
     if (faults.empty())
@@ -105,9 +106,9 @@
     return fault;
   }
 
-  std::optional<std::uint64_t> Write(const Effect& effect,
-                                     ResultCode precondition_failed,
-                                     Reason* reason) {
+  std::optional<StoreVersion> Write(const Effect& effect,
+                                    ResultCode precondition_failed,
+                                    Reason* reason) {
     ++writes;
     const PlatformFault fault = NextFault();
     if (fault == PlatformFault::kDown)
@@ -117,7 +118,7 @@
     if (fault == PlatformFault::kLostCall ||
         fault == PlatformFault::kLateEffect)
       return Fail(reason, ResultCode::kPlatformUnknown, "lost");
-    std::optional<std::uint64_t> version = effect();
+    std::optional<StoreVersion> version = effect();
     if (fault == PlatformFault::kLostAnswer)
       return Fail(reason, ResultCode::kPlatformUnknown, "lost");
     if (!version)
@@ -125,7 +126,7 @@
     return version;
   }
 
-  std::uint64_t last_version_ = 0;
+  std::uint64_t last_revision_ = 0;
   std::vector<Effect> late_;
 };
 
--- a/tests/gateway/evacuation_source_test.cc
+++ b/tests/gateway/evacuation_source_test.cc
@@ -91,8 +91,8 @@
   }
   // The reader knows the other objects of the store too.
   void MakeReader() {
-    reader.news.RecordAnswer(StoreTopic::kConfig, 7);
-    reader.news.RecordTargets({20, true, "{}"}, false);
+    reader.news.RecordAnswer(StoreTopic::kConfig, {0, 7});
+    reader.news.RecordTargets({{0, 20}, true, "{}"}, false);
     reader.news.Update();
   }
 };
--- a/tests/gateway/store_news_exchange_test.cc
+++ b/tests/gateway/store_news_exchange_test.cc
@@ -48,14 +48,13 @@
           "boot", BootTime(0), "127.0.0.1:1", "a", 20};
     for (Host* it : {&reader, &other})
       it->news.SetHosts(account);
-    reader.news.RecordAnswer(StoreTopic::kConfig, 7);
-    reader.news.RecordTargets({20, true, "{}"}, false);
+    reader.news.RecordAnswer(StoreTopic::kConfig, {0, 7});
+    reader.news.RecordTargets({{0, 20}, true, "{}"}, false);
     reader.news.Update();
   }
 
   // Starts a wait of the other host. Sets `due` to its result.
-  void Wait(StoreTopic topic, std::uint64_t version,
-            std::optional<bool> & due) {
+  void Wait(StoreTopic topic, StoreVersion version, std::optional<bool> & due) {
     boost::asio::co_spawn(
         context,
         [this, topic, version, &due]() -> boost::asio::awaitable<void> {
@@ -67,7 +66,7 @@
   }
 
   // Sends changes of the list until the other host has them.
-  void SendTargets(std::uint64_t version) {
+  void SendTargets(StoreVersion version) {
     reader.news.RecordTargets({version, false, "[]"}, false);
     RunUntil(context, [this] { return !other.targets.empty(); });
   }
@@ -75,47 +74,60 @@
 
 TEST(StoreNewsExchange, AHostWithoutNewsReadsForItself) {
   std::optional<bool> due;
-  Wait(StoreTopic::kConfig, 7, due);
+  Wait(StoreTopic::kConfig, {0, 7}, due);
   CHECK(due && *due);
 }
 
 TEST(StoreNewsExchange, AHostReadsOnlyWhatTheNewsSayIsNewer) {
-  SendTargets(21);
+  SendTargets({0, 21});
   std::optional<bool> config;
   std::optional<bool> quarantine;
-  Wait(StoreTopic::kConfig, 7, config);
-  Wait(StoreTopic::kQuarantine, 3, quarantine);
+  Wait(StoreTopic::kConfig, {0, 7}, config);
+  Wait(StoreTopic::kQuarantine, {0, 3}, quarantine);
   CHECK(!config && !quarantine);
-  reader.news.RecordAnswer(StoreTopic::kConfig, 9);
+  reader.news.RecordAnswer(StoreTopic::kConfig, {0, 9});
   RunUntil(context, [&] { return config.has_value(); });
   CHECK(*config);
   CHECK(!quarantine);
 }
 
 TEST(StoreNewsExchange, ChangesOfTheListOfTargetsComeWithTheNews) {
-  SendTargets(25);
-  LONGS_EQUAL(20, other.targets[0].from);
-  LONGS_EQUAL(25, other.targets[0].to);
+  SendTargets({0, 25});
+  LONGS_EQUAL(20, other.targets[0].from.revision);
+  LONGS_EQUAL(25, other.targets[0].to.revision);
   STRCMP_EQUAL("[]", other.targets[0].text.c_str());
   // What was applied needs no call.
   std::optional<bool> due;
-  other.news.RecordAppliedTargets(25);
-  Wait(StoreTopic::kTargets, 25, due);
+  other.news.RecordAppliedTargets({0, 25});
+  Wait(StoreTopic::kTargets, {0, 25}, due);
   CHECK(!due);
-  CHECK(!other.news.HadOutageSince(20));
+  CHECK(!other.news.HadOutageSince({0, 20}));
+}
+
+// Versions of one era must not count as of two once the revisions exceed 10^12.
+TEST(StoreNewsExchange, ChangesComeWithTheNewsAtAnyRevision) {
+  for (const std::uint64_t revision :
+       {std::uint64_t{999'999'999'999}, std::uint64_t{1'000'000'000'000},
+        (std::uint64_t{1} << 63) - 1, ~std::uint64_t{0} - 1}) {
+    other.targets.clear();
+    reader.news.RecordTargets({{0, revision}, true, "{}"}, false);
+    SendTargets({0, revision + 1});
+    CHECK((other.targets[0].from == StoreVersion{0, revision}));
+    CHECK((other.targets[0].to == StoreVersion{0, revision + 1}));
+  }
 }
 
 // Entries that expired in the outage may belong to live targets, so changes
 // alone do not tell what to remove.
 TEST(StoreNewsExchange, AnOutageThatAHostDidNotNoticeMakesItReadTheList) {
-  SendTargets(25);
+  SendTargets({0, 25});
   std::optional<bool> due;
-  other.news.RecordAppliedTargets(25);
-  Wait(StoreTopic::kTargets, 25, due);
-  reader.news.RecordTargets({40, true, "{}"}, true);
+  other.news.RecordAppliedTargets({0, 25});
+  Wait(StoreTopic::kTargets, {0, 25}, due);
+  reader.news.RecordTargets({{0, 40}, true, "{}"}, true);
   RunUntil(context, [&] { return due.has_value(); });
   CHECK(*due);
-  CHECK(other.news.HadOutageSince(25));
+  CHECK(other.news.HadOutageSince({0, 25}));
   LONGS_EQUAL(1, other.targets.size());
 }
 
--- a/tests/gateway/store_readers_test.cc
+++ b/tests/gateway/store_readers_test.cc
@@ -53,7 +53,7 @@
     news.sent =
         std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
     news.age = std::chrono::duration_cast<milliseconds>(now - answered[n]);
-    news.config = 7;
+    news.config = {0, 7};
     return news;
   }
 
@@ -105,7 +105,7 @@
   LONGS_EQUAL(kHosts - 1, hosts[Sender()].Listeners().size());
   for (int n = 0; n < kHosts; ++n) {
     if (n != Sender())
-      LONGS_EQUAL(7, hosts[n].NewestVersion(StoreTopic::kConfig, now));
+      LONGS_EQUAL(7, hosts[n].NewestVersion(StoreTopic::kConfig, now).revision);
   }
 }
 
--- a/tests/node/host_list_copy_test.cc
+++ b/tests/node/host_list_copy_test.cc
@@ -25,8 +25,8 @@
   return ToJson(list);
 }
 
-PlatformHosts FullList(std::uint64_t version, std::string text) {
-  return {version, true, std::move(text)};
+PlatformHosts FullList(std::uint64_t revision, std::string text) {
+  return {{0, revision}, true, std::move(text)};
 }
 
 // Copies the full list of `from` to `to` by requests and parts. Returns the
@@ -67,7 +67,7 @@
   CHECK(changes.text.size() < 300);
   CHECK(other.HandlePart(changes) == HostListVerdict::kApplied);
   CHECK(other.list().targets[0].leaving);
-  LONGS_EQUAL(2, other.version());
+  LONGS_EQUAL(2, other.version().revision);
   CHECK(other.HandlePart(changes) == HostListVerdict::kUnchanged);
   // A request from a host with the same list is answered without text.
   CHECK(reader.MakePart(other.NextRequest()).text.empty());
@@ -77,13 +77,14 @@
   ApplyAnswer(FullList(5, ListOf(3)));
   CopyFullList(reader, &other, milliseconds(0));
   const HostListPart part =
-      ApplyAnswer({6, false,
+      ApplyAnswer({{0, 6},
+                   false,
                    R"({"metadata":{},"changes":[{"kind":"target","name":)"
                    R"("target-10001","state":"gone"}]})"});
   CHECK(other.HandlePart(part) == HostListVerdict::kApplied);
   LONGS_EQUAL(2, other.list().targets.size());
   // The answer to a watch that ended without a change.
-  CHECK(ApplyAnswer({6, false, ""}).text.empty());
+  CHECK(ApplyAnswer({{0, 6}, false, ""}).text.empty());
 }
 
 TEST(HostListCopy, ReportsAGapAfterALostChangeUntilTheFullListArrives) {
@@ -170,9 +171,9 @@
   CHECK_FALSE(
       reader.HandlePlatformAnswer(FullList(2, "{"), &reason).has_value());
   CHECK_FALSE(
-      reader.HandlePlatformAnswer({2, false, "{}"}, &reason).has_value());
+      reader.HandlePlatformAnswer({{0, 2}, false, "{}"}, &reason).has_value());
   LONGS_EQUAL(3, reader.list().targets.size());
-  LONGS_EQUAL(1, reader.version());
+  LONGS_EQUAL(1, reader.version().revision);
 }
 
 // A list without hosts is still a known list.
--- a/tests/operations/evacuation_report_test.cc
+++ b/tests/operations/evacuation_report_test.cc
@@ -10,7 +10,7 @@
   const EvacuationRow row = ParseEvacuations(
       "a:1", R"({"host":"edge-1","evacuations":{"domains":["x","y"],)"
              R"("version":12,"age_ms":340}})");
-  LONGS_EQUAL(12, row.version);
+  LONGS_EQUAL(12, row.version.revision);
   LONGS_EQUAL(340, *row.age_ms);
   const std::string text = FormatEvacuations({row});
   STRCMP_CONTAINS("edge-1", text.c_str());
@@ -18,6 +18,26 @@
   STRCMP_CONTAINS("known", text.c_str());
 }
 
+// An operator compares the versions of all daemons.
+TEST(EvacuationReport, AVersionIsShownAsTheDaemonKnowsIt) {
+  const struct {
+    const char* dump;
+    const char* text;
+  } cases[] = {
+      {R"("version":12,"era":0)", " 12 "},
+      {R"("version":18446744073709551615,"era":3)", " 3.18446744073709551615 "},
+      {R"("version":1000000000007,"era":0)", " 1000000000007 "},
+      // Of a daemon of an earlier release.
+      {R"("version":3000000000012)", " 3.12 "},
+  };
+  for (const auto& it : cases) {
+    const EvacuationRow row = ParseEvacuations(
+        "a:1", std::string(R"({"evacuations":{"domains":[],"age_ms":1,)") +
+                   it.dump + "}}");
+    STRCMP_CONTAINS(it.text, FormatEvacuations({row}).c_str());
+  }
+}
+
 // An operator must not take a host without knowledge for one without
 // evacuations.
 TEST(EvacuationReport, AHostWithoutKnowledgeIsTold) {
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -26,7 +26,7 @@
 
 HostListPart SampleHostListPart() {
   HostListPart part;
-  part.version = 9;
+  part.version = {0, 9};
   part.age = std::chrono::milliseconds(17);
   part.base = "d6";
   part.digest = "d7";
@@ -154,7 +154,7 @@
 TEST(PeerCodec, HostListFieldsRoundTrip) {
   auto frame = DecodePayload(Payload(SampleHostListPart()), &reason);
   const auto& part = std::get<HostListPart>(*frame);
-  LONGS_EQUAL(9, part.version);
+  LONGS_EQUAL(9, part.version.revision);
   LONGS_EQUAL(17, part.age.count());
   STRCMP_EQUAL("d6 d7 [] 10.0.0.5:1", (part.base + " " + part.digest + " " +
                                        part.text + " " + part.peer)
@@ -212,14 +212,14 @@
   news.host = "edge-1";
   news.sent = std::chrono::milliseconds(12);
   news.age = std::chrono::milliseconds(34);
-  news.config = 5;
-  news.quarantine = 6;
-  news.targets = 9;
-  news.targets_changed = 8;
-  news.changes_from = 7;
+  news.config = {0, 5};
+  news.quarantine = {0, 6};
+  news.targets = {0, 9};
+  news.targets_changed = {0, 8};
+  news.changes_from = {0, 7};
   news.changes = "[]";
-  news.outage = 4;
-  news.evacuations = 3;
+  news.outage = {0, 4};
+  news.evacuations = {0, 3};
   news.evacuated = {"a", "b"};
   const auto frame = DecodePayload(Payload(news), &reason);
   CHECK(frame.has_value());
@@ -227,14 +227,14 @@
   STRCMP_EQUAL("edge-1", read.host.c_str());
   LONGS_EQUAL(12, read.sent.count());
   LONGS_EQUAL(34, read.age.count());
-  LONGS_EQUAL(5, read.config);
-  LONGS_EQUAL(6, read.quarantine);
-  LONGS_EQUAL(9, read.targets);
-  LONGS_EQUAL(8, read.targets_changed);
-  LONGS_EQUAL(7, read.changes_from);
+  LONGS_EQUAL(5, read.config.revision);
+  LONGS_EQUAL(6, read.quarantine.revision);
+  LONGS_EQUAL(9, read.targets.revision);
+  LONGS_EQUAL(8, read.targets_changed.revision);
+  LONGS_EQUAL(7, read.changes_from.revision);
   STRCMP_EQUAL("[]", read.changes.c_str());
-  LONGS_EQUAL(4, read.outage);
-  LONGS_EQUAL(3, read.evacuations);
+  LONGS_EQUAL(4, read.outage.revision);
+  LONGS_EQUAL(3, read.evacuations.revision);
   CHECK((read.evacuated == std::vector<std::string>{"a", "b"}));
 }
 
@@ -244,27 +244,78 @@
   StoreNews news;
   news.host = "edge-1";
   const auto frame = DecodePayload(Payload(news), &reason);
-  LONGS_EQUAL(0, std::get<StoreNews>(*frame).evacuations);
+  CHECK(!std::get<StoreNews>(*frame).evacuations.IsSet());
   CHECK(!std::get<StoreNews>(*frame).IsOfEvacuationsOnly());
 }
 
+// Hosts of earlier releases read only packed versions, and send no others.
+TEST(PeerCodec, NewsOfEarlierReleasesAreReadAsBefore) {
+  StoreNews news;
+  news.host = "edge-1";
+  news.targets = {2, 9};
+  const std::string payload = Payload(news);
+  const auto frame = DecodePayload(payload, &reason);
+  CHECK((std::get<StoreNews>(*frame).targets == StoreVersion{2, 9}));
+  // The zigzag varint of 2'000'000'000'009 after the header of a 64-bit field.
+  CHECK(payload.find("\x16\x92\x80\xd1\x94\xb5\x74") != std::string::npos);
+}
+
+TEST(PeerCodec, ANegativePackedVersionIsAnError) {
+  StoreNews news;
+  news.host = "edge-1";
+  news.evacuations = {0, 1};
+  std::string payload = Payload(news);
+  // The header of a 64-bit field, then a zigzag integer.
+  const std::size_t at = payload.find("\x16\x02");
+  CHECK(at != std::string::npos);
+  payload[at + 1] = '\x01';
+  CHECK(!DecodePayload(payload, &reason));
+  CHECK(reason.code == ResultCode::kPeerProtocol);
+}
+
+// Guards against versions that change on their way to another host.
+TEST(PeerCodec, NewsAndListsKeepAnyVersion) {
+  constexpr std::uint64_t kPackedLimit = 1'000'000'000'000;
+  constexpr std::uint64_t kMax = ~std::uint64_t{0};
+  for (const std::uint64_t era :
+       {std::uint64_t{0}, std::uint64_t{2}, kPackedLimit, kMax}) {
+    for (const std::uint64_t revision :
+         {std::uint64_t{1}, kPackedLimit - 1, kPackedLimit, kPackedLimit + 7,
+          std::uint64_t{1} << 63, kMax}) {
+      const StoreVersion version{era, revision};
+      StoreNews news;
+      news.host = "edge-1";
+      news.config = news.quarantine = news.targets = version;
+      news.targets_changed = news.changes_from = version;
+      news.outage = news.evacuations = version;
+      const auto frame = DecodePayload(Payload(news), &reason);
+      CHECK(frame.has_value());
+      const auto& read = std::get<StoreNews>(*frame);
+      for (const StoreVersion& it :
+           {read.config, read.quarantine, read.targets, read.targets_changed,
+            read.changes_from, read.outage, read.evacuations})
+        CHECK(it == version);
+      HostListPart part;
+      part.version = version;
+      const auto list = DecodePayload(Payload(part), &reason);
+      CHECK(std::get<HostListPart>(*list).version == version);
+    }
+  }
+}
+
 TEST(PeerCodec, NewsAndIntroductionsWithValuesOutOfRangeAreErrors) {
   StoreNews nameless;
   StoreNews reversed;
   reversed.host = "edge-1";
-  reversed.targets = 3;
-  reversed.targets_changed = 4;
+  reversed.targets = {0, 3};
+  reversed.targets_changed = {0, 4};
   StoreNews negative;
   negative.host = "edge-1";
   negative.age = std::chrono::milliseconds(-1);
-  StoreNews negative_evacuations;
-  negative_evacuations.host = "edge-1";
-  negative_evacuations.evacuations = std::uint64_t{1} << 63;
   const PeerFrame frames[] = {
       nameless,
       reversed,
       negative,
-      negative_evacuations,
       HostIntroduction{"", {"boot", BootTime(1), "a:1", "a"}},
       HostIntroduction{"edge_1", {"boot", BootTime(1), "", "a"}},
       HostIntroduction{"edge_1", {"boot", BootTime(1), "a:1", "a"}, {"edge_1"}},
--- a/tests/standin/platform_contract_test.cc
+++ b/tests/standin/platform_contract_test.cc
@@ -111,7 +111,7 @@
   Platform platform;
   Reason reason;
 
-  std::uint64_t Create(const std::string& name, const std::string& value) {
+  StoreVersion Create(const std::string& name, const std::string& value) {
     auto version = RunCoroutine(
         platform.context, platform.client.Create(kDuty, name, value, &reason));
     CHECK_TRUE(version.has_value());
@@ -127,13 +127,13 @@
 };
 
 TEST(PlatformContract, CreatesOnlyWhatIsAbsent) {
-  const std::uint64_t version = Create("object", "{\"n\":1}");
+  const StoreVersion version = Create("object", "{\"n\":1}");
   const ResultCode again = CodeOf(
       platform, platform.client.Create(kDuty, "object", "{\"n\":2}", &reason),
       reason);
   CHECK_TRUE(again == ResultCode::kPlatformExists);
   STRCMP_EQUAL("{\"n\":1}", Get("object").value.c_str());
-  LONGS_EQUAL(version, Get("object").version);
+  CHECK(Get("object").version == version);
 }
 
 TEST(PlatformContract, UpdatesOnlyTheVersionThatWasRead) {
@@ -148,10 +148,12 @@
 }
 
 TEST(PlatformContract, DeletesOnlyTheVersionThatWasRead) {
-  const std::uint64_t version = Create("object", "1");
-  ResultCode code = CodeOf(
-      platform, platform.client.Delete(kDuty, "object", version + 1, &reason),
-      reason);
+  const StoreVersion version = Create("object", "1");
+  ResultCode code =
+      CodeOf(platform,
+             platform.client.Delete(kDuty, "object", {0, version.revision + 1},
+                                    &reason),
+             reason);
   CHECK_TRUE(code == ResultCode::kPlatformConflict);
   code =
       CodeOf(platform,
@@ -175,7 +177,7 @@
 TEST(PlatformContract, ANameMayHoldAnyCharacter) {
   for (const char* name : {"x&y", "x+y", "x#y", "x%y", "x%20y", "x y", "x?y",
                            "x/y", "x=y;", "x\"y\\", "x\r\ny", "x\xc3\xa9"}) {
-    const std::uint64_t version = Create(name, "1");
+    const StoreVersion version = Create(name, "1");
     STRCMP_EQUAL(name, Get(name).name.c_str());
     const auto objects = RunCoroutine(
         platform.context, platform.client.List(kDuty, name, &reason));
@@ -196,7 +198,7 @@
 }
 
 TEST(PlatformContract, WatchWakesOnAWrite) {
-  const std::uint64_t version = Create("object", "1");
+  const StoreVersion version = Create("object", "1");
   auto change = [&]() -> asio::awaitable<void> {
     PlatformObject object{"object", version, "2"};
     co_await platform.client.Update(kDuty, object, nullptr);
@@ -212,7 +214,7 @@
 }
 
 TEST(PlatformContract, WatchEndsWithoutAChange) {
-  const std::uint64_t version = Create("object", "1");
+  const StoreVersion version = Create("object", "1");
   const ResultCode code =
       CodeOf(platform,
              platform.client.Watch(kDuty, "object", version, milliseconds(20),
@@ -336,7 +338,7 @@
 }
 
 TEST(PlatformContract, HostListChangesSinceAVersion) {
-  const auto since = [&](std::uint64_t version, int wait_ms) {
+  const auto since = [&](StoreVersion version, int wait_ms) {
     auto hosts = RunCoroutine(
         platform.context,
         platform.client.HostsSince(version, milliseconds(wait_ms), &reason));
@@ -344,12 +346,12 @@
     return *hosts;
   };
   platform.SetHosts("{\"hosts\":[{\"name\":\"host-1\"}]}");
-  const PlatformHosts whole = since(0, 0);
-  CHECK_TRUE(whole.is_whole && whole.version > 0);
+  const PlatformHosts whole = since({}, 0);
+  CHECK_TRUE(whole.is_whole && whole.version.IsSet());
   CHECK_TRUE(whole.text.find("host-1") != std::string::npos);
   const PlatformHosts unchanged = since(whole.version, 1);
   CHECK_TRUE(!unchanged.is_whole && unchanged.text.empty());
-  LONGS_EQUAL(whole.version, unchanged.version);
+  CHECK(unchanged.version == whole.version);
 
   platform.SetHosts(
       "{\"hosts\":[{\"name\":\"host-1\"},{\"name\":\"host-2\"}]}");
@@ -358,11 +360,12 @@
   CHECK_TRUE(changes.text.find("host-2") != std::string::npos);
   CHECK_TRUE(changes.text.find("host-1") == std::string::npos);
   // A version that this platform never had, as after a restore.
-  CHECK_TRUE(since(whole.version + 100, 10'000).is_whole);
+  const StoreVersion unknown{0, whole.version.revision + 100};
+  CHECK_TRUE(since(unknown, 10'000).is_whole);
   // Without interest in the reason.
   auto again = RunCoroutine(
-      platform.context, platform.client.HostsSince(whole.version + 100,
-                                                   milliseconds(0), nullptr));
+      platform.context,
+      platform.client.HostsSince(unknown, milliseconds(0), nullptr));
   CHECK_TRUE(again && again->is_whole);
 }
 
--- a/tests/support/memory_platform.cc
+++ b/tests/support/memory_platform.cc
@@ -17,17 +17,17 @@
   action();
 }
 
-std::optional<std::uint64_t> MemoryPlatform::AnswerWrite(
-    std::optional<std::uint64_t> version,
+std::optional<StoreVersion> MemoryPlatform::AnswerWrite(
+    std::optional<std::uint64_t> revision,
     ResultCode refusal,
     Reason* reason) {
   if (lose_answers > 0) {
     --lose_answers;
     return Fail(reason, ResultCode::kPlatformUnknown, "the answer was lost");
   }
-  if (!version)
+  if (!revision)
     return Fail(reason, refusal, "refused");
-  return version;
+  return StoreVersion{0, *revision};
 }
 
 PlatformClient::Answer<PlatformObject> MemoryPlatform::Get(PlatformDuty,
@@ -39,13 +39,13 @@
   const StoredObject* object = store.Find(name);
   if (!object)
     co_return Fail(reason, ResultCode::kPlatformNotFound, "no such object");
-  co_return PlatformObject{object->name, object->version, object->value};
+  co_return PlatformObject{object->name, {0, object->version}, object->value};
 }
 
-PlatformClient::Answer<std::uint64_t> MemoryPlatform::Create(PlatformDuty,
-                                                             std::string name,
-                                                             std::string value,
-                                                             Reason* reason) {
+PlatformClient::Answer<StoreVersion> MemoryPlatform::Create(PlatformDuty,
+                                                            std::string name,
+                                                            std::string value,
+                                                            Reason* reason) {
   StartWrite();
   if (!Reachable(reason))
     co_return std::nullopt;
@@ -53,27 +53,27 @@
                         ResultCode::kPlatformExists, reason);
 }
 
-PlatformClient::Answer<std::uint64_t>
+PlatformClient::Answer<StoreVersion>
 MemoryPlatform::Update(PlatformDuty, PlatformObject object, Reason* reason) {
   StartWrite();
   if (!Reachable(reason))
     co_return std::nullopt;
-  co_return AnswerWrite(
-      store.Update(object.name, object.version, std::move(object.value)),
-      ResultCode::kPlatformConflict, reason);
+  co_return AnswerWrite(store.Update(object.name, object.version.revision,
+                                     std::move(object.value)),
+                        ResultCode::kPlatformConflict, reason);
 }
 
-PlatformClient::Answer<std::uint64_t> MemoryPlatform::Delete(
+PlatformClient::Answer<StoreVersion> MemoryPlatform::Delete(
     PlatformDuty,
     std::string name,
-    std::uint64_t version,
+    StoreVersion version,
     Reason* reason) {
   StartWrite();
   if (!Reachable(reason))
     co_return std::nullopt;
   std::optional<std::uint64_t> deleted;
-  if (store.Delete(name, version))
-    deleted = version;
+  if (store.Delete(name, version.revision))
+    deleted = version.revision;
   co_return AnswerWrite(deleted, ResultCode::kPlatformConflict, reason);
 }
 
@@ -84,23 +84,23 @@
     co_return std::nullopt;
   std::vector<PlatformObject> objects;
   for (const StoredObject& it : store.List(prefix))
-    objects.push_back({it.name, it.version, it.value});
+    objects.push_back({it.name, {0, it.version}, it.value});
   co_return objects;
 }
 
 PlatformClient::Answer<PlatformObject> MemoryPlatform::Watch(
     PlatformDuty,
     std::string name,
-    std::uint64_t after,
+    StoreVersion after,
     std::chrono::milliseconds,
     Reason* reason) {
   ++reads;
   if (!Reachable(reason))
     co_return std::nullopt;
   const StoredObject* object = store.Find(name);
-  if (!object || object->version <= after)
+  if (!object || object->version <= after.revision)
     co_return Fail(reason, ResultCode::kPlatformNotFound, "nothing newer");
-  co_return PlatformObject{object->name, object->version, object->value};
+  co_return PlatformObject{object->name, {0, object->version}, object->value};
 }
 
 PlatformClient::Answer<std::string> MemoryPlatform::Hosts(Reason* reason) {
--- a/tests/support/memory_platform.h
+++ b/tests/support/memory_platform.h
@@ -30,23 +30,23 @@
   Answer<PlatformObject> Get(PlatformDuty duty,
                              std::string name,
                              Reason* reason) override;
-  Answer<std::uint64_t> Create(PlatformDuty duty,
-                               std::string name,
-                               std::string value,
-                               Reason* reason) override;
-  Answer<std::uint64_t> Update(PlatformDuty duty,
-                               PlatformObject object,
-                               Reason* reason) override;
-  Answer<std::uint64_t> Delete(PlatformDuty duty,
-                               std::string name,
-                               std::uint64_t version,
-                               Reason* reason) override;
+  Answer<StoreVersion> Create(PlatformDuty duty,
+                              std::string name,
+                              std::string value,
+                              Reason* reason) override;
+  Answer<StoreVersion> Update(PlatformDuty duty,
+                              PlatformObject object,
+                              Reason* reason) override;
+  Answer<StoreVersion> Delete(PlatformDuty duty,
+                              std::string name,
+                              StoreVersion version,
+                              Reason* reason) override;
   Answer<std::vector<PlatformObject>> List(PlatformDuty duty,
                                            std::string prefix,
                                            Reason* reason) override;
   Answer<PlatformObject> Watch(PlatformDuty duty,
                                std::string name,
-                               std::uint64_t after,
+                               StoreVersion after,
                                std::chrono::milliseconds wait,
                                Reason* reason) override;
   std::uint64_t Era() const override { return era; }
@@ -56,9 +56,10 @@
   // Whether a call goes through; else `reason` is set.
   bool Reachable(Reason* reason);
   void StartWrite();
-  std::optional<std::uint64_t> AnswerWrite(std::optional<std::uint64_t> version,
-                                           ResultCode refusal,
-                                           Reason* reason);
+  // `revision` is that of the written object; nullopt if it was refused.
+  std::optional<StoreVersion> AnswerWrite(std::optional<std::uint64_t> revision,
+                                          ResultCode refusal,
+                                          Reason* reason);
 };
 
 // Runs a coroutine to its end on an io_context of its own.
