Let event ids increase by any amount, and check resumed streams by overlap

Cause: EventOrder took an id other than the last one plus 1 for a gap. Ids increase, but nothing says by how much.

Ruled out: the resuming of broken streams (they are cut without a break too).

Fix: any higher id is the next event of a target's stream. As ids no longer show a gap, a target that continues a stream is asked to begin one event earlier and has to repeat the caller's last event; if it sends a later one first, or ends, the stream is broken. A target that begins anew must reach the same event too, so that two runs are not joined. Ids are decimal numbers of any size; "1.5" was read as 1 before, which dropped events.

--- a/src/libs/gateway/event_splitter.cc
+++ b/src/libs/gateway/event_splitter.cc
@@ -1,6 +1,6 @@
 #include "libs/gateway/event_splitter.h"
 
-#include <charconv>
+#include <boost/algorithm/string/trim.hpp>
 
 namespace turmericwinch {
 
@@ -17,7 +17,7 @@
   return lf < crlf ? lf + 2 : crlf + 4;
 }
 
-std::optional<std::uint64_t> ParseId(std::string_view event) {
+std::optional<EventId> ParseId(std::string_view event) {
   for (std::size_t start = 0; start < event.size();) {
     const std::size_t end = event.find('\n', start);
     std::string_view line =
@@ -26,13 +26,9 @@
     if (!line.starts_with(kIdField))
       continue;
     line.remove_prefix(kIdField.size());
-    if (line.starts_with(' '))
-      line.remove_prefix(1);
-    std::uint64_t id = 0;
-    auto [last, ec] =
-        std::from_chars(line.data(), line.data() + line.size(), id);
-    if (ec == std::errc())
-      return id;
+    const std::string id = boost::algorithm::trim_copy(std::string(line));
+    if (std::optional<EventId> parsed = EventId::Parse(id))
+      return parsed;
   }
   return std::nullopt;
 }
--- a/src/libs/gateway/event_splitter.h
+++ b/src/libs/gateway/event_splitter.h
@@ -3,17 +3,19 @@
 #ifndef SRC_LIBS_GATEWAY_EVENT_SPLITTER_H_
 #define SRC_LIBS_GATEWAY_EVENT_SPLITTER_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "libs/gateway/event_id.h"
+
 namespace turmericwinch {
 
-// The bytes of one event, unchanged, and the number of its "id" line.
+// The bytes of one event, unchanged, and the id of its "id" line, if it is a
+// number.
 struct RawEvent {
   std::string bytes;
-  std::optional<std::uint64_t> id;
+  std::optional<EventId> id;
 };
 
 // Is fed pieces of any size and returns complete events in order.
--- a/src/libs/gateway/gateway_call.h
+++ b/src/libs/gateway/gateway_call.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "libs/delivery/target_crash.h"
+#include "libs/gateway/event_id.h"
 
 namespace turmericwinch {
 
@@ -41,7 +42,7 @@
   std::optional<TokenBound> tokens;
   std::vector<PromptPart> prompt_parts;
   std::optional<std::chrono::milliseconds> time_left;
-  std::optional<std::uint64_t> after_event;
+  std::optional<EventId> after_event;
 };
 
 // The parts of the call's prompt that other requests may have too: all but the
--- a/src/libs/gateway/gateway_call_runner.cc
+++ b/src/libs/gateway/gateway_call_runner.cc
@@ -239,14 +239,13 @@
       co_await EndUnanswered();
       co_return;
     }
-    const std::optional<std::uint64_t> after_event = relay_.order().last_id();
-    LogEvent(
-        kLog, Severity::kInfo, "retried",
-        {{"request", resolved_.call->id},
-         {"target", last_target_},
-         {"attempts", attempts_},
-         {"after_event", after_event ? std::to_string(*after_event) : "none"},
-         {"reason", reason_.text}});
+    LogEvent(kLog, Severity::kInfo, "retried",
+             {{"request", resolved_.call->id},
+              {"target", last_target_},
+              {"attempts", attempts_},
+              {"last_event", ToText(relay_.order().last_id())},
+              {"after_event", ToText(relay_.order().resume_after())},
+              {"reason", reason_.text}});
   }
 }
 
--- a/src/libs/gateway/gateway_dialect.h
+++ b/src/libs/gateway/gateway_dialect.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "libs/base/reason.h"
+#include "libs/gateway/event_id.h"
 #include "libs/gateway/gateway_call.h"
 #include "libs/http/http_message.h"
 #include "libs/routing/reported_load.h"
@@ -25,8 +26,8 @@
   std::chrono::milliseconds time_left{0};
   // Priority in the target's queue; 0 is served first.
   int priority = 0;
-  // Last event that the caller has, if a stream is resumed.
-  std::optional<std::uint64_t> after_event;
+  // Event after which the target has to begin, if a stream is resumed.
+  std::optional<EventId> after_event;
 };
 
 // What the status and headers of a response say about the request.
--- a/src/libs/gateway/response_relay.cc
+++ b/src/libs/gateway/response_relay.cc
@@ -83,9 +83,10 @@
     const EventVerdict verdict = order_.CheckNext(event->id);
     if (verdict == EventVerdict::kMissing) {
       return Fail(reason, ResultCode::kTargetFailed,
-                  "target " + response.target +
-                      " skipped events before event " +
-                      std::to_string(event->id.value_or(0)));
+                  "target " + response.target + " sent event " +
+                      ToText(event->id) + " without event " +
+                      ToText(order_.last_id()) +
+                      ", the last that the caller has");
     }
     if (verdict == EventVerdict::kPass)
       new_events += event->bytes;
@@ -98,6 +99,7 @@
     Reason* reason) {
   HttpStream& stream = response.stream;
   EventSplitter splitter;
+  order_.BeginTarget();
   std::size_t bytes_without_event = 0;
   HttpFailure failure;
   for (;;) {
@@ -109,6 +111,12 @@
     }
     received_bytes_ += piece->size();
     if (stream.done() && piece->empty() && splitter.pending_bytes() == 0) {
+      if (order_.awaits_last()) {
+        failure.text = "the stream ended without event " +
+                       ToText(order_.last_id()) +
+                       ", the last that the caller has";
+        break;
+      }
       response.meter.SetOutcome(AttemptOutcome::kGood);
       StartStreamOnce(stream);
       status_ = stream.status();
--- a/src/libs/gateway/response_relay.h
+++ b/src/libs/gateway/response_relay.h
@@ -57,8 +57,8 @@
         share_(memory) {}
 
   // The caller already has the events up to `event`, if it names one.
-  void StartAfter(std::optional<std::uint64_t> event) {
-    order_.StartAfter(event);
+  void StartAfter(std::optional<EventId> event) {
+    order_.StartAfter(std::move(event));
   }
   // Reads the whole response. Returns nullopt and sets `reason` if reading
   // fails.
--- a/src/libs/gateway/target_attempt.cc
+++ b/src/libs/gateway/target_attempt.cc
@@ -52,7 +52,7 @@
   metadata.priority = std::min(
       resolved_.route->priority,
       resolved_.team ? resolved_.team->priority : resolved_.route->priority);
-  metadata.after_event = order.last_id();
+  metadata.after_event = order.resume_after();
   return metadata;
 }
 
