Keep the linter from misreading a defaulted comparison

Cause: clang-tidy reports modernize-use-nullptr for the zero that the compiler generates in StoreVersion's operator<=>. std::tie was weighed: more code for the same comparison. Result: scripts/lint.sh passes.

--- a/src/libs/base/store_version.h
+++ b/src/libs/base/store_version.h
@@ -19,6 +19,8 @@
   std::uint64_t era = 0;
   std::uint64_t revision = 0;
 
+  // The linter takes a zero in the generated code for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const StoreVersion&, const StoreVersion&) = default;
   // Whether it is the version of anything; revisions of objects start above 0.
   constexpr bool IsSet() const { return era > 0 || revision > 0; }
