Split BucketSync and HolderClosing into files of one concern each

Change: their state goes into *_private.h, as in other libraries, the search in the shards of other domains into bucket_sync_foreign.cc, and the shards and bills of a closing into holder_closing_shards.cc. Lines are moved only; Phase got a name for each class.

--- a/src/libs/budget/bucket_sync.cc
+++ b/src/libs/budget/bucket_sync.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libs/budget/bucket_plan.h"
+#include "libs/budget/bucket_sync_private.h"
 #include "libs/budget/budget_account.h"
 #include "libs/budget/budget_constants.h"
 #include "libs/budget/domain_shard.h"
@@ -14,18 +15,7 @@
 
 namespace {
 
-enum class Phase {
-  kLoadAccount,
-  kCreateAccount,
-  kLoadShard,
-  kCreateShard,
-  kPlan,
-  kWriteAccount,
-  kWriteShard,
-  kLoadForeign,
-  kWriteForeign,
-  kDone,
-};
+using Phase = BucketSyncPhase;
 
 bool IsLoad(Phase phase) {
   return phase == Phase::kLoadAccount || phase == Phase::kLoadShard ||
@@ -34,48 +24,6 @@
 
 }  // namespace
 
-class BucketSync::Private {
- public:
-  void Plan(HostLedger& ledger);
-  void AdoptGrants(HostLedger& ledger);
-  void ConfirmBorrowerList(const DomainShard& shard);
-  void GiveBackScarceTokens(HostLedger& ledger);
-  bool IsClosed(const HostLedger& ledger) const;
-  void StartForeignSearch();
-  void NextForeignShard();
-  void HandleFailure(const Reason& reason);
-  void HandleForeignAnswer(const PlatformAnswer& answer);
-  void HandleShardWritten(HostLedger& ledger);
-  void Restart(std::chrono::milliseconds retry_pause);
-  void End(Reason reason);
-  PlatformCall Call(PlatformVerb verb, std::string name) const;
-  std::string AccountName() const { return AccountObjectName(parts.bucket); }
-  std::string ShardName(const std::string& domain) const {
-    return ShardObjectName(domain, parts.bucket);
-  }
-
-  BucketSyncParts parts;
-  Phase phase = Phase::kDone;
-  BucketState state;
-  StoreVersion account_version;
-  StoreVersion shard_version;
-  bool state_current = false;
-  bool needs_round = false;
-  // State of the current round.
-  GrantRequests requests;
-  bool closing = false;
-  bool loaded_this_round = false;
-  bool foreign_searched = false;
-  int attempts = 0;
-  std::chrono::milliseconds pause{0};
-  BucketPlan plan;
-  std::map<std::string, std::int64_t> missing;
-  std::vector<std::string> foreign_domains;
-  DomainShard foreign_shard;
-  StoreVersion foreign_version;
-  SyncResult result;
-};
-
 BucketSync::BucketSync(BucketSyncParts parts)
     : d_(std::make_unique<Private>()) {
   d_->parts = std::move(parts);
@@ -326,63 +274,6 @@
   }
 }
 
-// Starts to look for free tokens in the shards of the other domains.
-void BucketSync::Private::StartForeignSearch() {
-  foreign_searched = true;
-  missing.clear();
-  foreign_domains.clear();
-  for (const auto& [name, request] : plan.short_of_tokens) {
-    missing[name] = request.needed;
-    for (const auto& [domain, it] : state.account.budgets[name].domains) {
-      if (domain != parts.domain && it.allocated > it.returned &&
-          std::find(foreign_domains.begin(), foreign_domains.end(), domain) ==
-              foreign_domains.end())
-        foreign_domains.push_back(domain);
-    }
-  }
-  phase = foreign_domains.empty() ? Phase::kPlan : Phase::kLoadForeign;
-}
-
-void BucketSync::Private::NextForeignShard() {
-  foreign_domains.pop_back();
-  phase = foreign_domains.empty() ? Phase::kPlan : Phase::kLoadForeign;
-}
-
-// Skips the shard of another domain that cannot be read or written now; the
-// next round tries it again.
-void BucketSync::Private::HandleForeignAnswer(const PlatformAnswer& answer) {
-  const std::string& domain = foreign_domains.back();
-  const ResultCode code = answer.reason.code;
-  if (phase == Phase::kWriteForeign && NeedsReread(code) &&
-      ++attempts < kMaxWriteAttempts) {
-    pause = kWriteRetryPause * attempts;
-    phase = Phase::kLoadForeign;
-    return;
-  }
-  if (code != ResultCode::kOk) {
-    result.complete &= code == ResultCode::kPlatformNotFound;
-    return NextForeignShard();
-  }
-  if (phase == Phase::kLoadForeign) {
-    Reason ignored;
-    std::optional<DomainShard> shard = ParseDomainShard(answer.value, &ignored);
-    if (!shard)
-      return NextForeignShard();
-    foreign_shard = std::move(*shard);
-    foreign_version = answer.version;
-    if (ReturnIdleTokens(state, domain, missing, foreign_shard)) {
-      phase = Phase::kWriteForeign;
-      return;
-    }
-  }
-  for (const auto& [name, tokens] : missing) {
-    auto it = foreign_shard.budgets.find(name);
-    if (it != foreign_shard.budgets.end())
-      state.foreign_returned[name][domain] = it->second.returned;
-  }
-  NextForeignShard();
-}
-
 void BucketSync::Private::HandleShardWritten(HostLedger& ledger) {
   state.shard = plan.shard;
   ConfirmBorrowerList(state.shard);
